--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,102 @@
+package telemetry
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// sampleSize is how many recent durations a histogram keeps; 1028 gives 99.9%
+// confidence with a 5% margin of error (metrics.NewExpDecaySample).
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Label is one label of a metric.
+type Label struct{ Key, Value string }
+
+// Name builds a metric's name with its labels.
+func Name(base string, labels ...Label) string {
+	if len(labels) == 0 {
+		return base
+	}
+	var b strings.Builder
+	b.WriteString(base)
+	b.WriteByte('{')
+	for i, l := range labels {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(l.Key)
+		b.WriteString(`="`)
+		b.WriteString(escaper.Replace(l.Value))
+		b.WriteByte('"')
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+var escaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// Registry holds an instance's metrics.
+type Registry struct {
+	reg       metrics.Registry
+	durations sync.Map // requestKey -> metrics.Histogram
+}
+
+type requestKey struct {
+	customer fleet.CustomerID
+	class    fleet.Class
+	outcome  string
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{reg: metrics.NewRegistry()}
+}
+
+// Counter returns the counter of a name, made at its first use.
+func (r *Registry) Counter(name string, labels ...Label) metrics.Counter {
+	return metrics.GetOrRegisterCounter(Name(name, labels...), r.reg)
+}
+
+// Gauge returns the gauge of a name, made at its first use.
+func (r *Registry) Gauge(name string, labels ...Label) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(Name(name, labels...), r.reg)
+}
+
+// Request records one answered request: its duration by customer, class and
+// outcome, where the outcome is the answer's status class as "2xx".
+func (r *Registry) Request(c fleet.CustomerID, class fleet.Class, status int, d time.Duration) {
+	key := requestKey{customer: c, class: class, outcome: statusClass(status)}
+	h, ok := r.durations.Load(key)
+	if !ok {
+		h, _ = r.durations.LoadOrStore(key, r.newDuration(key))
+	}
+	h.(metrics.Histogram).Update(int64(d))
+}
+
+func (r *Registry) newDuration(key requestKey) metrics.Histogram {
+	name := Name("request_duration_seconds",
+		Label{"customer", string(key.customer)},
+		Label{"class", key.class.String()},
+		Label{"status", key.outcome})
+	return metrics.GetOrRegisterHistogram(name, r.reg, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+}
+
+func statusClass(status int) string {
+	switch status / 100 {
+	case 2:
+		return "2xx"
+	case 3:
+		return "3xx"
+	case 4:
+		return "4xx"
+	}
+	return "5xx"
+}
--- /dev/null
+++ b/upstream/try.go
@@ -0,0 +1,188 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
+)
+
+// Request is what is sent to a target.
+type Request struct {
+	Method string
+	// URL gives path and query; its scheme and host are not used.
+	URL    *url.URL
+	Header http.Header
+	// Body may be nil. It is read once: a try that began to read it cannot
+	// be followed by another with the same body.
+	Body io.Reader
+	// Length is the body's length in bytes, -1 if it is not known.
+	Length int64
+	// MaxAnswer bounds the answer's body in bytes.
+	MaxAnswer int64
+}
+
+// Answer is a target's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Result is how a try ended.
+type Result struct {
+	Try fleet.TryResult
+	// Sent tells whether any byte of the request may have left this
+	// instance. A request that was not sent was not run.
+	Sent bool
+	// TooLarge tells that the answer was cut off at Request.MaxAnswer.
+	TooLarge bool
+	// Answer is the target's whole answer, nil if there is none.
+	Answer *Answer
+	// RetryAfter is when the target asked to be left alone until, 0 if it
+	// did not ask.
+	RetryAfter time.Duration
+	Latency    time.Duration
+	Err        error
+}
+
+// Unrun tells whether the target certainly did not run the request.
+func (r *Result) Unrun() bool { return !r.Sent || r.Try.RefusedUnrun() }
+
+// Via names this instance to targets.
+type Via struct {
+	Instance fleet.InstanceID
+	Zone     fleet.Zone
+}
+
+// Try sends a request to one target and reads its whole answer. The context
+// bounds it; its deadline is passed on to the target.
+func Try(ctx context.Context, rt http.RoundTripper, via Via, target fleet.Target, req *Request) Result {
+	start := time.Now()
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	out := newOutgoing(httptrace.WithClientTrace(ctx, trace), via, target, req)
+	resp, err := rt.RoundTrip(out)
+	res := Result{}
+	if err != nil {
+		res.Try, res.Err = classifyError(ctx, err, sent.Load()), err
+	} else {
+		readAnswer(ctx, resp, req.MaxAnswer, &res)
+	}
+	res.Sent = sent.Load()
+	res.Latency = time.Since(start)
+	return res
+}
+
+// onceBody hides what kind of reader a body is, so that the transport can
+// neither rewind it nor send the request a second time on its own.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+func newOutgoing(ctx context.Context, via Via, target fleet.Target, req *Request) *http.Request {
+	u := *req.URL
+	u.Scheme = "http"
+	u.Host = target.Addr
+	out := &http.Request{
+		Method:        req.Method,
+		URL:           &u,
+		Host:          target.Addr,
+		Header:        header.Forwarded(req.Header),
+		ContentLength: req.Length,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	if req.Body != nil {
+		out.Body = onceBody{req.Body}
+	}
+	out.Header.Set(header.ViaInstance, string(via.Instance))
+	out.Header.Set(header.ViaZone, string(via.Zone))
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		out.Header.Set(header.RequestTimeout, strconv.FormatInt(left, 10))
+	}
+	return out.WithContext(ctx)
+}
+
+// ErrGivenUp is the cause of a context that ended for a reason which says
+// nothing of the target: the caller left, or another try was chosen.
+var ErrGivenUp = errors.New("given up")
+
+func classifyError(ctx context.Context, err error, sent bool) fleet.TryResult {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrGivenUp), errors.Is(ctx.Err(), context.Canceled):
+		return fleet.TryCanceled
+	case errors.Is(err, context.DeadlineExceeded) && sent:
+		return fleet.TryTimeout
+	case !sent:
+		return fleet.TryDialFailed
+	case isTimeout(err):
+		return fleet.TryTimeout
+	}
+	return fleet.TryReset
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+func readAnswer(ctx context.Context, resp *http.Response, limit int64, res *Result) {
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		res.Try, res.Err = classifyBodyError(ctx, err), err
+		return
+	}
+	if int64(len(body)) > limit {
+		res.Try, res.TooLarge = fleet.TryOK, true
+		return
+	}
+	res.Try = classifyAnswer(resp)
+	res.RetryAfter = retryAfter(resp.Header)
+	res.Answer = &Answer{Status: resp.StatusCode, Header: header.Forwarded(resp.Header), Body: body}
+}
+
+func classifyBodyError(ctx context.Context, err error) fleet.TryResult {
+	try := classifyError(ctx, err, true)
+	if try == fleet.TryReset {
+		return fleet.TryTruncated
+	}
+	return try
+}
+
+func classifyAnswer(resp *http.Response) fleet.TryResult {
+	switch resp.Header.Get(header.TargetNotRun) {
+	case header.NotRunShed:
+		return fleet.TryShed
+	case header.NotRunDraining:
+		return fleet.TryDraining
+	case header.NotRunCold:
+		return fleet.TryCold
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return fleet.TryError
+	}
+	return fleet.TryOK
+}
+
+// retryAfter reads the seconds form of Retry-After.
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get(header.RetryAfter))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return time.Duration(s) * time.Second
+}
