--- a/contract/contract.go
+++ b/contract/contract.go
@@ -115,7 +115,7 @@
 	// Default 2; 1 to 5.
 	Attempts int `json:"attempts,omitempty"`
 	// BudgetPercent bounds retries and hedges together over the whole fleet,
-	// in percent of first tries. Default 10; 0 to 50.
+	// in percent of first tries. Default 10; 1 to 50.
 	BudgetPercent int `json:"budget_percent,omitempty"`
 }
 
