--- a/emulator/answer.go
+++ b/emulator/answer.go
@@ -10,28 +10,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-)
 
-// Headers of the protocol between the fleet and its targets.
-const (
-	HeaderNotRun       = "Target-Not-Run"
-	HeaderTimeout      = "Request-Timeout-Ms"
-	HeaderViaInstance  = "Via-Instance"
-	HeaderViaZone      = "Via-Zone"
-	HeaderIdempotency  = "Idempotency-Key"
-	HeaderTicket       = "Operation-Ticket"
-	HeaderOperationKey = "Operation-Key"
-	// HeaderNonce is the caller's own name of a request, which Answer
-	// repeats.
-	HeaderNonce = "Load-Nonce"
+	"github.com/clementinereel/clementinereel/header"
 )
 
-// Reasons that the header Target-Not-Run gives.
-const (
-	NotRunShed     = "shed"
-	NotRunDraining = "draining"
-	NotRunCold     = "cold"
-)
+// HeaderNonce is the caller's own name of a request, which Answer repeats.
+const HeaderNonce = "Load-Nonce"
 
 // Answer is the body of a target's whole answer. It names the request that
 // it belongs to.
@@ -79,7 +63,7 @@
 // operationKey returns the name under which a run is recorded: the caller's
 // own if it came through, else the fleet's.
 func operationKey(h http.Header) string {
-	for _, name := range []string{HeaderIdempotency, HeaderTicket, HeaderOperationKey} {
+	for _, name := range []string{header.IdempotencyKey, header.OperationTicket, header.OperationKey} {
 		if v := h.Get(name); v != "" {
 			return v
 		}
--- a/emulator/behavior.go
+++ b/emulator/behavior.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/contract"
+	"github.com/clementinereel/clementinereel/header"
 )
 
 // Behavior is how a target behaves from the moment it is set. The zero
@@ -100,8 +101,8 @@
 	if len(b.Zones) == 0 && len(b.Instances) == 0 {
 		return true
 	}
-	return slices.Contains(b.Zones, h.Get(HeaderViaZone)) ||
-		slices.Contains(b.Instances, h.Get(HeaderViaInstance))
+	return slices.Contains(b.Zones, h.Get(header.ViaZone)) ||
+		slices.Contains(b.Instances, h.Get(header.ViaInstance))
 }
 
 func (b Behavior) sickAt(since time.Duration) bool {
@@ -115,11 +116,11 @@
 func (b Behavior) refusal(since time.Duration) string {
 	switch {
 	case b.Draining:
-		return NotRunDraining
+		return header.NotRunDraining
 	case since < b.ColdFor.D():
-		return NotRunCold
+		return header.NotRunCold
 	case b.Shed:
-		return NotRunShed
+		return header.NotRunShed
 	}
 	return ""
 }
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/clementinereel/clementinereel/header"
 )
 
 // readFirst is the largest body, in bytes, that is read before the request
@@ -104,7 +106,7 @@
 	if p.sick {
 		p.fault = e.drawFault()
 	}
-	e.records.arrived(Arrival{After: since, Instance: h.Get(HeaderViaInstance), Sick: p.sick})
+	e.records.arrived(Arrival{After: since, Instance: h.Get(header.ViaInstance), Sick: p.sick})
 	return p, true
 }
 
@@ -145,7 +147,7 @@
 
 // deadline returns the request's context, bounded by Request-Timeout-Ms.
 func deadline(r *http.Request) (context.Context, context.CancelFunc) {
-	ms, err := strconv.Atoi(r.Header.Get(HeaderTimeout))
+	ms, err := strconv.Atoi(r.Header.Get(header.RequestTimeout))
 	if err != nil || ms <= 0 {
 		return context.WithCancel(r.Context())
 	}
@@ -155,7 +157,7 @@
 // refuse tells that the work did not run.
 func (e *Emulator) refuse(w http.ResponseWriter, reason string) {
 	e.records.update(func(s *Stats) { s.Refused[reason]++ })
-	w.Header().Set(HeaderNotRun, reason)
+	w.Header().Set(header.TargetNotRun, reason)
 	seconds := max(1, int(e.opts.RetryAfter.D()/time.Second))
 	w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	http.Error(w, "not run: "+reason, http.StatusServiceUnavailable)
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -13,6 +13,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/clementinereel/clementinereel/header"
 )
 
 func start(t *testing.T, o Options) *Server {
@@ -27,7 +29,7 @@
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, s.URL()+"/confirm?x=1", strings.NewReader("body"))
 	assert.NilError(t, err)
-	req.Header.Set(HeaderIdempotency, key)
+	req.Header.Set(header.IdempotencyKey, key)
 	req.Header.Set(HeaderNonce, "n-"+key)
 	for i := 0; i+1 < len(h); i += 2 {
 		req.Header.Set(h[i], h[i+1])
@@ -79,13 +81,13 @@
 		{name: "resets", behavior: Behavior{ResetPercent: 100}, started: 1, completed: 1},
 		{name: "cut", behavior: Behavior{TruncatePercent: 100}, started: 1, completed: 1},
 		{name: "cut in chunks", behavior: Behavior{TruncatePercent: 100, TruncateChunked: true}, started: 1, completed: 1},
-		{name: "draining", behavior: Behavior{Draining: true}, status: 503, notRun: NotRunDraining},
-		{name: "cold", behavior: Behavior{ColdFor: 1e12}, status: 503, notRun: NotRunCold},
-		{name: "shed", behavior: Behavior{Shed: true}, status: 503, notRun: NotRunShed},
+		{name: "draining", behavior: Behavior{Draining: true}, status: 503, notRun: header.NotRunDraining},
+		{name: "cold", behavior: Behavior{ColdFor: 1e12}, status: 503, notRun: header.NotRunCold},
+		{name: "shed", behavior: Behavior{Shed: true}, status: 503, notRun: header.NotRunShed},
 		{name: "sick for another zone", behavior: Behavior{ErrorPercent: 100, Zones: []string{"b"}},
-			header: []string{HeaderViaZone, "a"}, status: 200, started: 1, completed: 1},
+			header: []string{header.ViaZone, "a"}, status: 200, started: 1, completed: 1},
 		{name: "sick for this instance", behavior: Behavior{ErrorPercent: 100, Instances: []string{"i-1"}},
-			header: []string{HeaderViaInstance, "i-1"}, status: 500, started: 1, completed: 1},
+			header: []string{header.ViaInstance, "i-1"}, status: 500, started: 1, completed: 1},
 		{name: "dies before", behavior: Behavior{Die: DieBefore}},
 		{name: "dies during", behavior: Behavior{Die: DieDuring}, started: 1},
 		{name: "dies after", behavior: Behavior{Die: DieAfter}, started: 1, completed: 1},
@@ -97,7 +99,7 @@
 			put(t, s, c.behavior)
 			status, _, h := send(request(t, s, "k", c.header...))
 			assert.Equal(t, status, c.status)
-			assert.Equal(t, h.Get(HeaderNotRun), c.notRun)
+			assert.Equal(t, h.Get(header.TargetNotRun), c.notRun)
 			run := s.Runs()["k"]
 			assert.Equal(t, run.Started, c.started)
 			assert.Equal(t, run.Completed, c.completed)
@@ -155,11 +157,11 @@
 	waitStats(t, s, func(st Stats) bool { return st.Busy == 1 && st.Waiting == 1 })
 	status, _, h := send(request(t, s, "shed"))
 	assert.Equal(t, status, http.StatusServiceUnavailable)
-	assert.Equal(t, h.Get(HeaderNotRun), NotRunShed)
+	assert.Equal(t, h.Get(header.TargetNotRun), header.NotRunShed)
 	assert.Equal(t, h.Get("Retry-After"), "1")
 	cancel()
 	waitStats(t, s, func(st Stats) bool { return st.Busy == 0 && st.Waiting == 0 })
-	status, _, _ = send(request(t, s, "late", HeaderTimeout, "1"))
+	status, _, _ = send(request(t, s, "late", header.RequestTimeout, "1"))
 	assert.Equal(t, status, http.StatusGatewayTimeout)
 }
 
@@ -180,7 +182,7 @@
 		sick  bool
 		slow  float64
 		cold  string
-	}{{0, true, 20, NotRunCold}, {3, false, 4, NotRunCold}, {11, true, 20, ""}, {20, true, 5, ""}, {24, false, 1, ""}} {
+	}{{0, true, 20, header.NotRunCold}, {3, false, 4, header.NotRunCold}, {11, true, 20, ""}, {20, true, 5, ""}, {24, false, 1, ""}} {
 		sick := b.sick(c.since, nil)
 		assert.Equal(t, sick, c.sick)
 		assert.Equal(t, b.slowness(c.since, sick), c.slow)
--- a/emulator/execution.go
+++ b/emulator/execution.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/clementinereel/clementinereel/header"
 )
 
 // execution is one request on its way through a target.
@@ -60,7 +62,7 @@
 		x.canceled()
 		return
 	}
-	x.e.refuse(x.w, NotRunShed)
+	x.e.refuse(x.w, header.NotRunShed)
 }
 
 // run executes the work and answers.
