--- /dev/null
+++ b/proxy/request.go
@@ -0,0 +1,39 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/upstream"
+)
+
+// bufferedRequest is the request to targets with a body that was read whole.
+// Each call makes one that can be tried once.
+func (x *exchange) bufferedRequest(body []byte) *upstream.Request {
+	req := x.request()
+	req.Length = int64(len(body))
+	if len(body) > 0 {
+		req.Body = bytes.NewReader(body)
+	}
+	return req
+}
+
+// streamedRequest is the request to one target with the caller's body.
+func (x *exchange) streamedRequest(body io.Reader) *upstream.Request {
+	req := x.request()
+	req.Body = body
+	req.Length = x.r.ContentLength
+	return req
+}
+
+func (x *exchange) request() *upstream.Request {
+	h := x.r.Header.Clone()
+	h.Set(header.RequestID, x.id)
+	return &upstream.Request{
+		Method:    x.r.Method,
+		URL:       x.r.URL,
+		Header:    h,
+		MaxAnswer: x.route.MaxAnswer,
+	}
+}
--- a/publication/record.go
+++ b/publication/record.go
@@ -34,7 +34,6 @@
 	KindTarget Kind = "target"
 	// KindCheckpoint carries a part of the whole state at an offset.
 	KindCheckpoint Kind = "checkpoint"
-
 )
 
 // Envelope is a record of the stream, as the log carries it in JSON.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -110,11 +110,11 @@
 	if err := dec.Decode(&s); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	s.complete()
-	return &s, s.check()
+	return &s, s.Complete()
 }
 
-func (s *Settings) complete() {
+// Complete fills in defaults and checks the settings.
+func (s *Settings) Complete() error {
 	orString(&s.Advertise, s.PeerListen)
 	orDuration(&s.Platform.Timeout, DefaultPlatformWait)
 	orDuration(&s.Platform.ListInterval, DefaultListInterval)
@@ -128,6 +128,7 @@
 	if s.Bounds.AnswerMemory == 0 {
 		s.Bounds.AnswerMemory = DefaultAnswerMemory
 	}
+	return s.check()
 }
 
 func (s *Settings) check() error {
