Add membership, rendezvous and calls between instances

Instances need a view of each other from the platform's lagging list and from peers, roles that fall on them without an election, and calls that get round a network cut one way.

- rendezvous: owner and rank of a key over the members
- peer: transport with a path state and one relay hop, server mux with bounds and an optional secret, and the gossip loop

--- /dev/null
+++ b/peer/transport_test.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/membership"
+)
+
+// echo answers with the caller's name and the body.
+func echo(w http.ResponseWriter, r *http.Request) {
+	from, _ := Sender(r.Context())
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	_, _ = io.WriteString(w, from.String()+" "+string(body))
+}
+
+func post(ctx context.Context, n *node, to fleet.InstanceID, body string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, URL(to)+"/echo", strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	resp, err := n.transport.Client().Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func startEcho(t *testing.T, count int, s Settings) (*cuts, []*node) {
+	network, nodes := newNodes(t, count, s)
+	for _, n := range nodes {
+		n.server.Handle("/echo", http.HandlerFunc(echo))
+		n.start(t)
+	}
+	return network, nodes
+}
+
+func TestCallNamesBothProcesses(t *testing.T) {
+	_, nodes := startEcho(t, 2, Settings{})
+	resp, body, err := post(t.Context(), nodes[0], "i1", "hello")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "i0@1 hello")
+	assert.Equal(t, resp.Header.Get(HeaderFrom), "i1@1")
+	assert.Equal(t, resp.ProtoMajor, 2)
+}
+
+func TestUnknownPeer(t *testing.T) {
+	_, nodes := startEcho(t, 1, Settings{})
+	_, _, err := post(t.Context(), nodes[0], "nobody", "")
+	assert.ErrorContains(t, err, ErrUnknownPeer.Error())
+}
+
+func TestRelayRoundOneWayCut(t *testing.T) {
+	for _, warm := range []bool{false, true} {
+		network, nodes := startEcho(t, 3, Settings{RetryMin: 20 * time.Millisecond})
+		if warm { // the cut then strikes an open connection
+			_, _, err := post(t.Context(), nodes[0], "i1", "warm")
+			assert.NilError(t, err)
+		}
+		network.set("i0", nodes[1].member.Addr, true)
+
+		resp, body, err := post(t.Context(), nodes[0], "i1", "hello")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "i0@1 hello")
+		assert.Equal(t, resp.Header.Get(HeaderFrom), "i1@1")
+		assert.Assert(t, nodes[0].transport.Cut("i1"))
+		assert.Equal(t, nodes[2].transport.Stats().RelayedIn, int64(1))
+
+		_, body, err = post(t.Context(), nodes[1], "i0", "back")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "i1@1 back")
+		assert.Assert(t, !nodes[1].transport.Cut("i0"))
+
+		network.set("i0", nodes[1].member.Addr, false)
+		waitFor(t, "open path", func() bool {
+			_, _, err := post(t.Context(), nodes[0], "i1", "again")
+			assert.NilError(t, err)
+			return !nodes[0].transport.Cut("i1")
+		})
+	}
+}
+
+func TestCutPathIsNotTriedByCalls(t *testing.T) {
+	network, nodes := startEcho(t, 4, Settings{RetryMin: time.Hour, RetryMax: time.Hour})
+	network.set("i0", nodes[1].member.Addr, true)
+	for range 5 {
+		_, _, err := post(t.Context(), nodes[0], "i1", "hello")
+		assert.NilError(t, err)
+	}
+	stats := nodes[0].transport.Stats()
+	assert.Equal(t, stats.PathsCut, int64(1))
+	assert.Equal(t, stats.RelayedOut, int64(5))
+}
+
+func TestWithoutRelayFails(t *testing.T) {
+	network, nodes := startEcho(t, 3, Settings{})
+	network.set("i0", nodes[1].member.Addr, true)
+	_, _, err := post(WithoutRelay(t.Context()), nodes[0], "i1", "hello")
+	assert.ErrorContains(t, err, "")
+	assert.Equal(t, nodes[0].transport.Stats().RelayedOut, int64(0))
+}
+
+func TestRelayThatIsCutTooIsPassedOver(t *testing.T) {
+	network, nodes := startEcho(t, 4, Settings{})
+	for _, from := range []string{"i0", "i2"} {
+		network.set(from, nodes[1].member.Addr, true)
+	}
+	for range 6 {
+		_, body, err := post(t.Context(), nodes[0], "i1", "hello")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "i0@1 hello")
+	}
+}
+
+func TestUnreachableByAll(t *testing.T) {
+	network, nodes := startEcho(t, 3, Settings{})
+	for _, from := range []string{"i0", "i2"} {
+		network.set(from, nodes[1].member.Addr, true)
+	}
+	_, _, err := post(t.Context(), nodes[0], "i1", "hello")
+	assert.ErrorContains(t, err, ErrUnreachable.Error())
+}
+
+func TestSlowHandlerIsNotTakenForACut(t *testing.T) {
+	_, nodes := newNodes(t, 3, Settings{PingTimeout: 100 * time.Millisecond})
+	runs := make(chan struct{}, 10)
+	release := make(chan struct{})
+	nodes[1].server.Handle("/echo", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs <- struct{}{}
+		<-release
+		echo(w, r)
+	}))
+	for _, n := range nodes {
+		n.start(t)
+	}
+	time.AfterFunc(500*time.Millisecond, func() { close(release) })
+	_, body, err := post(t.Context(), nodes[0], "i1", "slow")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "i0@1 slow")
+	assert.Equal(t, len(runs), 1)
+}
+
+func TestShortDeadlinesStillFindTheCut(t *testing.T) {
+	network, nodes := startEcho(t, 3, Settings{})
+	_, _, err := post(t.Context(), nodes[0], "i1", "warm")
+	assert.NilError(t, err)
+	network.set("i0", nodes[1].member.Addr, true)
+	waitFor(t, "relayed call", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, _, err := post(ctx, nodes[0], "i1", "hello")
+		return err == nil
+	})
+}
+
+func TestLargeBodySurvivesTheRelay(t *testing.T) {
+	network, nodes := startEcho(t, 3, Settings{})
+	_, _, err := post(t.Context(), nodes[0], "i1", "warm")
+	assert.NilError(t, err)
+	network.set("i0", nodes[1].member.Addr, true)
+	large := string(bytes.Repeat([]byte("0123456789abcdef"), 1<<16))
+	_, body, err := post(t.Context(), nodes[0], "i1", large)
+	assert.NilError(t, err)
+	assert.Assert(t, body == "i0@1 "+large)
+}
+
+func TestPathsFollowTheView(t *testing.T) {
+	_, nodes := startEcho(t, 2, Settings{})
+	_, _, err := post(t.Context(), nodes[0], "i1", "hello")
+	assert.NilError(t, err)
+	assert.Equal(t, len(nodes[0].transport.paths), 1)
+	nodes[0].transport.SetView(membership.NewView("i0", nil))
+	assert.Equal(t, len(nodes[0].transport.paths), 0)
+}
--- /dev/null
+++ b/rendezvous/rendezvous.go
@@ -0,0 +1,149 @@
+package rendezvous
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/membership"
+)
+
+// Member is a candidate for a role.
+type Member = membership.Member
+
+// preference orders members before their weights do; lower is better.
+type preference uint8
+
+const (
+	preferred preference = iota
+	notReady
+	suspect
+	leaving
+	excluded
+)
+
+func preferenceOf(m Member) preference {
+	switch m.State {
+	case membership.Alive:
+		if m.Ready {
+			return preferred
+		}
+		return notReady
+	case membership.Suspect:
+		return suspect
+	case membership.Leaving:
+		return leaving
+	}
+	return excluded
+}
+
+// candidate is a member as a Table keeps it.
+type candidate struct {
+	id   fleet.InstanceID
+	hash uint64
+	pref preference
+}
+
+// weight mixes the hashes of a key and a member (the finalizer of SplitMix64).
+func weight(key, member uint64) uint64 {
+	h := key ^ member
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
+// Owner returns the member that holds the role named by key. It is not ok if
+// there is no member.
+func Owner(key string, members []Member) (id fleet.InstanceID, ok bool) {
+	keyHash := xxhash.Sum64String(key)
+	best := candidate{pref: excluded}
+	var bestWeight uint64
+	for i := range members {
+		c := candidateOf(&members[i])
+		w := weight(keyHash, c.hash)
+		if c.before(w, best, bestWeight) {
+			best, bestWeight = c, w
+		}
+	}
+	return best.id, best.pref != excluded
+}
+
+// Ranked returns up to n members in the order in which they hold the role
+// named by key: the owner, its heir, and so on.
+func Ranked(key string, members []Member, n int) []fleet.InstanceID {
+	return NewTable(members).Ranked(key, n)
+}
+
+func candidateOf(m *Member) candidate {
+	return candidate{id: m.ID, hash: xxhash.Sum64String(string(m.ID)), pref: preferenceOf(*m)}
+}
+
+// before tells whether candidate c, of weight w, ranks before other.
+func (c candidate) before(w uint64, other candidate, otherWeight uint64) bool {
+	if c.pref != other.pref {
+		return c.pref < other.pref
+	}
+	if w != otherWeight {
+		return w > otherWeight
+	}
+	return c.id < other.id && c.pref != excluded
+}
+
+// Table holds the hashes of the members, for owners of many keys. It is
+// immutable.
+type Table struct {
+	candidates []candidate // of the best preference present first
+	best       int         // how many share that preference
+}
+
+// NewTable builds a table of members. Build it anew when the epoch of the view
+// changes.
+func NewTable(members []Member) *Table {
+	t := &Table{candidates: make([]candidate, 0, len(members))}
+	for i := range members {
+		if c := candidateOf(&members[i]); c.pref != excluded {
+			t.candidates = append(t.candidates, c)
+		}
+	}
+	slices.SortStableFunc(t.candidates, func(a, b candidate) int { return int(a.pref) - int(b.pref) })
+	for t.best < len(t.candidates) && t.candidates[t.best].pref == t.candidates[0].pref {
+		t.best++
+	}
+	return t
+}
+
+// Owner returns the member that holds the role named by key.
+func (t *Table) Owner(key string) (id fleet.InstanceID, ok bool) {
+	if t.best == 0 {
+		return "", false
+	}
+	keyHash := xxhash.Sum64String(key)
+	best := &t.candidates[0]
+	bestWeight := weight(keyHash, best.hash)
+	for i := 1; i < t.best; i++ {
+		c := &t.candidates[i]
+		w := weight(keyHash, c.hash)
+		if w > bestWeight || w == bestWeight && c.id < best.id {
+			best, bestWeight = c, w
+		}
+	}
+	return best.id, true
+}
+
+// Ranked returns up to n members in the order in which they hold the role.
+func (t *Table) Ranked(key string, n int) []fleet.InstanceID {
+	keyHash := xxhash.Sum64String(key)
+	ranked := slices.Clone(t.candidates)
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		if a.before(weight(keyHash, a.hash), b, weight(keyHash, b.hash)) {
+			return -1
+		}
+		return 1
+	})
+	ids := make([]fleet.InstanceID, 0, min(n, len(ranked)))
+	for i := range min(n, len(ranked)) {
+		ids = append(ids, ranked[i].id)
+	}
+	return ids
+}
