Add rate and concurrency limits that hold over the fleet

A customer's limiter keeps the bucket and hands tokens and concurrency slots out ahead of demand; instances take from their account without waiting. An instance cut off lives on 1/n of the limit.

--- /dev/null
+++ b/ratelimit/demand.go
@@ -0,0 +1,153 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+)
+
+// due tells whether the account should send a demand now.
+func (a *Account) due(now time.Time) bool {
+	since := now.Sub(a.asked)
+	if a.waiting && since < answerWithin {
+		return false
+	}
+	if a.urgent {
+		return since >= a.patience()
+	}
+	if a.wants(0.25) {
+		return since >= askEvery
+	}
+	if now.Sub(a.used) < keepAlive && since >= keepAlive {
+		return true
+	}
+	return a.wants(0) && since >= askLazily
+}
+
+// patience is the least time between urgent demands. It is longer when the
+// limiter has nothing to give.
+func (a *Account) patience() time.Duration {
+	if a.short {
+		return askEvery
+	}
+	return askUrgently
+}
+
+// wants tells whether a line lacks more than the given part of its target.
+func (a *Account) wants(part float64) bool {
+	for i := range a.lines {
+		l := &a.lines[i]
+		lack := a.target(l) - l.balance
+		if lack >= 1 && lack > part*a.target(l)+1 {
+			return true
+		}
+		if part == 0 && lack >= 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// idle tells whether the account can be forgotten.
+func (a *Account) idle(now time.Time) bool {
+	if now.Sub(a.used) < idleAfter {
+		return false
+	}
+	for i := range a.lines {
+		if a.lines[i].inFlight > 0 || a.lines[i].balance <= -1 {
+			return false
+		}
+	}
+	return true
+}
+
+// demand makes the account's next demand.
+func (a *Account) demand(now time.Time) Demand {
+	a.settle(now)
+	interval := now.Sub(a.asked).Seconds()
+	if !a.waiting {
+		a.waitedAt = now
+	}
+	a.seq++
+	a.asked, a.waiting, a.urgent = now, true, false
+	d := Demand{Customer: a.customer, Holder: a.holder, Seq: a.seq, Applied: a.applied}
+	d.Limits = make([]LimitDemand, 0, len(a.lines))
+	for i := range a.lines {
+		l := &a.lines[i]
+		if l.unused() {
+			continue
+		}
+		d.Limits = append(d.Limits, a.demandLine(now, l, interval))
+	}
+	return d
+}
+
+func (l *line) unused() bool {
+	return l.offered == 0 && l.balance >= 0 && l.inFlight == 0 && l.rate < 0.01
+}
+
+func (a *Account) demandLine(now time.Time, l *line, interval float64) LimitDemand {
+	want := math.Max(a.target(l), math.Min(l.offered-l.own(a.listed), l.Burst)) - l.balance
+	d := LimitDemand{ID: l.ID, Balance: l.balance, Want: math.Max(0, want), InFlight: l.inFlight}
+	if l.Concurrency > 0 {
+		l.busyUntil(now)
+		d.Busy = l.meanBusy(interval)
+		d.WantSlots = l.wantSlots(d.Busy)
+	}
+	l.average(interval)
+	d.Offered = l.rate
+	return d
+}
+
+// average folds the requests offered since the last demand into the rate and
+// begins the next count.
+func (l *line) average(interval float64) {
+	if interval > 0 {
+		keep := math.Exp(-interval / smoothing.Seconds())
+		l.rate = l.rate*keep + l.offered/interval*(1-keep)
+	}
+	l.offered, l.entered, l.busy = 0, 0, 0
+}
+
+func (l *line) meanBusy(interval float64) float64 {
+	if interval <= 0 {
+		return float64(l.inFlight)
+	}
+	return l.busy / interval
+}
+
+// wantSlots is the concurrency that would refuse few of the requests that
+// were offered, given the mean number in flight of those that entered.
+func (l *line) wantSlots(busy float64) int {
+	mean := busy
+	if l.entered > 0 {
+		mean = busy * math.Max(1, l.offered/l.entered)
+	}
+	return max(l.inFlight+1, int(math.Ceil(mean+2*math.Sqrt(mean)+1)))
+}
+
+// apply books a grant; late and repeated ones have no effect.
+func (a *Account) apply(now time.Time, g Grant) bool {
+	if !a.waiting || g.Seq != a.seq || g.Stale {
+		return false
+	}
+	a.waiting = false
+	if now.Sub(a.asked) > g.Lifetime {
+		return false
+	}
+	a.applied = g.Seq
+	a.heard = a.asked
+	a.short = false
+	for i := range g.Limits {
+		lg := &g.Limits[i]
+		j := a.index(lg.ID)
+		if j < 0 {
+			continue
+		}
+		l := &a.lines[j]
+		l.balance += math.Max(0, lg.Tokens)
+		a.short = a.short || a.low(l)
+		l.slots, l.granted, l.level = lg.Slots, true, lg.Level
+		l.at = now
+	}
+	return true
+}
--- /dev/null
+++ b/ratelimit/fleet_test.go
@@ -0,0 +1,170 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+const (
+	testStep  = 5 * time.Millisecond
+	testTick  = 50 * time.Millisecond
+	testDelay = 5 * time.Millisecond
+)
+
+var testEpoch = time.Unix(1_700_000_000, 0)
+
+// testFleet runs real tables and granters under a fake clock; messages take
+// testDelay each way unless the test cuts them off.
+type testFleet struct {
+	now      time.Time
+	rng      *rand.Rand
+	limits   Limits
+	tables   []*Table
+	granters []*Granter
+	weights  []float64
+	// role names the limiter as an instance sees it, view what a limiter
+	// knows of the fleet, lost whether a message between two is lost.
+	role func(i int) int
+	view func(i int) View
+	lost func(from, to int) bool
+	hold time.Duration
+
+	wire     []wireMessage
+	running  []runningRequest
+	offered  int
+	passed   int
+	inFlight int
+	peak     int
+	messages int
+}
+
+type wireMessage struct {
+	at       time.Time
+	from, to int
+	demand   *Demand
+	grant    *Grant
+}
+
+type runningRequest struct {
+	until    time.Time
+	decision Decision
+}
+
+func newTestFleet(seed uint64, n int, limits Limits, weights []float64) *testFleet {
+	f := &testFleet{
+		now:     testEpoch,
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+		limits:  limits,
+		weights: weights,
+		role:    func(int) int { return 0 },
+		view:    func(int) View { return View{Listed: n, Reached: n, Since: testEpoch.Add(-time.Hour)} },
+		lost:    func(int, int) bool { return false },
+	}
+	source := func(fleet.CustomerID) (Limits, bool) { return f.limits, true }
+	for i := range n {
+		h := fleet.Holder{Instance: fleet.InstanceID(fmt.Sprint(i)), Incarnation: 1}
+		t := NewTable(h, source, func() {})
+		t.SetView(View{Listed: n, Reached: n})
+		f.tables = append(f.tables, t)
+		f.granters = append(f.granters, NewGranter())
+	}
+	return f
+}
+
+// uneven gives the first instance 30 % of the traffic and the others even
+// parts of the rest.
+func uneven(n int) []float64 {
+	ws := make([]float64, n)
+	for i := range ws {
+		ws[i] = 0.7 / float64(n-1)
+	}
+	ws[0] = 0.3
+	return ws
+}
+
+// run offers the given rate for a while.
+func (f *testFleet) run(d time.Duration, rate float64) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(testStep) {
+		f.finish()
+		f.deliver()
+		for i := range f.tables {
+			f.arrive(i, rate*f.weights[i]*testStep.Seconds())
+			f.ask(i)
+		}
+	}
+}
+
+func (f *testFleet) arrive(i int, mean float64) {
+	for range poisson(f.rng, mean) {
+		f.offered++
+		d := f.tables[i].Take(f.now, "c", f.limits[len(f.limits)-1].ID)
+		if !d.OK {
+			continue
+		}
+		f.passed++
+		if f.hold == 0 {
+			d.Done(f.now)
+			continue
+		}
+		f.inFlight++
+		f.peak = max(f.peak, f.inFlight)
+		f.running = append(f.running, runningRequest{f.now.Add(f.hold), d})
+	}
+}
+
+func (f *testFleet) finish() {
+	for len(f.running) > 0 && !f.running[0].until.After(f.now) {
+		f.running[0].decision.Done(f.now)
+		f.running = f.running[1:]
+		f.inFlight--
+	}
+}
+
+// ask sends the demands that are due: urgent ones at once, others each tick.
+func (f *testFleet) ask(i int) {
+	ds := f.tables[i].Urgent(f.now)
+	if f.now.Sub(testEpoch)%testTick == 0 {
+		ds = append(ds, f.tables[i].Demands(f.now)...)
+	}
+	for _, d := range ds {
+		f.messages++
+		f.send(wireMessage{from: i, to: f.role(i), demand: &d})
+	}
+}
+
+func (f *testFleet) send(m wireMessage) {
+	if f.lost(m.from, m.to) {
+		return
+	}
+	m.at = f.now.Add(testDelay)
+	f.wire = append(f.wire, m)
+}
+
+func (f *testFleet) deliver() {
+	for len(f.wire) > 0 && !f.wire[0].at.After(f.now) {
+		m := f.wire[0]
+		f.wire = f.wire[1:]
+		if m.grant != nil {
+			f.tables[m.to].Apply(f.now, *m.grant)
+			continue
+		}
+		g := f.granters[m.to].Fold(f.now, f.limits, f.view(m.to), *m.demand)
+		f.send(wireMessage{from: m.to, to: m.from, grant: &g})
+	}
+}
+
+func (f *testFleet) reset() { f.offered, f.passed, f.peak, f.messages = 0, 0, 0, 0 }
+
+// poisson draws by Knuth's method; the means here are small.
+func poisson(rng *rand.Rand, mean float64) int {
+	limit := math.Exp(-mean)
+	n := 0
+	for p := rng.Float64(); p > limit; p *= rng.Float64() {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/ratelimit/granter.go
@@ -0,0 +1,287 @@
+package ratelimit
+
+import (
+	"math"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+const (
+	// Lifetime is how long a grant holds without contact.
+	Lifetime = 6 * time.Second
+	// forgetAfter is when a limiter forgets a silent account. It is longer
+	// than Lifetime, which the account counts from an earlier time.
+	forgetAfter = Lifetime + 2*time.Second
+	// sweepEvery is how often silent accounts are looked for.
+	sweepEvery = time.Second
+	// fairSlack is by how much an account may exceed its fair share of a
+	// contended limit, so that what others leave is used.
+	fairSlack = 1.5
+	// looseBelow is the share of a concurrency limit in flight below which
+	// the limiter hands out looseFactor times the limit.
+	looseBelow  = 0.5
+	looseFactor = 3
+	// stockable is the share of the bucket's depth that accounts may hold
+	// together; the rest takes in the rate between two demands.
+	stockable = 0.7
+	// contendedBelow is the share of the bucket's depth below which an
+	// account is held to its fair share.
+	contendedBelow = 0.5
+)
+
+// Granter is the limiter of one customer: it folds demands into grants. It
+// is not safe for concurrent use.
+type Granter struct {
+	buckets  map[LimitID]*bucket
+	accounts map[fleet.InstanceID]*accountState
+	swept    time.Time
+	used     time.Time
+}
+
+// bucket is the fleet-wide state of one limit.
+type bucket struct {
+	level float64
+	at    time.Time
+	// The rest are sums over the accounts' shares.
+	held    float64
+	offered float64
+	busy    float64
+	slots   int
+	wanted  int
+}
+
+// accountState is what the limiter knows of one account.
+type accountState struct {
+	incarnation fleet.Incarnation
+	heard       time.Time
+	last        Grant
+	shares      map[LimitID]share
+}
+
+// share is one account's part of one limit.
+type share struct {
+	seq      uint64
+	held     float64
+	granted  float64
+	offered  float64
+	answered time.Time
+	// slots is the concurrency last granted, previous the one that was in
+	// force before, and reserved what counts until the account is heard.
+	slots    int
+	previous int
+	reserved int
+	wanted   int
+	busy     float64
+}
+
+// inForce is the concurrency that the account goes by, if the last grant that
+// it applied has the given number.
+func (s share) inForce(applied uint64) int {
+	if s.seq <= applied {
+		return s.slots
+	}
+	return max(s.slots, s.previous)
+}
+
+// NewGranter returns a limiter without accounts.
+func NewGranter() *Granter {
+	return &Granter{
+		buckets:  make(map[LimitID]*bucket),
+		accounts: make(map[fleet.InstanceID]*accountState),
+	}
+}
+
+// LastUsed returns when the last demand was folded.
+func (g *Granter) LastUsed() time.Time { return g.used }
+
+// Fold answers one demand under the limits in force. Parts of the demand for
+// limits that are not in force are left out of the grant.
+func (g *Granter) Fold(now time.Time, limits Limits, view View, d Demand) Grant {
+	g.used = now
+	g.sweep(now)
+	acct, fresh := g.account(d)
+	if !fresh {
+		return g.repeated(acct, d)
+	}
+	acct.heard = now
+	grant := Grant{Customer: d.Customer, Seq: d.Seq, Lifetime: Lifetime}
+	for i := range d.Limits {
+		ld := &d.Limits[i]
+		limit := limits.find(ld.ID)
+		if limit == nil {
+			continue
+		}
+		b := g.bucket(now, limit, view)
+		lg := b.fold(now, limit, view, acct.shares[ld.ID], &d, ld)
+		acct.shares[ld.ID] = lg.share
+
+		grant.Limits = append(grant.Limits, lg.LimitGrant)
+	}
+	acct.last = grant
+	return grant
+}
+
+// account finds the sender's state and tells whether the demand is new.
+func (g *Granter) account(d Demand) (*accountState, bool) {
+	a := g.accounts[d.Holder.Instance]
+	if a != nil && a.incarnation == d.Holder.Incarnation {
+		return a, d.Seq > a.last.Seq
+	}
+	if a != nil && a.incarnation > d.Holder.Incarnation {
+		return a, false
+	}
+	if a != nil {
+		g.drop(d.Holder.Instance)
+	}
+	a = &accountState{
+		incarnation: d.Holder.Incarnation,
+		shares:      make(map[LimitID]share, len(d.Limits)),
+	}
+	g.accounts[d.Holder.Instance] = a
+	return a, true
+}
+
+// repeated answers a demand that is not newer than the last one.
+func (g *Granter) repeated(a *accountState, d Demand) Grant {
+	if a.incarnation == d.Holder.Incarnation && a.last.Seq == d.Seq {
+		return a.last
+	}
+	return Grant{Customer: d.Customer, Seq: d.Seq, Lifetime: Lifetime, Stale: true}
+}
+
+// bucket returns the limit's bucket, filled up to now.
+func (g *Granter) bucket(now time.Time, l *Limit, view View) *bucket {
+	b := g.buckets[l.ID]
+	rate := l.Rate * view.scope()
+	depth := l.Burst * view.scope()
+	if b == nil {
+		// The role may have come here with the last change of the view:
+		// what an earlier limiter handed out is unknown.
+		b = &bucket{at: now}
+		b.level = math.Min(depth, rate*now.Sub(view.Since).Seconds())
+		g.buckets[l.ID] = b
+		return b
+	}
+	if dt := now.Sub(b.at).Seconds(); dt > 0 {
+		b.level += rate * dt
+		b.at = now
+	}
+	b.level = math.Min(b.level, math.Max(0, depth-b.held))
+	return b
+}
+
+// folded is one limit's part of a grant and the account's share after it.
+type folded struct {
+	LimitGrant
+	share
+}
+
+func (b *bucket) fold(now time.Time, l *Limit, view View, s share, d *Demand, ld *LimitDemand) folded {
+	if s.seq > d.Applied {
+		b.level += s.granted
+	}
+	b.held -= s.held
+	b.offered += ld.Offered - s.offered
+	b.slots -= s.reserved
+	b.busy += ld.Busy - s.busy
+	b.wanted += ld.WantSlots - s.wanted
+
+	tokens := b.tokens(now, l, view, s, ld)
+	slots := b.concurrency(l, view, ld)
+	b.level -= tokens
+	inForce := s.inForce(d.Applied)
+	s = share{
+		seq:      d.Seq,
+		held:     math.Max(0, ld.Balance+tokens),
+		granted:  tokens,
+		slots:    slots,
+		reserved: max(slots, inForce, ld.InFlight),
+		previous: inForce,
+		busy:     ld.Busy,
+		wanted:   ld.WantSlots,
+		offered:  ld.Offered,
+		answered: now,
+	}
+	b.held += s.held
+	b.slots += s.reserved
+	grant := LimitGrant{ID: ld.ID, Tokens: tokens, Slots: slots, Level: math.Max(0, b.level)}
+	return folded{grant, s}
+}
+
+// tokens is how much of the demand is granted. While the bucket is low, an
+// account gets at most its share of the offered load.
+func (b *bucket) tokens(now time.Time, l *Limit, view View, s share, d *LimitDemand) float64 {
+	tokens := math.Min(d.Want, b.level)
+	rate := l.Rate * view.scope()
+	depth := l.Burst * view.scope()
+	if b.offered > 0 {
+		part := math.Max(1, stockable*depth*d.Offered/b.offered)
+		tokens = math.Min(tokens, part-d.Balance)
+	}
+	if b.level < contendedBelow*depth && b.offered > rate {
+		since := 0.0
+		if !s.answered.IsZero() {
+			since = now.Sub(s.answered).Seconds()
+		}
+		fair := rate * d.Offered / b.offered * since
+		tokens = math.Min(tokens, 1+fairSlack*fair)
+	}
+	return math.Max(0, tokens)
+}
+
+// concurrency is how many requests the account may have in flight. While the
+// whole fleet has few in flight, slots are handed out three times over, and one to
+// everybody; later each is handed out once, by the accounts' wants.
+func (b *bucket) concurrency(l *Limit, view View, d *LimitDemand) int {
+	if l.Concurrency == 0 {
+		return 0
+	}
+	least := 0
+	all := float64(l.Concurrency) * view.scope()
+	if b.busy < looseBelow*all {
+		least = 1
+		all *= looseFactor
+	}
+	slots := min(d.WantSlots, int(all)-b.slots)
+	if wanted := float64(b.wanted); wanted > all {
+		fair := int(math.Ceil(all * float64(d.WantSlots) / wanted))
+		slots = min(slots, fair)
+	}
+	return max(least, slots)
+}
+
+// sweep forgets accounts that were silent for long.
+func (g *Granter) sweep(now time.Time) {
+	if now.Sub(g.swept) < sweepEvery {
+		return
+	}
+	g.swept = now
+	for id, a := range g.accounts {
+		if now.Sub(a.heard) > forgetAfter {
+			g.drop(id)
+		}
+	}
+}
+
+// drop takes an account's shares out of the sums.
+func (g *Granter) drop(id fleet.InstanceID) {
+	for lid, s := range g.accounts[id].shares {
+		b := g.buckets[lid]
+		b.held -= s.held
+		b.offered -= s.offered
+		b.slots -= s.reserved
+		b.busy -= s.busy
+		b.wanted -= s.wanted
+	}
+	delete(g.accounts, id)
+}
+
+func (ls Limits) find(id LimitID) *Limit {
+	for i := range ls {
+		if ls[i].ID == id {
+			return &ls[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/ratelimit/message.go
@@ -0,0 +1,59 @@
+package ratelimit
+
+import (
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// Demand is what an account tells its customer's limiter.
+type Demand struct {
+	Customer fleet.CustomerID
+	Holder   fleet.Holder
+	// Seq numbers the demands of one account upwards; 1 is the first.
+	Seq uint64
+	// Applied is the Seq of the last grant that the account applied.
+	Applied uint64
+	Limits  []LimitDemand
+}
+
+// LimitDemand is the part of a demand for one limit.
+type LimitDemand struct {
+	ID LimitID
+	// Balance is in tokens; it is negative while the account is in debt.
+	Balance float64
+	// Want is how many tokens would fill the account up to its target.
+	Want float64
+	// Offered is the rate of requests, refused ones included, per second.
+	Offered float64
+	// InFlight is the number of requests in flight.
+	InFlight int
+	// Busy is the mean number of requests in flight since the last demand.
+	Busy float64
+	// WantSlots is the concurrency that the account has use for.
+	WantSlots int
+}
+
+// Grant is the limiter's answer to one demand.
+type Grant struct {
+	Customer fleet.CustomerID
+	// Seq is that of the demand.
+	Seq uint64
+	// Lifetime is how long the grant holds, from when the demand was sent.
+	Lifetime time.Duration
+	// Stale says that the demand was older than one already answered; the
+	// grant is empty then.
+	Stale  bool
+	Limits []LimitGrant
+}
+
+// LimitGrant is the part of a grant for one limit.
+type LimitGrant struct {
+	ID LimitID
+	// Tokens are added to the balance.
+	Tokens float64
+	// Slots replace the account's concurrency.
+	Slots int
+	// Level is what the limiter has left, in tokens; for headers only.
+	Level float64
+}
--- /dev/null
+++ b/ratelimit/table.go
@@ -0,0 +1,187 @@
+package ratelimit
+
+import (
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// tableShards bounds contention among requests of different customers.
+const tableShards = 32
+
+// Table holds an instance's accounts. Take is for the request path; Demands,
+// Apply and the setters belong to the tick. It is safe for concurrent use.
+type Table struct {
+	holder fleet.Holder
+	source Source
+	wake   func()
+	listed atomic.Int64
+	seed   maphash.Seed
+	shards [tableShards]shard
+
+	urgentMu sync.Mutex
+	urgent   []*Account
+}
+
+type shard struct {
+	mu       sync.RWMutex
+	accounts map[fleet.CustomerID]*Account
+}
+
+// NewTable returns an empty table for this process. The wake function is
+// called from Take when an account runs low; it must not block.
+func NewTable(holder fleet.Holder, source Source, wake func()) *Table {
+	t := &Table{holder: holder, source: source, wake: wake, seed: maphash.MakeSeed()}
+	t.listed.Store(1)
+	for i := range t.shards {
+		t.shards[i].accounts = make(map[fleet.CustomerID]*Account)
+	}
+	return t
+}
+
+// Take decides on one request of a customer's route; it does not wait for
+// the network. A customer without contract is refused.
+func (t *Table) Take(now time.Time, c fleet.CustomerID, route LimitID) Decision {
+	a := t.account(now, c)
+	if a == nil {
+		return Decision{RetryAfter: maxRetryAfter}
+	}
+	d, urgent := a.take(now, route)
+	if urgent {
+		t.turnUrgent(a)
+	}
+	return d
+}
+
+func (t *Table) turnUrgent(a *Account) {
+	t.urgentMu.Lock()
+	t.urgent = append(t.urgent, a)
+	t.urgentMu.Unlock()
+	t.wake()
+}
+
+// Urgent returns the demands of accounts that ran low since the last call.
+func (t *Table) Urgent(now time.Time) []Demand {
+	t.urgentMu.Lock()
+	accounts := t.urgent
+	t.urgent = nil
+	t.urgentMu.Unlock()
+	var ds []Demand
+	for _, a := range accounts {
+		a.mu.Lock()
+		if a.due(now) {
+			ds = append(ds, a.demand(now))
+		}
+		a.mu.Unlock()
+	}
+	return ds
+}
+
+func (t *Table) shard(c fleet.CustomerID) *shard {
+	return &t.shards[maphash.String(t.seed, string(c))%tableShards]
+}
+
+func (t *Table) account(now time.Time, c fleet.CustomerID) *Account {
+	s := t.shard(c)
+	s.mu.RLock()
+	a := s.accounts[c]
+	s.mu.RUnlock()
+	if a != nil {
+		return a
+	}
+	limits, ok := t.source(c)
+	if !ok {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.accounts[c]; a != nil {
+		return a
+	}
+	a = newAccount(now, t.holder, c, limits, int(t.listed.Load()))
+	s.accounts[c] = a
+	return a
+}
+
+// Len returns the number of accounts.
+func (t *Table) Len() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.RLock()
+		n += len(s.accounts)
+		s.mu.RUnlock()
+	}
+	return n
+}
+
+// SetView puts a new number of listed instances in force.
+func (t *Table) SetView(v View) {
+	t.listed.Store(int64(v.listed()))
+	t.each(func(_ *shard, a *Account) { a.listed = v.listed() })
+}
+
+// Reload puts a customer's changed contract in force.
+func (t *Table) Reload(now time.Time, c fleet.CustomerID) {
+	limits, ok := t.source(c)
+	s := t.shard(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.accounts[c]
+	if a == nil {
+		return
+	}
+	if !ok {
+		delete(s.accounts, c)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.setLimits(now, limits)
+}
+
+// Demands returns the demands that are due and ends idle accounts.
+func (t *Table) Demands(now time.Time) []Demand {
+	var ds []Demand
+	t.each(func(s *shard, a *Account) {
+		if a.due(now) {
+			ds = append(ds, a.demand(now))
+			return
+		}
+		if a.idle(now) {
+			delete(s.accounts, a.customer)
+		}
+	})
+	return ds
+}
+
+// Apply books a grant and tells whether it had an effect.
+func (t *Table) Apply(now time.Time, g Grant) bool {
+	s := t.shard(g.Customer)
+	s.mu.RLock()
+	a := s.accounts[g.Customer]
+	s.mu.RUnlock()
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.apply(now, g)
+}
+
+// each calls f for every account with its lock and its shard's lock held.
+func (t *Table) each(f func(*shard, *Account)) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, a := range s.accounts {
+			a.mu.Lock()
+			f(s, a)
+			a.mu.Unlock()
+		}
+		s.mu.Unlock()
+	}
+}
