Refuse contracts by the path of each wrong field

encoding/json alone names an unknown field without its path, takes field names in any case, lets a doubled field win silently and turns an explicit zero into the default.

--- a/contract/check.go
+++ b/contract/check.go
@@ -81,16 +81,20 @@
 func Check(c *Contract) error {
 	k := new(checker)
 	k.contract(c)
-	if len(k.problems) == 0 {
-		return nil
-	}
-	return &Error{Problems: k.problems}
+	return k.err()
 }
 
 type checker struct {
 	problems []Problem
 }
 
+func (k *checker) err() error {
+	if len(k.problems) == 0 {
+		return nil
+	}
+	return &Error{Problems: k.problems}
+}
+
 // must records a problem of a field unless ok.
 func (k *checker) must(ok bool, path, format string, args ...any) {
 	if !ok {
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -36,7 +36,7 @@
 	Burst int `json:"burst,omitempty"`
 	// Concurrency is how many requests may be in flight at once over the
 	// whole fleet. Default 0: bounded by the targets' slots only.
-	Concurrency int `json:"concurrency,omitempty"`
+	Concurrency int `json:"concurrency,omitempty" zero:"allowed"`
 }
 
 // Service is a group of like targets.
--- a/contract/decode.go
+++ b/contract/decode.go
@@ -1,10 +1,8 @@
 package contract
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
-	"strings"
+	"reflect"
 
 	"github.com/pkg/errors"
 )
@@ -12,10 +10,23 @@
 // MaxSize bounds the JSON document of one contract, in bytes.
 const MaxSize = 256 << 10
 
-// Decode reads a contract strictly: it refuses unknown fields, text after the
-// document and whatever Check refuses. Defaults are filled in.
+// Decode reads a contract strictly: it refuses unknown or doubled fields,
+// wrong units, text after the document and whatever Check refuses. Defaults
+// are filled in. Refused values come as an *Error with their paths.
 func Decode(data []byte) (*Contract, error) {
-	c, err := DecodeUnchecked(data)
+	if len(data) > MaxSize {
+		return nil, errors.Errorf("%d bytes: at most %d are allowed", len(data), MaxSize)
+	}
+	raw, err := document(data)
+	if err != nil {
+		return nil, err
+	}
+	k := new(checker)
+	k.walk("", raw, reflect.TypeFor[Contract]())
+	if err := k.err(); err != nil {
+		return nil, err
+	}
+	c, err := DecodeUnchecked(raw)
 	if err != nil {
 		return nil, err
 	}
@@ -25,20 +36,12 @@
 	return c, nil
 }
 
-// DecodeUnchecked reads a contract as Decode does, but leaves out Check. It
-// serves documents that were checked when they were accepted.
+// DecodeUnchecked reads a contract that was checked when it was accepted, and
+// fills in the defaults.
 func DecodeUnchecked(data []byte) (*Contract, error) {
-	if len(data) > MaxSize {
-		return nil, errors.Errorf("contract: %d bytes: at most %d are allowed", len(data), MaxSize)
-	}
 	c := new(Contract)
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(c); err != nil {
-		return nil, errors.New("contract: " + strings.TrimPrefix(err.Error(), "json: "))
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return nil, errors.New("contract: text follows the document: remove it")
+	if err := json.Unmarshal(data, c); err != nil {
+		return nil, errors.WithStack(err)
 	}
 	Fill(c)
 	return c, nil
