--- a/publication/decision.go
+++ b/publication/decision.go
@@ -47,8 +47,8 @@
 	// Target is set for targets.
 	Target fleet.TargetID `json:"target,omitempty"`
 	// Current is the revision in force at the decision, or NoRevision, and
-	// CurrentID its publication. Set for Conflict and Repeated.
-	Current   platform.Offset `json:"current,omitempty"`
+	// CurrentID its publication.
+	Current   platform.Offset `json:"current"`
 	CurrentID string          `json:"current_id,omitempty"`
 	// Message says what was wrong, for a person.
 	Message string `json:"message,omitempty"`
--- a/publication/state.go
+++ b/publication/state.go
@@ -69,11 +69,12 @@
 func (s *State) Apply(r platform.Record) Decision {
 	switch {
 	case r.Offset < s.next:
-		return Decision{Offset: r.Offset, Verdict: Stale}
+		return Decision{Offset: r.Offset, Verdict: Stale, Current: NoRevision}
 	case r.Offset > s.next:
-		return Decision{Offset: r.Offset, Verdict: Gap, Message: fmt.Sprintf("next is %d", s.next)}
+		return Decision{Offset: r.Offset, Verdict: Gap, Current: NoRevision, Message: fmt.Sprintf("next is %d", s.next)}
 	}
 	s.next++
+	r.Time = r.Time.UTC()
 	s.expireTombstones(r.Time)
 	d := s.decide(r)
 	d.Offset = r.Offset
@@ -83,7 +84,7 @@
 func (s *State) decide(r platform.Record) Decision {
 	e, err := DecodeRecord(r.Data)
 	if err != nil {
-		return Decision{Verdict: Malformed, Message: err.Error()}
+		return Decision{Verdict: Malformed, Current: NoRevision, Message: err.Error()}
 	}
 	var d Decision
 	switch e.Kind {
@@ -92,7 +93,7 @@
 	case KindTarget:
 		d = s.applyTarget(r, e)
 	default:
-		d = Decision{Verdict: Checkpointed}
+		d = Decision{Verdict: Checkpointed, Current: NoRevision}
 	}
 	d.Kind, d.ID = e.Kind, e.ID
 	return d
@@ -101,7 +102,7 @@
 func (s *State) applyContract(r platform.Record, e Envelope) Decision {
 	c, err := contract.Decode(e.Contract)
 	if err != nil {
-		return Decision{Verdict: Invalid, Message: err.Error()}
+		return Decision{Verdict: Invalid, Current: NoRevision, Message: err.Error()}
 	}
 	d := Decision{Customer: c.Customer, Current: NoRevision}
 	if old := s.contracts[c.Customer]; old != nil {
