load: open-loop load generator with repeat-asking callers

It measures latency from the intended start, checks that each answer is the whole answer to its own request, and compares what callers were told of their confirmations with what emulated targets ran.

--- /dev/null
+++ b/load/operation.go
@@ -0,0 +1,197 @@
+package load
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/clementinereel/clementinereel/emulator"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
+)
+
+// settle is how long an operation still waits, after its first whole answer,
+// for the answers to its other asks, which are checked too.
+const settle = time.Second
+
+// operation is one caller's wish on its way through its asks.
+type operation struct {
+	side     *side
+	stream   Stream
+	intended time.Time
+	nonce    string
+	// key is the name under which targets record a confirmation.
+	key      string
+	ticket   string
+	body     []byte
+	sum      string
+	rand     *rand.Rand
+	inFlight chan struct{}
+}
+
+// prepare draws the body and names the operation.
+func (op *operation) prepare(pool []byte) {
+	if n := op.stream.BodyBytes; n > 0 {
+		op.body = make([]byte, n)
+		from := op.rand.IntN(len(pool))
+		copied := copy(op.body, pool[from:])
+		copy(op.body[copied:], pool)
+		copy(op.body, op.nonce)
+	}
+	sum := sha256.Sum256(op.body)
+	op.sum = hex.EncodeToString(sum[:])
+	if op.stream.Class == fleet.Confirmation {
+		op.key = op.nonce
+	}
+}
+
+// run asks until a final answer came or the repeats are used up.
+func (op *operation) run(ctx context.Context) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if failed, ok := op.getTicket(ctx); !ok {
+		return conclude(op.intended, []ask{failed})
+	}
+	answers := make(chan ask, op.stream.Repeats+1)
+	last := -1
+	start := func() {
+		last = op.side.balancer.pick(op.rand, last)
+		url := op.side.balancer.urls[last]
+		go func() { answers <- op.ask(ctx, url) }()
+	}
+	start()
+	return conclude(op.intended, op.collect(answers, start, cancel))
+}
+
+// collect waits for the asks and makes further ones as the caller's patience
+// and their answers demand.
+func (op *operation) collect(answers chan ask, start func(), cancel func()) []ask {
+	var asks []ask
+	open, left := 1, op.stream.Repeats
+	patience := newTimer(op.stream.Patience)
+	defer patience.Stop()
+	again := func() {
+		if left > 0 {
+			left--
+			open++
+			start()
+			patience.Reset(max(op.stream.Patience, time.Millisecond))
+		}
+	}
+	for open > 0 {
+		select {
+		case a := <-answers:
+			asks = append(asks, a)
+			open--
+			switch {
+			case a.verdict.final():
+				left = 0
+				defer time.AfterFunc(settle, cancel).Stop()
+			case open == 0:
+				again()
+			}
+		case <-patience.C:
+			if op.stream.Patience > 0 {
+				again()
+			}
+		}
+	}
+	return asks
+}
+
+// newTimer returns a timer that never fires if d is not above 0.
+func newTimer(d time.Duration) *time.Timer {
+	if d <= 0 {
+		d = MaxDuration * 2
+	}
+	return time.NewTimer(d)
+}
+
+// ask sends the request once and judges its answer.
+func (op *operation) ask(ctx context.Context, base string) ask {
+	op.inFlight <- struct{}{}
+	defer func() { <-op.inFlight }()
+	ctx, cancel := context.WithTimeout(ctx, op.stream.Timeout)
+	defer cancel()
+	a := ask{sent: time.Now()}
+	resp, err := op.side.client.Do(op.request(ctx, base, false))
+	if err != nil {
+		a.answered = time.Now()
+		a.verdict, a.detail = Lost, "lost"
+		return a
+	}
+	a.verdict, a.detail = judge(resp, op.expected())
+	a.answered = time.Now()
+	return a
+}
+
+// expected is what the answer must say of the request.
+func (op *operation) expected() emulator.Answer {
+	return emulator.Answer{
+		Nonce:  op.nonce,
+		Method: op.stream.Method,
+		Path:   op.stream.Path,
+		Size:   int64(len(op.body)),
+		SHA256: op.sum,
+	}
+}
+
+// request builds one request. Its body cannot be rewound, so that the HTTP
+// client never sends a request again on its own.
+func (op *operation) request(ctx context.Context, base string, forTicket bool) *http.Request {
+	body := &pacedBody{ctx: ctx}
+	if !forTicket {
+		body.data, body.over = op.body, op.stream.BodyTime
+	}
+	req, err := http.NewRequestWithContext(ctx, op.stream.Method, base+op.stream.Path, body)
+	if err != nil {
+		panic(err) // URLs and methods were checked
+	}
+	req.ContentLength = int64(len(body.data))
+	if op.side.host != "" {
+		req.Host = op.side.host
+	}
+	op.setHeader(req.Header, forTicket)
+	return req
+}
+
+func (op *operation) setHeader(h http.Header, forTicket bool) {
+	h.Set(emulator.HeaderNonce, op.nonce)
+	switch {
+	case forTicket:
+		h.Set(header.Prefer, "ticket")
+	case op.ticket != "":
+		h.Set(header.OperationTicket, op.ticket)
+	case op.key != "":
+		h.Set(header.IdempotencyKey, op.key)
+	}
+}
+
+// getTicket asks for an operation ticket, if the stream uses them. Without
+// one the operation ends: nothing has been sent.
+func (op *operation) getTicket(ctx context.Context) (ask, bool) {
+	if !op.stream.Tickets || op.key == "" || op.side.direct {
+		return ask{}, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, op.stream.Timeout)
+	defer cancel()
+	failed := ask{sent: time.Now(), verdict: Lost, detail: "no ticket"}
+	base := op.side.balancer.urls[op.side.balancer.pick(op.rand, -1)]
+	resp, err := op.side.client.Do(op.request(ctx, base, true))
+	failed.answered = time.Now()
+	if err != nil {
+		return failed, false
+	}
+	defer resp.Body.Close()
+	op.ticket = resp.Header.Get(header.OperationTicket)
+	if op.ticket == "" {
+		failed.verdict, _ = judge(resp, emulator.Answer{})
+		failed.detail = "no ticket: " + resp.Status
+		return failed, false
+	}
+	op.key = op.ticket
+	return ask{}, true
+}
