Join instances by gossip and serve peer calls

Cause: every shared decision needs the member view. Change: the instance runs the peer server, transport and gossip. Conclusion: roles can be assigned.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -9,6 +9,8 @@
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/proxy"
 	"github.com/clementinereel/clementinereel/publication"
@@ -20,16 +22,20 @@
 
 // Instance is one running instance.
 type Instance struct {
-	cfg      *settings.Settings
-	platform *platform.Client
-	metrics  *telemetry.Registry
-	services *upstream.Set
-	routes   atomic.Pointer[route.Table]
-	view     atomic.Pointer[publication.View]
-	ready    atomic.Bool
-	sockets  *listeners
-	callers  *http.Server
-	admin    *http.Server
+	cfg       *settings.Settings
+	self      fleet.Holder
+	platform  *platform.Client
+	metrics   *telemetry.Registry
+	services  *upstream.Set
+	transport *peer.Transport
+	gossip    *peer.Gossip
+	routes    atomic.Pointer[route.Table]
+	view      atomic.Pointer[publication.View]
+	ready     atomic.Bool
+	sockets   *listeners
+	callers   *http.Server
+	peers     *peer.Server
+	admin     *http.Server
 }
 
 // New opens an instance's sockets. Start makes it serve.
@@ -41,12 +47,17 @@
 	via := upstream.Via{Instance: cfg.Instance, Zone: cfg.Zone}
 	i := &Instance{
 		cfg:      cfg,
+		self:     fleet.Holder{Instance: cfg.Instance, Incarnation: fleet.Incarnation(time.Now().UnixNano())},
 		platform: platform.NewClient(cfg.Platform.URL, cfg.Platform.Timeout.D()),
 		metrics:  telemetry.NewRegistry(),
 		services: upstream.NewSet(via, &http.Transport{MaxIdleConnsPerHost: 8}),
 		sockets:  sockets,
 	}
 	i.routes.Store(route.Empty)
+	if err := i.joinPeers(); err != nil {
+		sockets.close()
+		return nil, err
+	}
 	handler := proxy.New(proxy.Config{
 		Routes: i.routes.Load, Services: i.services, Metrics: i.metrics, Via: via,
 	})
@@ -73,6 +84,8 @@
 		"listen", i.sockets.callers.Addr().String(), "admin", i.sockets.admin.Addr().String())
 	go serve("callers", i.callers, i.sockets.callers)
 	go serve("admin", i.admin, i.sockets.admin)
+	go serve("peers", i.peers, i.sockets.peers)
+	go i.gossip.Run(ctx)
 	go i.tail(ctx)
 }
 
--- a/instance/listen.go
+++ b/instance/listen.go
@@ -39,8 +39,13 @@
 	}
 }
 
+// server is an HTTP server, of callers, peers or operators.
+type server interface {
+	Serve(net.Listener) error
+}
+
 // serve runs a server until it is shut down.
-func serve(name string, srv *http.Server, ln net.Listener) {
+func serve(name string, srv server, ln net.Listener) {
 	err := srv.Serve(ln)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		klog.ErrorS(err, "server ended", "server", name, "addr", ln.Addr().String())
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -100,3 +100,7 @@
 	}
 	return "5xx"
 }
+
+// Metrics returns the underlying registry, for packages that bring metrics
+// of their own.
+func (r *Registry) Metrics() metrics.Registry { return r.reg }
