--- a/membership/node.go
+++ b/membership/node.go
@@ -8,11 +8,18 @@
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
+// unreachableAfter is how many intervals an instance goes without a ping
+// before it takes itself as unreachable. Peers ping it once in each, on
+// average.
+const unreachableAfter = 10
+
 // entry is a row of the table: a member's record and its timers.
 type entry struct {
 	Member
 	// until ends the suspicion of a suspect, or the tombstone of a dead member.
 	until time.Time
+	// since is when the record was folded.
+	since time.Time
 	// spread is how often the record will still be passed on.
 	spread int
 }
@@ -42,7 +49,10 @@
 
 	lastTick, nextProbe, nextSync, nextSeed time.Time
 
-	lastContact time.Time
+	lastContact time.Time // when a peer last answered
+	lastPinged  time.Time // when a peer last pinged this instance
+	expireAt    time.Time // no timer of the table ends before
+	maxOffset   int64     // the highest configuration offset seen
 	superseded  bool
 	epoch       uint64
 	view        *View
@@ -165,10 +175,15 @@
 // forgivePause handles a process that was stopped for a while: acks that it
 // could not read accuse nobody, and suspects get their full time.
 func (n *Node) forgivePause(now time.Time) {
+	if n.lastTick.IsZero() {
+		n.lastPinged = now
+		return
+	}
 	gap := now.Sub(n.lastTick)
-	if n.lastTick.IsZero() || gap < 2*n.settings.Interval {
+	if gap < 2*n.settings.Interval {
 		return
 	}
+	n.lastPinged = now
 	clear(n.probes)
 	clear(n.relayed)
 	for _, e := range n.table {
@@ -180,21 +195,45 @@
 
 // expire ends suspicions and forgets tombstones whose time has come.
 func (n *Node) expire(now time.Time) {
-	for id, e := range n.table {
+	if now.Before(n.expireAt) {
+		return
+	}
+	n.expireAt = now.Add(n.settings.TombstoneTTL)
+	for _, id := range n.timed() {
+		e := n.table[id]
 		switch {
-		case e.State == Suspect && !now.Before(e.until):
+		case now.Before(e.until):
+			n.expireBy(e.until)
+		case e.State == Suspect && n.lastContact.Before(e.since):
+			e.until = now.Add(n.settings.Interval) // alone: the fault may be here
+			n.expireBy(e.until)
+		case e.State == Suspect:
 			dead := e.Member
 			dead.State = Dead
 			n.merge(now, dead, true)
-		case e.State == Dead && !now.Before(e.until):
-			n.forget(id, e)
+		default:
+			delete(n.table, id)
+			e.spread = 0
+		}
+	}
+}
+
+// timed returns the members that are suspect or dead, in a fixed order.
+func (n *Node) timed() []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for id, e := range n.table {
+		if !e.until.IsZero() {
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
+	return ids
 }
 
-func (n *Node) forget(id fleet.InstanceID, e *entry) {
-	delete(n.table, id)
-	e.spread = 0
+func (n *Node) expireBy(t time.Time) {
+	if t.Before(n.expireAt) {
+		n.expireAt = t
+	}
 }
 
 // Receive folds a message and returns the answers to it. A malformed message
@@ -213,6 +252,7 @@
 	}
 	switch m.Kind {
 	case Ping:
+		n.lastPinged = now
 		return []Envelope{n.ack(m)}, nil
 	case Ack:
 		return n.onAck(now, m), nil
@@ -234,7 +274,7 @@
 // a fresh instance learns in bulk are old news to its peers.
 func (n *Node) merge(now time.Time, m Member, spread bool) {
 	if m.ID == n.self.ID {
-		n.refute(m)
+		n.refute(now, m)
 		return
 	}
 	old, known := n.table[m.ID]
@@ -255,7 +295,12 @@
 	n.count(old, m)
 	n.changed()
 	old.Member = m
+	old.since = now
 	old.until = n.deadline(now, m.State)
+	if !old.until.IsZero() {
+		n.expireBy(old.until)
+	}
+	n.maxOffset = max(n.maxOffset, m.Offset)
 	if spread || known {
 		n.enqueue(old)
 	}
@@ -264,6 +309,7 @@
 func (n *Node) raiseOffset(e *entry, m Member) {
 	if m.Incarnation == e.Incarnation && m.Offset > e.Offset {
 		e.Offset = m.Offset
+		n.maxOffset = max(n.maxOffset, m.Offset)
 		n.view = nil
 	}
 }
@@ -290,13 +336,17 @@
 	return time.Time{}
 }
 
-// refute answers a record about this instance that others hold.
-func (n *Node) refute(m Member) {
-	switch {
-	case m.Incarnation > n.self.Incarnation:
+// refute answers a record about this instance that others hold. An instance
+// that nobody can reach, though it reaches others, does not refute: it is of
+// no use to them until a ping gets through again.
+func (n *Node) refute(now time.Time, m Member) {
+	if m.Incarnation > n.self.Incarnation {
 		n.superseded = true
-	case m.Incarnation == n.self.Incarnation && m.supersedes(n.self):
-		n.self.Version = m.Version
-		n.announce()
+		return
+	}
+	if !m.supersedes(n.self) || now.Sub(n.lastPinged) > unreachableAfter*n.settings.Interval {
+		return
 	}
+	n.self.Version = m.Version
+	n.announce()
 }
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -56,6 +56,9 @@
 // ahead of this instance: news of a new configuration so reaches everyone in
 // a few rounds, without a record of each member that has applied it.
 func (n *Node) head() *entry {
+	if n.maxOffset <= n.self.Offset {
+		return nil
+	}
 	var head *entry
 	for _, e := range n.table {
 		if e.State != Alive || e.Offset <= n.self.Offset {
