Choose targets by home slots, two choices and shed replies

Cause: an instance sees a fortieth of a service's traffic and can't tell from its own requests which of the 2 to 4 slots of a target are taken. Change: balancer divides each target's connections and slots among the instances, publishes an immutable Picker, and searches on when a target sheds; policies slot_share (default), least_load, random, round_robin. Conclusion: home slots first, then two choices, then the next target.

--- /dev/null
+++ b/balancer/assign.go
@@ -0,0 +1,129 @@
+package balancer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// Assignment is what one instance may use of one target.
+type Assignment struct {
+	Target fleet.Target
+	// Connections is the instance's share of the target's connections; 0
+	// when the target isn't in the instance's subset.
+	Connections int
+	// Home is how many of the target's slots are the instance's own.
+	Home int
+}
+
+// Assign divides the targets' connections and slots among the members and
+// returns self's part, sorted by zone and then by the hash of the ID. Only
+// joined targets count. It depends on announced facts alone, never on
+// weights, so that instances with the same lists divide alike.
+//
+// The bound: with equal member lists, the shares of a target over all
+// instances add up to at most Connections less the margin.
+func Assign(cfg Config, ts []fleet.Target, members Members) []Assignment {
+	as := joined(ts)
+	assignConnections(cfg, as, members.v)
+	assignHomes(cfg, as, members.v)
+	return as
+}
+
+func joined(ts []fleet.Target) []Assignment {
+	as := make([]Assignment, 0, len(ts))
+	for _, t := range ts {
+		if t.State == fleet.Joined {
+			as = append(as, Assignment{Target: t})
+		}
+	}
+	slices.SortFunc(as, func(a, b Assignment) int {
+		return cmp.Or(
+			cmp.Compare(a.Target.Zone, b.Target.Zone),
+			cmp.Compare(xxhash.Sum64String(string(a.Target.ID)), xxhash.Sum64String(string(b.Target.ID))),
+			cmp.Compare(a.Target.ID, b.Target.ID))
+	})
+	return as
+}
+
+func assignConnections(cfg Config, as []Assignment, v *memberView) {
+	budget := int(float64(cfg.Connections) * (1 - cfg.Margin))
+	instances := max(len(v.hashed), cfg.Instances)
+	if each := budget / instances; each > 0 {
+		for i := range as {
+			as[i].Connections = min(each, cfg.Slots)
+		}
+		return
+	}
+	for lo := 0; lo < len(as); {
+		hi := zoneEnd(as, lo)
+		assignWindows(budget, as[lo:hi], v)
+		lo = hi
+	}
+}
+
+func zoneEnd(as []Assignment, lo int) int {
+	hi := lo
+	for hi < len(as) && as[hi].Target.Zone == as[lo].Target.Zone {
+		hi++
+	}
+	return hi
+}
+
+// assignWindows gives one connection to each target of a zone whose window
+// covers self. The window of the k-th target holds a fixed number of
+// consecutive ranks; the windows start evenly spaced, so that both the
+// instances of a target and the targets of an instance differ by one at most.
+func assignWindows(budget int, zone []Assignment, v *memberView) {
+	z := zone[0].Target.Zone
+	g := v.groupFor(z)
+	width := windowWidth(budget, v.perZone[z], len(v.hashed), v.self.Zone == z)
+	for k := range zone {
+		start := k * g.size / len(zone)
+		if (g.rank-start+g.size)%g.size < width {
+			zone[k].Connections = 1
+		}
+	}
+}
+
+// windowWidth splits a target's connections: half to the instances of its own
+// zone, half to all others; what one side can't use goes to the other.
+func windowWidth(budget, inZone, total int, inside bool) int {
+	own := min(inZone, budget/2)
+	others := min(total-inZone, budget-own)
+	if inside {
+		return min(inZone, budget-others)
+	}
+	return others
+}
+
+// assignHomes lays the slots out over the instances, both in zone order, and
+// gives self the slots at its place; with fewer slots than instances, several
+// instances share one. Neighbouring places are slots of different targets.
+func assignHomes(cfg Config, as []Assignment, v *memberView) {
+	slots := len(as) * cfg.Slots
+	if slots == 0 {
+		return
+	}
+	n := len(v.hashed)
+	lo := v.rankByZone * slots / n
+	hi := max((v.rankByZone+1)*slots/n, lo+1)
+	for lo < hi {
+		first := targetAt(as, lo/cfg.Slots)
+		zone := as[first:zoneEnd(as, first)]
+		k := (lo - first*cfg.Slots) % len(zone)
+		zone[k].Home++
+		lo++
+	}
+}
+
+// targetAt returns the first target in the zone of target i.
+func targetAt(as []Assignment, i int) int {
+	for i > 0 && as[i-1].Target.Zone == as[i].Target.Zone {
+		i--
+	}
+	return i
+}
--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,215 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementinereel/clementinereel/contract"
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func small() Config { return FromContract(contract.Service{Slots: 4, Connections: 300}) }
+
+func newBalancer(cfg Config, targets, instances int) *Balancer {
+	b := New(cfg, 1)
+	ms := fakeMembers(instances)
+	b.Update(t0, fakeTargets(targets), full, NewMembers(ms[0], ms))
+	return b
+}
+
+// shares sums each target's connections over the instances, and each
+// instance's targets, as the given member lists have it.
+func shares(cfg Config, ts []fleet.Target, ms []Member, view func(i int) []Member) (byTarget map[fleet.TargetID]int, reach []int) {
+	byTarget = make(map[fleet.TargetID]int)
+	for i := range ms {
+		n := 0
+		for _, a := range Assign(cfg, ts, NewMembers(ms[i], view(i))) {
+			byTarget[a.Target.ID] += a.Connections
+			n += min(a.Connections, 1)
+		}
+		reach = append(reach, n)
+	}
+	return byTarget, reach
+}
+
+func TestConnectionsStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := FromContract(contract.Service{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Connections: rapid.IntRange(20, 400).Draw(t, "connections")})
+		ts := fakeTargets(rapid.IntRange(1, 30).Draw(t, "targets"))
+		ms := fakeMembers(rapid.IntRange(1, 150).Draw(t, "instances"))
+		byTarget, _ := shares(cfg, ts, ms, func(int) []Member { return ms })
+		for id, n := range byTarget {
+			assert.Assert(t, float64(n) <= float64(cfg.Connections)*(1-cfg.Margin), "%s: %d of %d", id, n, cfg.Connections)
+		}
+	})
+}
+
+func TestBoundHoldsAtFleetSizeWithDifferentLists(t *testing.T) {
+	ts, ms := fakeTargets(29), fakeMembers(920)
+	byTarget, reach := shares(small(), ts, ms, func(i int) []Member {
+		var seen []Member
+		for k, m := range ms {
+			if (k*7919+i*104729)%10 != 0 { // each misses another tenth
+				seen = append(seen, m)
+			}
+		}
+		return seen
+	})
+	for id, n := range byTarget {
+		assert.Assert(t, n <= 300, "%s: %d", id, n)
+	}
+	for i, n := range reach {
+		assert.Assert(t, n >= 4, "instance %d reaches %d targets", i, n)
+	}
+}
+
+func TestPickKeepsTheRules(t *testing.T) {
+	for _, name := range []string{"slot_share", "least_load", "random", "round_robin"} {
+		cfg := small()
+		cfg.Policy = name
+		b := New(cfg, 1)
+		ts := fakeTargets(6)
+		ts[1].State = fleet.Leaving
+		weight := func(id fleet.TargetID) float64 {
+			if id == "t2" {
+				return 0
+			}
+			return 1
+		}
+		ms := fakeMembers(44)
+		b.Update(t0, ts, weight, NewMembers(ms[0], ms))
+		var tried Tried
+		for range 4 {
+			p, ok := b.Picker().Pick(PickInfo{Tried: tried, Now: t0})
+			assert.Assert(t, ok)
+			assert.Assert(t, !tried.Has(p.Target.ID) && p.Target.ID != "t1" && p.Target.ID != "t2", "%s chose %s", name, p.Target.ID)
+			tried.Add(p.Target.ID)
+		}
+		_, ok := b.Picker().Pick(PickInfo{Tried: tried, Now: t0})
+		assert.Assert(t, !ok, name)
+	}
+}
+
+func TestInFlightSurvivesARebuildAndIsBounded(t *testing.T) {
+	b := newBalancer(small(), 1, 44)
+	var picks []Pick
+	for range 4 {
+		p, _ := b.Picker().Pick(PickInfo{Now: t0})
+		picks = append(picks, p)
+	}
+	b.Update(t0, fakeTargets(1), func(fleet.TargetID) float64 { return .5 }, b.members)
+	_, ok := b.Picker().Pick(PickInfo{Now: t0})
+	assert.Assert(t, !ok)
+	picks[0].Done(DoneInfo{Result: fleet.TryOK})
+	_, ok = b.Picker().Pick(PickInfo{Now: t0})
+	assert.Assert(t, ok)
+}
+
+func TestShedTargetIsLeftAloneButNotForever(t *testing.T) {
+	b := newBalancer(small(), 2, 1)
+	p, _ := b.Picker().Pick(PickInfo{Now: t0})
+	p.Done(DoneInfo{Result: fleet.TryShed, RetryAfter: time.Hour})
+	other := 0
+	for range 7 { // both home slots of the other target, and then some
+		q, ok := b.Picker().Pick(PickInfo{Now: t0})
+		assert.Assert(t, ok)
+		if q.Target.ID != p.Target.ID {
+			other++
+		}
+	}
+	assert.Equal(t, other, 4, "the full one only when the other is at its limit")
+	load := b.loads[p.Target.ID]
+	assert.Assert(t, load.BackedOff(t0.Add(DefaultMaxBackOff-1).UnixNano()))
+	assert.Assert(t, !load.BackedOff(t0.Add(DefaultMaxBackOff).UnixNano()))
+}
+
+func TestTrialWeightsAreKept(t *testing.T) {
+	b := New(small(), 1)
+	ms := fakeMembers(3)
+	b.Update(t0, fakeTargets(3), func(id fleet.TargetID) float64 {
+		if id == "t0" {
+			return .1
+		}
+		return 1
+	}, NewMembers(ms[0], ms))
+	n := 0
+	for range 10000 {
+		p, _ := b.Picker().Pick(PickInfo{Now: t0})
+		if p.Target.ID == "t0" {
+			n++
+		}
+		p.Done(DoneInfo{Result: fleet.TryOK})
+	}
+	assert.Assert(t, n > 100 && n < 2000, "%d of 10000", n)
+}
+
+func TestSpareWhenTheSubsetIsGone(t *testing.T) {
+	ts, ms := fakeTargets(29), fakeMembers(920)
+	members := NewMembers(ms[0], ms)
+	mine := map[fleet.TargetID]bool{}
+	for _, a := range Assign(small(), ts, members) {
+		mine[a.Target.ID] = a.Connections > 0
+	}
+	b := New(small(), 1)
+	b.Update(t0, ts, func(id fleet.TargetID) float64 { return float64(btoi(!mine[id])) }, members)
+	p, ok := b.Picker().Pick(PickInfo{Now: t0})
+	assert.Assert(t, ok && p.Spare)
+}
+
+func TestSearchEndsWithPatience(t *testing.T) {
+	b := newBalancer(small(), 10, 44)
+	var s Search
+	waited, tries := time.Duration(0), 0
+	for {
+		p, _ := b.Picker().Pick(PickInfo{Tried: s.Tried, Now: t0.Add(waited)})
+		p.Done(DoneInfo{Result: fleet.TryShed})
+		tries++
+		pause, again := b.Refused(&s, p, waited)
+		if !again {
+			break
+		}
+		waited += pause
+	}
+	assert.Equal(t, waited, 95*time.Millisecond)
+	assert.Equal(t, tries, 11*DefaultSweepTries)
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		bal := newBalancer(small(), n, 44)
+		b.Run(fmt.Sprint(n, "-targets"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				p, _ := bal.Picker().Pick(PickInfo{Now: t0})
+				p.Done(DoneInfo{Result: fleet.TryOK})
+			}
+		})
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10000} {
+		for _, kind := range []string{"unchanged", "weight", "member"} {
+			bal, ts := newBalancer(small(), n, 920), fakeTargets(n)
+			b.Run(fmt.Sprint(n, "-targets/", kind), func(b *testing.B) {
+				b.ReportAllocs()
+				w := 1.0
+				for b.Loop() {
+					switch kind {
+					case "weight":
+						w = 1.5 - w
+					case "member":
+						bal.targets = nil
+					}
+					bal.Update(t0, ts, func(fleet.TargetID) float64 { return w }, bal.members)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/balancer/random/random.go
@@ -0,0 +1,24 @@
+// Package random chooses targets at random by weight. It is the baseline that
+// other policies are measured against.
+package random
+
+import "github.com/clementinereel/clementinereel/balancer/policy"
+
+// Name selects the policy in settings.
+const Name = "random"
+
+// Policy implements policy.Policy.
+type Policy struct{}
+
+const draws = 4
+
+// Choose draws among all candidates.
+func (Policy) Choose(r policy.Request) int {
+	all := r.Set.All()
+	for k := uint64(1); k <= draws; k++ {
+		if i := r.Set.Draw(all, r.Rand(k)); r.Usable(i) {
+			return i
+		}
+	}
+	return r.Scan(all, r.Rand(0))
+}
--- /dev/null
+++ b/balancer/roundrobin/roundrobin.go
@@ -0,0 +1,24 @@
+// Package roundrobin takes the targets in turn. It is the baseline that other
+// policies are measured against; it gives targets on trial their full turn.
+package roundrobin
+
+import "github.com/clementinereel/clementinereel/balancer/policy"
+
+// Name selects the policy in settings.
+const Name = "round_robin"
+
+// Policy implements policy.Policy.
+type Policy struct{}
+
+// Choose takes the candidate whose turn it is, or the next usable one. The
+// seed sets where an instance begins.
+func (Policy) Choose(r policy.Request) int {
+	n := uint64(len(r.Set.Candidates))
+	for k := range n {
+		i := int((r.Seed%n + r.Number + k) % n)
+		if r.Usable(i) {
+			return i
+		}
+	}
+	return policy.None
+}
