--- a/publication/checkpoint.go
+++ b/publication/checkpoint.go
@@ -59,11 +59,19 @@
 
 // Snapshot packs the state. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
+	snap, err := s.snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return pack(snap)
+}
+
+func (s *State) snapshot() (snapshot, error) {
 	snap := snapshot{Next: s.next}
 	for _, p := range s.contracts {
 		doc, err := json.Marshal(&p.Contract)
 		if err != nil {
-			return nil, errors.WithStack(err)
+			return snap, errors.WithStack(err)
 		}
 		snap.Contracts = append(snap.Contracts, contractSnapshot{p.Revision, p.PublicationID, p.Time.UTC(), doc})
 	}
@@ -76,7 +84,7 @@
 	}
 	slices.SortFunc(snap.Contracts, func(a, b contractSnapshot) int { return cmp.Compare(a.Revision, b.Revision) })
 	slices.SortFunc(snap.Targets, func(a, b targetSnapshot) int { return cmp.Compare(a.Revision, b.Revision) })
-	return pack(snap)
+	return snap, nil
 }
 
 func pack(snap snapshot) ([]byte, error) {
