--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -86,6 +86,7 @@
 	at       time.Time
 	slots    int
 	granted  bool
+	share    float64
 	inFlight int
 
 	// rate averages the offered requests a second; offered and entered count
--- a/ratelimit/demand.go
+++ b/ratelimit/demand.go
@@ -146,7 +146,7 @@
 		l := &a.lines[j]
 		l.balance += math.Max(0, lg.Tokens)
 		a.short = a.short || a.low(l)
-		l.slots, l.granted, l.level = lg.Slots, true, lg.Level
+		l.slots, l.granted, l.level, l.share = lg.Slots, true, lg.Level, lg.Share
 		l.at = now
 	}
 	return true
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -206,6 +206,9 @@
 	b.held += s.held
 	b.slots += s.reserved
 	grant := LimitGrant{ID: ld.ID, Tokens: tokens, Slots: slots, Level: math.Max(0, b.level)}
+	if b.offered > 0 {
+		grant.Share = math.Min(1, ld.Offered/b.offered)
+	}
 	return folded{grant, s}
 }
 
--- a/ratelimit/message.go
+++ b/ratelimit/message.go
@@ -56,4 +56,6 @@
 	Slots int
 	// Level is what the limiter has left, in tokens; for headers only.
 	Level float64
+	// Share is the account's part of the requests offered over the fleet.
+	Share float64
 }
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -84,28 +84,50 @@
 	return &t.shards[maphash.String(t.seed, string(c))%tableShards]
 }
 
-func (t *Table) account(now time.Time, c fleet.CustomerID) *Account {
+// known returns a customer's account, nil if there is none.
+func (t *Table) known(c fleet.CustomerID) *Account {
 	s := t.shard(c)
 	s.mu.RLock()
-	a := s.accounts[c]
-	s.mu.RUnlock()
-	if a != nil {
+	defer s.mu.RUnlock()
+	return s.accounts[c]
+}
+
+// account returns a customer's account and begins one if need be.
+func (t *Table) account(now time.Time, c fleet.CustomerID) *Account {
+	if a := t.known(c); a != nil {
 		return a
 	}
 	limits, ok := t.source(c)
 	if !ok {
 		return nil
 	}
+	s := t.shard(c)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a := s.accounts[c]; a != nil {
 		return a
 	}
-	a = newAccount(now, t.holder, c, limits, int(t.listed.Load()))
+	a := newAccount(now, t.holder, c, limits, int(t.listed.Load()))
 	s.accounts[c] = a
 	return a
 }
 
+// Share returns this instance's part of the requests offered to a route over
+// the fleet: 1/n while the limiter has not told.
+func (t *Table) Share(c fleet.CustomerID, route LimitID) float64 {
+	share := 1 / float64(t.listed.Load())
+	a := t.known(c)
+	if a == nil {
+		return share
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i := a.index(route); i >= 0 && a.lines[i].share > 0 {
+		return a.lines[i].share
+	}
+	return share
+}
+
 // Len returns the number of accounts.
 func (t *Table) Len() int {
 	n := 0
@@ -160,10 +182,7 @@
 
 // Apply books a grant and tells whether it had an effect.
 func (t *Table) Apply(now time.Time, g Grant) bool {
-	s := t.shard(g.Customer)
-	s.mu.RLock()
-	a := s.accounts[g.Customer]
-	s.mu.RUnlock()
+	a := t.known(g.Customer)
 	if a == nil {
 		return false
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -22,6 +22,8 @@
 	// counts as overloaded, given overloadedMin tries in the average.
 	overloadedAt  = 0.15
 	overloadedMin = 5
+	// saturatedAt is the same for tries of requests that were shed.
+	saturatedAt = 0.3
 )
 
 // Budget bounds the extra tries of one service at one instance. It is safe
@@ -41,8 +43,10 @@
 	Tokens float64
 	// UnrunTokens is how many tries may follow refusals that ran nothing.
 	UnrunTokens float64
-	// Overloaded tells that the service sheds too much for extra tries.
+	// Overloaded tells that the service sheds too much for retries and
+	// hedges, Saturated that it is no use to try again what was shed.
 	Overloaded bool
+	Saturated  bool
 }
 
 // NewBudget returns a budget that holds the start credit.
@@ -78,7 +82,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	return State{Tokens: b.extra, UnrunTokens: b.unrun, Overloaded: b.overloaded()}
+	return State{
+		Tokens:      b.extra,
+		UnrunTokens: b.unrun,
+		Overloaded:  b.shedding(overloadedAt),
+		Saturated:   b.shedding(saturatedAt),
+	}
 }
 
 // Spend takes the token of a decision whose try begins now. It tells false if
@@ -91,15 +100,15 @@
 	if d.Unrun {
 		tokens = &b.unrun
 	}
-	if *tokens < 1 || d.Action == Stop || (!d.Unrun && b.overloaded()) {
+	if *tokens < 1 || d.Action == Stop || (!d.Unrun && b.shedding(overloadedAt)) {
 		return false
 	}
 	*tokens--
 	return true
 }
 
-func (b *Budget) overloaded() bool {
-	return b.tries >= overloadedMin && b.sheds >= overloadedAt*b.tries
+func (b *Budget) shedding(share float64) bool {
+	return b.tries >= overloadedMin && b.sheds >= share*b.tries
 }
 
 // advance lets savings and averages decay.
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -160,7 +160,7 @@
 		return stop(Exhausted)
 	case in.Running > 0:
 		return stop(Exhausted)
-	case in.Last == fleet.TryShed && in.Budget.Overloaded:
+	case in.Last == fleet.TryShed && in.Budget.Saturated:
 		return stop(Overloaded)
 	case !in.OtherTarget:
 		return stop(NoTarget)
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -29,8 +29,8 @@
 //
 // # Overload
 //
-// While many tries at the service are shed, retries and hedges would take
-// slots from first tries; there are none then, also for requests that were
-// shed. A refusal by a target that is leaving, cold or out of reach says
-// nothing of load; these go on to another target.
+// While 15 % of the tries at the service are shed, retries and hedges would
+// take slots from first tries; there are none then. What was shed itself holds
+// no slot and may be tried again a little later up to 30 %. A refusal by a
+// target that is leaving, cold or out of reach says nothing of load.
 package retry
