--- a/publication/state.go
+++ b/publication/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -76,7 +77,7 @@
 		return Decision{Offset: r.Offset, Verdict: Gap, Current: NoRevision, Message: fmt.Sprintf("next is %d", s.next)}
 	}
 	s.next++
-	r.Time = r.Time.UTC()
+	r.Time = instant(r.Time)
 	s.expireTombstones(r.Time)
 	d := s.decide(r)
 	d.Offset = r.Offset
@@ -264,6 +265,18 @@
 	s.stopped = s.stopped[n:]
 }
 
+// lastNano is the first time that nanoseconds since the epoch cannot hold.
+var lastNano = time.Unix(0, math.MaxInt64)
+
+// instant returns a record's time as peers pass it on, in nanoseconds since the
+// epoch; times that these cannot hold become the epoch.
+func instant(t time.Time) time.Time {
+	if t.Before(time.Unix(0, 0)) || t.After(lastNano) {
+		return time.Unix(0, 0).UTC()
+	}
+	return time.Unix(0, t.UnixNano()).UTC()
+}
+
 // customerOf returns the customer's part of "customer/service".
 func customerOf(id fleet.ServiceID) fleet.CustomerID {
 	c, _, _ := strings.Cut(string(id), "/")
