--- a/membership/doc.go
+++ b/membership/doc.go
@@ -17,7 +17,7 @@
 // suspect, and dead when it has not refuted by the end of the suspicion time.
 // An instance most of whose probes fail suspects itself first: it grants
 // longer times, and finally accuses nobody; and while nobody at all answers
-// it, it declares nobody dead. An instance that hears of its own suspicion but
+// it, it declares nobody dead until it must be the last one. An instance that hears of its own suspicion but
 // was not pinged for long cannot be reached, and does not refute.
 //
 // Changed records ride on pings and acks, each a number of times that grows
--- a/membership/node.go
+++ b/membership/node.go
@@ -13,6 +13,10 @@
 // average.
 const unreachableAfter = 10
 
+// aloneAfter is how many suspicion times an instance goes without any answer
+// before it takes the others for dead rather than itself for cut off.
+const aloneAfter = 10
+
 // entry is a row of the table: a member's record and its timers.
 type entry struct {
 	Member
@@ -204,8 +208,8 @@
 		switch {
 		case now.Before(e.until):
 			n.expireBy(e.until)
-		case e.State == Suspect && n.lastContact.Before(e.since):
-			e.until = now.Add(n.settings.Interval) // alone: the fault may be here
+		case e.State == Suspect && n.maybeCutOff(now, e.since):
+			e.until = now.Add(n.settings.Interval)
 			n.expireBy(e.until)
 		case e.State == Suspect:
 			dead := e.Member
@@ -218,6 +222,14 @@
 	}
 }
 
+// maybeCutOff tells whether nobody answered this instance since a time. The
+// fault is then more likely here, unless it lasts so long that this must be
+// the only instance left.
+func (n *Node) maybeCutOff(now, since time.Time) bool {
+	limit := aloneAfter * n.settings.suspicionTime(n.live)
+	return n.lastContact.Before(since) && now.Sub(since) < limit
+}
+
 // timed returns the members that are suspect or dead, in a fixed order.
 func (n *Node) timed() []fleet.InstanceID {
 	var ids []fleet.InstanceID
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// The last instance gives up the others, though later than one of many would.
+func TestLastInstance(t *testing.T) {
+	w := startFleet(1, 12, Settings{})
+	w.knowEachOther()
+	w.run(5 * time.Second)
+	for _, id := range w.ids[1:] {
+		w.crash(id)
+	}
+	w.run(15 * time.Second)
+	assert.Equal(t, len(w.nodes[testID(0)].View().Members), 12)
+	_, ok := w.until(3*time.Minute, w.converged)
+	assert.Assert(t, ok)
+}
+
 // A paused instance is given up; when it wakes it accuses nobody and returns.
 func TestPausedInstanceWakes(t *testing.T) {
 	w := startFleet(1, 12, Settings{})
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -145,7 +145,7 @@
 // failed suspects the target of a probe that nobody answered.
 func (n *Node) failed(now time.Time, p *probe) {
 	n.health = min(n.health+1, maxHealth)
-	if n.health == maxHealth {
+	if n.health == maxHealth && now.Sub(n.lastContact) < aloneAfter*n.settings.suspicionTime(n.live) {
 		return
 	}
 	e, ok := n.table[p.target.Instance]
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -61,6 +61,9 @@
 	var bestWeight uint64
 	for i := range members {
 		c := candidateOf(&members[i])
+		if c.pref == excluded {
+			continue
+		}
 		w := weight(keyHash, c.hash)
 		if c.before(w, best, bestWeight) {
 			best, bestWeight = c, w
@@ -87,7 +90,7 @@
 	if w != otherWeight {
 		return w > otherWeight
 	}
-	return c.id < other.id && c.pref != excluded
+	return c.id < other.id
 }
 
 // Table holds the hashes of the members, for owners of many keys. It is
--- /dev/null
+++ b/rendezvous/rendezvous_test.go
@@ -0,0 +1,147 @@
+package rendezvous
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/membership"
+)
+
+func fleetOf(count int) []Member {
+	members := make([]Member, count)
+	for i := range members {
+		members[i] = Member{ID: fleet.InstanceID(fmt.Sprintf("i%03d", i)), State: membership.Alive, Ready: true}
+	}
+	return members
+}
+
+func TestNoOwnerWithoutMembers(t *testing.T) {
+	_, ok := Owner("k", nil)
+	assert.Assert(t, !ok)
+	dead := fleetOf(1)
+	dead[0].State = membership.Dead
+	_, ok = Owner("k", dead)
+	assert.Assert(t, !ok)
+	_, ok = NewTable(dead).Owner("k")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(Ranked("k", dead, 3)), 0)
+}
+
+func TestPreference(t *testing.T) {
+	tests := map[string]struct {
+		spoil func(*Member)
+		next  func(*Member) // what the rest is, in order to be preferred or not
+		stays bool
+	}{
+		"suspect gives way":             {spoil: setState(membership.Suspect)},
+		"leaving gives way":             {spoil: setState(membership.Leaving)},
+		"not ready gives way":           {spoil: func(m *Member) { m.Ready = false }},
+		"suspect stays before leaving":  {setState(membership.Suspect), setState(membership.Leaving), true},
+		"all leaving keep their owners": {setState(membership.Leaving), setState(membership.Leaving), true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			members := fleetOf(8)
+			owner, _ := Owner("k", members)
+			for i := range members {
+				if members[i].ID == owner {
+					tt.spoil(&members[i])
+				} else if tt.next != nil {
+					tt.next(&members[i])
+				}
+			}
+			now, ok := Owner("k", members)
+			assert.Assert(t, ok)
+			assert.Equal(t, now == owner, tt.stays)
+		})
+	}
+}
+
+func setState(s membership.State) func(*Member) {
+	return func(m *Member) { m.State = s }
+}
+
+// Owner, Table.Owner and Ranked agree, and the owner's heir follows it.
+func TestWaysAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleetOf(rapid.IntRange(1, 30).Draw(t, "count"))
+		for i := range members {
+			members[i].State = membership.State(rapid.IntRange(1, 4).Draw(t, "state"))
+			members[i].Ready = rapid.Bool().Draw(t, "ready")
+		}
+		key := rapid.String().Draw(t, "key")
+		owner, ok := Owner(key, members)
+		fromTable, okTable := NewTable(members).Owner(key)
+		ranked := Ranked(key, members, len(members))
+		if ok != okTable || owner != fromTable || ok != (len(ranked) > 0) {
+			t.Fatalf("%q %v, table %q %v, ranked %v", owner, ok, fromTable, okTable, ranked)
+		}
+		if len(ranked) < 2 {
+			return
+		}
+		for i := range members {
+			if members[i].ID == owner {
+				members[i].State = membership.Dead
+			}
+		}
+		if heir, _ := Owner(key, members); heir != ranked[1] || owner != ranked[0] {
+			t.Fatalf("heir %q, ranked %v", heir, ranked)
+		}
+	})
+}
+
+func TestOnlyTheLostMembersKeysMove(t *testing.T) {
+	members := fleetOf(44)
+	before, after := NewTable(members), NewTable(members[1:])
+	const keys = 20000
+	share := map[fleet.InstanceID]int{}
+	for i := range keys {
+		key := strconv.Itoa(i)
+		was, _ := before.Owner(key)
+		is, _ := after.Owner(key)
+		share[was]++
+		if was != members[0].ID {
+			assert.Equal(t, was, is)
+		}
+	}
+	for _, m := range members { // five standard deviations
+		assert.Assert(t, share[m.ID] > 350 && share[m.ID] < 562, "%s owns %d", m.ID, share[m.ID])
+	}
+}
+
+func TestOwnerAllocatesNothing(t *testing.T) {
+	members := fleetOf(44)
+	table := NewTable(members)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { Owner("some/key", members) }), 0.0)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { table.Owner("some/key") }), 0.0)
+}
+
+func BenchmarkOwner(b *testing.B) {
+	for _, count := range []int{44, 920} {
+		members := fleetOf(count)
+		table := NewTable(members)
+		b.Run(fmt.Sprintf("members=%d/members", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Owner("daugava/catalogue", members)
+			}
+		})
+		b.Run(fmt.Sprintf("members=%d/table", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Owner("daugava/catalogue")
+			}
+		})
+		b.Run(fmt.Sprintf("members=%d/build", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				NewTable(members)
+			}
+		})
+	}
+}
