Add outlier: pooled detection and ejection of sick targets

Cause: targets fail gray; no instance sees enough of the work to judge one alone, and health endpoints mislead.

--- /dev/null
+++ b/outlier/judge.go
@@ -0,0 +1,302 @@
+package outlier
+
+import (
+	"math"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// window is how fast the base rate forgets.
+const window = 15 * time.Second
+
+// row is what a judge knows of one target.
+type row struct {
+	target fleet.Target
+	// pending is what was seen since the last step.
+	pending []seen
+	// total is all that was seen, recent the same with forgetting, prev the
+	// total before the last step.
+	total, prev, recent tallies
+	charts              [channels][len(excesses)]chart
+	// muted rows gather no evidence of slowness: cold or warming up.
+	muted bool
+	// aside rows are ejected or on trial; they are no yardstick for others.
+	aside bool
+	// crossed is when the accusation that stands now was first found.
+	crossed time.Time
+}
+
+// judge holds the evidence of one service in a table of targets.
+type judge struct {
+	rows  []*row
+	index map[fleet.TargetID]int
+	// total and prev sum the rows that are not aside.
+	total, prev tallies
+	decayed     time.Time
+	threshold   float64
+	settle      time.Duration
+}
+
+// accusation is why a target looks sick.
+type accusation struct {
+	channel channel
+	score   float64
+	base    float64
+	excess  float64
+	shares  []share
+}
+
+func newJudge(threshold float64, settle time.Duration) *judge {
+	return &judge{threshold: threshold, settle: settle, index: map[fleet.TargetID]int{}}
+}
+
+// setTargets keeps the rows of targets that remain.
+func (j *judge) setTargets(ts []fleet.Target) {
+	rows := make([]*row, 0, len(ts))
+	index := make(map[fleet.TargetID]int, len(ts))
+	for _, t := range ts {
+		if _, twice := index[t.ID]; twice {
+			continue
+		}
+		r := newRow()
+		if i, ok := j.index[t.ID]; ok {
+			r = j.rows[i]
+		}
+		r.target = t
+		index[t.ID] = len(rows)
+		rows = append(rows, r)
+	}
+	j.rows, j.index = rows, index
+}
+
+func newRow() *row {
+	r := &row{}
+	for ch := range r.charts {
+		for i, e := range excesses {
+			r.charts[ch][i].excess = e
+		}
+	}
+	return r
+}
+
+// add hands in what a source saw of a target since it last did.
+func (j *judge) add(i int, s source, t tallies) {
+	r := j.rows[i]
+	if r.muted {
+		t[slowness] = tally{}
+	}
+	if t != (tallies{}) {
+		r.pending = append(r.pending, seen{source: s, tallies: t})
+	}
+}
+
+// step folds all that was handed in since the last step.
+func (j *judge) step(now time.Time) {
+	j.forget(now)
+	j.prev = j.total
+	for _, r := range j.rows {
+		j.sum(r)
+	}
+	recent := j.recentAll()
+	for _, r := range j.rows {
+		j.stepRow(now, r, recent)
+	}
+}
+
+// forget decays the recent tallies.
+func (j *judge) forget(now time.Time) {
+	if j.decayed.IsZero() {
+		j.decayed = now
+	}
+	passed := now.Sub(j.decayed)
+	if passed < window/64 {
+		return
+	}
+	keep := math.Exp(-float64(passed) / float64(window))
+	for _, r := range j.rows {
+		for ch := range r.recent {
+			r.recent[ch].good *= keep
+			r.recent[ch].bad *= keep
+		}
+	}
+	j.decayed = now
+}
+
+// sum adds a row's pending tries to its tallies.
+func (j *judge) sum(r *row) {
+	r.prev = r.total
+	for _, s := range r.pending {
+		for ch := range r.total {
+			r.total[ch] = r.total[ch].plus(s.tallies[ch])
+			if !r.aside {
+				r.recent[ch] = r.recent[ch].plus(s.tallies[ch])
+				j.total[ch] = j.total[ch].plus(s.tallies[ch])
+			}
+		}
+	}
+}
+
+func (j *judge) recentAll() tallies {
+	var all tallies
+	for _, r := range j.rows {
+		for ch := range all {
+			all[ch] = all[ch].plus(r.recent[ch])
+		}
+	}
+	return all
+}
+
+func (j *judge) stepRow(now time.Time, r *row, recent tallies) {
+	for ch := range channels {
+		base := baseRate(ch, recent[ch].minus(r.recent[ch]))
+		tick := r.total[ch].minus(r.prev[ch])
+		for i := range r.charts[ch] {
+			c := &r.charts[ch][i]
+			if c.sum > 0 || tick.bad > 0 {
+				c.step(now, tick, base, r.prev[ch], j.prev[ch], r.pending, ch)
+			}
+		}
+	}
+	r.pending = r.pending[:0]
+}
+
+func baseRate(ch channel, others tally) float64 {
+	rate := others.rate(basePrior[ch], priorTries)
+	return min(max(rate, baseFloor[ch]), baseCeiling)
+}
+
+// bases are the rates of bad tries that a row is measured against.
+func (j *judge) bases(r *row) [channels]float64 {
+	var bases [channels]float64
+	recent := j.recentAll()
+	for ch := range channels {
+		bases[ch] = baseRate(ch, recent[ch].minus(r.recent[ch]))
+	}
+	return bases
+}
+
+// clear drops the evidence against a row.
+func (r *row) clear() {
+	for ch := range r.charts {
+		for i := range r.charts[ch] {
+			r.charts[ch][i].reset()
+		}
+	}
+	r.crossed = time.Time{}
+}
+
+// hot tells whether a row's sum has gone a good part of the way.
+func (r *row) hot(threshold float64) bool {
+	for ch := range r.charts {
+		for i := range r.charts[ch] {
+			if r.charts[ch][i].sum >= threshold/2 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// crowd returns the hot rows that are not aside, and whether they and the
+// rows aside are so many that something else than the targets is to blame.
+func (j *judge) crowd() (hot []*row, crowded bool) {
+	suspects, members := 0, 0
+	for _, r := range j.rows {
+		if r.target.State != fleet.Joined {
+			continue
+		}
+		members++
+		if r.aside {
+			suspects++
+			continue
+		}
+		if r.hot(j.threshold) {
+			suspects++
+			hot = append(hot, r)
+		}
+	}
+	limit := max(int(crowdShare*float64(members)), 1)
+	return hot, suspects > limit
+}
+
+// accuse returns the strongest accusation against a row that passes factor
+// times the threshold and has stood for the settling time.
+func (j *judge) accuse(now time.Time, r *row, hot []*row, factor float64) (accusation, bool) {
+	best := accusation{score: math.Inf(-1)}
+	for ch := range channels {
+		for i := range r.charts[ch] {
+			a, ok := j.weigh(r, ch, &r.charts[ch][i], hot, factor)
+			if ok && a.score > best.score {
+				best = a
+			}
+		}
+	}
+	if math.IsInf(best.score, -1) {
+		r.crossed = time.Time{}
+		return best, false
+	}
+	if r.crossed.IsZero() {
+		r.crossed = now
+	}
+	return best, now.Sub(r.crossed) >= j.settle
+}
+
+// weigh compares a target with what the others did since its sum left zero.
+func (j *judge) weigh(r *row, ch channel, c *chart, hot []*row, factor float64) (accusation, bool) {
+	limit := j.threshold * factor
+	if c.sum < limit {
+		return accusation{}, false
+	}
+	own := r.total[ch].minus(c.own)
+	others := j.total[ch].minus(c.all).minus(own)
+	for _, h := range hot {
+		if h != r {
+			others = others.minus(h.excessTally(ch))
+		}
+	}
+	if others.tries() < contemporaryShare*own.bad {
+		return accusation{}, false
+	}
+	base := j.bases(r)[ch]
+	base = min(max(base, others.rate(base, contemporaryTries)), baseCeiling)
+	score := likelihood(own, base, c.excess)
+	return accusation{channel: ch, score: score, base: base, excess: c.excess, shares: c.shares}, score >= limit
+}
+
+// excessTally is what a hot row added to the service's tally since its
+// strongest sum of the channel left zero.
+func (r *row) excessTally(ch channel) tally {
+	best := &r.charts[ch][0]
+	for i := range r.charts[ch] {
+		if r.charts[ch][i].sum > best.sum {
+			best = &r.charts[ch][i]
+		}
+	}
+	if best.sum <= 0 {
+		return tally{}
+	}
+	return r.total[ch].minus(best.own)
+}
+
+// setAside takes a row out of the yardstick for others, with the bad tries
+// that led to it.
+func (j *judge) setAside(r *row) {
+	for ch := range channels {
+		j.total[ch].bad = max(j.total[ch].bad-r.excessTally(ch).bad, 0)
+		r.recent[ch] = tally{}
+	}
+	r.clear()
+	r.aside = true
+}
+
+// mark notes whether a row is aside.
+func (j *judge) mark(r *row, aside bool) {
+	if aside && !r.aside {
+		j.setAside(r)
+	}
+	if !aside && r.aside {
+		r.clear()
+	}
+	r.aside = aside
+}
