Choose, watch and admit through the decision packages

Cause: the thin path took targets in turn and knew nothing of their health. Before, gossip ended at the signal and peers saw the instance as dead during its drain.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,10 +11,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/follow"
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/pool"
 	"github.com/clementinereel/clementinereel/proxy"
-	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/route"
 	"github.com/clementinereel/clementinereel/settings"
 	"github.com/clementinereel/clementinereel/telemetry"
@@ -27,11 +29,17 @@
 	platform  *platform.Client
 	metrics   *telemetry.Registry
 	services  *upstream.Set
+	pool      *pool.Set
+	follower  *follow.Follower
 	transport *peer.Transport
 	gossip    *peer.Gossip
 	routes    atomic.Pointer[route.Table]
-	view      atomic.Pointer[publication.View]
+	members   atomic.Pointer[members]
 	ready     atomic.Bool
+	stopping  atomic.Bool
+	cancel    context.CancelFunc
+	systems   sync.WaitGroup
+	hadPeers  bool // used by the tick alone
 	sockets   *listeners
 	callers   *http.Server
 	peers     *peer.Server
@@ -50,14 +58,17 @@
 		self:     fleet.Holder{Instance: cfg.Instance, Incarnation: fleet.Incarnation(time.Now().UnixNano())},
 		platform: platform.NewClient(cfg.Platform.URL, cfg.Platform.Timeout.D()),
 		metrics:  telemetry.NewRegistry(),
-		services: upstream.NewSet(via, &http.Transport{MaxIdleConnsPerHost: 8}),
+		pool:     pool.New(pool.Config{}),
 		sockets:  sockets,
 	}
+	i.services = upstream.NewSet(upstream.Env{Via: via, Pool: i.pool, Seed: upstream.Seed()})
 	i.routes.Store(route.Empty)
 	if err := i.joinPeers(); err != nil {
 		sockets.close()
 		return nil, err
 	}
+	i.followMembers()
+	i.followConfiguration()
 	handler := proxy.New(proxy.Config{
 		Routes: i.routes.Load, Services: i.services, Metrics: i.metrics, Via: via,
 	})
@@ -72,29 +83,24 @@
 	if err != nil {
 		return err
 	}
-	i.Start(ctx)
+	i.Start()
 	<-ctx.Done()
-	i.stop()
+	i.Stop()
 	return nil
 }
 
 // Start makes the instance serve; it returns at once.
-func (i *Instance) Start(ctx context.Context) {
+func (i *Instance) Start() {
 	klog.InfoS("started", "instance", i.cfg.Instance, "zone", i.cfg.Zone,
 		"listen", i.sockets.callers.Addr().String(), "admin", i.sockets.admin.Addr().String())
 	go serve("callers", i.callers, i.sockets.callers)
 	go serve("admin", i.admin, i.sockets.admin)
 	go serve("peers", i.peers, i.sockets.peers)
-	go i.gossip.Run(ctx)
-	go i.tail(ctx)
-}
-
-// apply takes a new view into force.
-func (i *Instance) apply(v *publication.View) {
-	i.view.Store(v)
-	i.services.Update(v)
-	i.routes.Store(i.routes.Load().Update(v))
-	i.ready.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	for _, system := range []func(context.Context){i.gossip.Run, i.follower.Run, i.run} {
+		i.systems.Go(func() { system(ctx) })
+	}
 }
 
 func (i *Instance) newCallerServer(h http.Handler) *http.Server {
@@ -122,25 +128,3 @@
 	}
 	return c.String(http.StatusOK, "ok\n")
 }
-
-const (
-	tailWait  = 10 * time.Second
-	tailLimit = 500
-	tailRetry = 200 * time.Millisecond
-)
-
-// tail follows the configuration stream.
-func (i *Instance) tail(ctx context.Context) {
-	state := publication.NewState()
-	for ctx.Err() == nil {
-		b, err := i.platform.Read(ctx, publication.Stream, state.Next(), tailLimit, tailWait)
-		if err != nil {
-			time.Sleep(tailRetry)
-			continue
-		}
-		for _, r := range b.Records {
-			state.Apply(r)
-		}
-		i.apply(state.View())
-	}
-}
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -43,10 +43,8 @@
 	b.logURL = srv.URL
 	b.log = platform.NewClient(srv.URL, 0)
 	b.publish(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
 	for k := range n {
-		b.start(ctx, t, k)
+		b.start(t, k)
 	}
 	for _, i := range b.all {
 		poll.WaitOn(t, ready(i), poll.WithTimeout(20*time.Second))
@@ -84,18 +82,20 @@
 	}
 }
 
-func (b *bench) start(ctx context.Context, t *testing.T, k int) {
+func (b *bench) start(t *testing.T, k int) {
 	t.Helper()
 	cfg := &settings.Settings{
 		Instance: fleet.InstanceID(fmt.Sprintf("i-%d", k)), Zone: "a",
 		Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
 		Platform: settings.Platform{URL: b.logURL},
+		Stop:     settings.Stop{BalancerWait: contract.Duration(time.Millisecond)},
 	}
 	assert.NilError(t, cfg.Complete())
 	i, err := instance.New(cfg)
 	assert.NilError(t, err)
 	b.list.Put(platform.Listed{ID: cfg.Instance, Addr: i.PeerAddr(), Zone: cfg.Zone, State: platform.Live})
-	i.Start(ctx)
+	i.Start()
+	t.Cleanup(i.Stop)
 	b.all = append(b.all, i)
 }
 
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -7,16 +7,41 @@
 	"k8s.io/klog/v2"
 )
 
-// stop ends the instance without cutting a request.
-func (i *Instance) stop() {
+// peerStopWait bounds the wait for peers' calls at the end of a stop.
+const peerStopWait = 2 * time.Second
+
+// Stop ends the instance without cutting a request. It takes new requests
+// until the balancer has noticed that the instance is not ready, and the
+// systems run until the last request is answered.
+func (i *Instance) Stop() {
 	start := time.Now()
-	i.ready.Store(false)
-	klog.InfoS("stopping", "instance", i.cfg.Instance, "step", "not-ready")
+	klog.InfoS("stopping", "instance", i.self.Instance)
+	i.stopping.Store(true)
+	i.gossip.Leave()
 	time.Sleep(i.cfg.Stop.BalancerWait.D())
+	i.finishRequests()
+	i.cancel()
+	i.systems.Wait()
+	i.closePeers()
+	_ = i.admin.Close()
+	i.pool.Close()
+	klog.InfoS("stopped", "instance", i.self.Instance, "took", time.Since(start).Round(time.Millisecond))
+}
+
+// finishRequests stops accepting callers and waits for running requests.
+func (i *Instance) finishRequests() {
 	ctx, cancel := context.WithTimeout(context.Background(), i.cfg.Stop.InFlightWait.D())
 	defer cancel()
 	if err := i.callers.Shutdown(ctx); err != nil {
-		klog.ErrorS(err, "requests cut", "instance", i.cfg.Instance)
+		klog.ErrorS(err, "requests cut", "instance", i.self.Instance)
+	}
+}
+
+// closePeers lets the peers' running calls end.
+func (i *Instance) closePeers() {
+	ctx, cancel := context.WithTimeout(context.Background(), peerStopWait)
+	defer cancel()
+	if err := i.peers.Shutdown(ctx); err != nil {
+		_ = i.peers.Close()
 	}
-	klog.InfoS("stopped", "instance", i.cfg.Instance, "took", time.Since(start).Round(time.Millisecond))
 }
--- /dev/null
+++ b/proxy/admit.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/clementinereel/clementinereel/admission"
+	"github.com/clementinereel/clementinereel/dispatch"
+	"github.com/clementinereel/clementinereel/problem"
+	"github.com/clementinereel/clementinereel/retry"
+	"github.com/clementinereel/clementinereel/telemetry"
+	"github.com/clementinereel/clementinereel/upstream"
+)
+
+// admit waits for a place at the service's gate. After nil, x.release must be
+// called.
+func (h *Handler) admit(ctx context.Context, x *exchange) *problem.Problem {
+	d, err := x.service.Gate(x.route.Class).Acquire(ctx, x.route.Value, x.deadline)
+	switch {
+	case err != nil:
+		return problem.New(http.StatusServiceUnavailable, problem.Overloaded, "the request ended while it waited for a place").After(retryLater)
+	case d.Verdict == admission.Admitted:
+		return nil
+	}
+	h.decided(x, "shed", d.Verdict.String())
+	return problem.New(http.StatusServiceUnavailable, problem.Overloaded, "the service is full: "+d.Verdict.String()).After(d.RetryAfter)
+}
+
+// release gives the place at the gate back.
+func (x *exchange) release() { x.service.Gate(x.route.Class).Release() }
+
+// dispatch tries the request at the service's targets.
+func (h *Handler) dispatch(ctx context.Context, x *exchange, newRequest func() *upstream.Request) upstream.Result {
+	return dispatch.Run(ctx, x.service, &dispatch.Job{
+		Policy:     retry.PolicyOf(x.route),
+		Deadline:   x.deadline,
+		NewRequest: newRequest,
+		Added:      func(a retry.Action) { h.decided(x, addedNames[a], "") },
+	})
+}
+
+var addedNames = map[retry.Action]string{
+	retry.Retry: "retried",
+	retry.Hedge: "hedged",
+}
+
+// decided counts a decision on a request.
+func (h *Handler) decided(x *exchange, what, reason string) {
+	labels := []telemetry.Label{
+		{Key: "customer", Value: string(x.customer)},
+		{Key: "class", Value: x.route.Class.String()},
+		{Key: "decision", Value: what},
+	}
+	if reason != "" {
+		labels = append(labels, telemetry.Label{Key: "reason", Value: reason})
+	}
+	h.cfg.Metrics.Counter("decisions", labels...).Inc(1)
+}
--- a/proxy/confirmation.go
+++ b/proxy/confirmation.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+
+	"github.com/clementinereel/clementinereel/upstream"
 )
 
 // confirm serves a request that must run at most once.
@@ -14,11 +16,11 @@
 	// The caller leaving does not end a confirmation: its outcome is wanted.
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), x.deadline)
 	defer cancel()
-	t, ok := x.service.Pick()
-	if !ok {
-		h.refuse(x, noTarget())
+	if p := h.admit(ctx, x); p != nil {
+		h.refuse(x, p)
 		return
 	}
-	res := x.service.Try(ctx, t, x.bufferedRequest(body))
+	defer x.release()
+	res := h.dispatch(ctx, x, func() *upstream.Request { return x.bufferedRequest(body) })
 	h.conclude(x, &res)
 }
--- a/proxy/lookup.go
+++ b/proxy/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/clementinereel/clementinereel/dispatch"
 	"github.com/clementinereel/clementinereel/upstream"
 )
 
@@ -15,18 +16,18 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	t, ok := x.service.Pick()
-	if !ok {
-		h.refuse(x, noTarget())
+	if p := h.admit(ctx, x); p != nil {
+		h.refuse(x, p)
 		return
 	}
-	res := x.service.Try(ctx, t, x.bufferedRequest(body))
+	defer x.release()
+	res := h.dispatch(ctx, x, func() *upstream.Request { return x.bufferedRequest(body) })
 	h.conclude(x, &res)
 }
 
 // conclude passes a try's answer on, or says why there is none.
 func (h *Handler) conclude(x *exchange, res *upstream.Result) {
-	if res.Answer == nil || res.Try.RefusedUnrun() {
+	if !dispatch.Answered(res) {
 		h.refuse(x, tryProblem(res))
 		return
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 
 	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/upstream"
@@ -20,9 +19,10 @@
 }
 
 // streamedRequest is the request to one target with the caller's body.
-func (x *exchange) streamedRequest(body io.Reader) *upstream.Request {
+func (x *exchange) streamedRequest() *upstream.Request {
 	req := x.request()
-	req.Body = body
+	req.Body = x.r.Body
+	req.OneBody = true
 	req.Length = x.r.ContentLength
 	return req
 }
--- a/telemetry/expose.go
+++ b/telemetry/expose.go
@@ -24,6 +24,7 @@
 
 // Write prints all metrics in the Prometheus text format, sorted by name.
 func (r *Registry) Write(w io.Writer) {
+	r.captureProcess()
 	all := make(map[string]any)
 	r.reg.Each(func(name string, m any) { all[name] = m })
 	names := make([]string, 0, len(all))
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -2,47 +2,124 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
+	"time"
 
+	"github.com/clementinereel/clementinereel/admission"
+	"github.com/clementinereel/clementinereel/balancer"
+	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/outlier"
+	"github.com/clementinereel/clementinereel/pool"
+	"github.com/clementinereel/clementinereel/retry"
 )
 
-// Service is the runtime state of one service at this instance.
+// Service is the runtime state of one service at this instance: which targets
+// may be chosen, what is known of their health, and how much work is let in.
 type Service struct {
-	ID        fleet.ServiceID
-	via       Via
-	transport http.RoundTripper
-	targets   atomic.Pointer[[]fleet.Target]
-	turn      atomic.Uint64
+	ID       fleet.ServiceID
+	via      Via
+	pool     *pool.Set
+	balancer *balancer.Balancer
+	detector *outlier.Detector
+	budget   *retry.Budget
+	gates    [len(classes)]*admission.Queue
+	health   atomic.Pointer[outlier.Snapshot]
+
+	// The tick alone uses what follows.
+	settings  *contract.Service
+	config    balancer.Config
+	targets   []fleet.Target
+	slots     int
+	instances int
 }
 
-func newService(id fleet.ServiceID, via Via, rt http.RoundTripper) *Service {
-	return &Service{ID: id, via: via, transport: rt}
+var classes = [...]fleet.Class{fleet.Lookup, fleet.Confirmation, fleet.Upload}
+
+func newService(id fleet.ServiceID, env Env, cs *contract.Service, now time.Time) *Service {
+	s := &Service{
+		ID:       id,
+		via:      env.Via,
+		pool:     env.Pool,
+		detector: outlier.NewDetector(outlier.FromContract(*cs), env.Via.Instance, env.Via.Zone),
+		budget:   retry.NewBudget(now),
+		settings: cs,
+		config:   balancer.FromContract(*cs),
+	}
+	s.balancer = balancer.New(s.config, env.Seed)
+	for i := range s.gates {
+		s.gates[i] = admission.NewQueue(time.Now)
+	}
+	return s
+}
+
+// Gate returns the admission queue of a class.
+func (s *Service) Gate(c fleet.Class) *admission.Queue { return s.gates[c-fleet.Lookup] }
+
+// Budget returns the bound on further tries.
+func (s *Service) Budget() *retry.Budget { return s.budget }
+
+// Health returns what is known of the targets, nil before the first tick.
+func (s *Service) Health() *outlier.Snapshot { return s.health.Load() }
+
+// Expected is the latency to be expected of a try, 0 if nothing is known yet.
+func (s *Service) Expected(c fleet.Class) time.Duration { return s.Gate(c).Stats().Latency }
+
+// HasOther tells whether a target can be chosen that was not tried yet.
+func (s *Service) HasOther(tried *balancer.Search) bool {
+	return s.balancer.Picker().Len() > tried.Tried.Len()
 }
 
-// update replaces the targets that may be chosen.
-func (s *Service) update(targets []fleet.Target) {
-	joined := make([]fleet.Target, 0, len(targets))
-	for _, t := range targets {
-		if t.State == fleet.Joined {
-			joined = append(joined, t)
+// Send searches for a target that takes the request and returns how the try
+// ended there. Targets that shed the request are passed over for as long as
+// the balancer is patient; newRequest makes the request anew for each of
+// them. A result without Target means that no target could be chosen.
+func (s *Service) Send(ctx context.Context, class fleet.Class, search *balancer.Search, newRequest func() *Request) Result {
+	begun := time.Now()
+	last := Result{Try: fleet.TryDialFailed, Err: ErrNoTarget}
+	for {
+		var pause time.Duration
+		var again bool
+		pick, ok := s.balancer.Picker().Pick(balancer.PickInfo{Tried: search.Tried, Class: class, Now: time.Now()})
+		if !ok {
+			pause, again = s.balancer.Exhausted(search, time.Since(begun))
+		} else {
+			req := newRequest()
+			last = s.try(ctx, class, pick, req)
+			if last.Try != fleet.TryShed || last.BodyUsed {
+				search.Tried.Add(pick.Target.ID)
+				return last
+			}
+			pause, again = s.balancer.Refused(search, pick, time.Since(begun))
+		}
+		if !again || !sleep(ctx, pause) {
+			return last
 		}
 	}
-	s.targets.Store(&joined)
 }
 
-// Pick chooses a target, in turn. It tells false if there is none.
-func (s *Service) Pick() (fleet.Target, bool) {
-	targets := *s.targets.Load()
-	if len(targets) == 0 {
-		return fleet.Target{}, false
-	}
-	n := s.turn.Add(1)
-	return targets[n%uint64(len(targets))], true
+// try sends the request to the picked target and records how it ended.
+func (s *Service) try(ctx context.Context, class fleet.Class, pick balancer.Pick, req *Request) Result {
+	watch := s.detector.Start(pick.Target.ID, time.Now())
+	res := Try(ctx, s.pool.RoundTripper(pick.Target), s.via, pick.Target, req)
+	s.detector.Done(watch, res.Try, res.Latency)
+	s.Gate(class).Observe(res.Try, res.Latency)
+	s.budget.Observe(time.Now(), res.Try)
+	pick.Done(balancer.DoneInfo{Result: res.Try, Latency: res.Latency, RetryAfter: res.RetryAfter})
+	return res
 }
 
-// Try sends a request to one target.
-func (s *Service) Try(ctx context.Context, t fleet.Target, req *Request) Result {
-	return Try(ctx, s.transport, s.via, t, req)
+// sleep waits unless the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
 }
--- a/upstream/try.go
+++ b/upstream/try.go
@@ -5,14 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/pool"
 )
 
 // Request is what is sent to a target.
@@ -26,6 +25,8 @@
 	Body io.Reader
 	// Length is the body's length in bytes, -1 if it is not known.
 	Length int64
+	// OneBody tells that Body comes from the caller and cannot be made anew.
+	OneBody bool
 	// MaxAnswer bounds the answer's body in bytes.
 	MaxAnswer int64
 }
@@ -43,6 +44,13 @@
 	// Sent tells whether any byte of the request may have left this
 	// instance. A request that was not sent was not run.
 	Sent bool
+	// Target is where the request was tried, zero if nowhere.
+	Target fleet.Target
+	// BodyUsed tells that the request's body was begun to be read and cannot
+	// be made anew.
+	BodyUsed bool
+	// BodyErr is why the caller's body could not be read to its end.
+	BodyErr error
 	// TooLarge tells that the answer was cut off at Request.MaxAnswer.
 	TooLarge bool
 	// Answer is the target's whole answer, nil if there is none.
@@ -67,30 +75,23 @@
 // bounds it; its deadline is passed on to the target.
 func Try(ctx context.Context, rt http.RoundTripper, via Via, target fleet.Target, req *Request) Result {
 	start := time.Now()
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	}
-	out := newOutgoing(httptrace.WithClientTrace(ctx, trace), via, target, req)
+	var trace pool.Trace
+	body := &onceBody{r: req.Body}
+	out := newOutgoing(trace.With(ctx), via, target, req, body)
 	resp, err := rt.RoundTrip(out)
-	res := Result{}
+	res := Result{Target: target}
 	if err != nil {
-		res.Try, res.Err = classifyError(ctx, err, sent.Load()), err
+		res.Try, res.Err = classifyError(ctx, err, &trace), err
 	} else {
-		readAnswer(ctx, resp, req.MaxAnswer, &res)
+		readAnswer(ctx, resp, req.MaxAnswer, &trace, &res)
 	}
-	res.Sent = sent.Load()
+	res.Sent = trace.Sent()
+	body.conclude(&res, req.OneBody)
 	res.Latency = time.Since(start)
 	return res
 }
 
-// onceBody hides what kind of reader a body is, so that the transport can
-// neither rewind it nor send the request a second time on its own.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
-func newOutgoing(ctx context.Context, via Via, target fleet.Target, req *Request) *http.Request {
+func newOutgoing(ctx context.Context, via Via, target fleet.Target, req *Request, body *onceBody) *http.Request {
 	u := *req.URL
 	u.Scheme = "http"
 	u.Host = target.Addr
@@ -105,7 +106,10 @@
 		ProtoMinor:    1,
 	}
 	if req.Body != nil {
-		out.Body = onceBody{req.Body}
+		out.Body = body
+	}
+	if req.OneBody {
+		out.Header.Set("Expect", "100-continue")
 	}
 	out.Header.Set(header.ViaInstance, string(via.Instance))
 	out.Header.Set(header.ViaZone, string(via.Zone))
@@ -116,34 +120,25 @@
 	return out.WithContext(ctx)
 }
 
+// ErrNoTarget tells that no target could be chosen.
+var ErrNoTarget = errors.New("no target can be chosen")
+
 // ErrGivenUp is the cause of a context that ended for a reason which says
 // nothing of the target: the caller left, or another try was chosen.
 var ErrGivenUp = errors.New("given up")
 
-func classifyError(ctx context.Context, err error, sent bool) fleet.TryResult {
-	switch {
-	case errors.Is(context.Cause(ctx), ErrGivenUp), errors.Is(ctx.Err(), context.Canceled):
+func classifyError(ctx context.Context, err error, trace *pool.Trace) fleet.TryResult {
+	if errors.Is(context.Cause(ctx), ErrGivenUp) || errors.Is(ctx.Err(), context.Canceled) {
 		return fleet.TryCanceled
-	case errors.Is(err, context.DeadlineExceeded) && sent:
-		return fleet.TryTimeout
-	case !sent:
-		return fleet.TryDialFailed
-	case isTimeout(err):
-		return fleet.TryTimeout
 	}
-	return fleet.TryReset
+	return pool.Classify(err, trace)
 }
 
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
-func readAnswer(ctx context.Context, resp *http.Response, limit int64, res *Result) {
+func readAnswer(ctx context.Context, resp *http.Response, limit int64, trace *pool.Trace, res *Result) {
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		res.Try, res.Err = classifyBodyError(ctx, err), err
+		res.Try, res.Err = classifyError(ctx, err, trace), err
 		return
 	}
 	if int64(len(body)) > limit {
@@ -155,14 +150,6 @@
 	res.Answer = &Answer{Status: resp.StatusCode, Header: header.Forwarded(resp.Header), Body: body}
 }
 
-func classifyBodyError(ctx context.Context, err error) fleet.TryResult {
-	try := classifyError(ctx, err, true)
-	if try == fleet.TryReset {
-		return fleet.TryTruncated
-	}
-	return try
-}
-
 func classifyAnswer(resp *http.Response) fleet.TryResult {
 	switch resp.Header.Get(header.TargetNotRun) {
 	case header.NotRunShed:
