--- a/contract/check.go
+++ b/contract/check.go
@@ -59,8 +59,13 @@
 	Message string `json:"message"`
 }
 
-// String returns "path: message".
-func (p Problem) String() string { return p.Path + ": " + p.Message }
+// String returns "path: message", or the message for the whole document.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return p.Message
+	}
+	return p.Path + ": " + p.Message
+}
 
 // Error is a contract that was refused, with every problem found.
 type Error struct {
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -98,6 +98,34 @@
 	}
 }
 
+func TestWholeDocumentRefusals(t *testing.T) {
+	for doc, want := range map[string]string{
+		`[{}]`:  "[...] is wrong here: write an object in braces",
+		`null`:  "null is wrong here: write an object in braces",
+		`{} {}`: "text follows the document",
+		``:      "line 1: EOF",
+	} {
+		_, err := Decode([]byte(doc))
+		assert.ErrorContains(t, err, want, doc)
+	}
+	_, err := Decode(make([]byte, MaxSize+1))
+	assert.ErrorContains(t, err, "at most 262144 are allowed")
+}
+
+func TestDifferences(t *testing.T) {
+	a, err := Decode(example(t, "daugava.json"))
+	assert.NilError(t, err)
+	b, err := Decode(example(t, "daugava.json"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(Differences(a, b)), 0)
+	b.Routes[0].Hedge = nil
+	b.Services[1].Slots = 2
+	got := Differences(a, b)
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].String(), `routes[prices].hedge.after: "150ms" -> (none)`)
+	assert.Equal(t, got[1].String(), "services[quote-confirmation].slots_per_target: 4 -> 2")
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add(example(f, "daugava.json"))
 	f.Add(example(f, "lonestar.json"))
--- a/contract/decode.go
+++ b/contract/decode.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"bytes"
 	"encoding/json"
 	"reflect"
 
@@ -21,8 +22,8 @@
 	if err != nil {
 		return nil, err
 	}
-	k := new(checker)
-	k.walk("", raw, reflect.TypeFor[Contract]())
+	k := walker{new(checker), json.NewDecoder(bytes.NewReader(raw))}
+	k.walk("", reflect.TypeFor[Contract](), false)
 	if err := k.err(); err != nil {
 		return nil, err
 	}
--- a/contract/walk.go
+++ b/contract/walk.go
@@ -8,7 +8,9 @@
 	"io"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 )
 
 // zeroTag marks the optional fields that may be written as zero. In the others
@@ -20,28 +22,48 @@
 	durationType = reflect.TypeFor[Duration]()
 )
 
-// walk compares a document with the type it is for, and records every unknown,
-// doubled or wrongly typed field by its path.
-func (k *checker) walk(path string, raw json.RawMessage, typ reflect.Type) {
-	if string(raw) == "null" {
-		k.must(false, path, "null has no meaning here: write a value or remove the field")
-		return
+// walker compares a valid JSON document with the type it is for, in one pass,
+// and records every unknown, doubled or wrongly typed field by its path.
+type walker struct {
+	*checker
+	dec *json.Decoder
+}
+
+// walk reads the next value of the document.
+func (k walker) walk(path string, typ reflect.Type, zeroIsDefault bool) {
+	if typ.Kind() == reflect.Pointer {
+		typ = typ.Elem()
 	}
 	switch {
 	case reflect.PointerTo(typ).Implements(textType):
-		k.text(path, raw, typ)
-	case typ.Kind() == reflect.Pointer:
-		k.walk(path, raw, typ.Elem())
+		k.leaf(path, typ, zeroIsDefault)
 	case typ.Kind() == reflect.Struct:
-		k.object(path, raw, typ)
+		k.object(path, typ)
 	case typ.Kind() == reflect.Slice:
-		k.array(path, raw, typ)
+		k.array(path, typ)
+	default:
+		k.leaf(path, typ, zeroIsDefault)
+	}
+}
+
+// leaf reads a value that is neither object nor list.
+func (k walker) leaf(path string, typ reflect.Type, zeroIsDefault bool) {
+	var raw json.RawMessage
+	_ = k.dec.Decode(&raw)
+	switch {
+	case string(raw) == "null":
+		k.must(false, path, "null has no meaning here: write a value or remove the field")
+	case reflect.PointerTo(typ).Implements(textType):
+		k.text(path, raw, typ)
 	default:
 		k.scalar(path, raw, typ)
 	}
+	if zeroIsDefault && isZero(raw) {
+		k.must(false, path, "%s would mean the default: leave the field out for the default, or write the value you want", clip(raw))
+	}
 }
 
-func (k *checker) text(path string, raw json.RawMessage, typ reflect.Type) {
+func (k walker) text(path string, raw json.RawMessage, typ reflect.Type) {
 	var s string
 	if json.Unmarshal(raw, &s) != nil {
 		want := "a string"
@@ -57,7 +79,7 @@
 	}
 }
 
-func (k *checker) scalar(path string, raw json.RawMessage, typ reflect.Type) {
+func (k walker) scalar(path string, raw json.RawMessage, typ reflect.Type) {
 	if json.Unmarshal(raw, reflect.New(typ).Interface()) == nil {
 		return
 	}
@@ -71,57 +93,82 @@
 	k.must(false, path, "%s is wrong here: write %s", clip(raw), want)
 }
 
-func (k *checker) array(path string, raw json.RawMessage, typ reflect.Type) {
-	var items []json.RawMessage
-	if json.Unmarshal(raw, &items) != nil {
-		k.must(false, path, "%s is wrong here: write a list in square brackets", clip(raw))
+// open reads the start of an object or list. If another value stands there it
+// records that and skips it.
+func (k walker) open(path string, want json.Delim, name string) bool {
+	tok, _ := k.dec.Token()
+	if tok == want {
+		return true
+	}
+	if delim, ok := tok.(json.Delim); ok {
+		k.skip()
+		k.must(false, path, "%s...%s is wrong here: write %s", delim, closing[delim], name)
+		return false
+	}
+	raw, _ := json.Marshal(tok)
+	k.must(false, path, "%s is wrong here: write %s", clip(raw), name)
+	return false
+}
+
+var closing = map[json.Delim]string{'{': "}", '[': "]"}
+
+// skip reads to the end of the object or list that was opened.
+func (k walker) skip() {
+	for depth := 1; depth > 0; {
+		tok, err := k.dec.Token()
+		if err != nil {
+			return
+		}
+		switch tok {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+	}
+}
+
+func (k walker) array(path string, typ reflect.Type) {
+	if !k.open(path, '[', "a list in square brackets") {
 		return
 	}
-	for i, item := range items {
-		k.walk(fmt.Sprintf("%s[%d]", path, i), item, typ.Elem())
+	for i := 0; k.dec.More(); i++ {
+		k.walk(path+"["+strconv.Itoa(i)+"]", typ.Elem(), false)
 	}
+	_, _ = k.dec.Token()
 }
 
-func (k *checker) object(path string, raw json.RawMessage, typ reflect.Type) {
-	if len(raw) == 0 || raw[0] != '{' {
-		k.must(false, path, "%s is wrong here: write an object in braces", clip(raw))
+func (k walker) object(path string, typ reflect.Type) {
+	if !k.open(path, '{', "an object in braces") {
 		return
 	}
 	fields := jsonFields(typ)
 	seen := make(map[string]bool, len(fields))
-	for name, value := range members(raw) {
-		p := strings.TrimPrefix(path+"."+name, ".")
-		f, known := fields[name]
-		switch {
-		case !known:
-			k.must(false, p, "unknown field: did you mean %q?", nearest(name, fields))
-		case seen[name]:
-			k.must(false, p, "stands twice: remove one")
-		default:
-			k.walk(p, value, f.typ)
-			k.must(!f.zeroIsDefault || !isZero(value), p, "%s would mean the default: leave the field out for the default, or write the value you want", clip(value))
+	for k.dec.More() {
+		tok, _ := k.dec.Token()
+		name, ok := tok.(string)
+		if !ok {
+			return
 		}
+		k.member(strings.TrimPrefix(path+"."+name, "."), name, fields, seen)
 		seen[name] = true
 	}
+	_, _ = k.dec.Token()
 }
 
-// members yields the members of a valid JSON object in order, doubled names
-// included.
-func members(raw json.RawMessage) func(yield func(string, json.RawMessage) bool) {
-	return func(yield func(string, json.RawMessage) bool) {
-		dec := json.NewDecoder(bytes.NewReader(raw))
-		_, _ = dec.Token()
-		for dec.More() {
-			name, err := dec.Token()
-			if err != nil {
-				return
-			}
-			var value json.RawMessage
-			if dec.Decode(&value) != nil || !yield(name.(string), value) {
-				return
-			}
-		}
+func (k walker) member(path, name string, fields map[string]field, seen map[string]bool) {
+	f, known := fields[name]
+	if known && !seen[name] {
+		k.walk(path, f.typ, f.zeroIsDefault)
+		return
 	}
+	var ignored json.RawMessage
+	_ = k.dec.Decode(&ignored)
+	if known {
+		k.must(false, path, "stands twice: remove one")
+		return
+	}
+	k.must(false, path, "unknown field: did you mean %q?", nearest(name, fields))
 }
 
 type field struct {
@@ -129,7 +176,13 @@
 	zeroIsDefault bool
 }
 
+// knownFields caches jsonFields by type.
+var knownFields sync.Map
+
 func jsonFields(typ reflect.Type) map[string]field {
+	if fields, ok := knownFields.Load(typ); ok {
+		return fields.(map[string]field)
+	}
 	fields := make(map[string]field, typ.NumField())
 	for i := range typ.NumField() {
 		f := typ.Field(i)
@@ -137,6 +190,7 @@
 		optional := opts == "omitempty" && f.Type.Kind() != reflect.Pointer
 		fields[name] = field{f.Type, optional && f.Tag.Get(zeroTag) == ""}
 	}
+	knownFields.Store(typ, fields)
 	return fields
 }
 
