Refuse or contain malformed requests

Cause: net/http drops a Content-Length that stands beside chunked framing and keeps the connection, so bytes that a balancer before us counts as body are read as a further request. Change: the connection ends after each chunked request. Conclusion: chunked callers pay a connection for each request; those with a length do not.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -51,6 +51,7 @@
 	x := &exchange{w: w, r: r, arrived: time.Now()}
 	x.id = requestid.Accept(r.Header.Get(header.RequestID))
 	w.Header().Set(header.RequestID, x.id)
+	closeAfterChunked(w, r)
 	if p := h.match(x); p != nil {
 		h.refuse(x, p)
 		return
@@ -100,3 +101,13 @@
 	}
 	h.cfg.Metrics.Request(x.customer, x.route.Class, status, time.Since(x.arrived))
 }
+
+// closeAfterChunked ends the connection after a request with a chunked body.
+// Such a request may have had a Content-Length as well, which net/http drops
+// without a word; what follows on the connection is then in doubt (RFC 9112,
+// 6.3).
+func closeAfterChunked(w http.ResponseWriter, r *http.Request) {
+	if len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
