--- /dev/null
+++ b/allowance/codec.go
@@ -0,0 +1,164 @@
+package allowance
+
+import (
+	"math"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/peer/peerv1"
+	"github.com/clementinereel/clementinereel/ratelimit"
+)
+
+const (
+	// maxAmount bounds the numbers that a message may carry.
+	maxAmount = 1e9
+	// maxDemands and maxLimits bound a message.
+	maxDemands = 10_000
+	maxLimits  = 10_000
+)
+
+var errMalformed = errors.New("malformed limits message")
+
+// encodeDemands makes one call of demands of one holder.
+func encodeDemands(h fleet.Holder, ds []ratelimit.Demand) *peerv1.AskRequest {
+	req := &peerv1.AskRequest{
+		Instance:    string(h.Instance),
+		Incarnation: int64(h.Incarnation),
+		Demands:     make([]*peerv1.LimitsDemand, len(ds)),
+	}
+	for i := range ds {
+		req.Demands[i] = encodeDemand(&ds[i])
+	}
+	return req
+}
+
+func encodeDemand(d *ratelimit.Demand) *peerv1.LimitsDemand {
+	m := &peerv1.LimitsDemand{
+		Customer: string(d.Customer),
+		Seq:      d.Seq,
+		Applied:  d.Applied,
+		Limits:   make([]*peerv1.LimitDemand, len(d.Limits)),
+	}
+	for i := range d.Limits {
+		l := &d.Limits[i]
+		m.Limits[i] = &peerv1.LimitDemand{
+			Id:        uint32(l.ID),
+			Balance:   float32(l.Balance),
+			Want:      float32(l.Want),
+			Offered:   float32(l.Offered),
+			InFlight:  uint32(max(0, l.InFlight)),
+			Busy:      float32(l.Busy),
+			WantSlots: uint32(max(0, l.WantSlots)),
+		}
+	}
+	return m
+}
+
+// decodeDemands checks a call before any of it takes effect.
+func decodeDemands(req *peerv1.AskRequest) ([]ratelimit.Demand, error) {
+	if req.GetInstance() == "" || len(req.GetDemands()) > maxDemands {
+		return nil, errMalformed
+	}
+	holder := fleet.Holder{
+		Instance:    fleet.InstanceID(req.GetInstance()),
+		Incarnation: fleet.Incarnation(req.GetIncarnation()),
+	}
+	ds := make([]ratelimit.Demand, len(req.GetDemands()))
+	for i, m := range req.GetDemands() {
+		limits, err := decodeLimits(m.GetLimits())
+		if err != nil {
+			return nil, err
+		}
+		ds[i] = ratelimit.Demand{
+			Customer: fleet.CustomerID(m.GetCustomer()),
+			Holder:   holder,
+			Seq:      m.GetSeq(),
+			Applied:  m.GetApplied(),
+			Limits:   limits,
+		}
+	}
+	return ds, nil
+}
+
+func decodeLimits(ms []*peerv1.LimitDemand) ([]ratelimit.LimitDemand, error) {
+	if len(ms) > maxLimits {
+		return nil, errMalformed
+	}
+	limits := make([]ratelimit.LimitDemand, len(ms))
+	for i, m := range ms {
+		if !amounts(m.GetWant(), m.GetOffered(), m.GetBusy()) || !amount(float32(math.Abs(float64(m.GetBalance())))) {
+			return nil, errMalformed
+		}
+		if m.GetInFlight() > maxAmount || m.GetWantSlots() > maxAmount {
+			return nil, errMalformed
+		}
+		limits[i] = ratelimit.LimitDemand{
+			ID:        ratelimit.LimitID(m.GetId()),
+			Balance:   float64(m.GetBalance()),
+			Want:      float64(m.GetWant()),
+			Offered:   float64(m.GetOffered()),
+			InFlight:  int(m.GetInFlight()),
+			Busy:      float64(m.GetBusy()),
+			WantSlots: int(m.GetWantSlots()),
+		}
+	}
+	return limits, nil
+}
+
+func amounts(vs ...float32) bool {
+	for _, v := range vs {
+		if !amount(v) {
+			return false
+		}
+	}
+	return true
+}
+
+// amount tells whether a number is finite and within bounds.
+func amount(v float32) bool { return v >= 0 && v <= maxAmount }
+
+func encodeGrant(g *ratelimit.Grant) *peerv1.LimitsGrant {
+	m := &peerv1.LimitsGrant{
+		Customer:   string(g.Customer),
+		Seq:        g.Seq,
+		LifetimeMs: uint32(g.Lifetime.Milliseconds()),
+		Stale:      g.Stale,
+		Limits:     make([]*peerv1.LimitGrant, len(g.Limits)),
+	}
+	for i := range g.Limits {
+		l := &g.Limits[i]
+		m.Limits[i] = &peerv1.LimitGrant{
+			Id:     uint32(l.ID),
+			Tokens: float32(l.Tokens),
+			Slots:  uint32(l.Slots),
+			Level:  float32(l.Level),
+			Share:  float32(l.Share),
+		}
+	}
+	return m
+}
+
+func decodeGrant(m *peerv1.LimitsGrant) (ratelimit.Grant, error) {
+	g := ratelimit.Grant{
+		Customer: fleet.CustomerID(m.GetCustomer()),
+		Seq:      m.GetSeq(),
+		Lifetime: time.Duration(m.GetLifetimeMs()) * time.Millisecond,
+		Stale:    m.GetStale(),
+		Limits:   make([]ratelimit.LimitGrant, len(m.GetLimits())),
+	}
+	for i, l := range m.GetLimits() {
+		if !amounts(l.GetTokens(), l.GetLevel(), l.GetShare()) || l.GetSlots() > maxAmount {
+			return g, errMalformed
+		}
+		g.Limits[i] = ratelimit.LimitGrant{
+			ID:     ratelimit.LimitID(l.GetId()),
+			Tokens: float64(l.GetTokens()),
+			Slots:  int(l.GetSlots()),
+			Level:  float64(l.GetLevel()),
+			Share:  float64(l.GetShare()),
+		}
+	}
+	return g, nil
+}
--- /dev/null
+++ b/allowance/server.go
@@ -0,0 +1,125 @@
+package allowance
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/peer/peerv1"
+	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
+	"github.com/clementinereel/clementinereel/ratelimit"
+)
+
+// serverShards bounds contention among calls for different customers.
+const serverShards = 16
+
+// Server is the limiter of the customers that instances ask it about. An
+// instance asked by mistake answers as well: two limiters at once overshoot
+// by at most one more rate, while a refusal would stop the caller's traffic.
+type Server struct {
+	source ratelimit.Source
+	view   func() ratelimit.View
+	clock  func() time.Time
+	shards [serverShards]granters
+}
+
+var _ peerv1connect.LimitsServiceHandler = (*Server)(nil)
+
+type granters struct {
+	mu         sync.Mutex
+	byCustomer map[fleet.CustomerID]*ratelimit.Granter
+}
+
+// NewServer returns a server without state. Source gives customers' limits in
+// force and view what this instance knows of the fleet.
+func NewServer(source ratelimit.Source, view func() ratelimit.View, clock func() time.Time) *Server {
+	s := &Server{source: source, view: view, clock: clock}
+	for i := range s.shards {
+		s.shards[i].byCustomer = make(map[fleet.CustomerID]*ratelimit.Granter)
+	}
+	return s
+}
+
+// Handler returns the path and handler for the peers' mux.
+func (s *Server) Handler(opts ...connect.HandlerOption) (string, http.Handler) {
+	return peerv1connect.NewLimitsServiceHandler(s, opts...)
+}
+
+// Ask implements the service.
+func (s *Server) Ask(_ context.Context, req *connect.Request[peerv1.AskRequest]) (*connect.Response[peerv1.AskResponse], error) {
+	ds, err := decodeDemands(req.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	grants := s.Fold(ds)
+	resp := &peerv1.AskResponse{Grants: make([]*peerv1.LimitsGrant, len(grants))}
+	for i := range grants {
+		resp.Grants[i] = encodeGrant(&grants[i])
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Fold answers demands; customers without contract are left out.
+func (s *Server) Fold(ds []ratelimit.Demand) []ratelimit.Grant {
+	now, view := s.clock(), s.view()
+	grants := make([]ratelimit.Grant, 0, len(ds))
+	for i := range ds {
+		limits, ok := s.source(ds[i].Customer)
+		if !ok {
+			continue
+		}
+		grants = append(grants, s.fold(now, limits, view, ds[i]))
+	}
+	return grants
+}
+
+func (s *Server) fold(now time.Time, limits ratelimit.Limits, view ratelimit.View, d ratelimit.Demand) ratelimit.Grant {
+	sh := s.shard(d.Customer)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	g := sh.byCustomer[d.Customer]
+	if g == nil {
+		g = ratelimit.NewGranter()
+		sh.byCustomer[d.Customer] = g
+	}
+	return g.Fold(now, limits, view, d)
+}
+
+func (s *Server) shard(c fleet.CustomerID) *granters {
+	return &s.shards[partitionOf(c)%serverShards]
+}
+
+// Tick forgets customers whose state is as if they had never asked. Call it
+// every few seconds.
+func (s *Server) Tick() {
+	now := s.clock()
+	for i := range s.shards {
+		s.shards[i].expire(now, s.source)
+	}
+}
+
+func (sh *granters) expire(now time.Time, source ratelimit.Source) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for c, g := range sh.byCustomer {
+		limits, ok := source(c)
+		if !ok || g.Expired(now, limits) {
+			delete(sh.byCustomer, c)
+		}
+	}
+}
+
+// Len returns the number of customers that the server keeps state of.
+func (s *Server) Len() int {
+	n := 0
+	for i := range s.shards {
+		s.shards[i].mu.Lock()
+		n += len(s.shards[i].byCustomer)
+		s.shards[i].mu.Unlock()
+	}
+	return n
+}
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
@@ -61,6 +62,7 @@
 // safe for concurrent use.
 type Account struct {
 	mu       sync.Mutex
+	seqs     *atomic.Uint64
 	customer fleet.CustomerID
 	holder   fleet.Holder
 	listed   int
@@ -98,8 +100,18 @@
 	busyAt  time.Time
 }
 
-func newAccount(now time.Time, holder fleet.Holder, c fleet.CustomerID, ls Limits, listed int) *Account {
-	a := &Account{customer: c, holder: holder, listed: listed, used: now, asked: now}
+// newAccount returns an empty account. The counter numbers the demands of all
+// accounts of the process, so that one that is made anew goes on upwards.
+func newAccount(now time.Time, t *Table, c fleet.CustomerID, ls Limits) *Account {
+	a := &Account{
+		seqs:     &t.seqs,
+		customer: c,
+		holder:   t.holder,
+		listed:   int(t.listed.Load()),
+		used:     now,
+		asked:    now,
+		applied:  t.seqs.Load(),
+	}
 	a.setLimits(now, ls)
 	return a
 }
--- a/ratelimit/demand.go
+++ b/ratelimit/demand.go
@@ -67,7 +67,7 @@
 	if !a.waiting {
 		a.waitedAt = now
 	}
-	a.seq++
+	a.seq = a.seqs.Add(1)
 	a.asked, a.waiting, a.urgent = now, true, false
 	d := Demand{Customer: a.customer, Holder: a.holder, Seq: a.seq, Applied: a.applied}
 	d.Limits = make([]LimitDemand, 0, len(a.lines))
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -92,8 +92,20 @@
 	}
 }
 
-// LastUsed returns when the last demand was folded.
-func (g *Granter) LastUsed() time.Time { return g.used }
+// Expired tells whether a fresh Granter would do as well: all accounts are
+// forgotten and all buckets full.
+func (g *Granter) Expired(now time.Time, limits Limits) bool {
+	idle := now.Sub(g.used)
+	if idle <= forgetAfter {
+		return false
+	}
+	for i := range limits {
+		if idle.Seconds() < limits[i].Burst/limits[i].Rate {
+			return false
+		}
+	}
+	return true
+}
 
 // Fold answers one demand under the limits in force. Parts of the demand for
 // limits that are not in force are left out of the grant.
--- a/ratelimit/message.go
+++ b/ratelimit/message.go
@@ -10,9 +10,10 @@
 type Demand struct {
 	Customer fleet.CustomerID
 	Holder   fleet.Holder
-	// Seq numbers the demands of one account upwards; 1 is the first.
+	// Seq numbers the demands of one process upwards; 1 is the first.
 	Seq uint64
-	// Applied is the Seq of the last grant that the account applied.
+	// Applied is the Seq of the last grant that the account applied. Of later
+	// ones it applies none but the answer to this demand.
 	Applied uint64
 	Limits  []LimitDemand
 }
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -19,6 +19,7 @@
 	source Source
 	wake   func()
 	listed atomic.Int64
+	seqs   atomic.Uint64
 	seed   maphash.Seed
 	shards [tableShards]shard
 
@@ -107,7 +108,7 @@
 	if a := s.accounts[c]; a != nil {
 		return a
 	}
-	a := newAccount(now, t.holder, c, limits, int(t.listed.Load()))
+	a := newAccount(now, t, c, limits)
 	s.accounts[c] = a
 	return a
 }
