Ping own suspects again; no gzip on small calls between instances

A suspect heard of its suspicion only by chance, through the gossip of the next second. Its accuser now pings it in each interval, directly and through others, until it has refuted or is dead.

--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -51,7 +51,6 @@
 	queue    deliveries
 	sent     int
 	bytes    int
-	suspects int // transitions to suspect, over all views
 	watch    func()
 }
 
--- a/membership/node.go
+++ b/membership/node.go
@@ -24,6 +24,8 @@
 	until time.Time
 	// since is when the record was folded.
 	since time.Time
+	// accused tells that the suspicion is this instance's own.
+	accused bool
 	// spread is how often the record will still be passed on.
 	spread int
 }
@@ -164,7 +166,7 @@
 	out := n.tickProbes(now)
 	if !now.Before(n.nextProbe) {
 		n.nextProbe = now.Add(n.settings.Interval)
-		out = append(out, n.startProbe(now)...)
+		out = append(out, n.startProbes(now)...)
 	}
 	if !now.Before(n.nextSeed) {
 		n.nextSeed = now.Add(n.seedInterval())
@@ -308,6 +310,7 @@
 	n.changed()
 	old.Member = m
 	old.since = now
+	old.accused = false
 	old.until = n.deadline(now, m.State)
 	if !old.until.IsZero() {
 		n.expireBy(old.until)
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -11,6 +11,9 @@
 // the sick one and accuses nobody.
 const maxHealth = 8
 
+// maxAccused bounds the suspects that are pinged again in one interval.
+const maxAccused = 3
+
 // probe is a ping of ours that waits for its ack.
 type probe struct {
 	target fleet.Holder
@@ -33,12 +36,32 @@
 	return n.lastSeq
 }
 
-// startProbe pings the next member of the round.
-func (n *Node) startProbe(now time.Time) []Envelope {
-	e := n.nextTarget()
-	if e == nil {
-		return nil
+// startProbes pings the next member of the round, and again the suspects that
+// this instance accused, so that they hear of it and refute in time.
+func (n *Node) startProbes(now time.Time) []Envelope {
+	var out []Envelope
+	for _, e := range n.accused() {
+		out = append(out, n.startProbe(now, e))
+	}
+	if e := n.nextTarget(); e != nil {
+		out = append(out, n.startProbe(now, e))
+	}
+	return out
+}
+
+// accused returns some of the suspects that this instance accused.
+func (n *Node) accused() []*entry {
+	var accused []*entry
+	for _, id := range n.timed() {
+		e := n.table[id]
+		if e.State == Suspect && e.accused && len(accused) < maxAccused {
+			accused = append(accused, e)
+		}
 	}
+	return accused
+}
+
+func (n *Node) startProbe(now time.Time, e *entry) Envelope {
 	seq := n.nextSeq()
 	patience := time.Duration(1 + n.health)
 	indirectAt := now.Add(patience * n.settings.AckTimeout)
@@ -47,7 +70,7 @@
 		indirectAt: indirectAt,
 		endAt:      indirectAt.Add(patience * n.settings.IndirectTimeout),
 	}
-	return []Envelope{n.ping(e, seq)}
+	return n.ping(e, seq)
 }
 
 // nextTarget takes the next member that is not dead from the round's order.
@@ -137,6 +160,9 @@
 		m := n.message(PingRequest)
 		m.Seq = seq
 		m.Target = p.target.Instance
+		if e, ok := n.table[m.Target]; ok && e.State == Suspect {
+			m.Updates = append(m.Updates, e.Member)
+		}
 		out = append(out, n.envelope(r, m))
 	}
 	return out
@@ -144,17 +170,18 @@
 
 // failed suspects the target of a probe that nobody answered.
 func (n *Node) failed(now time.Time, p *probe) {
-	n.health = min(n.health+1, maxHealth)
-	if n.health == maxHealth && now.Sub(n.lastContact) < aloneAfter*n.settings.suspicionTime(n.live) {
+	e, ok := n.table[p.target.Instance]
+	if !ok || e.Incarnation != p.target.Incarnation || e.State >= Suspect {
 		return
 	}
-	e, ok := n.table[p.target.Instance]
-	if !ok || e.Incarnation != p.target.Incarnation {
+	n.health = min(n.health+1, maxHealth)
+	if n.health == maxHealth && now.Sub(n.lastContact) < aloneAfter*n.settings.suspicionTime(n.live) {
 		return
 	}
 	suspect := e.Member
 	suspect.State = Suspect
 	n.merge(now, suspect, true)
+	e.accused = true
 }
 
 func (n *Node) onAck(now time.Time, m Message) []Envelope {
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -73,7 +73,7 @@
 		node:  membership.New(opts.Self, opts.Settings, r),
 	}
 	g.publish()
-	s.Handle(peerv1connect.NewMembershipServiceHandler(g, connect.WithReadMaxBytes(maxGossipBytes)))
+	s.Handle(peerv1connect.NewMembershipServiceHandler(g, HandlerOptions(maxGossipBytes)))
 	return g, nil
 }
 
@@ -223,8 +223,7 @@
 func (g *Gossip) exchange(ctx context.Context, e membership.Envelope) {
 	callCtx, cancel := context.WithTimeout(WithoutRelay(withAddr(ctx, e.Addr)), sendTimeout)
 	defer cancel()
-	client := peerv1connect.NewMembershipServiceClient(g.opts.Transport.Client(), URL(e.To),
-		connect.WithReadMaxBytes(maxGossipBytes))
+	client := peerv1connect.NewMembershipServiceClient(g.opts.Transport.Client(), URL(e.To), ClientOptions(maxGossipBytes))
 	resp, err := client.Exchange(callCtx, connect.NewRequest(&peerv1.ExchangeRequest{Message: encodeMessage(e.Message)}))
 	if err != nil {
 		klog.V(2).InfoS("membership message lost", "to", e.To, "err", err)
