Measure detection policies against a fake clock and small fakes

Detection time and false ejections had no measure. Add package lab: a target that answers by a schedule of health, callers with a rate, and messages between instances that are late or lost; one file for each fault; three baselines (no ejection, 5 consecutive failures, success-rate outlier with published settings and with 1 s intervals).

--- /dev/null
+++ b/lab/lab_test.go
@@ -0,0 +1,71 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"gotest.tools/v3/assert"
+)
+
+func TestRunIsAFunctionOfItsSeed(t *testing.T) {
+	c := Config{Service: Services[5], Fault: flappingAndLoss, Policy: Consecutive, Load: 0.7, Seed: 4}
+	assert.DeepEqual(t, Run(c), Run(c))
+}
+
+func TestPoliciesGetTheSameRequests(t *testing.T) {
+	c := Config{Service: Services[2], Fault: gray100, Load: 0.3, Seed: 1}
+	var offered []int
+	for _, p := range Baselines {
+		c.Policy = p
+		offered = append(offered, Run(c).Offered)
+	}
+	for _, n := range offered {
+		assert.Equal(t, n, offered[0])
+	}
+}
+
+func TestEachFaultIsFelt(t *testing.T) {
+	for _, f := range Faults {
+		m := Run(Config{Service: Services[2], Fault: f, Policy: NoEjection, Load: 0.3, Seed: 1})
+		assert.Equal(t, m.Sick == 0, f.Innocent, f.Name)
+		assert.Equal(t, m.SickTries == 0, f.Innocent, f.Name)
+	}
+}
+
+func TestQuantilesCountTheUndetected(t *testing.T) {
+	m := Measures{Sick: 4, Detected: []time.Duration{3, 1, 2}}
+	assert.Equal(t, m.Detection(0.5), time.Duration(2))
+	assert.Equal(t, m.Detection(0.75), time.Duration(3))
+	assert.Equal(t, m.Detection(1), Undetected)
+}
+
+func TestConsecutiveFailuresEject(t *testing.T) {
+	p := Consecutive.New(Services[0], 0, 0)
+	p.SetTargets(0, []int{0, 1, 2})
+	for range 4 {
+		p.Record(0, Ticket{Target: 1}, fleet.TryTimeout, 0)
+	}
+	assert.Equal(t, p.Weight(1), 1.0)
+	p.Record(0, Ticket{Target: 1}, fleet.TryTimeout, 0)
+	assert.Equal(t, p.Weight(1), 0.0)
+	p.Tick(40 * time.Second)
+	assert.Equal(t, p.Weight(1), 1.0)
+}
+
+func TestSuccessRateOutlierEjects(t *testing.T) {
+	p := SuccessRate.New(Services[0], 0, 0)
+	p.SetTargets(0, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9})
+	for target := range 10 {
+		for range 100 {
+			result := fleet.TryOK
+			if target == 3 {
+				result = fleet.TryReset
+			}
+			p.Record(0, Ticket{Target: target}, result, 0)
+		}
+	}
+	p.Tick(10 * time.Second)
+	assert.Equal(t, p.Weight(3), 0.0)
+	assert.Equal(t, p.Weight(4), 1.0)
+}
