lab: drive the product's balancer, admission and retries

The first fakes chose targets at random, which spreads the evidence evenly; the product's home slots concentrate a target's work on a few instances of its zone, and admission keeps overload away from targets.

--- a/lab/events.go
+++ b/lab/events.go
@@ -6,6 +6,8 @@
 
 const (
 	evArrival eventKind = iota
+	evSearch
+	evRetry
 	evTryDone
 	evTryTimeout
 	evTick
@@ -24,6 +26,7 @@
 	// n is the instance of a tick, or the target of a join.
 	n   int
 	try *try
+	req *request
 	msg *Message
 }
 
