--- a/outlier/aggregator.go
+++ b/outlier/aggregator.go
@@ -23,9 +23,13 @@
 	// number identifies the verdicts in force; it grows with each change.
 	number int64
 	median time.Duration
+	// folded is when the last report came.
+	folded time.Time
 	// dirty means that something was folded since the last tick, and told
 	// that a target which had not lately said so is cold or draining.
 	dirty, told bool
+	// active means that the passing of time alone may change something.
+	active bool
 }
 
 // caseFile is what an aggregator keeps for one target beside the evidence.
@@ -67,6 +71,7 @@
 func (a *Aggregator) SetConfig(cfg Config) {
 	a.cfg, a.lim = cfg, cfg.limits()
 	a.judge.threshold, a.judge.settle = a.lim.threshold, a.lim.settle
+	a.active = true
 }
 
 // SetTargets replaces the announced targets of the service.
@@ -91,6 +96,7 @@
 // Fold takes in a report and answers with the verdicts in force. A report
 // that comes twice, or after a later one, changes nothing.
 func (a *Aggregator) Fold(now time.Time, r Report) Verdicts {
+	a.folded = now
 	rep := a.reporter(now, r)
 	if r.Session == rep.session && r.Seq > rep.seq {
 		rep.seq = r.Seq
@@ -194,6 +200,9 @@
 // the verdicts in force; whenever their Number differs from the last one,
 // every reporter should be sent them.
 func (a *Aggregator) Tick(now time.Time) Verdicts {
+	if !a.dirty && !a.active {
+		return a.Verdicts(now)
+	}
 	a.forgetReporters(now)
 	for i, f := range a.cases {
 		a.judge.rows[i].muted = f.muted(now, a.cfg)
@@ -209,7 +218,9 @@
 	if changed {
 		a.number = max(now.UnixNano(), a.number+1)
 	}
-	return a.Verdicts(now)
+	v := a.Verdicts(now)
+	a.active = len(v.Entries) > 0 || a.judge.undecided()
+	return v
 }
 
 func (f *caseFile) muted(now time.Time, cfg Config) bool {
@@ -229,7 +240,11 @@
 	}
 }
 
-// Reporters lists the instances that reported within the last minute.
+// Unused tells whether no instance has reported for so long that the
+// aggregator may be dropped.
+func (a *Aggregator) Unused(now time.Time) bool { return now.Sub(a.folded) > reporterKept }
+
+// Reporters lists the instances that reported lately.
 func (a *Aggregator) Reporters() []fleet.InstanceID {
 	ids := make([]fleet.InstanceID, 0, len(a.reporters))
 	for id := range a.reporters {
--- a/outlier/config.go
+++ b/outlier/config.go
@@ -102,11 +102,12 @@
 	// staleAfter is how long a sum without a further bad try is kept.
 	staleAfter = 30 * time.Second
 	// reporterKept is how long an aggregator remembers a silent reporter.
-	reporterKept = time.Minute
+	reporterKept = 5 * time.Minute
 
 	// FlushInterval is the least time between two reports of a detector.
 	FlushInterval = 100 * time.Millisecond
 	// RoutineInterval is the time between reports that carry no bad try.
+	// Detector.SetRoutine stretches it.
 	RoutineInterval = time.Second
 )
 
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -220,6 +220,16 @@
 	return hot, suspects > limit
 }
 
+// undecided tells whether any row is hot or accused.
+func (j *judge) undecided() bool {
+	for _, r := range j.rows {
+		if !r.crossed.IsZero() || r.hot(j.threshold) {
+			return true
+		}
+	}
+	return false
+}
+
 // accuse returns the strongest accusation against a row that passes factor
 // times the threshold and has stood for the settling time.
 func (j *judge) accuse(now time.Time, r *row, hot []*row, factor float64) (accusation, bool) {
--- a/outlier/outbox.go
+++ b/outlier/outbox.go
@@ -22,6 +22,7 @@
 	seq     uint64
 	acked   uint64
 	last    time.Time
+	routine time.Duration
 	// urgent and changed tell what came up since the last report.
 	urgent, changed bool
 	median          time.Duration
@@ -42,7 +43,7 @@
 	case o.urgent:
 		return passed >= FlushInterval
 	case o.changed, o.seq > o.acked:
-		return passed >= RoutineInterval
+		return passed >= max(o.routine, RoutineInterval)
 	}
 	return false
 }
@@ -59,12 +60,19 @@
 	if d.out.to == aggregator {
 		return
 	}
-	d.out = outbox{to: aggregator, median: d.out.median, samples: d.out.samples, last: d.out.last}
+	d.out = outbox{
+		to: aggregator, routine: d.out.routine,
+		median: d.out.median, samples: d.out.samples, last: d.out.last,
+	}
 	for _, s := range d.seats {
 		s.sent = sentCounts{}
 	}
 }
 
+// SetRoutine stretches the time between reports that carry nothing urgent
+// beyond RoutineInterval, for instances that have many services.
+func (d *Detector) SetRoutine(interval time.Duration) { d.out.routine = interval }
+
 // report returns what the aggregator should hear now, or nil.
 func (d *Detector) report(now time.Time) *Report {
 	o := &d.out
