outlier: count slowness by windows, and weigh who saw the failures

Change: evidence of slowness counts as one try in 250 ms; good tries of a report are spread over the time since the last, and those not reported yet are expected; a verdict for everyone must be likelier than a few reporters or some zones being cut off; verdicts before zones share one floor, and instances count what other zones may not use; targets that shed are not judged slow; thresholds 15 to 20.

Open: sick before one zone only, a few instances cut off.

--- a/evidence/wire.go
+++ b/evidence/wire.go
@@ -43,7 +43,7 @@
 			Target: string(t.Target),
 			Good:   t.Counts.Good, Failed: t.Counts.Failed,
 			Fast: t.Counts.Fast, Slow: t.Counts.Slow,
-			Cold: t.Counts.Cold, Draining: t.Counts.Draining,
+			Shed: t.Counts.Shed, Cold: t.Counts.Cold, Draining: t.Counts.Draining,
 		})
 	}
 	return m
@@ -74,7 +74,7 @@
 			Target: fleet.TargetID(t.Target),
 			Counts: outlier.Counts{
 				Good: t.Good, Failed: t.Failed, Fast: t.Fast, Slow: t.Slow,
-				Cold: t.Cold, Draining: t.Draining,
+				Shed: t.Shed, Cold: t.Cold, Draining: t.Draining,
 			},
 		})
 	}
--- a/outlier/aggregator.go
+++ b/outlier/aggregator.go
@@ -41,12 +41,16 @@
 	coldAt  time.Time
 	// drainingAt is when the target last said that it is draining.
 	drainingAt time.Time
+	// shedAt is when the target last shed load.
+	shedAt time.Time
 }
 
 // reporter is what an aggregator knows of one reporting instance.
 type reporter struct {
 	source
-	seen    time.Time
+	// heard is when the last call came, folded the last report not known.
+	heard, folded time.Time
+
 	session int64
 	seq     uint64
 	// based means that the session began before this aggregator knew of it:
@@ -60,11 +64,13 @@
 // NewAggregator returns an aggregator that has heard of nothing.
 func NewAggregator(cfg Config, self fleet.InstanceID) *Aggregator {
 	lim := cfg.limits()
-	return &Aggregator{
+	a := &Aggregator{
 		cfg: cfg, lim: lim, self: self,
 		judge:     newJudge(lim.threshold, lim.settle),
 		reporters: map[fleet.InstanceID]*reporter{},
 	}
+	a.judge.lagging = true
+	return a
 }
 
 // SetConfig applies a revised contract.
@@ -116,7 +122,7 @@
 		rep = &reporter{source: source{reporter: a.numbered, zone: r.Zone}}
 		a.reporters[r.From] = rep
 	}
-	rep.seen = now
+	rep.heard = now
 	rep.zone = r.Zone
 	if r.Session > rep.session {
 		rep.session, rep.seq = r.Session, 0
@@ -137,12 +143,13 @@
 		if !had && rep.based {
 			continue
 		}
-		a.foldTarget(now, i, rep.source, t.Counts.minus(last), r.Suspect)
+		a.foldTarget(now, i, rep, t.Counts.minus(last), r.Suspect)
 	}
+	rep.folded = now
 	a.dirty = true
 }
 
-func (a *Aggregator) foldTarget(now time.Time, i int, from source, c Counts, suspect bool) {
+func (a *Aggregator) foldTarget(now time.Time, i int, from *reporter, c Counts, suspect bool) {
 	file := a.cases[i]
 	if c.Cold > 0 {
 		a.told = a.told || now.Sub(file.coldAt) > toldInterval
@@ -152,6 +159,9 @@
 		a.told = a.told || now.Sub(file.drainingAt) > toldInterval
 		file.drainingAt = now
 	}
+	if c.Shed > 0 {
+		file.shedAt = now
+	}
 	if suspect {
 		return
 	}
@@ -159,7 +169,7 @@
 		s.add(c.tallies())
 		return
 	}
-	a.judge.add(i, from, c.tallies())
+	a.judge.add(i, seen{source: from.source, since: from.folded, tallies: c.tallies()})
 }
 
 // stayOf returns the ejection that holds for a zone, or nil.
@@ -224,7 +234,7 @@
 }
 
 func (f *caseFile) muted(now time.Time, cfg Config) bool {
-	return f.returning() || f.warming(now, cfg)
+	return f.returning() || f.warming(now, cfg) || now.Sub(f.shedAt) < busyHold
 }
 
 // warming tells whether the target joined or was cold within a slow start.
@@ -234,7 +244,7 @@
 
 func (a *Aggregator) forgetReporters(now time.Time) {
 	for id, r := range a.reporters {
-		if now.Sub(r.seen) > reporterKept {
+		if now.Sub(r.heard) > reporterKept {
 			delete(a.reporters, id)
 		}
 	}
--- a/outlier/chart.go
+++ b/outlier/chart.go
@@ -86,12 +86,26 @@
 	zone     fleet.Zone
 }
 
-// seen is what one source saw.
+// seen is what one source saw. since is when its last report before was
+// taken in; zero: the tries are from just now.
 type seen struct {
 	source
+	since   time.Time
 	tallies tallies
 }
 
+// after is the part of the evidence that is taken to be from after a time.
+// Good tries are spread evenly over the time reported, bad ones are reported
+// at once.
+func (s seen) after(at, now time.Time, ch channel) tally {
+	t := s.tallies[ch]
+	if s.since.IsZero() || !s.since.Before(at) {
+		return t
+	}
+	t.good *= float64(now.Sub(at)) / float64(now.Sub(s.since))
+	return t
+}
+
 // share is what one source added to a sum since it left zero.
 type share struct {
 	source
@@ -102,43 +116,56 @@
 type chart struct {
 	excess float64
 	sum    float64
-	// own and all are the target's and the service's tallies when the sum
-	// last left zero.
-	own, all tally
-	lastBad  time.Time
-	shares   []share
+	// startedAt is when the sum last left zero, and own the evidence since.
+	// row and all are the target's and the service's tallies at that time.
+	startedAt time.Time
+	own       tally
+	row, all  tally
+	lastBad   time.Time
+	shares    []share
 }
 
 func (c *chart) reset() {
 	c.sum = 0
+	c.own = tally{}
 	c.shares = c.shares[:0]
 }
 
-// step adds the tries of one tick, good ones first.
-func (c *chart) step(now time.Time, now1 tally, base float64, own, all tally, from []seen, ch channel) {
+// step adds the evidence of one tick, good tries first.
+func (c *chart) step(now time.Time, from []seen, ch channel, base float64, row, all tally) {
 	if c.sum > 0 && now.Sub(c.lastBad) > staleAfter {
 		c.reset()
 	}
+	var tick tally
+	for _, s := range from {
+		tick = tick.plus(s.after(c.startedAt, now, ch))
+	}
 	if c.sum > 0 {
-		c.sum += now1.good * goodStep(c.excess)
+		c.sum += tick.good * goodStep(c.excess)
 	}
 	if c.sum <= 0 {
 		c.reset()
-		c.own, c.all = own, all
+		c.startedAt, c.row, c.all = now, row, all
+		tick.good = 0
 	}
-	if now1.bad > 0 {
-		c.sum += now1.bad * badStep(base, c.excess)
+	if tick.bad > 0 {
+		c.sum += tick.bad * badStep(base, c.excess)
 		c.lastBad = now
 	}
 	if c.sum > 0 {
-		c.share(from, ch)
+		c.own = c.own.plus(tick)
+		c.share(now, from, ch)
 	}
 }
 
-func (c *chart) share(from []seen, ch channel) {
+func (c *chart) share(now time.Time, from []seen, ch channel) {
 	for _, s := range from {
-		if s.tallies[ch].tries() > 0 {
-			c.add(s.source, s.tallies[ch])
+		t := s.after(c.startedAt, now, ch)
+		if c.startedAt.Equal(now) {
+			t.good = 0
+		}
+		if t.tries() > 0 {
+			c.add(s.source, t)
 		}
 	}
 }
--- a/outlier/config.go
+++ b/outlier/config.go
@@ -67,7 +67,7 @@
 // Constants of the test. Thresholds are in nats of log-likelihood: a target
 // no different from the others passes threshold h about once in exp(h) tries.
 const (
-	thresholdSpeed   = 13.0
+	thresholdSpeed   = 15.0
 	thresholdCaution = 20.0
 	// localExtra is added where the evidence is one instance's own, since
 	// every instance runs that test.
@@ -85,7 +85,7 @@
 	returnedFactor = 0.5
 	// crowdShare is the share of the targets above which looking sick at
 	// once is blamed on the network or the observer.
-	crowdShare = 0.4
+	crowdShare = 0.5
 	// slowFactor times the service's median latency is a slow try.
 	slowFactor = 3.5
 	// slowSlack is the least time by which a slow try passes the median.
@@ -96,6 +96,9 @@
 	// drainHold is how long a target gets no work after it said that it is
 	// draining.
 	drainHold = 3 * time.Second
+	// busyHold is how long after a target shed load its slowness is no
+	// evidence: it said itself that it is full.
+	busyHold = 3 * time.Second
 	// toldInterval is how often an aggregator passes on at once that a target
 	// still says it is cold or draining.
 	toldInterval = time.Second
--- a/outlier/counters.go
+++ b/outlier/counters.go
@@ -18,16 +18,16 @@
 // counter counts the tries at one target between two ticks. The request path
 // adds, the tick drains. It fills a cache line.
 type counter struct {
-	good, failed, fast, slow, cold, draining atomic.Uint32
+	good, failed, fast, slow, shed, cold, draining atomic.Uint32
 
-	_ [40]byte
+	_ [36]byte
 }
 
 func (c *counter) drain() Counts {
 	return Counts{
 		Good: drained(&c.good), Failed: drained(&c.failed),
 		Fast: drained(&c.fast), Slow: drained(&c.slow),
-		Cold: drained(&c.cold), Draining: drained(&c.draining),
+		Shed: drained(&c.shed), Cold: drained(&c.cold), Draining: drained(&c.draining),
 	}
 }
 
@@ -126,6 +126,8 @@
 		r.recordLatency(c, latency, counted)
 	case res.Failed():
 		c.failed.Add(1)
+	case res == fleet.TryShed:
+		c.shed.Add(1)
 	case res == fleet.TryCold:
 		c.cold.Add(1)
 	case res == fleet.TryDraining:
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -51,10 +51,14 @@
 	record record
 	// pooled is the strictest verdict of an aggregator, if any.
 	pooled *Verdict
+	// elsewhere means that another zone is told not to use the target.
+	elsewhere bool
 	// startedAt, coldAt and drainingAt are when the target joined and when
 	// it last said that it is cold or draining.
 	startedAt, coldAt, drainingAt time.Time
-	sent                          sentCounts
+	// shedAt is when the target last shed load.
+	shedAt time.Time
+	sent   sentCounts
 }
 
 // heldVerdicts are the last verdicts heard from one aggregator.
@@ -204,12 +208,15 @@
 		if c.Draining > 0 {
 			s.drainingAt = now
 		}
+		if c.Shed > 0 {
+			s.shedAt = now
+		}
 		switch {
 		case s.stay.aside():
 			s.stay.add(c.tallies())
 		case s.pooledAside():
 		default:
-			d.judge.add(i, source{zone: d.zone}, c.tallies())
+			d.judge.add(i, seen{source: source{zone: d.zone}, tallies: c.tallies()})
 		}
 	}
 }
@@ -261,9 +268,10 @@
 			s.stay = nil
 		}
 		d.judge.mark(r, s.stay.aside() || s.pooledAside())
-		r.muted = d.warming(s, now) || s.stay != nil || s.pooled != nil
-		d.active = d.active || s.stay != nil || r.muted || !r.crossed.IsZero() || !s.drainingAt.IsZero()
+		r.muted = d.warming(s, now) || s.stay != nil || s.pooled != nil || now.Sub(s.shedAt) < busyHold
+		d.active = d.active || r.muted || !s.drainingAt.IsZero()
 	}
+	d.active = d.active || d.judge.undecided()
 }
 
 // warming tells whether the target joined or was cold within a slow start.
--- a/outlier/floor.go
+++ b/outlier/floor.go
@@ -13,7 +13,8 @@
 
 // holdFloor gives targets back until at least min(least, usable) usable
 // targets have their full share, where usable are the joined targets that
-// are neither draining nor warming up. The order depends on the ejections
+// are neither draining nor warming up. A target that other zones' instances
+// are told not to use is not counted as in full use. The order depends on the ejections
 // alone, so that instances which know the same ejections use the same
 // targets: first those nearest to their return, then what only this instance
 // or its zone accuses, then the weakest accusations, then by hash.
@@ -23,8 +24,9 @@
 	for _, e := range entries {
 		switch {
 		case !e.usable():
-		case e.weight >= 1:
+		case e.weight >= 1 && !e.elsewhere:
 			full++
+		case e.weight >= 1:
 		default:
 			aside = append(aside, e)
 		}
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -7,8 +7,12 @@
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
-// window is how fast the base rate forgets.
-const window = 15 * time.Second
+const (
+	// window is how fast the base rate forgets.
+	window = 15 * time.Second
+	// unheardGrace is how late bad tries are heard of at most.
+	unheardGrace = 2 * FlushInterval
+)
 
 // row is what a judge knows of one target.
 type row struct {
@@ -19,6 +23,7 @@
 	// total before the last step.
 	total, prev, recent tallies
 	charts              [channels][len(excesses)]chart
+	window              slowWindows
 	// muted rows gather no evidence of slowness: cold or warming up.
 	muted bool
 	// aside rows are ejected or on trial; they are no yardstick for others.
@@ -36,6 +41,8 @@
 	decayed     time.Time
 	threshold   float64
 	settle      time.Duration
+	// lagging means that good tries are heard of later than bad ones.
+	lagging bool
 }
 
 // accusation is why a target looks sick.
@@ -81,13 +88,13 @@
 }
 
 // add hands in what a source saw of a target since it last did.
-func (j *judge) add(i int, s source, t tallies) {
+func (j *judge) add(i int, s seen) {
 	r := j.rows[i]
 	if r.muted {
-		t[slowness] = tally{}
+		s.tallies[slowness] = tally{}
 	}
-	if t != (tallies{}) {
-		r.pending = append(r.pending, seen{source: s, tallies: t})
+	if s.tallies != (tallies{}) {
+		r.pending = append(r.pending, s)
 	}
 }
 
@@ -96,6 +103,8 @@
 	j.forget(now)
 	j.prev = j.total
 	for _, r := range j.rows {
+		r.window.add(now, r.pending)
+		r.pending = r.window.close(now, r.pending)
 		j.sum(r)
 	}
 	recent := j.recentAll()
@@ -150,11 +159,11 @@
 func (j *judge) stepRow(now time.Time, r *row, recent tallies) {
 	for ch := range channels {
 		base := baseRate(ch, recent[ch].minus(r.recent[ch]))
-		tick := r.total[ch].minus(r.prev[ch])
+		bad := r.total[ch].bad > r.prev[ch].bad
 		for i := range r.charts[ch] {
 			c := &r.charts[ch][i]
-			if c.sum > 0 || tick.bad > 0 {
-				c.step(now, tick, base, r.prev[ch], j.prev[ch], r.pending, ch)
+			if c.sum > 0 || bad {
+				c.step(now, r.pending, ch, base, r.prev[ch], j.prev[ch])
 			}
 		}
 	}
@@ -183,6 +192,7 @@
 			r.charts[ch][i].reset()
 		}
 	}
+	r.window.clear()
 	r.crossed = time.Time{}
 }
 
@@ -223,7 +233,7 @@
 // undecided tells whether any row is hot or accused.
 func (j *judge) undecided() bool {
 	for _, r := range j.rows {
-		if !r.crossed.IsZero() || r.hot(j.threshold) {
+		if !r.crossed.IsZero() || r.window.tally.bad > 0 || r.hot(j.threshold) {
 			return true
 		}
 	}
@@ -236,7 +246,7 @@
 	best := accusation{score: math.Inf(-1)}
 	for ch := range channels {
 		for i := range r.charts[ch] {
-			a, ok := j.weigh(r, ch, &r.charts[ch][i], hot, factor)
+			a, ok := j.weigh(now, r, ch, &r.charts[ch][i], hot, factor)
 			if ok && a.score > best.score {
 				best = a
 			}
@@ -253,13 +263,14 @@
 }
 
 // weigh compares a target with what the others did since its sum left zero.
-func (j *judge) weigh(r *row, ch channel, c *chart, hot []*row, factor float64) (accusation, bool) {
+func (j *judge) weigh(now time.Time, r *row, ch channel, c *chart, hot []*row, factor float64) (accusation, bool) {
 	limit := j.threshold * factor
 	if c.sum < limit {
 		return accusation{}, false
 	}
-	own := r.total[ch].minus(c.own)
-	others := j.total[ch].minus(c.all).minus(own)
+	own := c.own
+	own.good += j.unheard(now, r, ch, c)
+	others := j.total[ch].minus(c.all).minus(r.total[ch].minus(c.row))
 	for _, h := range hot {
 		if h != r {
 			others = others.minus(h.excessTally(ch))
@@ -274,6 +285,18 @@
 	return accusation{channel: ch, score: score, base: base, excess: c.excess, shares: c.shares}, score >= limit
 }
 
+// unheard is how many good tries at a target were likely made since a sum left
+// zero but not reported yet. Bad tries are reported at once, so what is missing
+// against the target's usual rate was good or has not ended.
+func (j *judge) unheard(now time.Time, r *row, ch channel, c *chart) float64 {
+	if !j.lagging {
+		return 0
+	}
+	rate := r.recent[ch].tries() / window.Seconds()
+	passed := now.Sub(c.startedAt) - unheardGrace
+	return max(rate*passed.Seconds()-c.own.tries(), 0)
+}
+
 // excessTally is what a hot row added to the service's tally since its
 // strongest sum of the channel left zero.
 func (r *row) excessTally(ch channel) tally {
@@ -286,7 +309,7 @@
 	if best.sum <= 0 {
 		return tally{}
 	}
-	return r.total[ch].minus(best.own)
+	return r.total[ch].minus(best.row)
 }
 
 // setAside takes a row out of the yardstick for others, with the bad tries
--- a/outlier/message.go
+++ b/outlier/message.go
@@ -16,7 +16,9 @@
 	Fast uint32
 	// Slow are tries beyond it, those still open included.
 	Slow uint32
-	// Cold and Draining are tries that the target refused for that reason.
+	// Shed, Cold and Draining are tries that the target refused for that
+	// reason.
+	Shed     uint32
 	Cold     uint32
 	Draining uint32
 }
@@ -25,7 +27,7 @@
 	return Counts{
 		Good: c.Good - o.Good, Failed: c.Failed - o.Failed,
 		Fast: c.Fast - o.Fast, Slow: c.Slow - o.Slow,
-		Cold: c.Cold - o.Cold, Draining: c.Draining - o.Draining,
+		Shed: c.Shed - o.Shed, Cold: c.Cold - o.Cold, Draining: c.Draining - o.Draining,
 	}
 }
 
@@ -33,7 +35,7 @@
 	return Counts{
 		Good: c.Good + o.Good, Failed: c.Failed + o.Failed,
 		Fast: c.Fast + o.Fast, Slow: c.Slow + o.Slow,
-		Cold: c.Cold + o.Cold, Draining: c.Draining + o.Draining,
+		Shed: c.Shed + o.Shed, Cold: c.Cold + o.Cold, Draining: c.Draining + o.Draining,
 	}
 }
 
--- a/outlier/publish.go
+++ b/outlier/publish.go
@@ -32,7 +32,7 @@
 		return
 	}
 	for _, s := range d.seats {
-		s.pooled = nil
+		s.pooled, s.elsewhere = nil, false
 	}
 	for from, h := range d.held {
 		if !d.join(now, h) {
@@ -51,7 +51,11 @@
 		}
 		holds = true
 		i, known := d.judge.index[v.Target]
-		if !known || v.Zone != "" && v.Zone != d.zone {
+		if !known {
+			continue
+		}
+		if v.Zone != "" && v.Zone != d.zone {
+			d.seats[i].elsewhere = d.seats[i].elsewhere || w.Phase == Ejected || w.Phase == Trial
 			continue
 		}
 		d.seats[i].hear(w, now, d.cfg)
@@ -108,7 +112,7 @@
 
 // entry is a target's place before the floor is held.
 func (d *Detector) entry(s *seat, now time.Time) *entry {
-	e := &entry{target: s.target, weight: 1}
+	e := &entry{target: s.target, weight: 1, elsewhere: s.elsewhere}
 	if s.target.State != fleet.Joined {
 		e.weight = 0
 		e.status.Phase = Gone
--- a/outlier/scope.go
+++ b/outlier/scope.go
@@ -1,6 +1,7 @@
 package outlier
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -14,9 +15,9 @@
 	// zoneShare is the part of the threshold that a zone's own evidence must
 	// reach for a verdict before that zone alone.
 	zoneShare = 0.5
-	// dissent is the log-likelihood below which a zone's evidence says that
-	// the target is well.
-	dissent = -2.0
+	// scopeMargin is by how much, in nats, the target must rather be sick for
+	// everyone than for a few reporters or zones.
+	scopeMargin = 1.0
 )
 
 // charge is an accusation that an aggregator may act on.
@@ -81,18 +82,47 @@
 		return nil
 	}
 	zones := byZone(acc)
-	accusing, dissenting := 0, false
-	for _, z := range zones {
-		score := likelihood(z.tally, acc.base, acc.excess)
-		if score > 0 && z.tally.bad > 0 {
-			accusing++
-		}
-		dissenting = dissenting || score < dissent
-	}
-	if !dissenting && (accusing > 1 || a.zones() == 1) {
+	everyone := likelihoodOf(acc.shares, acc.base, acc.excess)
+	few := a.fewReporters(acc)
+	some := a.someZones(acc, zones)
+	switch {
+	case everyone > few+scopeMargin && (everyone > some+scopeMargin || a.zones() == 1):
 		return []charge{{index: i, accusation: acc}}
+	case some > few:
+		return zoneCharges(i, acc, zones, threshold*zoneShare)
+	}
+	return nil
+}
+
+func likelihoodOf(shares []share, base, excess float64) float64 {
+	sum := 0.0
+	for _, s := range shares {
+		sum += likelihood(s.tally, base, excess)
+	}
+	return sum
+}
+
+// fewReporters is the likelihood that a few reporters alone are cut off from
+// the target: each of them fails nearly all of its tries, the others none.
+func (a *Aggregator) fewReporters(acc accusation) float64 {
+	price := math.Log(float64(len(a.reporters)))
+	return subset(acc.shares, acc.base, excesses[len(excesses)-1], price)
+}
+
+// someZones is the likelihood that the target is sick for a part of the zones.
+func (a *Aggregator) someZones(acc accusation, zones []share) float64 {
+	return subset(zones, acc.base, acc.excess, math.Log(float64(a.zones())))
+}
+
+// subset is the likelihood that those who have something against the target
+// are right and the others saw a healthy one. Each of the former has a price,
+// since any could have been the one.
+func subset(shares []share, base, excess, price float64) float64 {
+	sum := 0.0
+	for _, s := range shares {
+		sum += max(likelihood(s.tally, base, excess)-price, 0)
 	}
-	return zoneCharges(i, acc, zones, threshold*zoneShare)
+	return sum
 }
 
 func zoneCharges(i int, acc accusation, zones []share, least float64) []charge {
@@ -147,12 +177,18 @@
 }
 
 // eject opens an ejection unless one holds already or the floor forbids it.
+// An ejection before everyone takes the room of those before one zone.
 func (a *Aggregator) eject(now time.Time, c charge) bool {
 	f := a.cases[c.index]
 	current := f.stayOf(c.zone)
-	if current.aside() || !a.spare(now, c) {
+	if current.aside() {
 		return false
 	}
+	for !a.spare(now, c) {
+		if c.zone != "" || !a.dropZoneStay() {
+			return false
+		}
+	}
 	level := f.records[c.zone].next(now, a.cfg)
 	if current != nil {
 		level = current.level + 1
@@ -165,9 +201,30 @@
 	return true
 }
 
-// spare tells whether the floor leaves room for one more ejection before the
-// charge's zone. Instances hold the floor by themselves; this keeps verdicts
-// from piling up beyond it.
+// dropZoneStay ends the zones' ejection of the target that is accused least,
+// and tells whether there was one.
+func (a *Aggregator) dropZoneStay() bool {
+	var weakest *caseFile
+	for _, f := range a.cases {
+		if f.stayOf("") == nil && f.aside() && (weakest == nil || f.stays[0].score < weakest.stays[0].score) {
+			weakest = f
+		}
+	}
+	if weakest == nil {
+		return false
+	}
+	weakest.stays = nil
+	return true
+}
+
+// aside tells whether the target is set aside before anyone.
+func (f *caseFile) aside() bool {
+	return slices.ContainsFunc(f.stays, (*stay).aside)
+}
+
+// spare tells whether the floor leaves room for one more ejection. It counts
+// the union of all zones' ejections. Instances hold the floor by themselves;
+// this keeps verdicts from piling up beyond it.
 func (a *Aggregator) spare(now time.Time, c charge) bool {
 	joined, full := 0, 0
 	for _, f := range a.cases {
@@ -175,11 +232,12 @@
 			continue
 		}
 		joined++
-		if !f.idle(now, a.cfg) && !f.stayOf(c.zone).aside() {
+		if !f.idle(now, a.cfg) && !f.aside() {
 			full++
 		}
 	}
-	return a.cases[c.index].idle(now, a.cfg) || full > need(a.cfg.FloorPercent, joined)
+	f := a.cases[c.index]
+	return f.idle(now, a.cfg) || f.aside() || full > need(a.cfg.FloorPercent, joined)
 }
 
 // idle tells whether the target is draining or warming up, and so no part of
--- a/outlier/snapshot.go
+++ b/outlier/snapshot.go
@@ -15,6 +15,8 @@
 	// cold and draining are what the target itself said, or follows from
 	// when it joined.
 	cold, draining bool
+	// elsewhere means that other instances do not use the target.
+	elsewhere bool
 }
 
 // usable tells whether the target counts as healthy capacity but for
