--- a/outlier/aggregator.go
+++ b/outlier/aggregator.go
@@ -23,9 +23,13 @@
 	// number identifies the verdicts in force; it grows with each change.
 	number int64
 	median time.Duration
+	// folded is when the last report came.
+	folded time.Time
 	// dirty means that something was folded since the last tick, and told
 	// that a target which had not lately said so is cold or draining.
 	dirty, told bool
+	// active means that the passing of time alone may change something.
+	active bool
 }
 
 // caseFile is what an aggregator keeps for one target beside the evidence.
@@ -37,12 +41,16 @@
 	coldAt  time.Time
 	// drainingAt is when the target last said that it is draining.
 	drainingAt time.Time
+	// shedAt is when the target last shed load.
+	shedAt time.Time
 }
 
 // reporter is what an aggregator knows of one reporting instance.
 type reporter struct {
 	source
-	seen    time.Time
+	// heard is when the last call came, folded the last report not known.
+	heard, folded time.Time
+
 	session int64
 	seq     uint64
 	// based means that the session began before this aggregator knew of it:
@@ -56,17 +64,20 @@
 // NewAggregator returns an aggregator that has heard of nothing.
 func NewAggregator(cfg Config, self fleet.InstanceID) *Aggregator {
 	lim := cfg.limits()
-	return &Aggregator{
+	a := &Aggregator{
 		cfg: cfg, lim: lim, self: self,
 		judge:     newJudge(lim.threshold, lim.settle),
 		reporters: map[fleet.InstanceID]*reporter{},
 	}
+	a.judge.lagging = true
+	return a
 }
 
 // SetConfig applies a revised contract.
 func (a *Aggregator) SetConfig(cfg Config) {
 	a.cfg, a.lim = cfg, cfg.limits()
 	a.judge.threshold, a.judge.settle = a.lim.threshold, a.lim.settle
+	a.active = true
 }
 
 // SetTargets replaces the announced targets of the service.
@@ -91,6 +102,7 @@
 // Fold takes in a report and answers with the verdicts in force. A report
 // that comes twice, or after a later one, changes nothing.
 func (a *Aggregator) Fold(now time.Time, r Report) Verdicts {
+	a.folded = now
 	rep := a.reporter(now, r)
 	if r.Session == rep.session && r.Seq > rep.seq {
 		rep.seq = r.Seq
@@ -110,7 +122,7 @@
 		rep = &reporter{source: source{reporter: a.numbered, zone: r.Zone}}
 		a.reporters[r.From] = rep
 	}
-	rep.seen = now
+	rep.heard = now
 	rep.zone = r.Zone
 	if r.Session > rep.session {
 		rep.session, rep.seq = r.Session, 0
@@ -131,12 +143,13 @@
 		if !had && rep.based {
 			continue
 		}
-		a.foldTarget(now, i, rep.source, t.Counts.minus(last), r.Suspect)
+		a.foldTarget(now, i, rep, t.Counts.minus(last), r.Suspect)
 	}
+	rep.folded = now
 	a.dirty = true
 }
 
-func (a *Aggregator) foldTarget(now time.Time, i int, from source, c Counts, suspect bool) {
+func (a *Aggregator) foldTarget(now time.Time, i int, from *reporter, c Counts, suspect bool) {
 	file := a.cases[i]
 	if c.Cold > 0 {
 		a.told = a.told || now.Sub(file.coldAt) > toldInterval
@@ -146,6 +159,9 @@
 		a.told = a.told || now.Sub(file.drainingAt) > toldInterval
 		file.drainingAt = now
 	}
+	if c.Shed > 0 {
+		file.shedAt = now
+	}
 	if suspect {
 		return
 	}
@@ -153,7 +169,7 @@
 		s.add(c.tallies())
 		return
 	}
-	a.judge.add(i, from, c.tallies())
+	a.judge.add(i, seen{source: from.source, since: from.folded, tallies: c.tallies()})
 }
 
 // stayOf returns the ejection that holds for a zone, or nil.
@@ -194,6 +210,9 @@
 // the verdicts in force; whenever their Number differs from the last one,
 // every reporter should be sent them.
 func (a *Aggregator) Tick(now time.Time) Verdicts {
+	if !a.dirty && !a.active {
+		return a.Verdicts(now)
+	}
 	a.forgetReporters(now)
 	for i, f := range a.cases {
 		a.judge.rows[i].muted = f.muted(now, a.cfg)
@@ -209,11 +228,13 @@
 	if changed {
 		a.number = max(now.UnixNano(), a.number+1)
 	}
-	return a.Verdicts(now)
+	v := a.Verdicts(now)
+	a.active = len(v.Entries) > 0 || a.judge.undecided()
+	return v
 }
 
 func (f *caseFile) muted(now time.Time, cfg Config) bool {
-	return f.returning() || f.warming(now, cfg)
+	return f.returning() || f.warming(now, cfg) || now.Sub(f.shedAt) < busyHold
 }
 
 // warming tells whether the target joined or was cold within a slow start.
@@ -223,13 +244,17 @@
 
 func (a *Aggregator) forgetReporters(now time.Time) {
 	for id, r := range a.reporters {
-		if now.Sub(r.seen) > reporterKept {
+		if now.Sub(r.heard) > reporterKept {
 			delete(a.reporters, id)
 		}
 	}
 }
 
-// Reporters lists the instances that reported within the last minute.
+// Unused tells whether no instance has reported for so long that the
+// aggregator may be dropped.
+func (a *Aggregator) Unused(now time.Time) bool { return now.Sub(a.folded) > reporterKept }
+
+// Reporters lists the instances that reported lately.
 func (a *Aggregator) Reporters() []fleet.InstanceID {
 	ids := make([]fleet.InstanceID, 0, len(a.reporters))
 	for id := range a.reporters {
