outlier: raise the bar where the whole service is in trouble

Cause: requests reach a target mostly from its own zone's instances, so a sick target looked like a cut of that zone; and in an overloaded service single targets fail in bursts before the others' failures are known.

Change: a target is taken to be cut off from its own zone least likely; a cut is taken to fail nearly all tries; the others' rate of the last second counts as well; the threshold rises with the others' rate; an instance's own test is four nats easier, since it risks one instance's share.

--- a/outlier/chart.go
+++ b/outlier/chart.go
@@ -48,9 +48,10 @@
 // tally is a number of good and bad tries.
 type tally struct{ good, bad float64 }
 
-func (t tally) plus(o tally) tally  { return tally{t.good + o.good, t.bad + o.bad} }
-func (t tally) minus(o tally) tally { return tally{max(t.good-o.good, 0), max(t.bad-o.bad, 0)} }
-func (t tally) tries() float64      { return t.good + t.bad }
+func (t tally) plus(o tally) tally    { return tally{t.good + o.good, t.bad + o.bad} }
+func (t tally) minus(o tally) tally   { return tally{max(t.good-o.good, 0), max(t.bad-o.bad, 0)} }
+func (t tally) times(f float64) tally { return tally{t.good * f, t.bad * f} }
+func (t tally) tries() float64        { return t.good + t.bad }
 
 // rate is the share of bad tries, with weight tries of a prior rate added.
 func (t tally) rate(prior, weight float64) float64 {
--- a/outlier/config.go
+++ b/outlier/config.go
@@ -69,9 +69,9 @@
 const (
 	thresholdSpeed   = 15.0
 	thresholdCaution = 20.0
-	// localExtra is added where the evidence is one instance's own, since
-	// every instance runs that test.
-	localExtra = 2.0
+	// localExtra is added where the evidence is one instance's own: a false
+	// ejection then costs one instance's share only.
+	localExtra = -4.0
 	// settleSpeed and settleCaution bound how long an accusation must hold.
 	settleSpeed   = 100 * time.Millisecond
 	settleCaution = 500 * time.Millisecond
@@ -86,6 +86,11 @@
 	// crowdShare is the share of the targets above which looking sick at
 	// once is blamed on the network or the observer.
 	crowdShare = 0.5
+	// troubleFactor raises the threshold where the others' rate of bad tries
+	// is above troubleBase: in a service that is in trouble as a whole,
+	// failures come in bursts that hit single targets.
+	troubleFactor = 5.0
+	troubleBase   = 0.05
 	// slowFactor times the service's median latency is a slow try.
 	slowFactor = 3.5
 	// slowSlack is the least time by which a slow try passes the median.
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -2,14 +2,17 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
 const (
-	// window is how fast the base rate forgets.
+	// window is how fast the base rate forgets, moment how fast it does to
+	// see whether others fail at the same time.
 	window = 15 * time.Second
+	moment = time.Second
 	// unheardGrace is how late bad tries are heard of at most.
 	unheardGrace = 2 * FlushInterval
 )
@@ -22,8 +25,10 @@
 	// total is all that was seen, recent the same with forgetting, prev the
 	// total before the last step.
 	total, prev, recent tallies
-	charts              [channels][len(excesses)]chart
-	window              slowWindows
+	// lately is recent with a much shorter memory.
+	lately tallies
+	charts [channels][len(excesses)]chart
+	window slowWindows
 	// muted rows gather no evidence of slowness: cold or warming up.
 	muted bool
 	// aside rows are ejected or on trial; they are no yardstick for others.
@@ -105,7 +110,7 @@
 	for _, r := range j.rows {
 		r.window.add(now, r.pending)
 		r.pending = r.window.close(now, r.pending)
-		j.sum(r)
+		j.sum(now, r)
 	}
 	recent := j.recentAll()
 	for _, r := range j.rows {
@@ -119,27 +124,29 @@
 		j.decayed = now
 	}
 	passed := now.Sub(j.decayed)
-	if passed < window/64 {
+	if passed < moment/16 {
 		return
 	}
 	keep := math.Exp(-float64(passed) / float64(window))
+	keepLately := math.Exp(-float64(passed) / float64(moment))
 	for _, r := range j.rows {
 		for ch := range r.recent {
-			r.recent[ch].good *= keep
-			r.recent[ch].bad *= keep
+			r.recent[ch] = r.recent[ch].times(keep)
+			r.lately[ch] = r.lately[ch].times(keepLately)
 		}
 	}
 	j.decayed = now
 }
 
 // sum adds a row's pending tries to its tallies.
-func (j *judge) sum(r *row) {
+func (j *judge) sum(now time.Time, r *row) {
 	r.prev = r.total
 	for _, s := range r.pending {
 		for ch := range r.total {
 			r.total[ch] = r.total[ch].plus(s.tallies[ch])
 			if !r.aside {
 				r.recent[ch] = r.recent[ch].plus(s.tallies[ch])
+				r.lately[ch] = r.lately[ch].plus(s.after(now.Add(-moment), now, channel(ch)))
 				j.total[ch] = j.total[ch].plus(s.tallies[ch])
 			}
 		}
@@ -280,11 +287,24 @@
 		return accusation{}, false
 	}
 	base := j.bases(r)[ch]
-	base = min(max(base, others.rate(base, contemporaryTries)), baseCeiling)
+	base = max(base, others.rate(base, contemporaryTries), j.momentary(r, ch, hot, base))
+	base = min(base, baseCeiling)
+	limit *= 1 + troubleFactor*max(base-troubleBase, 0)
 	score := likelihood(own, base, c.excess)
 	return accusation{channel: ch, score: score, base: base, excess: c.excess, shares: c.shares}, score >= limit
 }
 
+// momentary is the others' rate of bad tries right now.
+func (j *judge) momentary(r *row, ch channel, hot []*row, base float64) float64 {
+	var others tally
+	for _, o := range j.rows {
+		if o != r && !slices.Contains(hot, o) {
+			others = others.plus(o.lately[ch])
+		}
+	}
+	return others.rate(base, contemporaryTries)
+}
+
 // unheard is how many good tries at a target were likely made since a sum left
 // zero but not reported yet. Bad tries are reported at once, so what is missing
 // against the target's usual rate was good or has not ended.
@@ -317,7 +337,7 @@
 func (j *judge) setAside(r *row) {
 	for ch := range channels {
 		j.total[ch].bad = max(j.total[ch].bad-r.excessTally(ch).bad, 0)
-		r.recent[ch] = tally{}
+		r.recent[ch], r.lately[ch] = tally{}, tally{}
 	}
 	r.clear()
 	r.aside = true
--- a/outlier/scope.go
+++ b/outlier/scope.go
@@ -17,7 +17,10 @@
 	zoneShare = 0.5
 	// scopeMargin is by how much, in nats, the target must rather be sick for
 	// everyone than for a few reporters or zones.
-	scopeMargin = 1.0
+	scopeMargin = 2.0
+	// ownZonePrice is how much less likely, in nats, a target is cut off from
+	// its own zone than from another.
+	ownZonePrice = 4.0
 )
 
 // charge is an accusation that an aggregator may act on.
@@ -84,7 +87,7 @@
 	zones := byZone(acc)
 	everyone := likelihoodOf(acc.shares, acc.base, acc.excess)
 	few := a.fewReporters(acc)
-	some := a.someZones(acc, zones)
+	some := a.someZones(acc, zones, a.cases[i].target.Zone)
 	switch {
 	case everyone > few+scopeMargin && (everyone > some+scopeMargin || a.zones() == 1):
 		return []charge{{index: i, accusation: acc}}
@@ -106,25 +109,35 @@
 // the target: each of them fails nearly all of its tries, the others none.
 func (a *Aggregator) fewReporters(acc accusation) float64 {
 	price := math.Log(float64(len(a.reporters)))
-	return subset(acc.shares, acc.base, excesses[len(excesses)-1], price)
-}
-
-// someZones is the likelihood that the target is sick for a part of the zones.
-func (a *Aggregator) someZones(acc accusation, zones []share) float64 {
-	return subset(zones, acc.base, acc.excess, math.Log(float64(a.zones())))
+	sum := 0.0
+	for _, s := range acc.shares {
+		sum += cutOff(s, acc.base, price)
+	}
+	return sum
 }
 
-// subset is the likelihood that those who have something against the target
-// are right and the others saw a healthy one. Each of the former has a price,
-// since any could have been the one.
-func subset(shares []share, base, excess, price float64) float64 {
+// someZones is the likelihood that some zones are cut off from the target.
+// That is least likely of the target's own zone.
+func (a *Aggregator) someZones(acc accusation, zones []share, own fleet.Zone) float64 {
+	price := math.Log(float64(a.zones()))
 	sum := 0.0
-	for _, s := range shares {
-		sum += max(likelihood(s.tally, base, excess)-price, 0)
+	for _, z := range zones {
+		p := price
+		if z.zone == own {
+			p += ownZonePrice
+		}
+		sum += cutOff(z, acc.base, p)
 	}
 	return sum
 }
 
+// cutOff is the likelihood that one who saw the target is cut off from it,
+// and so fails nearly all tries, or else saw a healthy one. It is lowered by
+// a price, since any could have been the one.
+func cutOff(s share, base, price float64) float64 {
+	return max(likelihood(s.tally, base, excesses[len(excesses)-1])-price, 0)
+}
+
 func zoneCharges(i int, acc accusation, zones []share, least float64) []charge {
 	var charges []charge
 	for _, z := range zones {
