--- a/lab/events.go
+++ b/lab/events.go
@@ -13,6 +13,7 @@
 	evTick
 	evMessage
 	evJoin
+	evLeave
 	evTakeover
 	evSample
 )
@@ -23,7 +24,7 @@
 	at   time.Duration
 	seq  uint64
 	kind eventKind
-	// n is the instance of a tick, or the target of a join.
+	// n is the instance of a tick, or the target that joins or leaves.
 	n   int
 	try *try
 	req *request
--- a/lab/fault.go
+++ b/lab/fault.go
@@ -29,6 +29,8 @@
 	Takeover time.Duration
 	// Joins holds when a target joins that is not there from the start.
 	Joins map[int]time.Duration
+	// Leaves holds when a target is announced to leave.
+	Leaves map[int]time.Duration
 }
 
 // Faults lists every fault.
@@ -37,6 +39,7 @@
 	coldStart, loadShed, targetCut, peerCut, wholeSlow, logDown,
 	shedAndLate, grayAndCold, grayAndShed, twoGray, zoneCutAndGray, grayAndSlowService,
 	grayAndSickInstance, pauses, flappingAndLoss, grayAndHolderCut,
+	leavingAndGray,
 }
 
 // health returns how the target treats the instance under the plan.
@@ -91,7 +94,7 @@
 			return b.health(now, target, instance)
 		},
 		Link:  firstLink(a.Link, b.Link),
-		Joins: firstJoins(a.Joins, b.Joins),
+		Joins: firstOf(a.Joins, b.Joins),
 
 		Takeover: max(a.Takeover, b.Takeover),
 	}
@@ -106,7 +109,7 @@
 	return b
 }
 
-func firstJoins(a, b map[int]time.Duration) map[int]time.Duration {
+func firstOf(a, b map[int]time.Duration) map[int]time.Duration {
 	if a != nil {
 		return a
 	}
--- a/lab/measures.go
+++ b/lab/measures.go
@@ -28,6 +28,8 @@
 	HealthyOut time.Duration
 	// Tries counts tries, SickTries those at targets that were sick.
 	Tries, SickTries int
+	// LeftTries counts tries at targets after they were announced to leave.
+	LeftTries int
 	// Offered and Answered count requests after the warm-up, CouldAnswer how
 	// many the healthy slots could have answered.
 	Offered, Answered int
@@ -55,6 +57,7 @@
 	m.HealthyOut += o.HealthyOut
 	m.Tries += o.Tries
 	m.SickTries += o.SickTries
+	m.LeftTries += o.LeftTries
 	m.Offered += o.Offered
 	m.Answered += o.Answered
 	m.CouldAnswer += o.CouldAnswer
--- a/lab/run.go
+++ b/lab/run.go
@@ -70,6 +70,9 @@
 		}
 		r.known = append(r.known, s.target(t, never))
 	}
+	for t, at := range r.plan.Leaves {
+		r.queue.push(event{at: at, kind: evLeave, n: t})
+	}
 	for i := range s.Instances {
 		r.instances = append(r.instances, r.newInstance(i))
 	}
@@ -116,6 +119,8 @@
 		r.watch.look(r, e.msg.To)
 	case evJoin:
 		r.join(e.n)
+	case evLeave:
+		r.announceLeaving(e.n)
 	case evTakeover:
 		r.takeover()
 	case evSample:
@@ -169,6 +174,21 @@
 func (r *run) join(t int) {
 	r.known = append(slices.Clone(r.known), r.Service.target(t, r.now))
 	slices.SortFunc(r.known, func(a, b fleet.Target) int { return numberOf(a.ID) - numberOf(b.ID) })
+	r.announce()
+}
+
+func (r *run) announceLeaving(t int) {
+	r.known = slices.Clone(r.known)
+	for i := range r.known {
+		if numberOf(r.known[i].ID) == t {
+			r.known[i].State = fleet.Leaving
+		}
+	}
+	r.watch.left(r, t)
+	r.announce()
+}
+
+func (r *run) announce() {
 	for i, in := range r.instances {
 		in.announce(r.now, r.known)
 		r.watch.look(r, i)
