outlier: keep false ejections an hour constant, not those a try

Cause: a service of one request a second a target needs as many bad tries as a busy one, so a wholly gray upload target took 3.6 s; tries that the test takes one by one come thirty times less often there.

Change: the threshold is lowered by the logarithm of the rate of evidence below 100 a second, by four nats at most, which also replaces the fixed easing of an instance's own test; slow tries are expected of 2% of targets' windows until more is known; failures count less while the other targets are slow.

--- a/outlier/chart.go
+++ b/outlier/chart.go
@@ -27,7 +27,7 @@
 // baseFloor, and basePrior as long as fewer than priorTries tries are known.
 var (
 	baseFloor = [channels]float64{failure: 0.001, slowness: 0.005}
-	basePrior = [channels]float64{failure: 0.01, slowness: 0.05}
+	basePrior = [channels]float64{failure: 0.01, slowness: 0.02}
 )
 
 const (
--- a/outlier/config.go
+++ b/outlier/config.go
@@ -69,9 +69,11 @@
 const (
 	thresholdSpeed   = 15.0
 	thresholdCaution = 20.0
-	// localExtra is added where the evidence is one instance's own: a false
-	// ejection then costs one instance's share only.
-	localExtra = -4.0
+	// referenceRate is the tries a second at which the thresholds hold. They
+	// are lower with less evidence, by at most scarcity, so that the false
+	// ejections an hour stay the same and not those a try.
+	referenceRate = 100.0
+	scarcity      = 4.0
 	// settleSpeed and settleCaution bound how long an accusation must hold.
 	settleSpeed   = 100 * time.Millisecond
 	settleCaution = 500 * time.Millisecond
@@ -86,9 +88,9 @@
 	// crowdShare is the share of the targets above which looking sick at
 	// once is blamed on the network or the observer.
 	crowdShare = 0.5
-	// troubleFactor raises the threshold where the others' rate of bad tries
-	// is above troubleBase: in a service that is in trouble as a whole,
-	// failures come in bursts that hit single targets.
+	// troubleFactor raises the threshold where the others' rate of bad tries,
+	// or of slow ones right now, is above troubleBase: in a service that is
+	// in trouble as a whole, failures come in bursts that hit single targets.
 	troubleFactor = 5.0
 	troubleBase   = 0.05
 	// slowFactor times the service's median latency is a slow try.
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -85,7 +85,7 @@
 	lim := cfg.limits()
 	d := &Detector{
 		cfg: cfg, lim: lim, self: self, zone: zone,
-		judge: newJudge(lim.threshold+localExtra, lim.settle),
+		judge: newJudge(lim.threshold, lim.settle),
 		held:  map[fleet.InstanceID]*heldVerdicts{},
 	}
 	d.rec.slowAfter.Store(math.MaxInt64)
@@ -95,7 +95,7 @@
 // SetConfig applies a revised contract.
 func (d *Detector) SetConfig(cfg Config) {
 	d.cfg, d.lim = cfg, cfg.limits()
-	d.judge.threshold, d.judge.settle = d.lim.threshold+localExtra, d.lim.settle
+	d.judge.threshold, d.judge.settle = d.lim.threshold, d.lim.settle
 	d.active = true
 }
 
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -45,7 +45,9 @@
 	total, prev tallies
 	decayed     time.Time
 	threshold   float64
-	settle      time.Duration
+	// bar is the threshold at the present rate of evidence.
+	bar    float64
+	settle time.Duration
 	// lagging means that good tries are heard of later than bad ones.
 	lagging bool
 }
@@ -113,11 +115,18 @@
 		j.sum(now, r)
 	}
 	recent := j.recentAll()
+	j.bar = j.threshold + scarce(recent[failure])
 	for _, r := range j.rows {
 		j.stepRow(now, r, recent)
 	}
 }
 
+// scarce is what the threshold is changed by at the present rate of evidence.
+func scarce(recent tally) float64 {
+	rate := recent.tries() / window.Seconds()
+	return min(max(math.Log(rate/referenceRate), -scarcity), 0)
+}
+
 // forget decays the recent tallies.
 func (j *judge) forget(now time.Time) {
 	if j.decayed.IsZero() {
@@ -228,7 +237,7 @@
 			suspects++
 			continue
 		}
-		if r.hot(j.threshold) {
+		if r.hot(j.bar) {
 			suspects++
 			hot = append(hot, r)
 		}
@@ -240,7 +249,7 @@
 // undecided tells whether any row is hot or accused.
 func (j *judge) undecided() bool {
 	for _, r := range j.rows {
-		if !r.crossed.IsZero() || r.window.tally.bad > 0 || r.hot(j.threshold) {
+		if !r.crossed.IsZero() || r.window.tally.bad > 0 || r.hot(j.bar) {
 			return true
 		}
 	}
@@ -271,7 +280,7 @@
 
 // weigh compares a target with what the others did since its sum left zero.
 func (j *judge) weigh(now time.Time, r *row, ch channel, c *chart, hot []*row, factor float64) (accusation, bool) {
-	limit := j.threshold * factor
+	limit := j.bar * factor
 	if c.sum < limit {
 		return accusation{}, false
 	}
@@ -289,7 +298,8 @@
 	base := j.bases(r)[ch]
 	base = max(base, others.rate(base, contemporaryTries), j.momentary(r, ch, hot, base))
 	base = min(base, baseCeiling)
-	limit *= 1 + troubleFactor*max(base-troubleBase, 0)
+	trouble := max(base, j.momentary(r, slowness, hot, basePrior[slowness]))
+	limit *= 1 + troubleFactor*max(trouble-troubleBase, 0)
 	score := likelihood(own, base, c.excess)
 	return accusation{channel: ch, score: score, base: base, excess: c.excess, shares: c.shares}, score >= limit
 }
--- a/outlier/scope.go
+++ b/outlier/scope.go
@@ -79,7 +79,7 @@
 
 // charges finds before whom a target is accused.
 func (a *Aggregator) charges(i int, acc accusation, factor float64) []charge {
-	threshold := a.lim.threshold * factor
+	threshold := a.judge.bar * factor
 	loudest, bad := loudest(acc)
 	if bad < 2 || acc.score-loudest < threshold*loudestShare {
 		return nil
