outlier: tell instances the service's pooled rates of bad tries

Cause: an instance's own test measured a target against a prior, for want of tries of its own, and accused single targets while the whole service was overloaded.

Change: verdicts carry the pooled rates of failures and of slowness; for ten seconds they take the place of the prior.

--- a/evidence/wire.go
+++ b/evidence/wire.go
@@ -87,6 +87,7 @@
 		m := &peerv1.ServiceVerdicts{
 			Service: string(v.Service), From: string(v.From), Number: v.Number,
 			Session: v.Session, Ack: v.Ack, MedianMicros: uint64(v.Median.Microseconds()),
+			FailureRate: v.FailureRate, SlowRate: v.SlowRate,
 		}
 		for _, e := range v.Entries {
 			m.Targets = append(m.Targets, &peerv1.TargetVerdict{
@@ -106,6 +107,7 @@
 		v := outlier.Verdicts{
 			Service: fleet.ServiceID(m.Service), From: fleet.InstanceID(m.From), Number: m.Number,
 			Session: m.Session, Ack: m.Ack, Median: micros(m.MedianMicros),
+			FailureRate: share(m.FailureRate), SlowRate: share(m.SlowRate),
 		}
 		for _, t := range m.Targets {
 			if e, ok := decodeVerdict(t); ok {
@@ -137,6 +139,14 @@
 	return v, known
 }
 
+// share bounds a share that another instance sent; NaN becomes 0.
+func share(x float64) float64 {
+	if x > 0 {
+		return min(x, 1)
+	}
+	return 0
+}
+
 func micros(us uint64) time.Duration {
 	const most = uint64(time.Hour / time.Microsecond)
 	return time.Duration(min(us, most)) * time.Microsecond
--- a/evidence/wire_test.go
+++ b/evidence/wire_test.go
@@ -37,6 +37,7 @@
 	assert.DeepEqual(t, got, []outlier.Report{r})
 	v := outlier.Verdicts{
 		Service: "c/s", From: "a", Number: 7, Session: 8, Ack: 9, Median: time.Second,
+		FailureRate: 0.25, SlowRate: 0.5,
 		Entries: []outlier.Verdict{
 			{Target: "t", Zone: "z", Phase: outlier.Trial, Reason: outlier.ReasonSlow, Remaining: time.Minute, Score: 20},
 			{Target: "u", Phase: outlier.Draining, Remaining: time.Second},
--- a/outlier/aggregator.go
+++ b/outlier/aggregator.go
@@ -23,6 +23,7 @@
 	// number identifies the verdicts in force; it grows with each change.
 	number int64
 	median time.Duration
+	rates  [channels]float64
 	// folded is when the last report came.
 	folded time.Time
 	// dirty means that something was folded since the last tick, and told
@@ -186,6 +187,7 @@
 // target's phase does.
 func (a *Aggregator) Verdicts(now time.Time) Verdicts {
 	v := Verdicts{Service: a.service, From: a.self, Number: a.number, Median: a.median}
+	v.FailureRate, v.SlowRate = a.rates[failure], a.rates[slowness]
 	for _, f := range a.cases {
 		for _, s := range f.stays {
 			v.Entries = append(v.Entries, s.verdict(now, f.target.ID))
@@ -222,6 +224,7 @@
 		a.dirty = false
 	}
 	a.judge.step(now)
+	a.rates = a.judge.rates()
 	changed := a.advance(now)
 	changed = a.accuse(now) || a.told || changed
 	a.told = false
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -14,6 +14,8 @@
 	// is renewed and how often the samples behind it are halved.
 	medianInterval = time.Second
 	halveInterval  = 10 * time.Second
+	// pooledKept is how long the rates heard from an aggregator are used.
+	pooledKept = 10 * time.Second
 )
 
 // Detector judges the targets of one service as seen from one instance, and
@@ -38,6 +40,7 @@
 	active bool
 
 	pooledMedian time.Duration
+	pooledAt     time.Time
 	medianAt     time.Time
 	halvedAt     time.Time
 }
@@ -159,6 +162,9 @@
 		return Output{Snapshot: d.snapshot, Suspect: d.suspect}
 	}
 	d.measure(now)
+	if now.Sub(d.pooledAt) > pooledKept {
+		d.judge.pooled = [channels]float64{}
+	}
 	d.joinVerdicts(now)
 	if dirty {
 		d.collect(now)
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -48,6 +48,8 @@
 	// bar is the threshold at the present rate of evidence.
 	bar    float64
 	settle time.Duration
+	// pooled are the service's rates of bad tries as heard; 0: unknown.
+	pooled [channels]float64
 	// lagging means that good tries are heard of later than bad ones.
 	lagging bool
 }
@@ -174,7 +176,7 @@
 
 func (j *judge) stepRow(now time.Time, r *row, recent tallies) {
 	for ch := range channels {
-		base := baseRate(ch, recent[ch].minus(r.recent[ch]))
+		base := j.base(ch, recent[ch].minus(r.recent[ch]))
 		bad := r.total[ch].bad > r.prev[ch].bad
 		for i := range r.charts[ch] {
 			c := &r.charts[ch][i]
@@ -186,17 +188,43 @@
 	r.pending = r.pending[:0]
 }
 
-func baseRate(ch channel, others tally) float64 {
-	rate := others.rate(basePrior[ch], priorTries)
+// base is the rate of bad tries expected of a target, given the others' recent
+// tries. Where the service's rate is known from the aggregator, it takes the
+// place of the prior.
+func (j *judge) base(ch channel, others tally) float64 {
+	prior := basePrior[ch]
+	if j.pooled[ch] > 0 {
+		prior = j.pooled[ch]
+	}
+	rate := others.rate(prior, priorTries)
 	return min(max(rate, baseFloor[ch]), baseCeiling)
 }
 
+// rates are the recent rates of bad tries, without the targets that stand
+// out, unless too many do.
+func (j *judge) rates() [channels]float64 {
+	hot, crowded := j.crowd()
+	var rates [channels]float64
+	for ch := range channels {
+		var recent, lately tally
+		for _, r := range j.rows {
+			if crowded || !slices.Contains(hot, r) {
+				recent = recent.plus(r.recent[ch])
+				lately = lately.plus(r.lately[ch])
+			}
+		}
+		rate := recent.rate(basePrior[ch], priorTries)
+		rates[ch] = max(rate, lately.rate(rate, contemporaryTries))
+	}
+	return rates
+}
+
 // bases are the rates of bad tries that a row is measured against.
 func (j *judge) bases(r *row) [channels]float64 {
 	var bases [channels]float64
 	recent := j.recentAll()
 	for ch := range channels {
-		bases[ch] = baseRate(ch, recent[ch].minus(r.recent[ch]))
+		bases[ch] = j.base(ch, recent[ch].minus(r.recent[ch]))
 	}
 	return bases
 }
--- a/outlier/message.go
+++ b/outlier/message.go
@@ -155,7 +155,11 @@
 	Session int64
 	Ack     uint64
 	// Median is the service's median latency over all reporters; 0: unknown.
-	Median  time.Duration
+	Median time.Duration
+	// FailureRate and SlowRate are the shares of bad tries at the targets
+	// that nothing is held against; 0: unknown.
+	FailureRate, SlowRate float64
+
 	Entries []Verdict
 }
 
--- a/outlier/publish.go
+++ b/outlier/publish.go
@@ -14,6 +14,10 @@
 	if v.Median > 0 {
 		d.pooledMedian = v.Median
 	}
+	if v.FailureRate > 0 && v.SlowRate > 0 {
+		d.judge.pooled = [channels]float64{failure: v.FailureRate, slowness: v.SlowRate}
+		d.pooledAt = now
+	}
 	h := d.held[v.From]
 	if h != nil && v.Number < h.verdicts.Number {
 		return
