Apply the contracts' limits over the fleet

Cause: rate and concurrency limits were not applied. Change: the handler takes from the allowance table before admission and writes RateLimit and Retry-After fields; the instance places limiters by rendezvous and counts listed instances by the platform's list, so that a part that is cut off does not take itself for the whole.

--- a/instance/configuration.go
+++ b/instance/configuration.go
@@ -33,8 +33,10 @@
 
 // apply takes a new state into force.
 func (i *Instance) apply(v *publication.View) {
+	before := i.view.Swap(v)
 	i.services.Update(time.Now(), v, i.members.Load().forBalancer)
 	i.routes.Store(i.routes.Load().Update(v))
+	i.reloadLimits(before, v)
 	i.gossip.SetOffset(int64(v.Next))
 	klog.InfoS("configuration in force", "instance", i.self.Instance, "next", v.Next,
 		"contracts", len(v.Contracts), "services", len(i.services.All()))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -10,12 +10,14 @@
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/clementinereel/clementinereel/allowance"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/follow"
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/pool"
 	"github.com/clementinereel/clementinereel/proxy"
+	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/route"
 	"github.com/clementinereel/clementinereel/settings"
 	"github.com/clementinereel/clementinereel/telemetry"
@@ -24,26 +26,28 @@
 
 // Instance is one running instance.
 type Instance struct {
-	cfg       *settings.Settings
-	self      fleet.Holder
-	platform  *platform.Client
-	metrics   *telemetry.Registry
-	services  *upstream.Set
-	pool      *pool.Set
-	follower  *follow.Follower
-	transport *peer.Transport
-	gossip    *peer.Gossip
-	routes    atomic.Pointer[route.Table]
-	members   atomic.Pointer[members]
-	ready     atomic.Bool
-	stopping  atomic.Bool
-	cancel    context.CancelFunc
-	systems   sync.WaitGroup
-	hadPeers  bool // used by the tick alone
-	sockets   *listeners
-	callers   *http.Server
-	peers     *peer.Server
-	admin     *http.Server
+	cfg        *settings.Settings
+	self       fleet.Holder
+	platform   *platform.Client
+	metrics    *telemetry.Registry
+	services   *upstream.Set
+	pool       *pool.Set
+	follower   *follow.Follower
+	allowances *allowance.Client
+	view       atomic.Pointer[publication.View]
+	transport  *peer.Transport
+	gossip     *peer.Gossip
+	routes     atomic.Pointer[route.Table]
+	members    atomic.Pointer[members]
+	ready      atomic.Bool
+	stopping   atomic.Bool
+	cancel     context.CancelFunc
+	systems    sync.WaitGroup
+	hadPeers   bool // used by the tick alone
+	sockets    *listeners
+	callers    *http.Server
+	peers      *peer.Server
+	admin      *http.Server
 }
 
 // New opens an instance's sockets. Start makes it serve.
@@ -69,8 +73,12 @@
 	}
 	i.followMembers()
 	i.followConfiguration()
+	i.shareLimits()
 	handler := proxy.New(proxy.Config{
-		Routes: i.routes.Load, Services: i.services, Metrics: i.metrics, Via: via,
+		Routes:   i.routes.Load,
+		Services: i.services,
+		Limits:   i.allowances.Table(),
+		Metrics:  i.metrics,
 	})
 	i.callers = i.newCallerServer(handler)
 	i.admin = i.newAdminServer()
@@ -98,7 +106,9 @@
 	go serve("peers", i.peers, i.sockets.peers)
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, system := range []func(context.Context){i.gossip.Run, i.follower.Run, i.run} {
+	for _, system := range []func(context.Context){
+		i.gossip.Run, i.follower.Run, i.allowances.Run, i.run,
+	} {
 		i.systems.Go(func() { system(ctx) })
 	}
 }
--- a/instance/members.go
+++ b/instance/members.go
@@ -1,6 +1,8 @@
 package instance
 
 import (
+	"time"
+
 	"github.com/clementinereel/clementinereel/balancer"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/rendezvous"
@@ -10,6 +12,7 @@
 // immutable and built anew when the view's epoch changes.
 type members struct {
 	view        *membership.View
+	since       time.Time
 	roles       *rendezvous.Table
 	forBalancer balancer.Members
 }
@@ -22,6 +25,7 @@
 	}
 	return &members{
 		view:        v,
+		since:       time.Now(),
 		roles:       rendezvous.NewTable(v.Members),
 		forBalancer: balancer.NewMembers(self, all),
 	}
--- a/instance/tick.go
+++ b/instance/tick.go
@@ -31,6 +31,7 @@
 // tick runs every system once.
 func (i *Instance) tick(ctx context.Context, now time.Time) {
 	m := i.followMembers()
+	i.allowances.Table().SetView(i.limiterView())
 	for _, out := range i.services.Tick(now, m.forBalancer) {
 		i.report(ctx, out)
 	}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -49,6 +50,8 @@
 	opts  GossipOptions
 	sends chan struct{}
 	wg    sync.WaitGroup
+	// listed is the length of the last list that the platform gave.
+	listed atomic.Int64
 
 	mu      sync.Mutex
 	node    *membership.Node
@@ -141,12 +144,17 @@
 	g.wg.Wait()
 }
 
+// Listed is how many instances the platform's list named when it last
+// answered, 0 if it never did.
+func (g *Gossip) Listed() int { return int(g.listed.Load()) }
+
 // followList hands the platform's list to the node. While the list is gone
 // the last one stays.
 func (g *Gossip) followList(ctx context.Context) {
 	for ctx.Err() == nil {
 		listed, err := g.opts.List.Instances(ctx)
 		if err == nil {
+			g.listed.Store(int64(len(listed)))
 			g.update(func(n *membership.Node) { n.SetListed(seeds(listed)) })
 		} else if ctx.Err() == nil {
 			klog.InfoS("instance list unavailable", "err", err)
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -7,11 +7,25 @@
 	"github.com/clementinereel/clementinereel/admission"
 	"github.com/clementinereel/clementinereel/dispatch"
 	"github.com/clementinereel/clementinereel/problem"
+	"github.com/clementinereel/clementinereel/ratelimit"
 	"github.com/clementinereel/clementinereel/retry"
 	"github.com/clementinereel/clementinereel/telemetry"
 	"github.com/clementinereel/clementinereel/upstream"
 )
 
+// limit applies the customer's and the route's limits. After nil, the
+// decision's Done must be called.
+func (h *Handler) limit(x *exchange) (ratelimit.Decision, *problem.Problem) {
+	d := h.cfg.Limits.Take(x.arrived, x.customer, ratelimit.RouteID(x.route.Name))
+	ratelimit.SetHeaders(x.w.Header(), d)
+	if d.OK {
+		return d, nil
+	}
+	h.decided(x, "limited", "")
+	p := problem.New(http.StatusTooManyRequests, problem.RateLimited, "the contract's limit is reached")
+	return d, p.After(d.RetryAfter)
+}
+
 // admit waits for a place at the service's gate. After nil, x.release must be
 // called.
 func (h *Handler) admit(ctx context.Context, x *exchange) *problem.Problem {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/problem"
+	"github.com/clementinereel/clementinereel/ratelimit"
 	"github.com/clementinereel/clementinereel/requestid"
 	"github.com/clementinereel/clementinereel/route"
 	"github.com/clementinereel/clementinereel/telemetry"
@@ -20,8 +21,9 @@
 	Routes func() *route.Table
 	// Services finds the runtime state of a service.
 	Services *upstream.Set
-	Metrics  *telemetry.Registry
-	Via      upstream.Via
+	// Limits holds this instance's allowances under the contracts' limits.
+	Limits  *ratelimit.Table
+	Metrics *telemetry.Registry
 }
 
 // Handler serves callers' requests.
@@ -57,6 +59,12 @@
 		return
 	}
 	x.deadline = x.arrived.Add(x.route.Deadline.D())
+	limits, p := h.limit(x)
+	if p != nil {
+		h.refuse(x, p)
+		return
+	}
+	defer func() { limits.Done(time.Now()) }()
 	switch x.route.Class {
 	case fleet.Lookup:
 		h.lookup(x)
