Pass a suspicion on while it lasts, and answer old accusations

A view that missed a refutation declared the member dead when its own time for the suspect ended. A suspicion now rides on messages while it lasts, and a receiver that knows better passes the newer record on.

--- a/membership/node.go
+++ b/membership/node.go
@@ -301,6 +301,7 @@
 	}
 	if known && !m.supersedes(old.Member) {
 		n.raiseOffset(old, m)
+		n.correct(old, m)
 		return
 	}
 	if m.Incarnation == old.Incarnation {
@@ -329,6 +330,14 @@
 	}
 }
 
+// correct passes a record on once more, in the answer at the latest, if the
+// sender accuses the member by an older one.
+func (n *Node) correct(e *entry, m Member) {
+	if m.State >= Suspect && e.supersedes(m) {
+		n.enqueueTimes(e, max(e.spread, 1))
+	}
+}
+
 // count keeps the number of members that are not dead.
 func (n *Node) count(old *entry, m Member) {
 	wasLive := old.State != 0 && old.State != Dead
--- a/membership/spread.go
+++ b/membership/spread.go
@@ -26,14 +26,19 @@
 
 // enqueue marks a changed record to be passed on.
 func (n *Node) enqueue(e *entry) {
+	n.enqueueTimes(e, n.settings.spreadCount(n.live))
+}
+
+func (n *Node) enqueueTimes(e *entry, times int) {
 	if e.spread == 0 && !slices.Contains(n.spreading, e) {
 		n.spreading = append(n.spreading, e)
 	}
-	e.spread = n.settings.spreadCount(n.live)
+	e.spread = times
 }
 
 // takeUpdates appends the records that were passed on least, within the size
-// limit.
+// limit. A suspicion is passed on while it lasts: whoever knows that it was
+// refuted answers with the refutation.
 func (n *Node) takeUpdates(updates []Member) []Member {
 	slices.SortStableFunc(n.spreading, func(a, b *entry) int { return b.spread - a.spread })
 	size := 0
@@ -45,7 +50,9 @@
 		if size > n.settings.MaxUpdates {
 			break
 		}
-		e.spread--
+		if e.State != Suspect || e.spread > 1 {
+			e.spread--
+		}
 		updates = append(updates, e.Member)
 	}
 	n.spreading = slices.DeleteFunc(n.spreading, func(e *entry) bool { return e.spread == 0 })
