claim, ticket: pure machinery of claims through the log and of tickets

A recorder groups claims into appends and reads them back; the first in log order wins. Not run is told by the holder of the winning claim that has given it up, or after a survey. A model explores histories with rapid; it found that a new process must hold off until it is known to another, and that a process counts as gone only when the view was looked at without it.

--- /dev/null
+++ b/claim/fold.go
@@ -0,0 +1,354 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/platform"
+)
+
+// Record is one decoded record of a partition's stream.
+type Record struct {
+	Offset     platform.Offset
+	Time       time.Time
+	Entries    []Entry
+	Checkpoint *Part
+}
+
+// opOverhead estimates the memory of an Op without its variable parts, bytes.
+const opOverhead = 400
+
+// Fold is the state of one partition: the result of its records in order. Two
+// folds that are covered and stand at the same offset are equal.
+type Fold struct {
+	ops  map[operation.Key]*Op
+	size int64
+	next platform.Offset
+	// now is the latest time of the log's clock among the records; it never
+	// goes back.
+	now     time.Time
+	covered bool
+	// pending keeps records that were read before any covering checkpoint.
+	pending []Record
+	first   platform.Offset
+	parts   partSet
+	// checkpointed is the latest log time of a complete checkpoint.
+	checkpointed time.Time
+	// began is the log time of the first record that was applied.
+	began  time.Time
+	expiry map[int64][]operation.Key
+}
+
+// NewFold returns a fold that starts at the first record that the log keeps.
+// From offset 0 on the history is whole; later it needs a checkpoint.
+func NewFold(first platform.Offset) *Fold {
+	return &Fold{
+		ops: map[operation.Key]*Op{}, next: first, first: first,
+		covered: first == 0, expiry: map[int64][]operation.Key{},
+		parts: partSet{keep: first != 0},
+	}
+}
+
+// Next returns the offset after the last record that was applied.
+func (f *Fold) Next() platform.Offset { return f.next }
+
+// Covered tells whether the fold knows the whole history of its keys.
+func (f *Fold) Covered() bool { return f.covered }
+
+// Len returns the number of keys held.
+func (f *Fold) Len() int { return len(f.ops) }
+
+// Size returns an estimate of the memory held, in bytes.
+func (f *Fold) Size() int64 { return f.size }
+
+// Get returns what the stream says of a key.
+func (f *Fold) Get(key operation.Key) (Op, bool) {
+	op, ok := f.ops[key]
+	if !ok || op.expired(f.now) {
+		return Op{}, false
+	}
+	return *op, true
+}
+
+// Unresolved returns the operations that wait for an operator, by key. An
+// empty customer selects all.
+func (f *Fold) Unresolved(customer fleet.CustomerID) []Op {
+	var list []Op
+	for _, op := range f.ops {
+		if !op.Unresolved() {
+			continue
+		}
+		if customer == "" || customer == op.Key.Customer {
+			list = append(list, *op)
+		}
+	}
+	slices.SortFunc(list, func(a, b Op) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
+
+// Live returns the claims without an outcome, by key.
+func (f *Fold) Live() []Op {
+	var list []Op
+	for _, op := range f.ops {
+		if op.State == operation.Claimed {
+			list = append(list, *op)
+		}
+	}
+	slices.SortFunc(list, func(a, b Op) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
+
+// Apply reads the next record. Records must come in order without gaps; those
+// that were read already are skipped.
+func (f *Fold) Apply(r Record) {
+	if r.Offset < f.next {
+		return
+	}
+	if r.Offset > f.next {
+		panic("claim: gap in the records of a partition")
+	}
+	f.next = r.Offset + 1
+	if !f.covered {
+		f.pending = append(f.pending, r)
+		f.cover(r)
+		return
+	}
+	f.applyRecord(r)
+}
+
+func (f *Fold) applyRecord(r Record) {
+	if r.Time.After(f.now) {
+		f.now = r.Time
+	}
+	if f.began.IsZero() {
+		f.began = f.now
+	}
+	for i := range r.Entries {
+		f.applyEntry(r.Offset, &r.Entries[i])
+	}
+	if r.Checkpoint == nil {
+		return
+	}
+	if r.Checkpoint.adoption() {
+		f.load(nil)
+		f.checkpointed = f.now
+		return
+	}
+	if f.parts.add(r.Checkpoint) {
+		f.checkpointed = f.now
+	}
+}
+
+// cover looks whether a record completes a checkpoint from which the fold can
+// start, and if so starts there and applies what was read since.
+func (f *Fold) cover(r Record) {
+	if r.Checkpoint == nil {
+		return
+	}
+	upto := r.Checkpoint.Upto
+	switch {
+	case r.Checkpoint.adoption():
+		upto = r.Offset
+	case !f.parts.add(r.Checkpoint) || upto < f.first:
+		return
+	}
+	f.load(f.parts.done)
+	f.parts = partSet{}
+	f.covered = true
+	pending := f.pending
+	f.pending = nil
+	for _, p := range pending {
+		if p.Offset >= upto {
+			f.applyRecord(p)
+		}
+	}
+	f.checkpointed = f.now
+}
+
+func (f *Fold) applyEntry(at platform.Offset, e *Entry) {
+	op := f.ops[e.Key]
+	if op != nil && op.expired(f.now) {
+		f.remove(op)
+		op = nil
+	}
+	switch e.Kind {
+	case Claim:
+		f.claim(op, e)
+	case Withdraw:
+		f.withdraw(op, e, at)
+	case Complete:
+		f.complete(op, e)
+	case Lose:
+		f.lose(op, e)
+	case SettleCompleted:
+		f.settle(op, e, operation.SettleCompleted)
+	case SettleNotRun:
+		f.settle(op, e, operation.SettleNotRun)
+	}
+}
+
+// claim lets the first claim for a free key win. A key is free if it has no
+// operation, or if the last was withdrawn before the request arrived.
+func (f *Fold) claim(op *Op, e *Entry) {
+	var withdrawn platform.Offset
+	if op != nil {
+		open := op.State == operation.NotRun && e.Claim != op.Claim && e.Base >= op.Withdrawn
+		if !open {
+			return
+		}
+		withdrawn = op.Withdrawn
+		f.remove(op)
+	}
+	f.put(&Op{Entry: *e, State: operation.Claimed, Claimed: f.now, Withdrawn: withdrawn})
+}
+
+// withdraw opens the key. Where the withdrawal arrives before its claim, it
+// stands in the claim's place.
+func (f *Fold) withdraw(op *Op, e *Entry, at platform.Offset) {
+	if op == nil {
+		f.put(&Op{Entry: *e, State: operation.NotRun, Claimed: f.now, Decided: f.now, Withdrawn: at + 1})
+		f.expire(f.ops[e.Key])
+		return
+	}
+	if op.Claim != e.Claim {
+		return
+	}
+	switch {
+	case op.State == operation.Claimed:
+		f.move(op, operation.Abandon, e)
+	case op.State == operation.Unknown && op.Presumed:
+		f.move(op, operation.Deny, e)
+	default:
+		f.contradict(op, operation.SettledCompleted)
+		return
+	}
+	op.Withdrawn = at + 1
+}
+
+func (f *Fold) complete(op *Op, e *Entry) {
+	if op == nil || op.Claim != e.Claim {
+		return
+	}
+	switch op.State {
+	case operation.Claimed:
+		// The stream keeps no entry for the dispatch; the holder does.
+		op.State = operation.Dispatched
+		f.move(op, operation.Complete, e)
+	case operation.Unknown:
+		f.move(op, operation.Report, e)
+	default:
+		f.contradict(op, operation.SettledNotRun)
+	}
+}
+
+func (f *Fold) lose(op *Op, e *Entry) {
+	if op == nil || op.Claim != e.Claim {
+		return
+	}
+	switch {
+	case op.State == operation.Claimed:
+		f.move(op, operation.Lose, e)
+		op.Presumed = e.Presumed
+	case op.State == operation.Unknown && op.Presumed && !e.Presumed:
+		// The holder itself confirms it, and names the target.
+		op.Presumed = false
+		op.Target = e.Target
+	}
+}
+
+func (f *Fold) settle(op *Op, e *Entry, ev operation.Event) {
+	if op == nil || op.Claim != e.Claim || op.State != operation.Unknown {
+		return
+	}
+	op.Operator = e.Operator
+	op.Reason = e.Reason
+	f.move(op, ev, e)
+}
+
+// contradict marks an operation that an operator settled one way and whose
+// holder reports the other.
+func (f *Fold) contradict(op *Op, settled operation.State) {
+	if op.State == settled {
+		op.Contradicted = true
+	}
+}
+
+// move applies an event that the caller has found legal.
+func (f *Fold) move(op *Op, ev operation.Event, e *Entry) {
+	next, err := op.State.Next(ev)
+	if err != nil {
+		panic("claim: " + err.Error())
+	}
+	f.size -= op.size()
+	op.State = next
+	op.Decided = f.now
+	op.Answer = e.Answer
+	if e.Target != "" {
+		op.Target = e.Target
+	}
+	f.size += op.size()
+	if next != operation.Unknown {
+		f.expire(op)
+	}
+}
+
+func (f *Fold) put(op *Op) {
+	f.ops[op.Key] = op
+	f.size += op.size()
+}
+
+func (f *Fold) remove(op *Op) {
+	delete(f.ops, op.Key)
+	f.size -= op.size()
+}
+
+func (o *Op) size() int64 {
+	n := opOverhead + len(o.Key.Name) + len(o.Digest)
+	if o.Answer != nil {
+		n += len(o.Answer.Body) + opOverhead
+	}
+	return int64(n)
+}
+
+// expire notes when an operation may be forgotten.
+func (f *Fold) expire(op *Op) {
+	minute := op.Decided.Add(op.Window).Unix()/60 + 1
+	f.expiry[minute] = append(f.expiry[minute], op.Key)
+}
+
+// Sweep drops the operations whose repeat window is over. It changes memory
+// alone, not what the fold says.
+func (f *Fold) Sweep() {
+	for minute, keys := range f.expiry {
+		if minute*60 >= f.now.Unix() {
+			continue
+		}
+		for _, key := range keys {
+			if op := f.ops[key]; op != nil && op.expired(f.now) {
+				f.remove(op)
+			}
+		}
+		delete(f.expiry, minute)
+	}
+}
+
+// Verdict returns what the stream says to the holder of a claim that has been
+// read.
+func (f *Fold) Verdict(id ID, key operation.Key, digest operation.Digest) (Verdict, Op) {
+	op, ok := f.Get(key)
+	switch {
+	case !ok:
+		return Outdated, Op{}
+	case op.Claim == id && op.State == operation.Claimed:
+		return Won, op
+	case op.Claim == id:
+		return Lost, op
+	case op.State == operation.NotRun:
+		return Outdated, op
+	case op.Digest != digest:
+		return Mismatch, op
+	}
+	return Lost, op
+}
--- /dev/null
+++ b/claim/model_test.go
@@ -0,0 +1,369 @@
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/platform"
+)
+
+// rules switches rules of the protocol off, to show that the model notices.
+type rules struct {
+	dispatchEarly bool // dispatch before the claim was read back
+	memoryOnly    bool // claims in the instance's memory alone
+	withdrawEarly bool // open the key before the caller was told not run
+	ignoreSilent  bool // survey: those who do not answer hold nothing
+	ignoreEnd     bool // survey: a recorder may lag behind the stream
+	freshBase     bool // take the base when the claim is sent, not before
+	leaseOnly     bool // a presumed loss opens the key for others
+}
+
+// message is delivered to one process, or lost with it.
+type message struct {
+	to    fleet.Holder
+	apply func(n *node)
+}
+
+// flight is an append whose effect or reply is still to come.
+type flight struct {
+	n     *node
+	rec   Record
+	batch uint64
+}
+
+// model is a fleet of processes with a log, under faults drawn by rapid. It
+// checks the promises at each run and each answer.
+type model struct {
+	rt      *rapid.T
+	rules   rules
+	now     time.Time
+	step    int
+	log     []Record
+	first   int
+	nodes   []*node
+	listed  []fleet.Holder
+	net     []message
+	flights []flight
+	logDown bool
+	healed  bool
+	inc     fleet.Incarnation
+	runs    map[operation.Key]int
+	toldAt  map[operation.Key]int
+	answers map[operation.Key]fleet.Outcome
+	trace   []string
+	err     error
+}
+
+// note keeps a line for the report of a broken promise.
+func (m *model) note(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf(fmt.Sprint(m.step, ": ")+format, args...))
+}
+
+func newModel(rt *rapid.T, r rules) *model {
+	m := &model{
+		rt: rt, rules: r, now: time.Unix(1_000_000, 0),
+		runs: map[operation.Key]int{}, toldAt: map[operation.Key]int{},
+		answers: map[operation.Key]fleet.Outcome{},
+	}
+	for i := range 3 {
+		m.nodes = append(m.nodes, m.start(i))
+	}
+	for _, n := range m.nodes {
+		n.greeted = true
+		n.hist.Observe(m.now, m.listed)
+		n.table.Greeted(m.now.Add(-time.Minute))
+	}
+	return m
+}
+
+func (m *model) start(instance int) *node {
+	m.inc++
+	self := fleet.Holder{Instance: fleet.InstanceID(fmt.Sprint("i", instance)), Incarnation: m.inc}
+	n := newNode(m, self)
+	m.listed = append(m.listed, self)
+	n.hist.Observe(m.now, m.listed)
+	return n
+}
+
+func (m *model) fail(format string, args ...any) {
+	if m.err == nil {
+		m.err = fmt.Errorf(fmt.Sprintf("step %d: ", m.step)+format, args...)
+	}
+}
+
+// uniform draws a number below 1024 bit by bit; rapid's own ranges prefer
+// small numbers, which would leave most of the histories unexplored.
+var uniform = rapid.Custom(func(rt *rapid.T) int {
+	v := 0
+	for range 10 {
+		v <<= 1
+		if rapid.Bool().Draw(rt, "bit") {
+			v++
+		}
+	}
+	return v
+})
+
+func (m *model) pick(n int, label string) int {
+	return uniform.Draw(m.rt, label) * n / 1024
+}
+
+// chance is false once the faults have ended.
+func (m *model) chance(percent int, label string) bool {
+	return !m.healed && m.pick(100, label) < percent
+}
+
+// ran is told of each run at the target, with the arrival of its request.
+func (m *model) ran(key operation.Key, arrived int) {
+	m.runs[key]++
+	m.note("%s ran, arrived %d", key.Name, arrived)
+	if m.runs[key] > 1 {
+		m.fail("%s ran twice", key.Name)
+	}
+	if t, ok := m.toldAt[key]; ok && arrived <= t {
+		m.fail("%s ran for a request of step %d after not run was told at %d", key.Name, arrived, t)
+	}
+}
+
+// tell is told of each answer to a caller.
+func (m *model) tell(key operation.Key, out fleet.Outcome) {
+	switch {
+	case out == fleet.NotRun && m.runs[key] > 0:
+		m.fail("%s was told not run after it ran", key.Name)
+	case out == fleet.Completed && m.runs[key] == 0:
+		m.fail("%s was told completed and never ran", key.Name)
+	}
+	m.note("%s told %s", key.Name, out)
+	if out == fleet.NotRun {
+		m.toldAt[key] = m.step
+	}
+	m.answers[key] = out
+}
+
+func (m *model) post(to fleet.Holder, apply func(n *node)) {
+	if m.chance(5, "lose") {
+		return
+	}
+	m.net = append(m.net, message{to, apply})
+	if m.chance(5, "duplicate") {
+		m.net = append(m.net, message{to, apply})
+	}
+}
+
+func (m *model) find(h fleet.Holder) *node {
+	for _, n := range m.nodes {
+		if n.self == h {
+			return n
+		}
+	}
+	return nil
+}
+
+func (m *model) deliver() {
+	if len(m.net) == 0 {
+		return
+	}
+	i := m.pick(len(m.net), "message")
+	msg := m.net[i]
+	n := m.find(msg.to)
+	if n != nil && n.paused {
+		return
+	}
+	m.net = append(m.net[:i], m.net[i+1:]...)
+	if n != nil {
+		msg.apply(n)
+	}
+}
+
+// append starts an append; its fate is drawn.
+func (m *model) append(n *node, batch uint64, rec Record) {
+	fate := 0
+	if !m.healed {
+		fate = m.pick(10, "append")
+	}
+	switch {
+	case m.logDown || fate == 9:
+		n.rec.Appended(m.now, batch, platform.ErrRefused)
+	case fate == 8: // late effect, reply lost
+		m.flights = append(m.flights, flight{n, rec, batch})
+		n.rec.Appended(m.now, batch, errLost)
+	case fate == 7: // reply lost
+		m.land(rec)
+		n.rec.Appended(m.now, batch, errLost)
+	default:
+		m.land(rec)
+		n.rec.Appended(m.now, batch, nil)
+	}
+}
+
+func (m *model) land(rec Record) {
+	rec.Offset = platform.Offset(len(m.log))
+	rec.Time = m.now
+	for _, e := range rec.Entries {
+		m.note("landed at %d: %s %s %s base %d", rec.Offset, e.Kind, e.Key.Name, e.Claim, e.Base)
+	}
+	m.log = append(m.log, rec)
+}
+
+func (m *model) landLate() {
+	if len(m.flights) == 0 || m.logDown {
+		return
+	}
+	i := m.pick(len(m.flights), "flight")
+	m.land(m.flights[i].rec)
+	m.flights = append(m.flights[:i], m.flights[i+1:]...)
+}
+
+// expire forgets the records before the last whole checkpoint.
+func (m *model) expire() {
+	for _, r := range m.log[m.first:] {
+		if c := r.Checkpoint; c != nil && c.Index == c.Count-1 && int(c.Upto) > m.first {
+			m.first = int(c.Upto)
+		}
+	}
+}
+
+func (m *model) crash(i int) {
+	old := m.nodes[i]
+	m.note("%s crashes", old.self)
+	for j, h := range m.listed {
+		if h == old.self {
+			m.listed = append(m.listed[:j], m.listed[j+1:]...)
+			break
+		}
+	}
+	n := m.start(i)
+	m.nodes[i] = n
+	m.greet(n)
+}
+
+// greet makes a new process known to another before it takes requests.
+func (m *model) greet(n *node) {
+	w := m.nodes[m.pick(len(m.nodes), "greet")]
+	if w == n || w.paused {
+		return
+	}
+	m.note("%s greets %s at %s", n.self, w.self, m.now)
+	w.hist.Met(n.self)
+	n.greeted = true
+	n.table.Greeted(m.now)
+}
+
+// advance is one step of the history.
+func (m *model) advance() {
+	m.step++
+	n := m.nodes[m.pick(len(m.nodes), "node")]
+	action := m.pick(100, "action")
+	switch {
+	case action < 30:
+		m.deliver()
+		return
+	case action < 33:
+		m.landLate()
+		return
+	case action < 41:
+		m.now = m.now.Add([]time.Duration{1, 1, 20, 20, 300, 1500, 6000, 90_000}[m.pick(8, "time")] * time.Millisecond)
+		return
+	case action < 43:
+		m.logDown = !m.logDown && m.chance(30, "log down")
+		return
+	case action < 44:
+		m.expire()
+		return
+	case action < 46:
+		n.paused = !n.paused && m.chance(50, "pause")
+		return
+	case action < 47:
+		if m.chance(50, "crashes") {
+			m.crash(m.pick(len(m.nodes), "crash"))
+		}
+		return
+	}
+	if n.paused {
+		return
+	}
+	n.act(action)
+}
+
+// heal ends the faults and lets everything run until no caller waits.
+func (m *model) heal() {
+	m.healed = true
+	m.logDown = false
+	for _, n := range m.nodes {
+		n.paused = false
+		if !n.greeted {
+			m.greet(n)
+		}
+	}
+	for range 400 {
+		m.settle()
+		if m.waiting() == 0 && len(m.net) == 0 {
+			return
+		}
+	}
+	for _, n := range m.nodes {
+		for t := range n.waits {
+			m.note("%s waits: state %s out %d told %v covered %v", t.a.ID, t.a.State(), t.out, t.told, n.rec.Fold().Covered())
+		}
+		m.note("followers %v", n.followers)
+	}
+	m.fail("%d callers got no answer after the faults had ended; %d messages", m.waiting(), len(m.net))
+}
+
+func (m *model) settle() {
+	m.step++
+	m.now = m.now.Add(700 * time.Millisecond)
+	for len(m.flights) > 0 {
+		m.landLate()
+	}
+	for range len(m.net) {
+		m.deliver()
+	}
+	for _, n := range m.nodes {
+		n.hist.Observe(m.now, m.listed)
+		n.tick()
+	}
+}
+
+func (m *model) waiting() int {
+	total := 0
+	for _, n := range m.nodes {
+		total += len(n.followers)
+		for _, callers := range n.waits {
+			total += len(callers)
+		}
+	}
+	return total
+}
+
+// repeat sends each key again until its answer is final.
+func (m *model) repeat(keys []operation.Key) {
+	for _, key := range keys {
+		final := false
+		for try := 0; try < 40 && !final && m.err == nil; try++ {
+			n := m.nodes[try%len(m.nodes)]
+			n.end = n.rec.End()
+			n.unresolved = false
+			n.arrive(key)
+			m.heal()
+			m.now = m.now.Add(time.Second)
+			final = m.answers[key] == fleet.Completed || m.lastUnknownIsFinal(key)
+		}
+		if !final {
+			m.fail("%s got no final answer after the faults had ended", key.Name)
+		}
+	}
+}
+
+func (m *model) lastUnknownIsFinal(key operation.Key) bool {
+	for _, n := range m.nodes {
+		if op, ok := n.rec.Fold().Get(key); ok && op.State == operation.Unknown {
+			return true
+		}
+	}
+	return false
+}
