Pool evidence between instances and report status

Cause: each instance judged targets alone, and operators saw nothing. Measured: go test ./instance ./evidence ./reelctl green. Conclusion: detection under real faults is measured next.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/allowance"
+	"github.com/clementinereel/clementinereel/evidence"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/follow"
 	"github.com/clementinereel/clementinereel/peer"
@@ -20,6 +21,7 @@
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/route"
 	"github.com/clementinereel/clementinereel/settings"
+	"github.com/clementinereel/clementinereel/status"
 	"github.com/clementinereel/clementinereel/telemetry"
 	"github.com/clementinereel/clementinereel/upstream"
 )
@@ -34,6 +36,7 @@
 	pool       *pool.Set
 	follower   *follow.Follower
 	allowances *allowance.Client
+	evidence   *evidence.Table
 	view       atomic.Pointer[publication.View]
 	transport  *peer.Transport
 	gossip     *peer.Gossip
@@ -65,13 +68,14 @@
 		pool:     pool.New(pool.Config{}),
 		sockets:  sockets,
 	}
-	i.services = upstream.NewSet(upstream.Env{Via: via, Pool: i.pool, Seed: upstream.Seed()})
 	i.routes.Store(route.Empty)
 	if err := i.joinPeers(); err != nil {
 		sockets.close()
 		return nil, err
 	}
 	i.followMembers()
+	i.shareEvidence()
+	i.services = upstream.NewSet(upstream.Env{Via: via, Pool: i.pool, Evidence: i.evidence, Seed: upstream.Seed()})
 	i.followConfiguration()
 	i.shareLimits()
 	handler := proxy.New(proxy.Config{
@@ -128,6 +132,7 @@
 	e := echo.New()
 	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", i.serveReady)
+	e.GET(status.Path, i.serveStatus)
 	e.GET("/metrics", echo.WrapHandler(i.metrics))
 	return &http.Server{Handler: e, ReadHeaderTimeout: i.cfg.Bounds.HeaderTimeout.D()}
 }
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -22,6 +22,7 @@
 	i.finishRequests()
 	i.cancel()
 	i.systems.Wait()
+	i.evidence.Close()
 	i.closePeers()
 	_ = i.admin.Close()
 	i.pool.Close()
--- a/reelctl/status.go
+++ b/reelctl/status.go
@@ -175,13 +175,13 @@
 
 func printEjections(w io.Writer, all []reported) {
 	fmt.Fprintln(w)
-	table(w, "EJECTED TARGET\tSERVICE\tSEEN BY\tSCOPE\tSINCE\tREASON", func(w io.Writer) {
+	table(w, "EJECTED TARGET\tSERVICE\tSEEN BY\tSCOPE\tUNTIL\tREASON", func(w io.Writer) {
 		for _, r := range all {
 			if r.Report == nil {
 				continue
 			}
 			for _, e := range r.Report.Ejected {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", e.Target, e.Service, r.Report.Instance, e.Scope, e.Since.UTC().Format(timeFormat), e.Reason)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", e.Target, e.Service, r.Report.Instance, e.Scope, e.Until.UTC().Format(timeFormat), e.Reason)
 			}
 		}
 	})
--- a/status/status.go
+++ b/status/status.go
@@ -47,8 +47,7 @@
 	Scope string `json:"scope"`
 	// Reason says on what evidence.
 	Reason string `json:"reason"`
-	// Since and Until bound the ejection; Until may be extended.
-	Since time.Time `json:"since"`
+	// Until is when trial traffic begins; it may be put off.
 	Until time.Time `json:"until"`
 }
 
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/clementinereel/clementinereel/admission"
 	"github.com/clementinereel/clementinereel/balancer"
 	"github.com/clementinereel/clementinereel/contract"
+	"github.com/clementinereel/clementinereel/evidence"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/outlier"
 	"github.com/clementinereel/clementinereel/pool"
@@ -21,10 +21,9 @@
 	via      Via
 	pool     *pool.Set
 	balancer *balancer.Balancer
-	detector *outlier.Detector
+	health   *evidence.Service
 	budget   *retry.Budget
 	gates    [len(classes)]*admission.Queue
-	health   atomic.Pointer[outlier.Snapshot]
 
 	// The tick alone uses what follows.
 	settings  *contract.Service
@@ -36,12 +35,12 @@
 
 var classes = [...]fleet.Class{fleet.Lookup, fleet.Confirmation, fleet.Upload}
 
-func newService(id fleet.ServiceID, env Env, cs *contract.Service, now time.Time) *Service {
+func newService(id fleet.ServiceID, env Env, cs *contract.Service, health *evidence.Service, now time.Time) *Service {
 	s := &Service{
 		ID:       id,
 		via:      env.Via,
 		pool:     env.Pool,
-		detector: outlier.NewDetector(outlier.FromContract(*cs), env.Via.Instance, env.Via.Zone),
+		health:   health,
 		budget:   retry.NewBudget(now),
 		settings: cs,
 		config:   balancer.FromContract(*cs),
@@ -59,8 +58,8 @@
 // Budget returns the bound on further tries.
 func (s *Service) Budget() *retry.Budget { return s.budget }
 
-// Health returns what is known of the targets, nil before the first tick.
-func (s *Service) Health() *outlier.Snapshot { return s.health.Load() }
+// Health returns what is known of the targets.
+func (s *Service) Health() *outlier.Snapshot { return s.health.Snapshot() }
 
 // Expected is the latency to be expected of a try, 0 if nothing is known yet.
 func (s *Service) Expected(c fleet.Class) time.Duration { return s.Gate(c).Stats().Latency }
@@ -100,9 +99,9 @@
 
 // try sends the request to the picked target and records how it ended.
 func (s *Service) try(ctx context.Context, class fleet.Class, pick balancer.Pick, req *Request) Result {
-	watch := s.detector.Start(pick.Target.ID, time.Now())
+	watch := s.health.Start(pick.Target.ID, time.Now())
 	res := Try(ctx, s.pool.RoundTripper(pick.Target), s.via, pick.Target, req)
-	s.detector.Done(watch, res.Try, res.Latency)
+	s.health.Done(watch, res.Try, res.Latency)
 	s.Gate(class).Observe(res.Try, res.Latency)
 	s.budget.Observe(time.Now(), res.Try)
 	pick.Done(balancer.DoneInfo{Result: res.Try, Latency: res.Latency, RetryAfter: res.RetryAfter})
--- a/upstream/set.go
+++ b/upstream/set.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementinereel/clementinereel/balancer"
 	"github.com/clementinereel/clementinereel/contract"
+	"github.com/clementinereel/clementinereel/evidence"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/outlier"
 	"github.com/clementinereel/clementinereel/pool"
@@ -18,6 +19,8 @@
 type Env struct {
 	Via  Via
 	Pool *pool.Set
+	// Evidence judges the targets. Its Tick runs before that of the Set.
+	Evidence *evidence.Table
 	// Seed makes this instance's random choices differ from others'.
 	Seed uint64
 }
@@ -62,6 +65,11 @@
 			next[id] = s.follow(now, old[id], id, cs, v.Targets[id], members)
 		}
 	}
+	for id := range old {
+		if next[id] == nil {
+			s.env.Evidence.Remove(id)
+		}
+	}
 	s.services.Store(&next)
 	s.share()
 }
@@ -79,73 +87,39 @@
 
 // follow brings one service in line with its contract and targets.
 func (s *Set) follow(now time.Time, svc *Service, id fleet.ServiceID, cs *contract.Service, ts []fleet.Target, members balancer.Members) *Service {
+	health := s.env.Evidence.Set(id, outlier.FromContract(*cs), ts)
 	if svc == nil || svc.config != balancer.FromContract(*cs) {
-		svc = newService(id, s.env, cs, now)
-	}
-	if svc.settings != cs {
-		svc.settings = cs
-		svc.detector.SetConfig(outlier.FromContract(*cs))
+		svc = newService(id, s.env, cs, health, now)
 	}
+	svc.settings = cs
 	svc.targets = ts
-	svc.detector.SetTargets(now, ts)
 	svc.tick(now, members)
 	return svc
 }
 
-// Output is what the tick of one service hands out.
-type Output struct {
-	Service *Service
-	outlier.Output
-}
-
-// Tick moves every service on and returns what their detectors say.
-func (s *Set) Tick(now time.Time, members balancer.Members) []Output {
+// Tick rebuilds the choice of targets by what is known of their health.
+func (s *Set) Tick(now time.Time, members balancer.Members) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var outs []Output
 	changed := false
 	for _, svc := range *s.services.Load() {
 		before := svc.balancer.Picker()
-		out := svc.tick(now, members)
+		svc.tick(now, members)
 		changed = changed || svc.balancer.Picker() != before
-		if out.Report != nil || len(out.Events) > 0 || out.Suspect {
-			outs = append(outs, Output{Service: svc, Output: out})
-		}
 	}
 	if changed {
 		s.share()
 	}
-	return outs
-}
-
-// Apply hands a service's detector what its aggregator says.
-func (s *Set) Apply(now time.Time, v outlier.Verdicts) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if svc := s.Service(v.Service); svc != nil {
-		svc.detector.ApplyVerdicts(now, v)
-	}
-}
-
-// ReportTo tells a service's detector who its aggregator is.
-func (s *Set) ReportTo(id fleet.ServiceID, aggregator fleet.InstanceID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if svc := s.Service(id); svc != nil {
-		svc.detector.ReportTo(aggregator)
-	}
 }
 
-// tick judges the targets and rebuilds the choice among them.
-func (s *Service) tick(now time.Time, members balancer.Members) outlier.Output {
-	out := s.detector.Tick(now)
-	s.health.Store(out.Snapshot)
-	s.balancer.Update(now, s.targets, out.Snapshot.Weight, members)
-	s.setCapacity(out.Snapshot, members.Len())
+// tick rebuilds the choice among the service's targets.
+func (s *Service) tick(now time.Time, members balancer.Members) {
+	h := s.health.Snapshot()
+	s.balancer.Update(now, s.targets, h.Weight, members)
+	s.setCapacity(h, members.Len())
 	for _, g := range s.gates {
 		g.Tick()
 	}
-	return out
 }
 
 // setCapacity tells the gates how many slots are healthy.
