Give every instance a target where connections are fewest

Cause: at 920 instances and 6 targets of 300 connections the windows left some instances without any target; half of each target's connections went to its own zone, which wasn't enough to cover the zone once.

--- a/balancer/assign.go
+++ b/balancer/assign.go
@@ -80,7 +80,7 @@
 func assignWindows(budget int, zone []Assignment, v *memberView) {
 	z := zone[0].Target.Zone
 	g := v.groupFor(z)
-	width := windowWidth(budget, v.perZone[z], len(v.hashed), v.self.Zone == z)
+	width := windowWidth(budget, len(zone), v.perZone[z], len(v.hashed), v.self.Zone == z)
 	for k := range zone {
 		start := k * g.size / len(zone)
 		if (g.rank-start+g.size)%g.size < width {
@@ -90,9 +90,11 @@
 }
 
 // windowWidth splits a target's connections: half to the instances of its own
-// zone, half to all others; what one side can't use goes to the other.
-func windowWidth(budget, inZone, total int, inside bool) int {
-	own := min(inZone, budget/2)
+// zone, more if it takes more for each of them to reach a target there, and
+// the rest to all others; what one side can't use goes to the other.
+func windowWidth(budget, targets, inZone, total int, inside bool) int {
+	each := (inZone + targets - 1) / targets
+	own := min(inZone, budget, max(budget/2, each))
 	others := min(total-inZone, budget-own)
 	if inside {
 		return min(inZone, budget-others)
--- a/balancer/members.go
+++ b/balancer/members.go
@@ -31,15 +31,20 @@
 	perZone map[fleet.Zone]int
 	// rankByZone is self's place when the members are sorted by zone first.
 	rankByZone int
+	// groups are self's groups as seen from each zone with members.
+	groups map[fleet.Zone]group
 }
 
 // NewMembers builds the list. Self is added if the list lacks it.
 func NewMembers(self Member, all []Member) Members {
-	v := &memberView{self: self, perZone: make(map[fleet.Zone]int)}
+	v := &memberView{self: self, perZone: make(map[fleet.Zone]int), groups: make(map[fleet.Zone]group)}
 	v.hashed = distinct(append(slices.Clone(all), self))
 	for _, m := range v.hashed {
 		v.perZone[m.Zone]++
 	}
+	for z := range v.perZone {
+		v.groups[z] = v.countGroup(z)
+	}
 	v.rankByZone = rankByZone(v.hashed, self)
 	return Members{v}
 }
@@ -47,11 +52,25 @@
 // Len is the number of instances in the list.
 func (m Members) Len() int { return len(m.v.hashed) }
 
+// distinct returns the members by the hash of their IDs, each once.
 func distinct(ms []Member) []Member {
-	slices.SortFunc(ms, func(a, b Member) int {
-		c := cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
-		return cmp.Or(c, cmp.Compare(a.ID, b.ID))
+	type keyed struct {
+		hash uint64
+		Member
+	}
+	ks := make([]keyed, len(ms))
+	for i, m := range ms {
+		ks[i] = keyed{xxhash.Sum64String(string(m.ID)), m}
+	}
+	slices.SortFunc(ks, func(a, b keyed) int {
+		if a.hash != b.hash {
+			return cmp.Compare(a.hash, b.hash)
+		}
+		return cmp.Compare(a.ID, b.ID)
 	})
+	for i, k := range ks {
+		ms[i] = k.Member
+	}
 	return slices.CompactFunc(ms, func(a, b Member) bool { return a.ID == b.ID })
 }
 
@@ -90,6 +109,13 @@
 
 // groupFor returns the group that self belongs to as seen from a zone.
 func (v *memberView) groupFor(z fleet.Zone) group {
+	if g, ok := v.groups[z]; ok {
+		return g
+	}
+	return v.countGroup(z)
+}
+
+func (v *memberView) countGroup(z fleet.Zone) group {
 	inside := v.self.Zone == z
 	g := group{size: v.perZone[z]}
 	if !inside {
