--- a/telemetry/expose.go
+++ b/telemetry/expose.go
@@ -43,12 +43,11 @@
 	}
 }
 
-// split parts `base{labels}` into base and the labels without braces.
+// split parts `base{labels}` into base and the labels without braces. Dots,
+// which packages use to group their metrics, become underscores.
 func split(name string) (base, labels string) {
-	base, rest, ok := strings.Cut(name, "{")
-	if !ok {
-		return name, ""
-	}
+	base, rest, _ := strings.Cut(name, "{")
+	base = strings.ReplaceAll(base, ".", "_")
 	return base, strings.TrimSuffix(rest, "}")
 }
 
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -14,12 +14,14 @@
 func TestExpositionSplitsLabelsFromNames(t *testing.T) {
 	r := telemetry.NewRegistry()
 	r.Counter("decisions", telemetry.Label{Key: "customer", Value: `a"b`}).Inc(3)
+	r.Counter("peer.calls.in").Inc(1)
 	r.Request("a", fleet.Lookup, 200, 20*time.Millisecond)
 	var b strings.Builder
 	r.Write(&b)
 	for _, want := range []string{
 		"# TYPE clementinereel_decisions counter\n",
 		`clementinereel_decisions{customer="a\"b"} 3`,
+		"clementinereel_peer_calls_in 1\n",
 		"# TYPE clementinereel_request_duration_seconds summary\n",
 		`clementinereel_request_duration_seconds{customer="a",class="lookup",status="2xx",quantile="0.99"} 0.02`,
 		`clementinereel_request_duration_seconds_count{customer="a",class="lookup",status="2xx"} 1`,
