Log each failed request in one line, within a rate

Cause: a refused request left no trace but a counter. Change: one line with request id, customer, route, status, type and outcome for each 5xx, at most 50 a second; -v=2 adds every answered request. Conclusion: an answer's Request-Id finds its line.

--- a/cmd/clementinereel/main.go
+++ b/cmd/clementinereel/main.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"flag"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -31,6 +33,8 @@
 var errSettings = errors.New("settings refused")
 
 type cli struct {
+	Verbosity int `short:"v" name:"v" default:"0" help:"Log level: 2 adds a line for each answered request."`
+
 	Serve serveCmd `cmd:"" help:"Run one instance until TERM or INT; then stop without cutting a request."`
 	Dev   dev.Cmd  `cmd:"" help:"Run two instances, a platform stand-in and targets in one process on loopback, with an example contract."`
 }
@@ -61,11 +65,21 @@
 		kong.Name("clementinereel"),
 		kong.Description(description),
 		kong.BindTo(ctx, (*context.Context)(nil)))
+	setVerbosity(c.Verbosity)
 	code := exitCode(k.Run())
 	klog.Flush()
 	os.Exit(code)
 }
 
+// setVerbosity sets klog's level by the flag that klog reads it from.
+func setVerbosity(level int) {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	if err := fs.Set("v", strconv.Itoa(level)); err != nil {
+		panic(err) // the flag takes any integer
+	}
+}
+
 func exitCode(err error) int {
 	switch {
 	case err == nil:
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -25,6 +25,7 @@
 	}
 	x.w.WriteHeader(a.Status)
 	_, _ = x.w.Write(a.Body)
+	h.log.answered(x, a.Status)
 	h.finished(x, a.Status)
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -29,11 +29,12 @@
 // Handler serves callers' requests.
 type Handler struct {
 	cfg Config
+	log requestLog
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg}
+	return &Handler{cfg: cfg, log: newRequestLog()}
 }
 
 // exchange is one request on its way through the handler.
@@ -98,6 +99,9 @@
 // refuse ends an exchange with a problem.
 func (h *Handler) refuse(x *exchange, p *problem.Problem) {
 	p.Write(x.w, x.id)
+	if !h.log.refused(x, p) {
+		h.cfg.Metrics.Counter("log_lines_left_out").Inc(1)
+	}
 	h.finished(x, p.Status)
 }
 
