Tell callers when no target can be chosen

Cause: the case was reported as a failed target. Change: tryProblem answers 503 no-target with Retry-After for it.

--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"maps"
 	"net/http"
 	"strconv"
@@ -34,6 +35,9 @@
 	if res.TooLarge {
 		return problem.New(http.StatusBadGateway, problem.AnswerTooLarge, "the target's answer is larger than the contract allows")
 	}
+	if errors.Is(res.Err, upstream.ErrNoTarget) {
+		return noTarget()
+	}
 	switch res.Try {
 	case fleet.TryTimeout:
 		return problem.New(http.StatusGatewayTimeout, problem.TargetTimeout, "the target did not answer within the deadline").After(retryLater)
