--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/fleet"
 )
 
 func wholeLimit(rate float64) Limits {
@@ -158,16 +160,71 @@
 	lost := g.Fold(testEpoch, limits, view, demand)
 	assert.Equal(t, lost.Limits[0].Level, 90.0, "the lost grant is taken back")
 
+	demand.Seq, demand.Applied = 3, 2
+	applied := g.Fold(testEpoch, limits, view, demand)
+	assert.Equal(t, applied.Limits[0].Level, 80.0, "an applied grant is not")
+
 	demand.Seq = 1
 	assert.Assert(t, g.Fold(testEpoch, limits, view, demand).Stale)
 
 	demand.Holder.Incarnation, demand.Seq = 1, 9
 	assert.Assert(t, g.Fold(testEpoch, limits, view, demand).Stale, "an earlier process")
 
+	assert.Equal(t, g.buckets[Whole].held, 10.0)
+	g.bucket(testEpoch.Add(5*time.Second), &limits[0], view)
+	assert.Equal(t, g.buckets[Whole].level, 90.0, "what accounts hold is part of the burst")
 	g.Fold(testEpoch.Add(time.Minute), limits, view, Demand{})
 	assert.Equal(t, g.buckets[Whole].held, 0.0, "silent accounts are forgotten")
 }
 
+func TestSlotsCountUntilTheAccountHasLetThemGo(t *testing.T) {
+	limits := wholeLimit(100)
+	limits[0].Concurrency = 10
+	view := View{Listed: 2, Reached: 2, Since: testEpoch}
+	g := NewGranter()
+	ask := func(id string, seq, applied uint64, want int) int {
+		d := Demand{Seq: seq, Applied: applied, Limits: []LimitDemand{{WantSlots: want, Busy: 9}}}
+		d.Holder.Instance = fleet.InstanceID(id)
+		return g.Fold(testEpoch, limits, view, d).Limits[0].Slots
+	}
+	assert.Equal(t, ask("a", 1, 0, 8), 8)
+	assert.Equal(t, ask("a", 2, 1, 1), 1)
+	assert.Equal(t, ask("b", 1, 0, 8), 2, "a may still go by 8")
+	assert.Equal(t, ask("a", 3, 2, 1), 1)
+	assert.Equal(t, ask("b", 2, 1, 8), 8)
+}
+
+func TestAccountsAnswerAndLifetime(t *testing.T) {
+	limits := wholeLimit(100)
+	table := NewTable(fleet.Holder{Instance: "a"}, func(fleet.CustomerID) (Limits, bool) { return limits, true }, func() {})
+	now := testEpoch
+	table.Take(now, "c", Whole).Done(now)
+	grant := func(seq uint64) Grant {
+		return Grant{Customer: "c", Seq: seq, Lifetime: Lifetime, Limits: []LimitGrant{{Tokens: 50}}}
+	}
+	now = now.Add(askLazily)
+	first := table.Demands(now)
+	assert.Equal(t, len(first), 1)
+	now = now.Add(answerWithin + askLazily)
+	second := table.Demands(now)
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, !table.Apply(now, grant(first[0].Seq)), "given up")
+	assert.Assert(t, table.Apply(now, grant(second[0].Seq)))
+	assert.Assert(t, !table.Apply(now, grant(second[0].Seq)), "applied already")
+	assert.Equal(t, table.known("c").lines[0].balance, 50.0, "the debt was earned while cut off")
+
+	now = now.Add(Lifetime + time.Second)
+	table.Take(now, "c", Whole).Done(now)
+	assert.Equal(t, table.known("c").lines[0].balance, -1.0, "the grant has ended")
+
+	now = now.Add(idleAfter)
+	debt := table.Demands(now)
+	assert.Equal(t, len(debt), 1, "an account in debt is kept")
+	table.Apply(now, grant(debt[0].Seq))
+	table.Demands(now)
+	assert.Equal(t, table.Len(), 0, "an idle one is not")
+}
+
 func TestHeaders(t *testing.T) {
 	h := http.Header{}
 	SetHeaders(h, Decision{
