--- a/allowance/client.go
+++ b/allowance/client.go
@@ -18,7 +18,7 @@
 
 const (
 	// TickInterval is how often Run looks for demands that are due.
-	TickInterval = 50 * time.Millisecond
+	TickInterval = 100 * time.Millisecond
 	// urgentPause is the least time between looks for urgent ones.
 	urgentPause = 5 * time.Millisecond
 	// callTimeout bounds a call; accounts give a demand up soon after.
