Tell how long a call waits for a ping from how long the ping may take

Under a busy machine a ping took longer than 300 ms and a sound path counted as cut. The ping now has 500 ms by default, apart from the 300 ms after which a waiting call is checked.

--- a/peer/path.go
+++ b/peer/path.go
@@ -95,7 +95,7 @@
 func (p *path) verify() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.cut && time.Since(p.heard) > p.settings.PingTimeout {
+	if !p.cut && time.Since(p.heard) > p.settings.PingAfter {
 		p.pingInBackground()
 	}
 }
@@ -199,7 +199,7 @@
 // gives up with errPathCut when a ping fails.
 func (p *path) call(req *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
-	watch := time.AfterFunc(p.settings.PingTimeout, func() { p.watch(ctx, cancel) })
+	watch := time.AfterFunc(p.settings.PingAfter, func() { p.watch(ctx, cancel) })
 	resp, err := p.roundTripper().RoundTrip(req.WithContext(ctx))
 	watch.Stop()
 	if err != nil {
@@ -228,13 +228,13 @@
 // watch pings the peer until the call ends or a ping fails.
 func (p *path) watch(ctx context.Context, cancel context.CancelCauseFunc) {
 	for ctx.Err() == nil {
-		if !p.heardWithin(p.settings.PingTimeout) && p.ping(ctx) != nil && ctx.Err() == nil {
+		if !p.heardWithin(p.settings.PingAfter) && p.ping(ctx) != nil && ctx.Err() == nil {
 			cancel(errPathCut)
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(p.settings.PingTimeout):
+		case <-time.After(p.settings.PingAfter):
 		}
 	}
 }
--- a/peer/settings.go
+++ b/peer/settings.go
@@ -14,8 +14,12 @@
 	Secret string
 	// ConnectTimeout bounds a new connection to a peer. Default 300 ms.
 	ConnectTimeout time.Duration
-	// PingTimeout is how long a peer may take to answer a ping; and how long
-	// a call waits for its answer before the peer is pinged. Default 300 ms.
+	// PingAfter is how long a call waits for its answer before the peer is
+	// pinged, and again as long after each ping. Default 300 ms.
+	PingAfter time.Duration
+	// PingTimeout is how long a peer may take to answer a ping before the
+	// path counts as cut. It must cover the pauses of a busy process.
+	// Default 500 ms.
 	PingTimeout time.Duration
 	// RetryMin and RetryMax bound the time after which a path that is cut is
 	// tried again; it doubles from one to the other. Defaults 1 s and 15 s.
@@ -46,7 +50,8 @@
 // withDefaults fills in the fields that are zero.
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.ConnectTimeout, 300*time.Millisecond)
-	setDefault(&s.PingTimeout, 300*time.Millisecond)
+	setDefault(&s.PingAfter, 300*time.Millisecond)
+	setDefault(&s.PingTimeout, 500*time.Millisecond)
 	setDefault(&s.RetryMin, time.Second)
 	setDefault(&s.RetryMax, 15*time.Second)
 	setDefault(&s.IdleTimeout, 30*time.Second)
@@ -62,7 +67,8 @@
 func (s Settings) Check() error {
 	s = s.withDefaults()
 	for _, d := range []time.Duration{
-		s.ConnectTimeout, s.PingTimeout, s.RetryMin, s.RetryMax, s.IdleTimeout, s.CallTimeout,
+		s.ConnectTimeout, s.PingAfter, s.PingTimeout,
+		s.RetryMin, s.RetryMax, s.IdleTimeout, s.CallTimeout,
 	} {
 		if d < 0 {
 			return errors.Errorf("peer: negative time %v", d)
