--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -45,7 +45,11 @@
 }
 
 func steadyFleet(seed uint64, count int) *network {
-	w := startFleet(seed, count, Settings{})
+	return steadyFleetWith(seed, count, Settings{})
+}
+
+func steadyFleetWith(seed uint64, count int, s Settings) *network {
+	w := startFleet(seed, count, s)
 	w.knowEachOther()
 	w.run(2 * time.Second)
 	w.sent, w.bytes = 0, 0
@@ -136,6 +140,37 @@
 	}
 }
 
+// BenchmarkSuspicionFactor weighs detection of a crash against false deaths
+// with 5% of messages lost, in a fleet of 44.
+func BenchmarkSuspicionFactor(b *testing.B) {
+	for _, factor := range []float64{1, 2, 3, 4} {
+		b.Run(fmt.Sprintf("factor=%v", factor), func(b *testing.B) {
+			const span = 5 * time.Minute
+			var first, all []time.Duration
+			var hours float64
+			deaths := 0
+			for seed := uint64(1); b.Loop(); seed++ {
+				w := steadyFleetWith(seed, 44, Settings{SuspicionFactor: factor})
+				w.loss = 0.05
+				a := &accusations{last: w.now, suspected: map[Member]bool{}}
+				w.watch = func() { w.count(a) }
+				w.run(span)
+				hours += span.Hours()
+				deaths += a.deaths
+				begin := w.now
+				w.crash(testID(1))
+				w.until(time.Minute, func() bool { return w.anySees(testID(1), Dead) })
+				first = append(first, w.now.Sub(begin))
+				w.until(time.Minute, func() bool { return w.allSee(testID(1), Dead) })
+				all = append(all, w.now.Sub(begin))
+			}
+			reportTimes(b, first, "first-")
+			reportTimes(b, all, "all-")
+			b.ReportMetric(float64(deaths)/hours, "false-deaths/h")
+		})
+	}
+}
+
 func reportTimes(b *testing.B, took []time.Duration, prefix string) {
 	slices.Sort(took)
 	b.ReportMetric(took[len(took)/2].Seconds(), prefix+"median-s")
--- a/membership/message.go
+++ b/membership/message.go
@@ -30,6 +30,7 @@
 // Limits of a received message.
 const (
 	maxName    = 128
+	maxVersion = 1 << 48
 	maxRecords = 4096
 	buckets    = 64
 )
@@ -104,6 +105,8 @@
 		return errors.Wrapf(ErrMalformed, "address or zone of %q", m.ID)
 	case m.Incarnation <= 0:
 		return errors.Wrapf(ErrMalformed, "incarnation %d of %q", m.Incarnation, m.ID)
+	case m.Version > maxVersion:
+		return errors.Wrapf(ErrMalformed, "version %d of %q", m.Version, m.ID)
 	case m.State < Alive || m.State > Dead:
 		return errors.Wrapf(ErrMalformed, "state %d of %q", m.State, m.ID)
 	}
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -19,7 +19,7 @@
 	// Relays is the number of third members asked. Default 3.
 	Relays int
 	// SuspicionFactor times Interval times log10 of the fleet's size (at
-	// least 1) is the time in which a suspect may refute. Default 4.
+	// least 1) is the time in which a suspect may refute. Default 3.
 	SuspicionFactor float64
 	// SpreadFactor times log10 of the fleet's size (at least 1) is how often
 	// an instance passes on a changed record. Default 4.
@@ -52,7 +52,7 @@
 	setDefault(&s.AckTimeout, 200*time.Millisecond)
 	setDefault(&s.IndirectTimeout, 400*time.Millisecond)
 	setDefault(&s.Relays, 3)
-	setDefault(&s.SuspicionFactor, 4)
+	setDefault(&s.SuspicionFactor, 3)
 	setDefault(&s.SpreadFactor, 4)
 	setDefault(&s.SyncInterval, 10*time.Second)
 	setDefault(&s.SeedInterval, 2*time.Second)
--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
 	"runtime"
 	"syscall"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/clementinereel/clementinereel/membership"
 )
 
@@ -85,3 +88,34 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkCall reports time and bytes of a small call, over an open
+// connection and with a new one each time.
+func BenchmarkCall(b *testing.B) {
+	for _, cold := range []bool{false, true} {
+		b.Run(fmt.Sprintf("cold=%v", cold), func(b *testing.B) {
+			_, nodes := newNodes(b, 2, Settings{})
+			for _, n := range nodes {
+				n.server.Handle("/echo", http.HandlerFunc(echo))
+				n.start(b)
+			}
+			t := nodes[0].transport
+			full, empty := t.View(), membership.NewView("i0", nil)
+			_, _, err := post(b.Context(), nodes[0], "i1", "hello")
+			assert.NilError(b, err)
+			before := t.Stats()
+			b.ReportAllocs()
+			for b.Loop() {
+				if cold {
+					t.SetView(empty)
+					t.SetView(full)
+				}
+				_, _, err := post(b.Context(), nodes[0], "i1", "hello")
+				assert.NilError(b, err)
+			}
+			after := t.Stats()
+			moved := after.BytesOut + after.BytesIn - before.BytesOut - before.BytesIn
+			b.ReportMetric(float64(moved)/float64(b.N), "wire-B/op")
+		})
+	}
+}
