faults: cut pairs of instances, and instances from targets

A switch before an address finds the process that owns a connection and gives each instance a toxiproxy link of its own.

--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -21,6 +21,14 @@
 // defaultTargets is how many targets a service has.
 const defaultTargets = 6
 
+// maxRunning is how many fleets run at once; further tests wait.
+const maxRunning = 4
+
+var running = make(chan struct{}, maxRunning)
+
+// maxInFlight bounds the requests of one load.
+const maxInFlight = 512
+
 // Setup says what a Fleet consists of.
 type Setup struct {
 	// Binaries are the programs under test. Required.
@@ -40,7 +48,7 @@
 	// Target describes the targets; slots and connections come from the
 	// contract.
 	Target emulator.Options
-	// TargetLinks puts a Link before each target.
+	// TargetLinks puts a Switch before each target.
 	TargetLinks bool
 	// NoLinks leaves out the links before peers and platform.
 	NoLinks bool
@@ -72,9 +80,12 @@
 	setup Setup
 	dir   string
 	log   *platform.Client
+	// owners knows the instances' processes.
+	owners owners
 
 	Platform    *standin.Server
 	platformURL string
+	outage      logOutage
 	Contract    *contract.Contract
 	// Targets are the emulated targets by the service's name.
 	Targets   map[string][]*Target
@@ -89,6 +100,8 @@
 // the test.
 func New(t testing.TB, s Setup) *Fleet {
 	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	s.complete()
 	f := &Fleet{t: t, setup: s, dir: t.TempDir(), Targets: map[string][]*Target{}, revision: publication.NoRevision}
 	f.startPlatform()
@@ -104,7 +117,7 @@
 
 func (f *Fleet) startPlatform() {
 	f.Platform = standin.New(f.setup.Platform)
-	srv := httptest.NewServer(f.Platform.Handler())
+	srv := httptest.NewServer(f.outage.before(f.Platform.Handler()))
 	f.t.Cleanup(srv.CloseClientConnections)
 	f.platformURL = srv.URL
 	f.log = platform.NewClient(srv.URL, 0)
@@ -176,7 +189,7 @@
 	if len(through) == 0 {
 		through = f.Instances
 	}
-	o := load.Options{Host: f.Contract.Hosts[0], Mix: mix, Duration: d, Seed: 1, Poisson: true}
+	o := load.Options{Host: f.Contract.Hosts[0], Mix: mix, Duration: d, Seed: 1, Poisson: true, MaxInFlight: maxInFlight}
 	for _, i := range through {
 		o.Instances = append(o.Instances, i.URL())
 		o.Ready = append(o.Ready, i.AdminURL())
@@ -188,3 +201,25 @@
 	}
 	return o
 }
+
+// CutOneWay drops all that one instance sends to another, whichever of them
+// opened the connection. What the other sends still arrives.
+func (f *Fleet) CutOneWay(from, to *Instance) {
+	f.t.Helper()
+	to.Peers.From(from).Cut(Requests)
+	from.Peers.From(to).Cut(Answers)
+}
+
+// CutPeer drops all between two instances.
+func (f *Fleet) CutPeer(a, b *Instance) {
+	f.t.Helper()
+	f.CutOneWay(a, b)
+	f.CutOneWay(b, a)
+}
+
+// HealPeer ends all faults between two instances.
+func (f *Fleet) HealPeer(a, b *Instance) {
+	f.t.Helper()
+	a.Peers.From(b).Heal()
+	b.Peers.From(a).Heal()
+}
--- a/faults/instance.go
+++ b/faults/instance.go
@@ -27,10 +27,10 @@
 	t     testing.TB
 	fleet *Fleet
 	cfg   settings.Settings
-	// PeerLink stands before its peer address, LogLink between it and the
+	// Peers stands before its peer address, LogLink between it and the
 	// platform.
-	PeerLink *Link
-	LogLink  *Link
+	Peers   *Switch
+	LogLink *Link
 
 	cmd    *exec.Cmd
 	exited chan error
@@ -63,9 +63,9 @@
 	}
 	i.cfg.Advertise = i.cfg.PeerListen
 	if !f.setup.NoLinks {
-		i.PeerLink = NewLink(f.t, string(id)+"-peer", i.cfg.PeerListen)
+		i.Peers = f.newSwitch(string(id), i.cfg.PeerListen)
 		i.LogLink = NewLink(f.t, string(id)+"-log", strings.TrimPrefix(f.platformURL, "http://"))
-		i.cfg.Advertise = i.PeerLink.Addr()
+		i.cfg.Advertise = i.Peers.Addr()
 		i.cfg.Platform.URL = "http://" + i.LogLink.Addr()
 	}
 	f.t.Cleanup(i.cleanUp)
@@ -93,6 +93,7 @@
 	i.cmd = exec.Command(i.fleet.setup.Binaries.Instance(), "serve", "--config", i.file("json"))
 	i.cmd.Stdout, i.cmd.Stderr = log, log
 	assert.NilError(i.t, i.cmd.Start())
+	i.fleet.owners.set(i.ID(), i.cmd.Process.Pid)
 	i.exited = make(chan error, 1)
 	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(i.cmd, i.exited)
 	i.list(platform.Live)
--- a/faults/link.go
+++ b/faults/link.go
@@ -31,16 +31,21 @@
 	proxy *toxiproxy.Proxy
 }
 
-// NewLink starts a link to an address.
+// NewLink starts a link to an address; it ends with the test.
 func NewLink(t testing.TB, name, to string) *Link {
 	t.Helper()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	l := &Link{t: t, proxy: toxiproxy.NewProxy(server, name, loopback, to)}
-	assert.NilError(t, l.proxy.Start())
+	l, err := startLink(t, name, to)
+	assert.NilError(t, err)
 	t.Cleanup(l.proxy.Stop)
 	return l
 }
 
+func startLink(t testing.TB, name, to string) (*Link, error) {
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	l := &Link{t: t, proxy: toxiproxy.NewProxy(server, name, loopback, to)}
+	return l, l.proxy.Start()
+}
+
 // Addr is the address at which the link listens.
 func (l *Link) Addr() string { return l.proxy.Listen }
 
--- a/faults/target.go
+++ b/faults/target.go
@@ -19,9 +19,9 @@
 	ID      fleet.TargetID
 	Service fleet.ServiceID
 	Zone    fleet.Zone
-	// Link stands before it, if the Setup asks for links to targets.
-	Link  *Link
-	fleet *Fleet
+	// Callers stands before it, if the Setup asks for links to targets.
+	Callers *Switch
+	fleet   *Fleet
 	// revision is the offset of its last announcement.
 	revision platform.Offset
 }
@@ -46,7 +46,7 @@
 		revision: publication.NoRevision,
 	}
 	if f.setup.TargetLinks {
-		t.Link = NewLink(f.t, o.ID, srv.Addr())
+		t.Callers = f.newSwitch(o.ID, srv.Addr())
 	}
 	f.Targets[svc.Name] = append(f.Targets[svc.Name], t)
 	t.Announce(fleet.Joined)
@@ -57,8 +57,8 @@
 func (t *Target) Announce(s fleet.TargetState) {
 	t.fleet.t.Helper()
 	addr := t.Addr()
-	if t.Link != nil {
-		addr = t.Link.Addr()
+	if t.Callers != nil {
+		addr = t.Callers.Addr()
 	}
 	a := publication.Announcement{ID: t.ID, Service: t.Service, Addr: addr, Zone: t.Zone, State: s}
 	rec, err := publication.EncodeTarget(t.fleet.publicationID(), t.revision, a)
