--- a/claim/checkpoint.go
+++ b/claim/checkpoint.go
@@ -75,6 +75,7 @@
 // load starts the fold from a complete checkpoint.
 func (f *Fold) load(parts []*Part) {
 	f.ops = map[operation.Key]*Op{}
+	f.open = map[operation.Key]*Op{}
 	f.size = 0
 	for _, p := range parts {
 		if p.Time.After(f.now) {
--- a/claim/fold.go
+++ b/claim/fold.go
@@ -23,7 +23,9 @@
 // Fold is the state of one partition: the result of its records in order. Two
 // folds that are covered and stand at the same offset are equal.
 type Fold struct {
-	ops  map[operation.Key]*Op
+	ops map[operation.Key]*Op
+	// open holds those that are live or unresolved.
+	open map[operation.Key]*Op
 	size int64
 	next platform.Offset
 	// now is the latest time of the log's clock among the records; it never
@@ -45,7 +47,7 @@
 // From offset 0 on the history is whole; later it needs a checkpoint.
 func NewFold(first platform.Offset) *Fold {
 	return &Fold{
-		ops: map[operation.Key]*Op{}, next: first, first: first,
+		ops: map[operation.Key]*Op{}, open: map[operation.Key]*Op{}, next: first, first: first,
 		covered: first == 0, expiry: map[int64][]operation.Key{},
 		parts: partSet{keep: first != 0},
 	}
@@ -75,24 +77,21 @@
 // Unresolved returns the operations that wait for an operator, by key. An
 // empty customer selects all.
 func (f *Fold) Unresolved(customer fleet.CustomerID) []Op {
-	var list []Op
-	for _, op := range f.ops {
-		if !op.Unresolved() {
-			continue
-		}
-		if customer == "" || customer == op.Key.Customer {
-			list = append(list, *op)
-		}
-	}
-	slices.SortFunc(list, func(a, b Op) int { return compareKeys(a.Key, b.Key) })
-	return list
+	return f.pick(func(op *Op) bool {
+		return op.Unresolved() && (customer == "" || customer == op.Key.Customer)
+	})
 }
 
 // Live returns the claims without an outcome, by key.
 func (f *Fold) Live() []Op {
+	return f.pick(func(op *Op) bool { return op.State == operation.Claimed })
+}
+
+// pick returns the open operations that a condition holds for, by key.
+func (f *Fold) pick(cond func(op *Op) bool) []Op {
 	var list []Op
-	for _, op := range f.ops {
-		if op.State == operation.Claimed {
+	for _, op := range f.open {
+		if cond(op) {
 			list = append(list, *op)
 		}
 	}
@@ -100,6 +99,15 @@
 	return list
 }
 
+// note keeps the index of live and unresolved operations.
+func (f *Fold) note(op *Op) {
+	if op.State == operation.Claimed || op.Unresolved() {
+		f.open[op.Key] = op
+		return
+	}
+	delete(f.open, op.Key)
+}
+
 // Apply reads the next record. Records must come in order without gaps; those
 // that were read already are skipped.
 func (f *Fold) Apply(r Record) {
@@ -272,6 +280,7 @@
 func (f *Fold) contradict(op *Op, settled operation.State) {
 	if op.State == settled {
 		op.Contradicted = true
+		f.note(op)
 	}
 }
 
@@ -289,6 +298,7 @@
 		op.Target = e.Target
 	}
 	f.size += op.size()
+	f.note(op)
 	if next != operation.Unknown {
 		f.expire(op)
 	}
@@ -297,10 +307,12 @@
 func (f *Fold) put(op *Op) {
 	f.ops[op.Key] = op
 	f.size += op.size()
+	f.note(op)
 }
 
 func (f *Fold) remove(op *Op) {
 	delete(f.ops, op.Key)
+	delete(f.open, op.Key)
 	f.size -= op.size()
 }
 
--- a/claim/recorder.go
+++ b/claim/recorder.go
@@ -133,6 +133,12 @@
 	r.retryAt(now.Add(r.cfg.RetryAppend))
 }
 
+// Queued returns how many entries wait to be appended.
+func (r *Recorder) Queued() int { return len(r.queue) }
+
+// Submitted tells whether an entry waits here already.
+func (r *Recorder) Submitted(e Entry) bool { return r.pending[e.identity()] != nil }
+
 // Len returns how many entries wait.
 func (r *Recorder) Len() int { return len(r.pending) }
 
@@ -158,6 +164,19 @@
 	return r.waiter, true
 }
 
+// Known answers a claim without an append where what has been read decides it
+// already: as it stands, the claim would lose.
+func (r *Recorder) Known(e Entry) (Reply, bool) {
+	op, ok := r.fold.Get(e.Key)
+	if !r.fold.Covered() || !ok || e.Kind != Claim {
+		return Reply{}, false
+	}
+	if op.Claim != e.Claim && op.State == operation.NotRun && e.Base >= op.Withdrawn {
+		return Reply{}, false
+	}
+	return r.reply(0, &e), true
+}
+
 func (r *Recorder) room(now time.Time, e *Entry) bool {
 	if r.pending[e.identity()] != nil {
 		return true
--- /dev/null
+++ b/operate/config.go
@@ -0,0 +1,177 @@
+package operate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/clementinereel/clementinereel/claim"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/ticket"
+)
+
+// Settings bound the machinery; they are part of an instance's settings file.
+type Settings struct {
+	// Partitions is how many log streams hold the keys. Default 16. All
+	// instances must agree; it must never change while keys are remembered.
+	Partitions int `json:"partitions,omitempty"`
+	// Recorders is how many instances read a partition. Default 2.
+	Recorders int `json:"recorders,omitempty"`
+	// ClaimTimeoutMillis bounds the wait for a claim. Default 2000.
+	ClaimTimeoutMillis int `json:"claim_timeout_ms,omitempty"`
+	// AppendsPerSecond bounds the appends to all partitions. Default 300.
+	AppendsPerSecond float64 `json:"appends_per_second,omitempty"`
+	// LingerMillis is how long a claim waits to share an append. Default 2.
+	LingerMillis int `json:"linger_ms,omitempty"`
+	// MaxRecordedAnswer is the largest answer body that goes to the log, in
+	// bytes. Default 16384. A larger one is replayed only while the instance
+	// that got it lives and has room.
+	MaxRecordedAnswer int `json:"max_recorded_answer_bytes,omitempty"`
+	// MaxKeptAnswers bounds those larger answers, in bytes. Default 16 MiB.
+	MaxKeptAnswers int64 `json:"max_kept_answers_bytes,omitempty"`
+	// MaxAttempts bounds the keyed operations of the instance whose outcome
+	// is not in the log yet. Default 20000.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// MaxPending bounds the entries that wait at a recorder for one
+	// partition. Default 4096.
+	MaxPending int `json:"max_pending_claims,omitempty"`
+	// MaxKeys bounds the keys of one partition. Default 200000.
+	MaxKeys int `json:"max_keys_per_partition,omitempty"`
+	// MaxPartitionBytes bounds the memory of one partition. Default 64 MiB.
+	MaxPartitionBytes int64 `json:"max_partition_bytes,omitempty"`
+	// MaxTickets bounds the tickets of the instance. Default 50000.
+	MaxTickets int `json:"max_tickets,omitempty"`
+	// MaxSurveys bounds the surveys that run at once. Default 64.
+	MaxSurveys int `json:"max_surveys,omitempty"`
+	// CheckpointSeconds is how often a partition's state is appended whole.
+	// Default 600. It must be less than a quarter of the log's retention.
+	CheckpointSeconds int `json:"checkpoint_seconds,omitempty"`
+	// GoneSeconds is how long after the platform stopped listing it a process
+	// counts as ended. Default 60. It must exceed the lag with which the
+	// platform lists new instances.
+	GoneSeconds int `json:"gone_seconds,omitempty"`
+}
+
+// WithDefaults fills in the defaults.
+func (s Settings) WithDefaults() Settings {
+	orDefault(&s.Partitions, 16)
+	orDefault(&s.Recorders, 2)
+	orDefault(&s.ClaimTimeoutMillis, 2000)
+	orDefault(&s.AppendsPerSecond, 300)
+	orDefault(&s.LingerMillis, 2)
+	orDefault(&s.MaxRecordedAnswer, 16<<10)
+	orDefault(&s.MaxKeptAnswers, 16<<20)
+	orDefault(&s.MaxSurveys, 64)
+	orDefault(&s.CheckpointSeconds, 600)
+	orDefault(&s.GoneSeconds, 60)
+	return s
+}
+
+func orDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
+// recorder returns the bounds of one partition's recorder.
+func (s Settings) recorder() claim.RecorderConfig {
+	return claim.RecorderConfig{
+		Linger:     time.Duration(s.LingerMillis) * time.Millisecond,
+		AppendRate: s.AppendsPerSecond / float64(s.Partitions),
+		MaxPending: s.MaxPending, MaxKeys: s.MaxKeys, MaxSize: s.MaxPartitionBytes,
+	}
+}
+
+// Request is a request of class confirmation, with its whole body.
+type Request struct {
+	Customer fleet.CustomerID
+	Route    string
+	Service  fleet.ServiceID
+	// Key is the caller's Idempotency-Key, or empty.
+	Key string
+	// Ticket is the caller's Operation-Ticket, or empty.
+	Ticket string
+	// ID is the request's id in logs and answers.
+	ID     string
+	Method string
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
+	// Window is how long the operation is remembered after its outcome.
+	Window time.Duration
+	// Deadline is when the operation's whole answer must have come.
+	Deadline time.Time
+}
+
+func (r *Request) digest() operation.Digest {
+	return operation.NewDigest(r.Route, r.Method, r.Path, r.Query, r.Body)
+}
+
+func (r *Request) name() operation.Name {
+	return operation.Name{RequestID: r.ID, Key: r.Key, Ticket: r.Ticket}
+}
+
+func (r *Request) opKey() operation.Key {
+	return operation.Key{Customer: r.Customer, Name: r.Key}
+}
+
+// Result is how a Runner ended.
+type Result struct {
+	// Answer is the target's whole answer, for Completed; for NotRun it may
+	// be the proxy's own.
+	Answer operation.Answer
+	// Outcome is Completed with a whole answer; NotRun only if nothing was
+	// written to any target, or each said that it did not run the request;
+	// Unknown otherwise.
+	Outcome fleet.Outcome
+	// Target is where the request was sent last; empty if nowhere.
+	Target fleet.TargetID
+}
+
+// Runner sends a request to one target, or to another if a target said that
+// it did not run it. It must end soon after its context.
+type Runner func(ctx context.Context, req *Request) Result
+
+// Answer is an operation's answer to one caller.
+type Answer struct {
+	operation.Answer
+	told func()
+}
+
+// Told must be called once the answer was written to the caller, or could not
+// be. Only then may a key that was told not run be opened again.
+func (a Answer) Told() {
+	if a.told != nil {
+		a.told()
+	}
+}
+
+// Config is what a Service needs.
+type Config struct {
+	Settings
+	// Self is this process.
+	Self fleet.Holder
+	// Log is the platform's log.
+	Log platform.Log
+	// Peers reaches the instance i at "http://i.peer", by relay if need be.
+	Peers *http.Client
+	// Members returns every process that the platform lists or that peers
+	// named, this one included. Being out of reach is no reason to be left
+	// out. An incarnation that is not known is 0.
+	Members func() []fleet.Holder
+	// Run dispatches operations that arrive under a ticket from peers.
+	Run Runner
+	// Now is the clock. Default time.Now.
+	Now func() time.Time
+	// Metrics is where the service registers. Default: a registry of its own.
+	Metrics metrics.Registry
+	// Attempts and Tickets are for tests; defaults apply.
+	Attempts claim.TableConfig
+	Tickets  ticket.Config
+}
--- /dev/null
+++ b/operate/keyed.go
@@ -0,0 +1,259 @@
+package operate
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/clementinereel/clementinereel/claim"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+)
+
+const (
+	// tellFallback is when an answer counts as told if nobody said so.
+	tellFallback = 30 * time.Second
+	// answerReserve is left of a request's deadline to give its answer.
+	answerReserve = 100 * time.Millisecond
+)
+
+// flight is an attempt in progress and those who wait for its answer.
+type flight struct {
+	a    *claim.Attempt
+	done chan struct{}
+	// answer and until are set before done is closed. Not run may be told
+	// only until then; zero means always.
+	answer operation.Answer
+	until  time.Time
+
+	// mu guards the rest.
+	mu      sync.Mutex
+	tellers int
+	told    chan struct{}
+	closed  bool
+}
+
+func newFlight(a *claim.Attempt) *flight {
+	return &flight{a: a, done: make(chan struct{}), told: make(chan struct{})}
+}
+
+// join adds one who will be told the answer; false if it was told to all.
+func (f *flight) join() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return false
+	}
+	f.tellers++
+	return true
+}
+
+// leave notes that one was told. The last one ends the telling.
+func (f *flight) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tellers--
+	if f.tellers > 0 || f.closed {
+		return
+	}
+	select {
+	case <-f.done:
+		f.closed = true
+		close(f.told)
+	default:
+		// Nobody waits, and there is no answer yet: later ones may join.
+	}
+}
+
+// finish sets the answer.
+func (f *flight) finish(a operation.Answer, until time.Time) {
+	f.answer = a
+	f.until = until
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.done)
+	if f.tellers == 0 && !f.closed {
+		f.closed = true
+		close(f.told)
+	}
+}
+
+// doKeyed runs an operation that an idempotency key names.
+func (s *Service) doKeyed(ctx context.Context, req *Request, run Runner) Answer {
+	f, adm := s.begin(req, run)
+	switch adm {
+	case claim.OtherBody:
+		return Answer{Answer: otherBody(req)}
+	case claim.HeldOff:
+		return Answer{Answer: undecided(req, "the key is held off for a moment")}
+	case claim.Full:
+		a, until := s.survey(ctx, req, nil)
+		return Answer{Answer: s.inTime(req, a, until)}
+	}
+	if f == nil {
+		return Answer{Answer: undecided(req, "an earlier attempt has just ended")}
+	}
+	once := sync.OnceFunc(f.leave)
+	time.AfterFunc(time.Until(req.Deadline)+tellFallback, once)
+	select {
+	case <-f.done:
+	case <-ctx.Done():
+		return Answer{Answer: undecided(req, "the caller gave up"), told: once}
+	case <-s.ctx.Done():
+		return Answer{Answer: undecided(req, "the instance stops"), told: once}
+	}
+	return Answer{Answer: s.inTime(req, f.answer, f.until), told: once}
+}
+
+// inTime turns a not run that can no longer be told into unknown.
+func (s *Service) inTime(req *Request, a operation.Answer, until time.Time) operation.Answer {
+	if a.Outcome == fleet.NotRun && !until.IsZero() && s.now().After(until) {
+		return undecided(req, "the answer comes too late to be sure")
+	}
+	return a
+}
+
+// begin starts an attempt or joins the one that is held. A nil flight with
+// Joined means that its answer has been told to all.
+func (s *Service) begin(req *Request, run Runner) (*flight, claim.Admission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := req.opKey()
+	a, adm := s.table.Begin(s.now(), claim.Attempt{
+		Key: key, Digest: req.digest(), Base: s.end(key.Partition(s.cfg.Partitions)),
+		Window: req.Window, Service: req.Service, Route: req.Route,
+	})
+	switch adm {
+	case claim.Joined:
+		f := s.flights[a]
+		if f == nil || !f.join() {
+			return nil, adm
+		}
+		return f, adm
+	case claim.Begun:
+		f := newFlight(a)
+		f.tellers = 1
+		s.flights[a] = f
+		s.spawn(func(ctx context.Context) { s.fly(ctx, f, req, run) })
+		return f, adm
+	}
+	return nil, adm
+}
+
+// fly takes an attempt from its claim to its recorded outcome.
+func (s *Service) fly(ctx context.Context, f *flight, req *Request, run Runner) {
+	bounded, cancel := context.WithDeadline(ctx, req.Deadline)
+	answer, until := s.decide(bounded, f, req, run)
+	cancel()
+	f.finish(answer, until)
+	s.record(ctx, f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Forget(f.a)
+	delete(s.flights, f.a)
+}
+
+// decide claims the key and does what the verdict asks for.
+func (s *Service) decide(ctx context.Context, f *flight, req *Request, run Runner) (operation.Answer, time.Time) {
+	began := s.now()
+	verdict, op := s.claim(ctx, f.a)
+	s.stats.claimed(verdict, s.now().Sub(began))
+	s.mu.Lock()
+	step := s.table.Resolve(f.a, verdict, op)
+	s.mu.Unlock()
+	switch step {
+	case claim.StepDispatch:
+		return s.dispatch(ctx, f, req, run), time.Time{}
+	case claim.StepNotRun:
+		return notRun(req, "the claim was given up before anything was sent"), time.Time{}
+	case claim.StepFollow:
+		return s.follow(ctx, req, op.Claim), time.Time{}
+	case claim.StepReplay:
+		return replay(req, op), time.Time{}
+	case claim.StepOtherBody:
+		return otherBody(req), time.Time{}
+	case claim.StepRepeat:
+		return undecided(req, "another attempt has just ended"), time.Time{}
+	}
+	return s.survey(ctx, req, f.a)
+}
+
+// dispatch runs an attempt that has passed to dispatched.
+func (s *Service) dispatch(ctx context.Context, f *flight, req *Request, run Runner) operation.Answer {
+	res := run(ctx, req)
+	answer := operation.NewCompleted(res.Answer.Status, res.Answer.Header, res.Answer.Body)
+	switch res.Outcome {
+	case fleet.Completed:
+	case fleet.NotRun:
+		answer = s.refusedUnrun(req, res)
+	default:
+		res.Outcome = fleet.Unknown
+		answer = unresolved(req)
+		klog.InfoS("operation outcome unknown", "customer", req.Customer, "key", req.Key,
+			"request", req.ID, "target", res.Target, "claim", f.a.ID.String())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Finish(f.a, res.Outcome, res.Target, &answer)
+	return answer
+}
+
+// refusedUnrun is the answer when no target ran a dispatched request.
+func (s *Service) refusedUnrun(req *Request, res Result) operation.Answer {
+	a := notRun(req, "no target took the request")
+	if res.Answer.RetryAfter > a.RetryAfter {
+		a = operation.NewProblem(req.name(), a.Status, a.Outcome, a.Next, "no target took the request", res.Answer.RetryAfter)
+	}
+	return a
+}
+
+// notRun says that the key was not run. The key can be used again.
+func notRun(req *Request, detail string) operation.Answer {
+	return operation.NewProblem(req.name(), http.StatusServiceUnavailable, fleet.NotRun,
+		operation.RepeatSameKey, detail, retryBusy)
+}
+
+// undecided says that this request was not dispatched, while another under the
+// same key may have been. A repeat is safe and will find out.
+func undecided(req *Request, detail string) operation.Answer {
+	return operation.NewProblem(req.name(), http.StatusServiceUnavailable, fleet.Unknown,
+		operation.RepeatSameKey, detail, retryBusy)
+}
+
+// unresolved says that the operation may have run and nobody knows.
+func unresolved(req *Request) operation.Answer {
+	return operation.NewProblem(req.name(), http.StatusBadGateway, fleet.Unknown,
+		operation.AskOperator, "the operation was sent and its outcome is not known", 0)
+}
+
+func otherBody(req *Request) operation.Answer {
+	return operation.NewProblem(req.name(), http.StatusUnprocessableEntity, fleet.NotRun,
+		operation.FixRequest, "the key or ticket belongs to another request; this request was not run", 0)
+}
+
+// replay is the answer that the log holds of an operation.
+func replay(req *Request, op claim.Op) operation.Answer {
+	if req.digest() != op.Digest {
+		return otherBody(req)
+	}
+	switch op.State {
+	case operation.Completed:
+		if op.Answer != nil {
+			return op.Answer.AsReplay()
+		}
+		return operation.NewProblem(req.name(), http.StatusOK, fleet.Completed,
+			operation.AskOperator, "the operation ran; its answer was too large to be kept", 0).AsReplay()
+	case operation.SettledCompleted:
+		return operation.NewProblem(req.name(), http.StatusOK, fleet.Completed,
+			operation.UseNewKey, "an operator found that the operation ran: "+op.Reason, 0).AsReplay()
+	case operation.SettledNotRun:
+		return operation.NewProblem(req.name(), http.StatusConflict, fleet.NotRun,
+			operation.UseNewKey, "an operator found that the operation did not run: "+op.Reason, 0).AsReplay()
+	case operation.Unknown:
+		return unresolved(req).AsReplay()
+	}
+	return undecided(req, "the operation has no outcome yet")
+}
--- /dev/null
+++ b/operate/peers.go
@@ -0,0 +1,270 @@
+package operate
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/claim"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/peer/peerv1"
+	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
+)
+
+const (
+	// pollEvery is how often an outcome is asked for again.
+	pollEvery = 150 * time.Millisecond
+	// recordTries is how many recorders are tried for one entry.
+	recordTries = 2
+)
+
+// peer returns the client for an instance.
+func (s *Service) peer(id fleet.InstanceID) peerv1connect.OperationServiceClient {
+	return peerv1connect.NewOperationServiceClient(s.cfg.Peers, "http://"+string(id)+".peer")
+}
+
+// rank orders instances by rendezvous for a name, highest first.
+func rank(name string, members []fleet.Holder) []fleet.InstanceID {
+	type scored struct {
+		id    fleet.InstanceID
+		score uint64
+	}
+	list := make([]scored, 0, len(members))
+	for _, m := range members {
+		list = append(list, scored{m.Instance, xxhash.Sum64String(name + "\x00" + string(m.Instance))})
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	ids := make([]fleet.InstanceID, 0, len(list))
+	for _, e := range list {
+		if len(ids) == 0 || ids[len(ids)-1] != e.id {
+			ids = append(ids, e.id)
+		}
+	}
+	return ids
+}
+
+// recorders returns the instances that record a partition, first one first.
+func (s *Service) recorders(p int) []fleet.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := rank(claim.StreamName(p), s.members)
+	return ids[:min(len(ids), max(s.cfg.Recorders, recordTries))]
+}
+
+// claim submits an attempt's claim and returns the verdict. Refused stands
+// also for no verdict in time.
+func (s *Service) claim(ctx context.Context, a *claim.Attempt) (claim.Verdict, claim.Op) {
+	ctx, cancel := context.WithTimeout(ctx, s.claimTimeout(ctx))
+	defer cancel()
+	s.mu.Lock()
+	s.table.Submitted(a)
+	entry := a.Entry(claim.Claim)
+	s.mu.Unlock()
+	withheld := true
+	for _, id := range s.recorders(a.Key.Partition(s.cfg.Partitions)) {
+		v, op, err := s.submit(ctx, id, entry)
+		if err == nil && v != claim.Refused {
+			return v, op
+		}
+		withheld = withheld && err == nil
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if withheld && ctx.Err() == nil {
+		s.mu.Lock()
+		s.table.Withheld(a)
+		s.mu.Unlock()
+	}
+	return claim.Refused, claim.Op{}
+}
+
+func (s *Service) claimTimeout(ctx context.Context) time.Duration {
+	limit := time.Duration(s.cfg.ClaimTimeoutMillis) * time.Millisecond
+	if d, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(d)*2/3)
+	}
+	return limit
+}
+
+// submit hands an entry to one recorder and returns what it read back. Claims
+// are answered with a verdict; Refused means that the entry was not appended.
+func (s *Service) submit(ctx context.Context, id fleet.InstanceID, e claim.Entry) (claim.Verdict, claim.Op, error) {
+	p := e.Key.Partition(s.cfg.Partitions)
+	if id == s.cfg.Self.Instance {
+		return s.recordLocal(ctx, p, e)
+	}
+	resp, err := s.peer(id).Record(ctx, connect.NewRequest(&peerv1.RecordRequest{
+		From: claim.HolderProto(s.cfg.Self), Partition: int32(p), Entry: claim.EntryProto(&e),
+	}))
+	if err != nil {
+		return 0, claim.Op{}, errors.Wrapf(err, "recorder %s", id)
+	}
+	s.learnEnd(p, offset(resp.Msg.GetNext()))
+	return claim.Verdict(resp.Msg.GetVerdict()), claim.OpOf(resp.Msg.GetState()), nil
+}
+
+// recordLocal is submit at this instance.
+func (s *Service) recordLocal(ctx context.Context, p int, e claim.Entry) (claim.Verdict, claim.Op, error) {
+	s.mu.Lock()
+	part := s.partitions[p]
+	s.mu.Unlock()
+	if part == nil {
+		return claim.Refused, claim.Op{}, nil
+	}
+	rep, end, err := part.record(ctx, e)
+	if err != nil {
+		return 0, claim.Op{}, err
+	}
+	s.learnEnd(p, end)
+	return rep.Verdict, rep.Op, nil
+}
+
+// follow waits for the outcome of another claim, at its holder or in the log.
+func (s *Service) follow(ctx context.Context, req *Request, id claim.ID) operation.Answer {
+	for {
+		if a, ok := s.await(ctx, req, id); ok {
+			return a
+		}
+		if op, ok := s.lookup(ctx, req.opKey()); ok && (op.Claim != id || op.State.Final()) {
+			return replay(req, op)
+		}
+		if d, ok := ctx.Deadline(); ok && time.Until(d) < answerReserve+pollEvery {
+			return undecided(req, "the operation has no outcome yet")
+		}
+		if !sleep(ctx, pollEvery) {
+			return undecided(req, "the operation has no outcome yet")
+		}
+	}
+}
+
+// await asks the holder of a claim, waiting for the outcome there.
+func (s *Service) await(ctx context.Context, req *Request, id claim.ID) (operation.Answer, bool) {
+	if d, ok := ctx.Deadline(); ok {
+		bounded, cancel := context.WithDeadline(ctx, d.Add(-answerReserve))
+		defer cancel()
+		ctx = bounded
+	}
+	if id.Holder == s.cfg.Self {
+		return s.awaitLocal(ctx, req, id)
+	}
+	if !s.lists(id.Holder) {
+		return operation.Answer{}, false
+	}
+	resp, err := s.peer(id.Holder.Instance).Await(ctx, connect.NewRequest(&peerv1.AwaitRequest{
+		Customer: string(req.Customer), Key: req.Key,
+		Holder: claim.HolderProto(id.Holder), Seq: id.Seq,
+	}))
+	if err != nil || !resp.Msg.GetKnown() {
+		return operation.Answer{}, false
+	}
+	return followed(req, operation.State(resp.Msg.GetState()), claim.AnswerOf(resp.Msg.GetAnswer()))
+}
+
+func (s *Service) awaitLocal(ctx context.Context, req *Request, id claim.ID) (operation.Answer, bool) {
+	state, a, ok := s.waitFor(ctx, req.opKey(), id)
+	if !ok {
+		return operation.Answer{}, false
+	}
+	return followed(req, state, a)
+}
+
+// followed turns what a holder said of its attempt into an answer for one who
+// follows it. Not run is not passed on: the key may be open again.
+func followed(req *Request, state operation.State, a *operation.Answer) (operation.Answer, bool) {
+	switch {
+	case state == operation.Completed && a != nil:
+		return a.AsReplay(), true
+	case state == operation.Unknown:
+		return unresolved(req).AsReplay(), true
+	case state == operation.NotRun:
+		return undecided(req, "another attempt has just ended"), true
+	}
+	return operation.Answer{}, false
+}
+
+// lists tells whether a process is in the view.
+func (s *Service) lists(h fleet.Holder) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.members, h)
+}
+
+// lookup asks the recorders what they have read of a key.
+func (s *Service) lookup(ctx context.Context, key operation.Key) (claim.Op, bool) {
+	p := key.Partition(s.cfg.Partitions)
+	for _, id := range s.recorders(p) {
+		if id == s.cfg.Self.Instance {
+			if op, ok := s.lookupLocal(p, key); ok {
+				return op, true
+			}
+			continue
+		}
+		resp, err := s.peer(id).Lookup(ctx, connect.NewRequest(&peerv1.LookupRequest{
+			Customer: string(key.Customer), Key: key.Name,
+		}))
+		if err == nil && resp.Msg.GetState() != nil {
+			return claim.OpOf(resp.Msg.GetState()), true
+		}
+	}
+	return claim.Op{}, false
+}
+
+func (s *Service) lookupLocal(p int, key operation.Key) (claim.Op, bool) {
+	s.mu.Lock()
+	part := s.partitions[p]
+	s.mu.Unlock()
+	if part == nil {
+		return claim.Op{}, false
+	}
+	return part.get(key)
+}
+
+// refreshEnds asks the recorders how far the streams reach, so that requests
+// that arrive from now on have a recent base.
+func (s *Service) refreshEnds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshEvery)
+	defer cancel()
+	asked := map[fleet.InstanceID]bool{}
+	for p := range s.cfg.Partitions {
+		for _, id := range s.recorders(p) {
+			asked[id] = true
+			break
+		}
+	}
+	for id := range asked {
+		if id == s.cfg.Self.Instance {
+			s.ownEnds()
+			continue
+		}
+		resp, err := s.peer(id).Ends(ctx, connect.NewRequest(&peerv1.EndsRequest{}))
+		if err != nil {
+			continue
+		}
+		for p, end := range resp.Msg.GetNext() {
+			if p >= 0 && int(p) < s.cfg.Partitions {
+				s.learnEnd(int(p), offset(end))
+			}
+		}
+	}
+}
+
+// sleep waits, and returns false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/operate/receipts.go
@@ -0,0 +1,99 @@
+package operate
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/ticket"
+)
+
+const (
+	// ReceiptStream is the log stream with receipts of ticketed operations.
+	ReceiptStream = "ticket-receipts"
+	// receiptEvery is how often receipts are appended.
+	receiptEvery = 500 * time.Millisecond
+	// maxReceipts bounds the receipts that wait; the oldest are dropped.
+	maxReceipts = 5000
+)
+
+// Receipt is an operator's trace of a ticketed operation. Receipts are written
+// when the log allows it: one that is missing proves nothing.
+type Receipt struct {
+	Ticket   string           `json:"ticket"`
+	Customer fleet.CustomerID `json:"customer"`
+	Route    string           `json:"route"`
+	State    string           `json:"state"`
+	Digest   operation.Digest `json:"digest"`
+	Target   fleet.TargetID   `json:"target,omitempty"`
+	Request  string           `json:"request_id"`
+	Home     fleet.Holder     `json:"home"`
+	At       time.Time        `json:"at"`
+}
+
+// receipts gathers receipts into appends.
+type receipts struct {
+	s    *Service
+	mu   sync.Mutex
+	list []Receipt
+	runs bool
+}
+
+func newReceipts(s *Service) *receipts { return &receipts{s: s} }
+
+// add queues a receipt.
+func (r *receipts) add(id ticket.ID, req *Request, state operation.State, target fleet.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.list) >= maxReceipts {
+		r.list = r.list[1:]
+	}
+	r.list = append(r.list, Receipt{
+		Ticket: id.String(), Customer: req.Customer, Route: req.Route, State: state.String(),
+		Digest: req.digest(), Target: target, Request: req.ID, Home: id.Home, At: r.s.now(),
+	})
+	if !r.runs {
+		r.runs = true
+		r.s.spawn(r.flush)
+	}
+}
+
+// flush appends what waits until nothing does.
+func (r *receipts) flush(ctx context.Context) {
+	for sleep(ctx, receiptEvery) {
+		r.mu.Lock()
+		list := r.list
+		r.list = nil
+		if len(list) == 0 {
+			r.runs = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		if err := r.append(ctx, list); err != nil {
+			r.putBack(list)
+		}
+	}
+}
+
+func (r *receipts) append(ctx context.Context, list []Receipt) error {
+	data, err := json.Marshal(list)
+	if err != nil {
+		panic("operate: " + err.Error())
+	}
+	_, err = r.s.cfg.Log.Append(ctx, ReceiptStream, data)
+	return err
+}
+
+func (r *receipts) putBack(list []Receipt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list = append(list, r.list...)
+	if over := len(list) - maxReceipts; over > 0 {
+		list = list[over:]
+	}
+	r.list = list
+}
--- /dev/null
+++ b/operate/service.go
@@ -0,0 +1,241 @@
+package operate
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/clementinereel/clementinereel/claim"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
+	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/ticket"
+)
+
+const (
+	// historyKeep is how long processes are remembered after they left.
+	historyKeep = 48 * time.Hour
+	// refreshEvery is how often the ends of the partitions are asked for.
+	refreshEvery = time.Second
+	// retryBusy is when a repeat of an undecided operation makes sense.
+	retryBusy = 2 * time.Second
+)
+
+// Service runs operations for one instance. Its methods may be called by
+// several goroutines.
+type Service struct {
+	cfg     Config
+	now     func() time.Time
+	stats   *stats
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	surveys chan struct{}
+	receipt *receipts
+
+	mu         sync.Mutex
+	table      *claim.Table
+	history    *claim.History
+	members    []fleet.Holder
+	flights    map[*claim.Attempt]*flight
+	tickets    *ticket.Table
+	homed      map[ticket.ID]chan struct{}
+	partitions map[int]*partition
+	ends       []platform.Offset
+	kept       keptAnswers
+	refreshed  time.Time
+	greeting   bool
+	sealed     bool
+}
+
+// New returns a service. Tick must be called several times a second; Close
+// ends what it started.
+func New(cfg Config) *Service {
+	cfg.Settings = cfg.Settings.WithDefaults()
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	orDefault(&cfg.Attempts.MaxAttempts, cfg.MaxAttempts)
+	orDefault(&cfg.Tickets.MaxTickets, cfg.MaxTickets)
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := time.Duration(cfg.GoneSeconds) * time.Second
+	s := &Service{
+		cfg: cfg, now: cfg.Now, stats: newStats(cfg.Metrics), ctx: ctx, cancel: cancel,
+		surveys: make(chan struct{}, cfg.MaxSurveys),
+		table:   claim.NewTable(cfg.Attempts, cfg.Self),
+		history: claim.NewHistory(cfg.Now(), gone, historyKeep),
+		flights: map[*claim.Attempt]*flight{},
+		tickets: ticket.NewTable(cfg.Tickets, cfg.Self),
+		homed:   map[ticket.ID]chan struct{}{}, partitions: map[int]*partition{},
+		ends: make([]platform.Offset, cfg.Partitions),
+		kept: keptAnswers{max: cfg.MaxKeptAnswers, answers: map[claim.ID]operation.Answer{}},
+	}
+	s.receipt = newReceipts(s)
+	return s
+}
+
+// Handler returns the path and the handler that peers call.
+func (s *Service) Handler() (string, http.Handler) {
+	return peerv1connect.NewOperationServiceHandler(&server{s: s})
+}
+
+// Close ends the service's loops. It does not wait for operations; Seal does.
+func (s *Service) Close() {
+	s.cancel()
+	s.wg.Wait()
+}
+
+// Ready tells whether keyed operations can begin: another instance knows this
+// one for long enough, and the service is not stopping.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Open(s.now())
+}
+
+// Do runs the operation of a request, or finds what became of it. A nil
+// Runner stands for the one of the Config.
+func (s *Service) Do(ctx context.Context, req *Request, run Runner) Answer {
+	if run == nil {
+		run = s.cfg.Run
+	}
+	var a Answer
+	switch {
+	case req.Ticket != "":
+		a = Answer{Answer: s.doTicket(ctx, req, run)}
+	case req.Key == "":
+		a = Answer{Answer: refuse(req, http.StatusBadRequest, "a confirmation needs an "+operation.HeaderKey+" or an "+operation.HeaderTicket)}
+	case !operation.ValidKey(req.Key):
+		a = Answer{Answer: refuse(req, http.StatusBadRequest, operation.HeaderKey+" must be 1 to 255 printable ASCII characters")}
+	default:
+		a = s.doKeyed(ctx, req, run)
+	}
+	s.stats.outcome(a.Answer)
+	return a
+}
+
+// Tick does what is due: it follows the members, takes and drops partitions,
+// and forgets what is over.
+func (s *Service) Tick(now time.Time) {
+	members := s.cfg.Members()
+	s.mu.Lock()
+	s.members = members
+	s.history.Observe(now, known(members))
+	s.assign(now)
+	s.tickets.Sweep(now)
+	refresh := now.Sub(s.refreshed) >= refreshEvery
+	if refresh {
+		s.refreshed = now
+	}
+	parts := make([]*partition, 0, len(s.partitions))
+	for _, p := range s.partitions {
+		parts = append(parts, p)
+	}
+	s.mu.Unlock()
+	if !refresh {
+		return
+	}
+	s.spawn(s.greet)
+	s.spawn(s.refreshEnds)
+	unresolved := 0
+	for _, p := range parts {
+		unresolved += p.maintain(now)
+	}
+	s.stats.setUnresolved(unresolved)
+}
+
+// spawn runs a function in the background until Close.
+func (s *Service) spawn(f func(ctx context.Context)) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		f(s.ctx)
+	}()
+}
+
+// known leaves out members whose incarnation is not known.
+func known(members []fleet.Holder) []fleet.Holder {
+	var list []fleet.Holder
+	for _, m := range members {
+		if m.Incarnation != 0 {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// end returns how far the stream of a partition is known, at the arrival of a
+// request. The caller holds the lock.
+func (s *Service) end(p int) platform.Offset {
+	return s.ends[p]
+}
+
+// learnEnd notes how far a stream reaches.
+func (s *Service) learnEnd(p int, end platform.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends[p] = max(s.ends[p], end)
+}
+
+// greet makes this process known to another, before the first attempt.
+func (s *Service) greet(ctx context.Context) {
+	s.mu.Lock()
+	others := s.others()
+	skip := s.greeting || s.table.Open(s.now())
+	s.greeting = true
+	s.mu.Unlock()
+	if skip {
+		return
+	}
+	met := len(others) == 0
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, m := range others {
+		if a, err := s.askSurvey(ctx, m, operation.Key{}, true); err == nil {
+			s.meet(a)
+			met = true
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.greeting = false
+	if met {
+		s.table.Greeted(s.now())
+	}
+}
+
+// meet notes the processes that another one knows.
+func (s *Service) meet(a claim.SurveyAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Met(a.From)
+}
+
+// others returns the members but this one. The caller holds the lock.
+func (s *Service) others() []fleet.Holder {
+	var list []fleet.Holder
+	for _, m := range s.members {
+		if m.Instance != s.cfg.Self.Instance {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// refuse answers a request that is wrong in itself.
+func refuse(req *Request, status int, detail string) operation.Answer {
+	return operation.NewProblem(req.name(), status, fleet.NotRun, operation.FixRequest, detail, 0)
+}
+
+// logFailure writes one line about a call that failed.
+func logFailure(msg string, err error, kv ...any) {
+	klog.V(1).InfoS(msg, append(kv, "err", err)...)
+}
--- a/peer/peerv1/peerv1connect/operations.connect.go
+++ b/peer/peerv1/peerv1connect/operations.connect.go
@@ -49,9 +49,6 @@
 	// OperationServiceHandoverProcedure is the fully-qualified name of the OperationService's Handover
 	// RPC.
 	OperationServiceHandoverProcedure = "/peer.v1.OperationService/Handover"
-	// OperationServiceUnresolvedProcedure is the fully-qualified name of the OperationService's
-	// Unresolved RPC.
-	OperationServiceUnresolvedProcedure = "/peer.v1.OperationService/Unresolved"
 )
 
 // OperationServiceClient is a client for the peer.v1.OperationService service.
@@ -73,8 +70,6 @@
 	Execute(context.Context, *connect.Request[peerv1.ExecuteRequest]) (*connect.Response[peerv1.ExecuteResponse], error)
 	// Handover gives an heir the outcomes of a home that stops.
 	Handover(context.Context, *connect.Request[peerv1.HandoverRequest]) (*connect.Response[peerv1.HandoverResponse], error)
-	// Unresolved lists unknown outcomes that the instance has on record.
-	Unresolved(context.Context, *connect.Request[peerv1.UnresolvedRequest]) (*connect.Response[peerv1.UnresolvedResponse], error)
 }
 
 // NewOperationServiceClient constructs a client for the peer.v1.OperationService service. By
@@ -130,25 +125,18 @@
 			connect.WithSchema(operationServiceMethods.ByName("Handover")),
 			connect.WithClientOptions(opts...),
 		),
-		unresolved: connect.NewClient[peerv1.UnresolvedRequest, peerv1.UnresolvedResponse](
-			httpClient,
-			baseURL+OperationServiceUnresolvedProcedure,
-			connect.WithSchema(operationServiceMethods.ByName("Unresolved")),
-			connect.WithClientOptions(opts...),
-		),
 	}
 }
 
 // operationServiceClient implements OperationServiceClient.
 type operationServiceClient struct {
-	record     *connect.Client[peerv1.RecordRequest, peerv1.RecordResponse]
-	lookup     *connect.Client[peerv1.LookupRequest, peerv1.LookupResponse]
-	ends       *connect.Client[peerv1.EndsRequest, peerv1.EndsResponse]
-	await      *connect.Client[peerv1.AwaitRequest, peerv1.AwaitResponse]
-	survey     *connect.Client[peerv1.SurveyRequest, peerv1.SurveyResponse]
-	execute    *connect.Client[peerv1.ExecuteRequest, peerv1.ExecuteResponse]
-	handover   *connect.Client[peerv1.HandoverRequest, peerv1.HandoverResponse]
-	unresolved *connect.Client[peerv1.UnresolvedRequest, peerv1.UnresolvedResponse]
+	record   *connect.Client[peerv1.RecordRequest, peerv1.RecordResponse]
+	lookup   *connect.Client[peerv1.LookupRequest, peerv1.LookupResponse]
+	ends     *connect.Client[peerv1.EndsRequest, peerv1.EndsResponse]
+	await    *connect.Client[peerv1.AwaitRequest, peerv1.AwaitResponse]
+	survey   *connect.Client[peerv1.SurveyRequest, peerv1.SurveyResponse]
+	execute  *connect.Client[peerv1.ExecuteRequest, peerv1.ExecuteResponse]
+	handover *connect.Client[peerv1.HandoverRequest, peerv1.HandoverResponse]
 }
 
 // Record calls peer.v1.OperationService.Record.
@@ -186,11 +174,6 @@
 	return c.handover.CallUnary(ctx, req)
 }
 
-// Unresolved calls peer.v1.OperationService.Unresolved.
-func (c *operationServiceClient) Unresolved(ctx context.Context, req *connect.Request[peerv1.UnresolvedRequest]) (*connect.Response[peerv1.UnresolvedResponse], error) {
-	return c.unresolved.CallUnary(ctx, req)
-}
-
 // OperationServiceHandler is an implementation of the peer.v1.OperationService service.
 type OperationServiceHandler interface {
 	// Record hands an entry to a recorder of the key's partition and returns
@@ -210,8 +193,6 @@
 	Execute(context.Context, *connect.Request[peerv1.ExecuteRequest]) (*connect.Response[peerv1.ExecuteResponse], error)
 	// Handover gives an heir the outcomes of a home that stops.
 	Handover(context.Context, *connect.Request[peerv1.HandoverRequest]) (*connect.Response[peerv1.HandoverResponse], error)
-	// Unresolved lists unknown outcomes that the instance has on record.
-	Unresolved(context.Context, *connect.Request[peerv1.UnresolvedRequest]) (*connect.Response[peerv1.UnresolvedResponse], error)
 }
 
 // NewOperationServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -263,12 +244,6 @@
 		connect.WithSchema(operationServiceMethods.ByName("Handover")),
 		connect.WithHandlerOptions(opts...),
 	)
-	operationServiceUnresolvedHandler := connect.NewUnaryHandler(
-		OperationServiceUnresolvedProcedure,
-		svc.Unresolved,
-		connect.WithSchema(operationServiceMethods.ByName("Unresolved")),
-		connect.WithHandlerOptions(opts...),
-	)
 	return "/peer.v1.OperationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperationServiceRecordProcedure:
@@ -285,8 +260,6 @@
 			operationServiceExecuteHandler.ServeHTTP(w, r)
 		case OperationServiceHandoverProcedure:
 			operationServiceHandoverHandler.ServeHTTP(w, r)
-		case OperationServiceUnresolvedProcedure:
-			operationServiceUnresolvedHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -323,7 +296,3 @@
 func (UnimplementedOperationServiceHandler) Handover(context.Context, *connect.Request[peerv1.HandoverRequest]) (*connect.Response[peerv1.HandoverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.OperationService.Handover is not implemented"))
 }
-
-func (UnimplementedOperationServiceHandler) Unresolved(context.Context, *connect.Request[peerv1.UnresolvedRequest]) (*connect.Response[peerv1.UnresolvedResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.OperationService.Unresolved is not implemented"))
-}
