--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -232,15 +233,28 @@
 	assert.Equal(t, tries, 11*DefaultSweepTries)
 }
 
+func heapInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func BenchmarkPickDone(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10000} {
-		bal := newBalancer(small(), n, 44)
+		ts, ms := fakeTargets(n), fakeMembers(44)
+		members := NewMembers(ms[0], ms)
+		before := heapInUse()
+		bal := New(small(), 1)
+		bal.Update(t0, ts, full, members)
+		perTarget := float64(heapInUse()-before) / float64(n)
 		b.Run(fmt.Sprint(n, "-targets"), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
 				p, _ := bal.Picker().Pick(PickInfo{Now: t0})
 				p.Done(DoneInfo{Result: fleet.TryOK})
 			}
+			b.ReportMetric(perTarget, "heap-B/target")
 		})
 	}
 }
--- a/pool/config.go
+++ b/pool/config.go
@@ -17,7 +17,7 @@
 	// for the target's word before its body is sent all the same. Default "1s".
 	ContinueTimeout time.Duration
 	// Warm is how many connections to each target are kept open ahead of
-	// use, within the instance's share. Default 1.
+	// use, within the instance's share. Default 1; -1 for none.
 	Warm int
 	// MaxHeader bounds the header of an answer in bytes. Default 64 KiB.
 	MaxHeader int64
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -303,6 +303,10 @@
 	assert.NilError(t, err)
 	assert.Equal(t, target.conns.Load(), int32(1))
 
+	none := newSet(t, Config{Warm: -1}, target.Target, 4)
+	none.Warm(t.Context())
+	assert.Equal(t, none.Open(), 0)
+
 	closing := newRawTarget(t)
 	s = newSet(t, Config{}, closing.Target, 4)
 	s.Warm(t.Context())
