Run confirmations at most once, by key or ticket

Cause: confirmations went to targets without claim or ticket. Change: the handler hands them to operate.Service; the instance supplies the runner (gate, dispatch), the processes that the platform or peers name, the hand-over in its stop, and is ready only once confirmations may begin. Measured: go test ./instance: a repeat through another instance is replayed, one request reaches a target; other body 422, no key 400.

--- a/instance/badinput_test.go
+++ b/instance/badinput_test.go
@@ -33,6 +33,7 @@
 }
 
 func TestBadInputIsRefusedAndHarmsNobody(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 1)
 	i := b.all[0]
 	const head = "POST /v1/quotes/confirmations HTTP/1.1\r\nHost: " + host + "\r\nIdempotency-Key: k\r\n"
@@ -69,19 +70,17 @@
 // TestLengthBesideChunksIsNotPassedOn sends both framings at once, the shape
 // that request smuggling needs: the targets must see one request at most.
 func TestLengthBesideChunksIsNotPassedOn(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 1)
 	const hidden = "GET /v1/prices/hidden HTTP/1.1\r\nHost: " + host + "\r\n\r\n"
 	request := "POST /v1/plans/a.jpg HTTP/1.1\r\nHost: " + host + "\r\n" +
 		fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 5+len(hidden)) + hidden
 	assert.Assert(t, raw(t, b.all[0], request) != 0)
-	work := 0
-	for _, target := range b.targets {
-		work += target.Stats().Work
-	}
-	assert.Equal(t, work, 1, "a hidden request reached a target")
+	assert.Equal(t, b.work(), 1, "a hidden request reached a target")
 }
 
 func TestBodyThatBreaksOffIsNotStored(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 1)
 	conn, err := net.Dial("tcp", b.all[0].CallerAddr())
 	assert.NilError(t, err)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -14,6 +14,7 @@
 	"github.com/clementinereel/clementinereel/evidence"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/follow"
+	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/pool"
@@ -36,12 +37,14 @@
 	pool       *pool.Set
 	follower   *follow.Follower
 	allowances *allowance.Client
+	operations *operate.Service
 	evidence   *evidence.Table
 	view       atomic.Pointer[publication.View]
 	transport  *peer.Transport
 	gossip     *peer.Gossip
 	routes     atomic.Pointer[route.Table]
 	members    atomic.Pointer[members]
+	started    time.Time
 	ready      atomic.Bool
 	stopping   atomic.Bool
 	cancel     context.CancelFunc
@@ -78,11 +81,13 @@
 	i.services = upstream.NewSet(upstream.Env{Via: via, Pool: i.pool, Evidence: i.evidence, Seed: upstream.Seed()})
 	i.followConfiguration()
 	i.shareLimits()
+	i.runOperations()
 	handler := proxy.New(proxy.Config{
-		Routes:   i.routes.Load,
-		Services: i.services,
-		Limits:   i.allowances.Table(),
-		Metrics:  i.metrics,
+		Routes:     i.routes.Load,
+		Services:   i.services,
+		Limits:     i.allowances.Table(),
+		Operations: i.operations,
+		Metrics:    i.metrics,
 	})
 	i.callers = i.newCallerServer(handler)
 	i.admin = i.newAdminServer()
@@ -108,6 +113,7 @@
 	go serve("callers", i.callers, i.sockets.callers)
 	go serve("admin", i.admin, i.sockets.admin)
 	go serve("peers", i.peers, i.sockets.peers)
+	i.started = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	for _, system := range []func(context.Context){
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -130,6 +130,7 @@
 }
 
 func TestEachClassComesBackWhole(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 3)
 	for k, i := range b.all {
 		resp, got := send(t, i, http.MethodGet, "/v1/prices/worktops", "", nil)
@@ -143,7 +144,35 @@
 	}
 }
 
+func TestRepeatThroughAnotherInstanceGetsTheFirstAnswer(t *testing.T) {
+	t.Parallel()
+	b := newBench(t, 2)
+	const path = "/v1/quotes/confirmations"
+	key := http.Header{"Idempotency-Key": {"quote-1"}}
+	first, want := send(t, b.all[0], http.MethodPost, path, `{"quote":1}`, key)
+	assert.Equal(t, first.StatusCode, http.StatusOK, want)
+	again, got := send(t, b.all[1], http.MethodPost, path, `{"quote":1}`, key)
+	assert.Equal(t, again.StatusCode, http.StatusOK, got)
+	assert.Equal(t, got, want)
+	assert.Equal(t, again.Header.Get("Operation-Replayed"), "true")
+	other, got := send(t, b.all[1], http.MethodPost, path, `{"quote":2}`, key)
+	assert.Equal(t, other.StatusCode, http.StatusUnprocessableEntity, got)
+	none, got := send(t, b.all[0], http.MethodPost, path, `{"quote":1}`, nil)
+	assert.Equal(t, none.StatusCode, http.StatusBadRequest, got)
+	assert.Equal(t, b.work(), 1)
+}
+
+// work counts the requests that reached targets.
+func (b *bench) work() int {
+	n := 0
+	for _, target := range b.targets {
+		n += target.Stats().Work
+	}
+	return n
+}
+
 func TestUnknownHostIsAProblem(t *testing.T) {
+	t.Parallel()
 	b := newBench(t, 1)
 	req, err := http.NewRequest(http.MethodGet, "http://"+b.all[0].CallerAddr()+"/v1/prices", nil)
 	assert.NilError(t, err)
--- a/instance/limits.go
+++ b/instance/limits.go
@@ -44,7 +44,7 @@
 func (i *Instance) limiterView() ratelimit.View {
 	m := i.members.Load()
 	return ratelimit.View{
-		Listed:  max(i.gossip.Listed(), len(m.view.Members), 1),
+		Listed:  max(len(i.gossip.Listed()), len(m.view.Members), 1),
 		Reached: max(len(m.view.Live()), 1),
 		Since:   m.since,
 	}
--- a/instance/ready.go
+++ b/instance/ready.go
@@ -14,7 +14,7 @@
 
 // judgeReady decides whether the balancer should send requests here.
 func (i *Instance) judgeReady(now time.Time) {
-	ready := !i.stopping.Load() && i.follower.Next() > 0 && !i.isolated(now)
+	ready := !i.stopping.Load() && i.follower.Next() > 0 && !i.isolated(now) && i.operationsOpen(now)
 	if i.ready.Swap(ready) == ready {
 		return
 	}
@@ -22,6 +22,15 @@
 	klog.InfoS("readiness changed", "instance", i.self.Instance, "ready", ready)
 }
 
+// operationsWait is how long a fresh instance puts off being ready until it
+// can run confirmations. Beyond it lookups and uploads are worth more.
+const operationsWait = 10 * time.Second
+
+// operationsOpen tells whether confirmations need hold readiness back no more.
+func (i *Instance) operationsOpen(now time.Time) bool {
+	return i.operations.Ready() || i.ready.Load() || now.Sub(i.started) > operationsWait
+}
+
 // isolated tells whether the instance has been cut off for too long.
 func (i *Instance) isolated(now time.Time) bool {
 	if len(i.members.Load().view.Members) > 1 {
--- a/instance/stop.go
+++ b/instance/stop.go
@@ -7,6 +7,9 @@
 	"k8s.io/klog/v2"
 )
 
+// sealWait bounds the hand-over of operations.
+const sealWait = 10 * time.Second
+
 // peerStopWait bounds the wait for peers' calls at the end of a stop.
 const peerStopWait = 2 * time.Second
 
@@ -20,9 +23,11 @@
 	i.gossip.Leave()
 	time.Sleep(i.cfg.Stop.BalancerWait.D())
 	i.finishRequests()
+	i.sealOperations()
 	i.cancel()
 	i.systems.Wait()
 	i.evidence.Close()
+	i.operations.Close()
 	i.closePeers()
 	_ = i.admin.Close()
 	i.pool.Close()
@@ -38,6 +43,15 @@
 	}
 }
 
+// sealOperations waits for outcomes to reach the log and hands tickets over.
+func (i *Instance) sealOperations() {
+	ctx, cancel := context.WithTimeout(context.Background(), sealWait)
+	defer cancel()
+	if err := i.operations.Seal(ctx); err != nil {
+		klog.ErrorS(err, "operations not handed over whole", "instance", i.self.Instance)
+	}
+}
+
 // closePeers lets the peers' running calls end.
 func (i *Instance) closePeers() {
 	ctx, cancel := context.WithTimeout(context.Background(), peerStopWait)
--- a/instance/tick.go
+++ b/instance/tick.go
@@ -28,5 +28,6 @@
 	i.allowances.Table().SetView(i.limiterView())
 	i.evidence.Tick(now)
 	i.services.Tick(now, m.forBalancer)
+	i.operations.Tick(now)
 	i.judgeReady(now)
 }
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -50,8 +50,8 @@
 	opts  GossipOptions
 	sends chan struct{}
 	wg    sync.WaitGroup
-	// listed is the length of the last list that the platform gave.
-	listed atomic.Int64
+	// listed is the last list that the platform gave.
+	listed atomic.Pointer[[]platform.Listed]
 
 	mu      sync.Mutex
 	node    *membership.Node
@@ -144,9 +144,14 @@
 	g.wg.Wait()
 }
 
-// Listed is how many instances the platform's list named when it last
-// answered, 0 if it never did.
-func (g *Gossip) Listed() int { return int(g.listed.Load()) }
+// Listed is the platform's list of instances when it last answered, nil if it
+// never did. It must not be changed.
+func (g *Gossip) Listed() []platform.Listed {
+	if l := g.listed.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
 
 // followList hands the platform's list to the node. While the list is gone
 // the last one stays.
@@ -154,7 +159,7 @@
 	for ctx.Err() == nil {
 		listed, err := g.opts.List.Instances(ctx)
 		if err == nil {
-			g.listed.Store(int64(len(listed)))
+			g.listed.Store(&listed)
 			g.update(func(n *membership.Node) { n.SetListed(seeds(listed)) })
 		} else if ctx.Err() == nil {
 			klog.InfoS("instance list unavailable", "err", err)
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/problem"
 	"github.com/clementinereel/clementinereel/upstream"
 )
@@ -17,17 +18,21 @@
 
 // answer passes a target's whole answer on to the caller.
 func (h *Handler) answer(x *exchange, a *upstream.Answer) {
+	h.log.answered(x, a.Status)
+	h.write(x, a.Status, a.Header, a.Body)
+}
+
+// write sends a whole answer to the caller.
+func (h *Handler) write(x *exchange, status int, fields http.Header, body []byte) {
 	dst := x.w.Header()
-	id := dst.Get("Request-Id")
-	maps.Copy(dst, a.Header)
-	dst.Set("Request-Id", id)
+	maps.Copy(dst, fields)
+	dst.Set(header.RequestID, x.id)
 	if x.r.Method != http.MethodHead {
-		dst.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		dst.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.w.WriteHeader(a.Status)
-	_, _ = x.w.Write(a.Body)
-	h.log.answered(x, a.Status)
-	h.finished(x, a.Status)
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(body)
+	h.finished(x, status)
 }
 
 // tryProblem says why a try brought no answer that may be passed on.
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -7,6 +7,8 @@
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/problem"
 )
 
@@ -50,6 +52,20 @@
 	}
 }
 
+// concluded logs an operation that did not complete; one whose outcome is
+// unknown always gets its line.
+func (l requestLog) concluded(x *exchange, a operation.Answer) {
+	switch {
+	case a.Outcome == fleet.Completed, a.Status == http.StatusCreated:
+		l.answered(x, a.Status)
+		return
+	case a.Outcome == fleet.NotRun && !l.limit.Allow():
+		return
+	}
+	klog.InfoS("operation not completed", append(x.logValues(), "status", a.Status,
+		"outcome", a.Outcome.String(), "next", a.Next)...)
+}
+
 func (x *exchange) logValues() []any {
 	kv := []any{"request", x.id, "took", time.Since(x.arrived).Round(time.Microsecond)}
 	if x.route == nil {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -7,6 +7,7 @@
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/problem"
 	"github.com/clementinereel/clementinereel/ratelimit"
 	"github.com/clementinereel/clementinereel/requestid"
@@ -22,8 +23,10 @@
 	// Services finds the runtime state of a service.
 	Services *upstream.Set
 	// Limits holds this instance's allowances under the contracts' limits.
-	Limits  *ratelimit.Table
-	Metrics *telemetry.Registry
+	Limits *ratelimit.Table
+	// Operations sees to it that confirmations run at most once.
+	Operations *operate.Service
+	Metrics    *telemetry.Registry
 }
 
 // Handler serves callers' requests.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operate"
 )
 
 // Settings are the whole configuration file of `clementinereel serve`.
@@ -44,6 +45,8 @@
 	Stop Stop `json:"stop"`
 	// Bounds protect the process against callers.
 	Bounds Bounds `json:"bounds"`
+	// Operations bounds the machinery of work that must run at most once.
+	Operations operate.Settings `json:"operations"`
 }
 
 // Platform says where the platform's services are.
