--- a/allowance/client.go
+++ b/allowance/client.go
@@ -21,10 +21,15 @@
 	TickInterval = 100 * time.Millisecond
 	// urgentPause is the least time between looks for urgent ones.
 	urgentPause = 5 * time.Millisecond
-	// callTimeout bounds a call; accounts give a demand up soon after.
-	callTimeout = 400 * time.Millisecond
+	// callTimeout bounds a call. Accounts ask anew before it ends; a call that
+	// finds a path cut goes on through a relay meanwhile.
+	callTimeout = time.Second
 )
 
+// uncompressed keeps answers as they are: they are short, and compressing them
+// costs more processor time than it saves bytes.
+var uncompressed = connect.WithAcceptCompression("gzip", nil, nil)
+
 // Config is what a Client needs.
 type Config struct {
 	Self fleet.Holder
@@ -173,7 +178,7 @@
 	defer c.mu.Unlock()
 	p := c.peers[id]
 	if p == nil {
-		p = peerv1connect.NewLimitsServiceClient(c.cfg.HTTP, peer.URL(id))
+		p = peerv1connect.NewLimitsServiceClient(c.cfg.HTTP, peer.URL(id), uncompressed)
 		c.peers[id] = p
 	}
 	return p
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -27,7 +27,7 @@
 	stockable = 0.7
 	// contendedBelow is the share of the bucket's depth below which an
 	// account is held to its fair share.
-	contendedBelow = 0.5
+	contendedBelow = 0.25
 )
 
 // Granter is the limiter of one customer: it folds demands into grants. It
