--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -22,13 +22,10 @@
 const defaultTargets = 6
 
 // maxRunning is how many fleets run at once; further tests wait.
-const maxRunning = 4
+const maxRunning = 3
 
 var running = make(chan struct{}, maxRunning)
 
-// maxInFlight bounds the requests of one load.
-const maxInFlight = 512
-
 // Setup says what a Fleet consists of.
 type Setup struct {
 	// Binaries are the programs under test. Required.
@@ -91,8 +88,10 @@
 	Targets   map[string][]*Target
 	Instances []*Instance
 
-	// revision is the offset of the contract in force.
+	// revision is the offset of the contract in force, newest that of the
+	// newest record of configuration.
 	revision     platform.Offset
+	newest       platform.Offset
 	publications int
 }
 
@@ -111,6 +110,7 @@
 	}
 	for _, i := range f.Instances {
 		i.WaitReady()
+		i.WaitInForce(f.newest)
 	}
 	return f
 }
@@ -189,7 +189,7 @@
 	if len(through) == 0 {
 		through = f.Instances
 	}
-	o := load.Options{Host: f.Contract.Hosts[0], Mix: mix, Duration: d, Seed: 1, Poisson: true, MaxInFlight: maxInFlight}
+	o := load.Options{Host: f.Contract.Hosts[0], Mix: mix, Duration: d, Seed: 1, Poisson: true}
 	for _, i := range through {
 		o.Instances = append(o.Instances, i.URL())
 		o.Ready = append(o.Ready, i.AdminURL())
--- a/faults/instance.go
+++ b/faults/instance.go
@@ -19,6 +19,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/settings"
+	"github.com/clementinereel/clementinereel/status"
 )
 
 // Instance is one instance of the fleet, over the processes that run it one
@@ -167,6 +168,32 @@
 	return nil
 }
 
+// WaitInForce waits until the instance has applied the record at an offset.
+func (i *Instance) WaitInForce(offset platform.Offset) {
+	i.t.Helper()
+	Eventually(i.t, func() error {
+		r, err := i.Status()
+		if err != nil {
+			return err
+		}
+		if r.Config.Next <= offset {
+			return errors.Errorf("%s: %d is not in force: next is %d", i.ID(), offset, r.Config.Next)
+		}
+		return nil
+	})
+}
+
+// Status returns what the instance reports of itself.
+func (i *Instance) Status() (status.Report, error) {
+	var r status.Report
+	resp, err := adminClient.Get(i.AdminURL() + status.Path)
+	if err != nil {
+		return r, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	return r, errors.WithStack(json.NewDecoder(resp.Body).Decode(&r))
+}
+
 // adminClient reads admin pages.
 var adminClient = &http.Client{Timeout: 2 * time.Second}
 
--- a/faults/main_test.go
+++ b/faults/main_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 	"testing"
 )
 
+// memoryLimit is where the collector begins to work hard, in bytes.
+const memoryLimit = 1 << 30
+
 // binaries are built once for all tests.
 var binaries *Binaries
 
@@ -16,6 +20,7 @@
 		os.Exit(1)
 	}
 	binaries = b
+	debug.SetMemoryLimit(memoryLimit)
 	code := m.Run()
 	b.Remove()
 	os.Exit(code)
--- a/faults/target.go
+++ b/faults/target.go
@@ -71,6 +71,7 @@
 	f.t.Helper()
 	offset, err := f.log.Append(context.Background(), publication.Stream, rec)
 	assert.NilError(f.t, err)
+	f.newest = offset
 	return offset
 }
 
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -207,3 +207,15 @@
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+func TestBoundsOperationsUnderWay(t *testing.T) {
+	s := target(t, emulator.Behavior{HangPercent: 100})
+	rep, err := Run(context.Background(), Options{
+		Instances: []string{s.URL()}, Duration: 300 * time.Millisecond, MaxInFlight: 2,
+		Mix: []Stream{{Class: fleet.Lookup, Path: "/", Rate: 100, Timeout: time.Second}},
+	})
+	assert.NilError(t, err)
+	c := rep.Class(fleet.Lookup)
+	assert.Equal(t, c.Operations, 2)
+	assert.Assert(t, c.NotSent > 10 && c.NotSent <= 30, "%+v", c)
+}
--- a/load/loadcmd/loadcmd.go
+++ b/load/loadcmd/loadcmd.go
@@ -43,7 +43,7 @@
 
 	Duration      time.Duration `help:"How long operations begin, at most 1h." default:"10s"`
 	MaxOperations int           `help:"Bound on the operations of the run." default:"1000000"`
-	MaxInFlight   int           `help:"Bound on the requests under way; further ones wait, which counts into their latency." default:"4096"`
+	MaxInFlight   int           `help:"Bound on the operations under way; further ones are not sent, which the report counts." default:"512"`
 	Poisson       bool          `help:"Exponential times between operations in place of equal ones."`
 	Seed          uint64        `help:"Seed of schedule, routes and bodies." default:"1"`
 	AllowRemote   bool          `help:"Allow addresses other than loopback."`
@@ -66,13 +66,10 @@
   reelctl load --instance http://127.0.0.1:8080 --host quotes.example \
     --lookup-rate 100 --lookup-path /prices --duration 10s
 
-Exit codes: 0 the load ran and all promises held; 1 it could not run; 4 a promise
-was broken.`
+Exit codes: 0 the load ran and all promises held; 1 it could not run, or a promise
+was broken, which is said; 2 wrong usage.`
 }
 
-// ExitBroken is the exit code that goes with ErrBroken.
-const ExitBroken = 4
-
 // Run sends the load and prints the report. It returns ErrBroken if a
 // promise was broken.
 func (c *Cmd) Run(ctx context.Context) error {
--- a/load/operation.go
+++ b/load/operation.go
@@ -24,12 +24,11 @@
 	intended time.Time
 	nonce    string
 	// key is the name under which targets record a confirmation.
-	key      string
-	ticket   string
-	body     []byte
-	sum      string
-	rand     *rand.Rand
-	inFlight chan struct{}
+	key    string
+	ticket string
+	body   []byte
+	sum    string
+	rand   *rand.Rand
 }
 
 // prepare draws the body and names the operation.
@@ -112,8 +111,6 @@
 
 // ask sends the request once and judges its answer.
 func (op *operation) ask(ctx context.Context, base string) ask {
-	op.inFlight <- struct{}{}
-	defer func() { <-op.inFlight }()
 	ctx, cancel := context.WithTimeout(ctx, op.stream.Timeout)
 	defer cancel()
 	a := ask{sent: time.Now()}
--- a/load/options.go
+++ b/load/options.go
@@ -13,7 +13,7 @@
 // Defaults of Options.
 const (
 	DefaultMaxOperations = 1_000_000
-	DefaultMaxInFlight   = 4096
+	DefaultMaxInFlight   = 512
 	DefaultTimeout       = 30 * time.Second
 	// MaxDuration bounds a run.
 	MaxDuration = time.Hour
@@ -56,8 +56,8 @@
 	// MaxOperations bounds the operations of a run.
 	// Default DefaultMaxOperations.
 	MaxOperations int
-	// MaxInFlight bounds the asks under way; further operations wait, which
-	// counts into their latency. Default DefaultMaxInFlight.
+	// MaxInFlight bounds the operations under way; further ones are not sent,
+	// which the report counts. Default DefaultMaxInFlight.
 	MaxInFlight int
 	// Poisson makes the times between operations exponential. Default:
 	// equal.
--- a/load/print.go
+++ b/load/print.go
@@ -38,12 +38,12 @@
 
 // columns are the table's columns, in order.
 var columns = []string{
-	"class", "route", "operations", "asks", "whole/s", "whole", "not-run", "unknown", "limited",
+	"class", "route", "operations", "not sent", "asks", "whole/s", "whole", "not-run", "unknown", "limited",
 	"unavailable", "refused", "failed", "lost", "wrong", "truncated", "p50 ms", "p90 ms", "p99 ms", "p99.9 ms", "max ms",
 }
 
 func (c ClassReport) row() []string {
-	row := []string{c.Class.String(), string(c.Route), strconv.Itoa(c.Operations), strconv.Itoa(c.Asks), decimal(c.Goodput)}
+	row := []string{c.Class.String(), string(c.Route), strconv.Itoa(c.Operations), strconv.Itoa(c.NotSent), strconv.Itoa(c.Asks), decimal(c.Goodput)}
 	for _, v := range []Verdict{Whole, NotRun, Unknown, Limited, Unavailable, Refused, Failed, Lost} {
 		row = append(row, strconv.Itoa(c.Ended[v]))
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -21,6 +21,7 @@
 type tally struct {
 	operations int
 	asks       int
+	notSent    int
 	verdicts   map[Verdict]int
 	answers    map[string]int
 	wrong      int
@@ -72,6 +73,9 @@
 	// Operations is how many were begun, Asks how many requests they took.
 	Operations int `json:"operations"`
 	Asks       int `json:"asks"`
+	// NotSent counts operations that were not begun, since too many were
+	// under way; Operations leaves them out.
+	NotSent int `json:"not_sent"`
 	// Goodput is the number of whole answers a second.
 	Goodput float64 `json:"goodput_per_second"`
 	// Ended counts operations by how they ended.
@@ -151,6 +155,7 @@
 		Class:      key.class,
 		Operations: t.operations,
 		Asks:       t.asks,
+		NotSent:    t.notSent,
 		Goodput:    float64(t.verdicts[Whole]) / d.Seconds(),
 		Ended:      t.verdicts,
 		Wrong:      t.wrong,
--- a/load/run.go
+++ b/load/run.go
@@ -133,8 +133,7 @@
 		}
 		op := r.newOperation(start.Add(at), s, gen)
 		op.nonce = fmt.Sprintf("%s-%d-%d", r.prefix, index, n)
-		r.left.Add(1)
-		go r.perform(op)
+		r.begin(op)
 		at += gap(mean, r.opts.Poisson, gen)
 	}
 }
@@ -163,26 +162,43 @@
 		stream:   s,
 		intended: intended,
 		rand:     rand.New(rand.NewPCG(gen.Uint64(), gen.Uint64())),
-		inFlight: r.inFlight,
+	}
+}
+
+// begin starts an operation, or counts it as not sent if too many are under
+// way.
+func (r *run) begin(op *operation) {
+	select {
+	case r.inFlight <- struct{}{}:
+		r.left.Go(func() { r.perform(op) })
+	default:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.tally(op).notSent++
 	}
 }
 
 func (r *run) perform(op *operation) {
-	defer r.left.Done()
+	defer func() { <-r.inFlight }()
 	op.prepare(r.pool)
 	o := op.run(context.Background())
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tally(op).add(o)
+	if op.key != "" {
+		r.ops[op.key] = o
+	}
+}
+
+// tally returns the tally of an operation's side and class; r.mu is held.
+func (r *run) tally(op *operation) *tally {
 	key := tallyKey{op.side.name, op.stream.Class}
 	t := r.tallies[key]
 	if t == nil {
 		t = newTally()
 		r.tallies[key] = t
 	}
-	t.add(o)
-	if op.key != "" {
-		r.ops[op.key] = o
-	}
+	return t
 }
 
 // audit asks the targets what they ran, if they are known.
