--- a/contract/decode.go
+++ b/contract/decode.go
@@ -27,23 +27,13 @@
 	if err := k.err(); err != nil {
 		return nil, err
 	}
-	c, err := DecodeUnchecked(raw)
-	if err != nil {
-		return nil, err
-	}
-	if err := Check(c); err != nil {
-		return nil, err
-	}
-	return c, nil
-}
-
-// DecodeUnchecked reads a contract that was checked when it was accepted, and
-// fills in the defaults.
-func DecodeUnchecked(data []byte) (*Contract, error) {
 	c := new(Contract)
-	if err := json.Unmarshal(data, c); err != nil {
+	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	Fill(c)
+	if err := Check(c); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
--- a/publication/checkpoint.go
+++ b/publication/checkpoint.go
@@ -76,23 +76,26 @@
 	return &c
 }
 
-// snapshot is the JSON form of a State, the same for equal states.
-type snapshot struct {
-	Next      platform.Offset    `json:"next"`
-	Contracts []contractSnapshot `json:"contracts"`
-	Targets   []targetSnapshot   `json:"targets"`
+// head begins a packed state: a gzip stream of JSON values, namely the head,
+// the contracts and the targets, each in the order of their revisions. It is
+// written and read piece by piece, so that packing takes little memory.
+type head struct {
+	Next platform.Offset `json:"next"`
 	// Checkpoint is the newest checkpoint in the stream.
 	Checkpoint CheckpointMark `json:"checkpoint"`
+	// Contracts and Targets are how many follow.
+	Contracts int `json:"contracts"`
+	Targets   int `json:"targets"`
 }
 
-type contractSnapshot struct {
-	Revision      platform.Offset `json:"revision"`
-	PublicationID string          `json:"id"`
-	Time          time.Time       `json:"time"`
-	Contract      json.RawMessage `json:"contract"`
+type packedContract struct {
+	Revision      platform.Offset    `json:"revision"`
+	PublicationID string             `json:"id"`
+	Time          time.Time          `json:"time"`
+	Contract      *contract.Contract `json:"contract"`
 }
 
-type targetSnapshot struct {
+type packedTarget struct {
 	Revision      platform.Offset `json:"revision"`
 	PublicationID string          `json:"id"`
 	Target        fleet.Target    `json:"target"`
@@ -100,92 +103,101 @@
 
 // Snapshot packs the state. Equal states give equal bytes.
 func (s *State) Snapshot() ([]byte, error) {
-	snap, err := s.snapshot()
-	if err != nil {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := s.write(zw); err != nil {
 		return nil, err
 	}
-	return pack(snap)
+	if err := zw.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return buf.Bytes(), nil
 }
 
-func (s *State) snapshot() (snapshot, error) {
-	snap := snapshot{Next: s.next, Checkpoint: s.checkpoint}
-	for _, p := range s.contracts {
-		doc, err := json.Marshal(&p.Contract)
-		if err != nil {
-			return snap, errors.WithStack(err)
+// write writes the values of a packed state.
+func (s *State) write(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	contracts, targets := s.ordered()
+	if err := enc.Encode(head{s.next, s.checkpoint, len(contracts), len(targets)}); err != nil {
+		return errors.WithStack(err)
+	}
+	for _, p := range contracts {
+		if err := enc.Encode(packedContract{p.Revision, p.PublicationID, p.Time, &p.Contract}); err != nil {
+			return errors.WithStack(err)
 		}
-		snap.Contracts = append(snap.Contracts, contractSnapshot{p.Revision, p.PublicationID, p.Time.UTC(), doc})
 	}
-	for _, byID := range s.targets {
-		for _, a := range byID {
-			t := a.Target
-			t.Since = t.Since.UTC()
-			snap.Targets = append(snap.Targets, targetSnapshot{a.Revision, a.PublicationID, t})
+	for _, a := range targets {
+		if err := enc.Encode(packedTarget{a.Revision, a.PublicationID, a.Target}); err != nil {
+			return errors.WithStack(err)
 		}
 	}
-	slices.SortFunc(snap.Contracts, func(a, b contractSnapshot) int { return cmp.Compare(a.Revision, b.Revision) })
-	slices.SortFunc(snap.Targets, func(a, b targetSnapshot) int { return cmp.Compare(a.Revision, b.Revision) })
-	return snap, nil
+	return nil
 }
 
-func pack(snap snapshot) ([]byte, error) {
-	var buf bytes.Buffer
-	zw := gzip.NewWriter(&buf)
-	if err := json.NewEncoder(zw).Encode(snap); err != nil {
-		return nil, errors.WithStack(err)
-	}
-	if err := zw.Close(); err != nil {
-		return nil, errors.WithStack(err)
+// ordered returns the contracts and targets in the order of their revisions.
+func (s *State) ordered() ([]*Published, []*announced) {
+	contracts := slices.Collect(maps.Values(s.contracts))
+	slices.SortFunc(contracts, func(a, b *Published) int { return cmp.Compare(a.Revision, b.Revision) })
+	var targets []*announced
+	for _, byID := range s.targets {
+		targets = slices.AppendSeq(targets, maps.Values(byID))
 	}
-	return buf.Bytes(), nil
+	slices.SortFunc(targets, func(a, b *announced) int { return cmp.Compare(a.Revision, b.Revision) })
+	return contracts, targets
 }
 
 // Restore unpacks a snapshot into a new state.
 func Restore(data []byte) (*State, error) {
-	snap, err := unpack(data)
+	zr, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "snapshot")
+	}
+	s, err := readState(json.NewDecoder(io.LimitReader(zr, maxSnapshot)))
+	return s, errors.Wrap(err, "snapshot")
+}
+
+func readState(dec *json.Decoder) (*State, error) {
+	var h head
+	if err := dec.Decode(&h); err != nil {
+		return nil, errors.WithStack(err)
 	}
 	s := NewState()
-	s.next, s.checkpoint = snap.Next, snap.Checkpoint
-	for _, c := range snap.Contracts {
-		doc, err := contract.DecodeUnchecked(c.Contract)
-		if err != nil {
-			return nil, errors.Wrap(err, "snapshot")
+	s.next, s.checkpoint = h.Next, h.Checkpoint
+	for range h.Contracts {
+		if err := s.readContract(dec); err != nil {
+			return nil, err
 		}
-		s.put(&Published{Contract: *doc, Revision: c.Revision, PublicationID: c.PublicationID, Time: c.Time})
 	}
-	for _, t := range snap.Targets {
-		s.putTarget(&announced{Target: t.Target, Revision: t.Revision, PublicationID: t.PublicationID})
+	for range h.Targets {
+		if err := s.readTarget(dec); err != nil {
+			return nil, err
+		}
 	}
 	return s, nil
 }
 
-func unpack(data []byte) (snapshot, error) {
-	var snap snapshot
-	zr, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
-		return snap, errors.Wrap(err, "snapshot")
+func (s *State) readContract(dec *json.Decoder) error {
+	var c packedContract
+	if err := dec.Decode(&c); err != nil {
+		return errors.WithStack(err)
 	}
-	dec := json.NewDecoder(io.LimitReader(zr, maxSnapshot))
-	if err := dec.Decode(&snap); err != nil {
-		return snap, errors.Wrap(err, "snapshot")
+	if c.Contract == nil || c.Revision < 0 || c.Revision >= s.next {
+		return errors.Errorf("contract at revision %d of a state at %d", c.Revision, s.next)
 	}
-	return snap, snap.check()
+	contract.Fill(c.Contract)
+	s.put(&Published{Contract: *c.Contract, Revision: c.Revision, PublicationID: c.PublicationID, Time: c.Time})
+	return nil
 }
 
-// check refuses a snapshot that no fold can have written.
-func (s *snapshot) check() error {
-	for _, c := range s.Contracts {
-		if c.Revision < 0 || c.Revision >= s.Next {
-			return errors.Errorf("snapshot: revision %d is not below %d", c.Revision, s.Next)
-		}
+func (s *State) readTarget(dec *json.Decoder) error {
+	var t packedTarget
+	if err := dec.Decode(&t); err != nil {
+		return errors.WithStack(err)
 	}
-	for _, t := range s.Targets {
-		if t.Revision < 0 || t.Revision >= s.Next {
-			return errors.Errorf("snapshot: target revision %d is not below %d", t.Revision, s.Next)
-		}
+	if t.Revision < 0 || t.Revision >= s.next {
+		return errors.Errorf("target at revision %d of a state at %d", t.Revision, s.next)
 	}
+	s.putTarget(&announced{Target: t.Target, Revision: t.Revision, PublicationID: t.PublicationID})
 	return nil
 }
 
--- a/publication/replica_test.go
+++ b/publication/replica_test.go
@@ -1,8 +1,8 @@
 package publication
 
 import (
-	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -68,11 +68,9 @@
 }
 
 func canonical(t assert.TestingT, s *State) string {
-	snap, err := s.snapshot()
-	assert.NilError(t, err)
-	doc, err := json.Marshal(snap)
-	assert.NilError(t, err)
-	return string(doc)
+	var doc strings.Builder
+	assert.NilError(t, s.write(&doc))
+	return doc.String()
 }
 
 // drawStep lets a replica read a piece of the log, start from a checkpoint, or
