Spread configuration by telling peers, not by long polls alone

Long polls at two random peers can form circles that no source is part of: a change then waits for the next choice of peers. An instance that advanced now also tells three random peers, by a pull that names its new offset, and one that lacks it pulls in turn.

Telling costs 3 calls for each instance and change.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -66,6 +66,7 @@
 	// logFailing tells that the last call to the log failed.
 	logFailing atomic.Bool
 	changed    chan struct{}
+	hints      chan hint
 
 	mu      sync.Mutex
 	replica *publication.Replica
@@ -93,6 +94,7 @@
 		settings: o.Settings.withDefaults(),
 		counters: newCounters(o.Registry),
 		changed:  make(chan struct{}, 1),
+		hints:    make(chan hint, 1),
 		replica:  publication.NewReplica(),
 		advanced: make(chan struct{}),
 	}
@@ -127,16 +129,22 @@
 		for range f.settings.Upstreams {
 			wg.Go(func() { f.pull(ctx) })
 		}
+		wg.Go(func() { f.chase(ctx) })
+		wg.Go(func() { f.spread(ctx) })
 	}
 	wg.Wait()
 }
 
 // report calls OnChange.
 func (f *Follower) report(ctx context.Context) {
+	var last *publication.View
 	for {
 		select {
 		case <-f.changed:
-			f.opts.OnChange(f.View())
+			if v := f.View(); v != last {
+				f.opts.OnChange(v)
+				last = v
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -71,7 +71,7 @@
 	if !ok {
 		return Pulled{}, errors.New("no such peer")
 	}
-	return f.Serve(ctx, from, wait)
+	return f.Serve(ctx, p.self, from, wait)
 }
 
 // unreachable is a log that cannot be reached.
--- a/follow/peers.go
+++ b/follow/peers.go
@@ -101,7 +101,8 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("negative offset or wait"))
 	}
 	wait := time.Duration(min(req.Msg.WaitMillis, maxWait.Milliseconds())) * time.Millisecond
-	got, err := s.follower.Serve(ctx, platform.Offset(req.Msg.From), wait)
+	caller, _ := peer.Sender(ctx)
+	got, err := s.follower.Serve(ctx, caller.Instance, platform.Offset(req.Msg.From), wait)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -22,6 +24,9 @@
 // turns to the log.
 const startTries = 3
 
+// tellTimeout bounds the call that tells a peer of an advance.
+const tellTimeout = 2 * time.Second
+
 // startTimeout bounds these calls together.
 const startTimeout = 2 * time.Second
 
@@ -54,30 +59,106 @@
 	return ids[:min(len(ids), startTries)]
 }
 
-// pull asks peers, one at a time, for newer records.
+// pull holds long polls at random peers while the log cannot be relied on.
 func (f *Follower) pull(ctx context.Context) {
 	b := f.newBackoff()
 	for ctx.Err() == nil {
-		wait := time.Duration(0)
-		if f.needsPeers() {
-			wait = f.settings.PeerWait
-		}
-		id, ok := f.choose(wait > 0)
-		if !ok {
+		ids := f.random(1)
+		if !f.needsPeers() || len(ids) == 0 {
 			sleep(ctx, f.settings.PeerInterval)
 			continue
 		}
 		from, began := f.Next(), time.Now()
-		if err := f.pullFrom(ctx, id, wait); err != nil {
-			f.peerFailed(ctx, id, err)
+		if err := f.pullFrom(ctx, ids[0], f.settings.PeerWait); err != nil {
+			f.peerFailed(ctx, ids[0], err)
 			b.pause(ctx)
 			continue
 		}
 		b.reset()
 		if f.Next() == from && time.Since(began) < f.settings.PeerInterval {
-			sleep(ctx, f.settings.PeerInterval)
+			sleep(ctx, f.settings.PeerInterval) // the peer did not hold the call
+		}
+	}
+}
+
+// chase pulls from peers that are ahead: those that said so in a pull of their
+// own, and those that the membership knows of.
+func (f *Follower) chase(ctx context.Context) {
+	b := f.newBackoff()
+	for ctx.Err() == nil {
+		id, ok := f.ahead(ctx)
+		if !ok {
+			continue
+		}
+		from := f.Next()
+		if err := f.pullFrom(ctx, id, 0); err != nil {
+			f.peerFailed(ctx, id, err)
+			b.pause(ctx)
+			continue
+		}
+		b.reset()
+		if f.Next() == from {
+			sleep(ctx, f.settings.PeerInterval) // it was not ahead after all
+		}
+	}
+}
+
+// ahead waits for a peer that is ahead, for PeerInterval at most.
+func (f *Follower) ahead(ctx context.Context) (fleet.InstanceID, bool) {
+	t := time.NewTimer(f.settings.PeerInterval)
+	defer t.Stop()
+	select {
+	case h := <-f.hints:
+		return h.id, h.next > f.Next()
+	case <-t.C:
+	case <-ctx.Done():
+		return "", false
+	}
+	next := f.Next()
+	var ids []fleet.InstanceID
+	for id, offset := range f.opts.Peers.Offsets() {
+		if offset > next {
+			ids = append(ids, id)
 		}
 	}
+	if len(ids) == 0 {
+		return "", false
+	}
+	return ids[rand.IntN(len(ids))], true
+}
+
+// spread tells a few random peers of each advance, by a pull that names the
+// new offset. What they may have beyond it is taken up.
+func (f *Follower) spread(ctx context.Context) {
+	told := f.Next()
+	for ctx.Err() == nil {
+		f.await(ctx, told, maxWait)
+		next := f.Next()
+		if next == told {
+			continue
+		}
+		told = next
+		var wg sync.WaitGroup
+		for _, id := range f.random(f.settings.Fanout) {
+			wg.Go(func() { f.tell(ctx, id) })
+		}
+		wg.Wait()
+	}
+}
+
+func (f *Follower) tell(ctx context.Context, id fleet.InstanceID) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	if err := f.pullFrom(ctx, id, 0); err != nil {
+		f.peerFailed(ctx, id, err)
+	}
+}
+
+// random returns up to n random peers.
+func (f *Follower) random(n int) []fleet.InstanceID {
+	ids := slices.Collect(maps.Keys(f.opts.Peers.Offsets()))
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(n, len(ids))]
 }
 
 func (f *Follower) peerFailed(ctx context.Context, id fleet.InstanceID, err error) {
@@ -97,26 +178,6 @@
 	return silent > f.settings.ReadWait+logSilence
 }
 
-// choose picks a random peer among those ahead or, if none is and any will do,
-// among all.
-func (f *Follower) choose(anyPeer bool) (fleet.InstanceID, bool) {
-	next := f.Next()
-	var ahead, all []fleet.InstanceID
-	for id, offset := range f.opts.Peers.Offsets() {
-		all = append(all, id)
-		if offset > next {
-			ahead = append(ahead, id)
-		}
-	}
-	if len(ahead) == 0 && anyPeer {
-		ahead = all
-	}
-	if len(ahead) == 0 {
-		return "", false
-	}
-	return ahead[rand.IntN(len(ahead))], true
-}
-
 // pullFrom asks one peer and takes up what it has.
 func (f *Follower) pullFrom(ctx context.Context, id fleet.InstanceID, wait time.Duration) error {
 	f.counters.pulls.Inc(1)
@@ -138,10 +199,11 @@
 	return nil
 }
 
-// Serve answers a peer's pull. It holds the call for up to wait while it has
+// Serve answers a pull of a peer. It holds the call for up to wait while it has
 // nothing from the offset on.
-func (f *Follower) Serve(ctx context.Context, from platform.Offset, wait time.Duration) (Pulled, error) {
+func (f *Follower) Serve(ctx context.Context, caller fleet.InstanceID, from platform.Offset, wait time.Duration) (Pulled, error) {
 	f.counters.pulled.Inc(1)
+	f.heed(hint{caller, from})
 	f.await(ctx, from, wait)
 	f.mu.Lock()
 	records, ok := f.replica.Since(from)
@@ -153,6 +215,23 @@
 	return f.snapshot()
 }
 
+// hint says that a peer has applied up to an offset.
+type hint struct {
+	id   fleet.InstanceID
+	next platform.Offset
+}
+
+// heed lets chase know of a peer that is ahead, unless it knows of one already.
+func (f *Follower) heed(h hint) {
+	if h.id == "" || h.next <= f.Next() {
+		return
+	}
+	select {
+	case f.hints <- h:
+	default:
+	}
+}
+
 // await waits until the state has gone beyond an offset.
 func (f *Follower) await(ctx context.Context, from platform.Offset, wait time.Duration) {
 	timeout := time.NewTimer(min(wait, maxWait))
--- a/follow/settings.go
+++ b/follow/settings.go
@@ -12,13 +12,16 @@
 	// RetryMin and RetryMax bound the pause after an error; it doubles from
 	// one to the other. Defaults 100 ms and 2 s.
 	RetryMin, RetryMax time.Duration
-	// Upstreams is how many peers are asked at a time. Default 2.
+	// Upstreams is how many long polls are held at peers while the log cannot
+	// be relied on. Default 2.
 	Upstreams int
+	// Fanout is how many peers are told of each advance. Default 3.
+	Fanout int
 	// PeerWait is how long a peer may hold a pull while it has nothing newer.
 	// Default 5 s.
 	PeerWait time.Duration
-	// PeerInterval is the time between looks at the peers' offsets while the
-	// log answers. Default 250 ms.
+	// PeerInterval is the time between looks at the peers' offsets. Default
+	// 250 ms.
 	PeerInterval time.Duration
 	// Retention is how long the log keeps a record. A checkpoint is appended
 	// when the newest one is a quarter as old. Default 24 h.
@@ -44,6 +47,7 @@
 	setDefault(&s.RetryMin, 100*time.Millisecond)
 	setDefault(&s.RetryMax, 2*time.Second)
 	setDefault(&s.Upstreams, 2)
+	setDefault(&s.Fanout, 3)
 	setDefault(&s.PeerWait, 5*time.Second)
 	setDefault(&s.PeerInterval, 250*time.Millisecond)
 	setDefault(&s.Retention, 24*time.Hour)
--- a/follow/tail.go
+++ b/follow/tail.go
@@ -37,12 +37,16 @@
 			sleep(ctx, f.settings.PeerInterval)
 			continue
 		}
+		from, began := f.Next(), time.Now()
 		if err := f.read(ctx); err != nil {
 			f.logFailed(ctx, err)
 			b.pause(ctx)
 			continue
 		}
 		b.reset()
+		if f.Next() == from && time.Since(began) < f.settings.RetryMin {
+			sleep(ctx, f.settings.RetryMin) // the log does not wait by itself
+		}
 	}
 }
 
