Spread each instance's targets over the other zones

Cause: the windows of every zone's targets began at the same rank, so that with six zones some instances reached no target outside their own and would have lost all with it. Change: towards other zones the windows of all targets are spaced evenly, the zones taking turns. Picker.SameConnections tells that a pool needn't be told again, as when only weights changed.

--- a/balancer/assign.go
+++ b/balancer/assign.go
@@ -58,11 +58,7 @@
 		}
 		return
 	}
-	for lo := 0; lo < len(as); {
-		hi := zoneEnd(as, lo)
-		assignWindows(budget, as[lo:hi], v)
-		lo = hi
-	}
+	assignWindows(budget, as, v)
 }
 
 func zoneEnd(as []Assignment, lo int) int {
@@ -73,20 +69,49 @@
 	return hi
 }
 
-// assignWindows gives one connection to each target of a zone whose window
-// covers self. The window of the k-th target holds a fixed number of
-// consecutive ranks; the windows start evenly spaced, so that both the
-// instances of a target and the targets of an instance differ by one at most.
-func assignWindows(budget int, zone []Assignment, v *memberView) {
-	z := zone[0].Target.Zone
-	g := v.groupFor(z)
-	width := windowWidth(budget, len(zone), v.perZone[z], len(v.hashed), v.self.Zone == z)
-	for k := range zone {
-		start := k * g.size / len(zone)
-		if (g.rank-start+g.size)%g.size < width {
-			zone[k].Connections = 1
+// assignWindows gives one connection to each target whose window covers self.
+// A window holds a fixed number of consecutive ranks. Towards the instances of
+// their own zone, the windows of a zone's targets start evenly spaced; towards
+// all others, so do the windows of all targets, the zones taking turns. Both
+// the instances of a target and the targets of an instance are thus spread
+// evenly, and an instance's targets elsewhere are in different zones.
+func assignWindows(budget int, as []Assignment, v *memberView) {
+	turn := turns(as)
+	for lo := 0; lo < len(as); {
+		hi := zoneEnd(as, lo)
+		z := as[lo].Target.Zone
+		g := v.groupFor(z)
+		inside := v.self.Zone == z
+		width := windowWidth(budget, hi-lo, v.perZone[z], len(v.hashed), inside)
+		for i := lo; i < hi; i++ {
+			start := turn[i] * g.size / len(as)
+			if inside {
+				start = (i - lo) * g.size / (hi - lo)
+			}
+			if (g.rank-start+g.size)%g.size < width {
+				as[i].Connections = 1
+			}
+		}
+		lo = hi
+	}
+}
+
+// turns returns each target's place when the zones take turns.
+func turns(as []Assignment) []int {
+	order := make([]int, len(as))
+	within := make([]int, len(as))
+	for i := range as {
+		order[i] = i
+		if i > 0 && as[i].Target.Zone == as[i-1].Target.Zone {
+			within[i] = within[i-1] + 1
 		}
 	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(within[a], within[b]) })
+	places := make([]int, len(as))
+	for place, i := range order {
+		places[i] = place
+	}
+	return places
 }
 
 // windowWidth splits a target's connections: half to the instances of its own
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// With six zones at fleet size, an instance whose zone is lost still reaches
+// targets in others.
+func TestEveryInstanceReachesOtherZones(t *testing.T) {
+	six := func(i int) fleet.Zone { return fleet.Zone(fmt.Sprint("zone-", i%6)) }
+	ts, ms := fakeTargets(29), fakeMembers(920)
+	for i := range ts {
+		ts[i].Zone = six(i)
+	}
+	for i := range ms {
+		ms[i].Zone = six(i)
+	}
+	fewest := len(ts)
+	for _, m := range ms {
+		n := 0
+		for _, a := range Assign(small(), ts, NewMembers(m, ms)) {
+			n += btoi(a.Connections > 0 && a.Target.Zone != m.Zone)
+		}
+		fewest = min(fewest, n)
+	}
+	t.Logf("at least %d targets in other zones", fewest)
+	assert.Assert(t, fewest >= 2)
+}
+
 // A new member moves few connections: places shift by one rank at most.
 func TestOneMoreInstanceMovesLittle(t *testing.T) {
 	ts, ms := fakeTargets(29), fakeMembers(921)
@@ -128,7 +151,9 @@
 		p, _ := b.Picker().Pick(PickInfo{Now: t0})
 		picks = append(picks, p)
 	}
+	before := b.Picker()
 	b.Update(t0, fakeTargets(1), func(fleet.TargetID) float64 { return .5 }, b.members)
+	assert.Assert(t, b.Picker() != before && b.Picker().SameConnections(before))
 	_, ok := b.Picker().Pick(PickInfo{Now: t0})
 	assert.Assert(t, !ok)
 	picks[0].Done(DoneInfo{Result: fleet.TryOK})
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// SameConnections tells whether two Pickers of one Balancer give the same
+// connections, so that a pool needn't be told again.
+func (p *Picker) SameConnections(q *Picker) bool {
+	if len(p.assigned) == 0 || len(q.assigned) == 0 {
+		return len(p.assigned) == len(q.assigned)
+	}
+	return &p.assigned[0] == &q.assigned[0]
+}
+
 // Done reports how the try ended and frees its place.
 func (p Pick) Done(d DoneInfo) {
 	if wait := p.b.cfg.backOff(d); wait > 0 {
