--- a/claim/checker_test.go
+++ b/claim/checker_test.go
@@ -12,12 +12,8 @@
 	"github.com/clementinereel/clementinereel/operation"
 )
 
-const (
-	// histories is how many histories the checker explores.
-	histories = "3000"
-	// stepsPerHistory is how long the faults of one history last.
-	stepsPerHistory = 300
-)
+// stepsPerHistory is how long the faults of one history last.
+const stepsPerHistory = 300
 
 func TestMain(m *testing.M) {
 	flag.Parse()
--- a/claim/survey.go
+++ b/claim/survey.go
@@ -43,6 +43,8 @@
 	named   map[fleet.Holder]bool
 	// bound holds the processes that must answer, gone or not.
 	bound map[fleet.Holder]bool
+	// reached holds the instances that answered, in any incarnation.
+	reached map[fleet.InstanceID]bool
 }
 
 // NewSurvey starts a survey by the holder of a claim, which it must have
@@ -53,6 +55,7 @@
 		started: now, claim: claim, history: h,
 		answers: map[fleet.Holder]SurveyAnswer{},
 		named:   map[fleet.Holder]bool{}, bound: map[fleet.Holder]bool{},
+		reached: map[fleet.InstanceID]bool{},
 	}
 	for _, m := range h.All() {
 		s.named[m] = true
@@ -63,6 +66,7 @@
 // Add takes an answer.
 func (s *Survey) Add(a SurveyAnswer) {
 	s.answers[a.From] = a
+	s.reached[a.From.Instance] = true
 	for _, m := range a.View {
 		s.named[m] = true
 	}
@@ -76,7 +80,10 @@
 func (s *Survey) Ask() []fleet.Holder {
 	var list []fleet.Holder
 	for m := range s.named {
-		if _, ok := s.answers[m]; !ok {
+		_, ok := s.answers[m]
+		// A process of which only the instance is known, without incarnation.
+		ok = ok || m.Incarnation == 0 && s.reached[m.Instance]
+		if !ok {
 			list = append(list, m)
 		}
 	}
@@ -223,6 +230,15 @@
 	return list
 }
 
+// Latest returns the latest incarnation of an instance that was seen, or 0.
+func (h *History) Latest(id fleet.InstanceID) fleet.Incarnation { return h.latest[id] }
+
+// Present tells whether a process was in the view at the last look.
+func (h *History) Present(m fleet.Holder) bool {
+	at, ok := h.left[m]
+	return ok && at.IsZero()
+}
+
 // Watched returns for how long the history is whole.
 func (h *History) Watched(now time.Time) time.Duration {
 	return min(now.Sub(h.began), h.keep-h.margin)
--- a/operate/config.go
+++ b/operate/config.go
@@ -8,7 +8,9 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/clementinereel/clementinereel/claim"
+	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/ticket"
@@ -21,12 +23,12 @@
 	Partitions int `json:"partitions,omitempty"`
 	// Recorders is how many instances read a partition. Default 2.
 	Recorders int `json:"recorders,omitempty"`
-	// ClaimTimeoutMillis bounds the wait for a claim. Default 2000.
-	ClaimTimeoutMillis int `json:"claim_timeout_ms,omitempty"`
+	// ClaimTimeout bounds the wait for a claim. Default "2s".
+	ClaimTimeout contract.Duration `json:"claim_timeout,omitempty"`
 	// AppendsPerSecond bounds the appends to all partitions. Default 300.
 	AppendsPerSecond float64 `json:"appends_per_second,omitempty"`
-	// LingerMillis is how long a claim waits to share an append. Default 2.
-	LingerMillis int `json:"linger_ms,omitempty"`
+	// Linger is how long a claim waits to share an append. Default "2ms".
+	Linger contract.Duration `json:"linger,omitempty"`
 	// MaxRecordedAnswer is the largest answer body that goes to the log, in
 	// bytes. Default 16384. A larger one is replayed only while the instance
 	// that got it lives and has room.
@@ -47,27 +49,27 @@
 	MaxTickets int `json:"max_tickets,omitempty"`
 	// MaxSurveys bounds the surveys that run at once. Default 64.
 	MaxSurveys int `json:"max_surveys,omitempty"`
-	// CheckpointSeconds is how often a partition's state is appended whole.
-	// Default 600. It must be less than a quarter of the log's retention.
-	CheckpointSeconds int `json:"checkpoint_seconds,omitempty"`
-	// GoneSeconds is how long after the platform stopped listing it a process
-	// counts as ended. Default 60. It must exceed the lag with which the
+	// CheckpointInterval is how often a partition's state is appended whole.
+	// Default "10m". It must be less than a quarter of the log's retention.
+	CheckpointInterval contract.Duration `json:"checkpoint_interval,omitempty"`
+	// GoneAfter is how long after the platform stopped listing it a process
+	// counts as ended. Default "1m". It must exceed the lag with which the
 	// platform lists new instances.
-	GoneSeconds int `json:"gone_seconds,omitempty"`
+	GoneAfter contract.Duration `json:"gone_after,omitempty"`
 }
 
 // WithDefaults fills in the defaults.
 func (s Settings) WithDefaults() Settings {
 	orDefault(&s.Partitions, 16)
 	orDefault(&s.Recorders, 2)
-	orDefault(&s.ClaimTimeoutMillis, 2000)
+	orDefault(&s.ClaimTimeout, contract.Duration(2*time.Second))
 	orDefault(&s.AppendsPerSecond, 300)
-	orDefault(&s.LingerMillis, 2)
+	orDefault(&s.Linger, contract.Duration(2*time.Millisecond))
 	orDefault(&s.MaxRecordedAnswer, 16<<10)
 	orDefault(&s.MaxKeptAnswers, 16<<20)
 	orDefault(&s.MaxSurveys, 64)
-	orDefault(&s.CheckpointSeconds, 600)
-	orDefault(&s.GoneSeconds, 60)
+	orDefault(&s.CheckpointInterval, contract.Duration(10*time.Minute))
+	orDefault(&s.GoneAfter, contract.Duration(time.Minute))
 	return s
 }
 
@@ -81,7 +83,7 @@
 // recorder returns the bounds of one partition's recorder.
 func (s Settings) recorder() claim.RecorderConfig {
 	return claim.RecorderConfig{
-		Linger:     time.Duration(s.LingerMillis) * time.Millisecond,
+		Linger:     s.Linger.D(),
 		AppendRate: s.AppendsPerSecond / float64(s.Partitions),
 		MaxPending: s.MaxPending, MaxKeys: s.MaxKeys, MaxSize: s.MaxPartitionBytes,
 	}
@@ -161,10 +163,13 @@
 	Log platform.Log
 	// Peers reaches the instance i at "http://i.peer", by relay if need be.
 	Peers *http.Client
-	// Members returns every process that the platform lists or that peers
-	// named, this one included. Being out of reach is no reason to be left
-	// out. An incarnation that is not known is 0.
-	Members func() []fleet.Holder
+	// Members returns the member view, this instance included. Roles fall on
+	// its members.
+	Members func() []membership.Member
+	// Listed returns the instances that the platform lists, live or leaving,
+	// by its last answer. One that is listed may run, whether or not peers
+	// reach it.
+	Listed func() []fleet.InstanceID
 	// Run dispatches operations that arrive under a ticket from peers.
 	Run Runner
 	// Now is the clock. Default time.Now.
--- a/operate/keyed.go
+++ b/operate/keyed.go
@@ -172,7 +172,7 @@
 	case claim.StepFollow:
 		return s.follow(ctx, req, op.Claim), time.Time{}
 	case claim.StepReplay:
-		return replay(req, op), time.Time{}
+		return s.replay(ctx, req, op), time.Time{}
 	case claim.StepOtherBody:
 		return otherBody(req), time.Time{}
 	case claim.StepRepeat:
@@ -234,6 +234,17 @@
 		operation.FixRequest, "the key or ticket belongs to another request; this request was not run", 0)
 }
 
+// replay is the answer of an operation that has an outcome on record. An answer
+// that was too large for the log is fetched from its holder.
+func (s *Service) replay(ctx context.Context, req *Request, op claim.Op) operation.Answer {
+	if op.State == operation.Completed && op.Answer == nil && req.digest() == op.Digest {
+		if a, ok := s.await(ctx, req, op.Claim); ok {
+			return a
+		}
+	}
+	return replay(req, op)
+}
+
 // replay is the answer that the log holds of an operation.
 func replay(req *Request, op claim.Op) operation.Answer {
 	if req.digest() != op.Digest {
--- /dev/null
+++ b/operate/keyed_test.go
@@ -0,0 +1,234 @@
+package operate
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/claim"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/platform"
+)
+
+func TestSameKeyAtOnceRunsOnce(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	for round := range 50 {
+		key := fmt.Sprint("quote-", round)
+		var answers [2]operation.Answer
+		var wg sync.WaitGroup
+		for i := range answers {
+			wg.Go(func() { answers[i] = c.send(i, keyed(key, "b")) })
+		}
+		wg.Wait()
+		assert.Equal(t, c.ran(key), 1)
+		for _, a := range answers {
+			c.wantOutcome(a, fleet.Completed)
+			assert.Equal(t, string(a.Body), "booked "+key+" run 1")
+		}
+	}
+}
+
+func TestRefusedBeforeAnythingIsSent(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	a := c.send(0, keyed("", "b"))
+	assert.Equal(t, a.Status, 400)
+	c.wantOutcome(a, fleet.NotRun)
+	assert.Equal(t, c.send(0, keyed("bad\nkey", "b")).Status, 400)
+	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.Completed)
+	for i := range 2 {
+		a = c.send(i, keyed("k", "other"))
+		assert.Equal(t, a.Status, 422)
+	}
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+// The outcome outlives the instance that ran the operation.
+func TestReplayAfterCrash(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.Completed)
+	c.eventually("outcome recorded", func() bool { return c.at(0).unrecorded() == 0 })
+	c.crash(0)
+	for i := 1; i < 3; i++ {
+		a := c.send(i, keyed("k", "b"))
+		c.wantOutcome(a, fleet.Completed)
+		assert.Assert(t, a.Replayed)
+	}
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+func TestCrashAfterDispatchIsUnknownUntilSettled(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	dispatched := make(chan struct{})
+	c.setBehaviour(func(ctx context.Context, req *Request) Result {
+		c.book(req)
+		close(dispatched)
+		<-ctx.Done()
+		return Result{Outcome: fleet.Unknown, Target: "t1"}
+	})
+	victim := c.at(0)
+	go victim.Do(context.Background(), keyed("k", "b"), nil)
+	<-dispatched
+	c.crash(0)
+	var a operation.Answer
+	c.eventually("presumed unknown", func() bool {
+		a = c.send(1, keyed("k", "b"))
+		return a.Next == operation.AskOperator
+	})
+	c.wantOutcome(a, fleet.Unknown)
+	assert.Equal(t, c.ran("k"), 1)
+
+	key := operation.Key{Customer: "daugava", Name: "k"}
+	op, ok := c.at(1).lookup(context.Background(), key)
+	assert.Assert(t, ok)
+	e := op.Entry
+	e.Kind, e.Operator, e.Reason = claim.SettleCompleted, "ilze", "found in the ledger"
+	_, err := c.log.Append(context.Background(), claim.StreamName(key.Partition(2)), claim.Encode([]claim.Entry{e}))
+	assert.NilError(t, err)
+	c.eventually("settled", func() bool { return c.send(2, keyed("k", "b")).Outcome == fleet.Completed })
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+// With the log down a new key is refused as not run, and that is true.
+func TestLogDownBeforeClaim(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.log.set(func(l *memLog) { l.down = true })
+	a := c.send(0, keyed("k", "b"))
+	c.wantOutcome(a, fleet.NotRun)
+	assert.Assert(t, a.RetryAfter > 0)
+	c.log.set(func(l *memLog) { l.down = false })
+	c.eventually("runs once the log is back", func() bool {
+		return c.send(1, keyed("k", "b")).Outcome == fleet.Completed
+	})
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+// While an instance that may hold the key is silent, nobody says not run.
+func TestLogDownAndOneCutOff(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	release := make(chan struct{})
+	c.setBehaviour(func(_ context.Context, req *Request) Result {
+		res := c.book(req)
+		<-release
+		return res
+	})
+	first := make(chan operation.Answer, 1)
+	go func() { first <- c.send(0, keyed("k", "b")) }()
+	c.eventually("dispatched", func() bool { return c.ran("k") == 1 })
+	c.log.set(func(l *memLog) { l.down = true })
+	c.isolate(0, 3)
+	for i := 1; i < 3; i++ {
+		a := c.send(i, keyed("k", "b"))
+		c.wantOutcome(a, fleet.Unknown)
+		assert.Equal(t, a.Next, operation.RepeatSameKey)
+	}
+	close(release)
+	c.wantOutcome(<-first, fleet.Completed)
+	c.isolate(0, 0)
+	for j := range 3 {
+		c.setCut(0, j, false)
+		c.setCut(j, 0, false)
+	}
+	a := c.send(1, keyed("k", "b"))
+	c.wantOutcome(a, fleet.Completed)
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+// The log goes down after the claim: the operation runs, and a repeat gets its
+// answer from the holder.
+func TestLogDownBetweenClaimAndOutcome(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.setBehaviour(func(_ context.Context, req *Request) Result {
+		c.log.set(func(l *memLog) { l.down = true })
+		return c.book(req)
+	})
+	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.Completed)
+	c.wantOutcome(c.send(1, keyed("k", "b")), fleet.Completed)
+	c.log.set(func(l *memLog) { l.down = false })
+	c.eventually("recorded", func() bool { return c.at(0).unrecorded() == 0 })
+	c.crash(0)
+	c.wantOutcome(c.send(2, keyed("k", "b")), fleet.Completed)
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+func TestLostAppendReplies(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.log.set(func(l *memLog) { l.loseReply = true; l.latency = 20 * time.Millisecond })
+	for i := range 6 {
+		key := fmt.Sprint("k", i)
+		c.wantOutcome(c.send(i%3, keyed(key, "b")), fleet.Completed)
+		c.wantOutcome(c.send((i+1)%3, keyed(key, "b")), fleet.Completed)
+		assert.Equal(t, c.ran(key), 1)
+	}
+}
+
+// A target that says it did not run the request leaves the key open.
+func TestRefusedUnrunOpensTheKey(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.setBehaviour(func(context.Context, *Request) Result { return Result{Outcome: fleet.NotRun} })
+	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.NotRun)
+	c.setBehaviour(func(_ context.Context, req *Request) Result { return c.book(req) })
+	c.eventually("runs", func() bool { return c.send(1, keyed("k", "b")).Outcome == fleet.Completed })
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+// While the caller has not been told not run, nobody else may run the key.
+func TestKeyStaysShutUntilTold(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.setBehaviour(func(context.Context, *Request) Result { return Result{Outcome: fleet.NotRun} })
+	slow := c.at(0).Do(context.Background(), keyed("k", "b"), nil)
+	c.wantOutcome(slow.Answer, fleet.NotRun)
+	c.setBehaviour(func(_ context.Context, req *Request) Result { return c.book(req) })
+	for range 5 {
+		c.wantOutcome(c.send(1, keyed("k", "b")), fleet.Unknown)
+	}
+	assert.Equal(t, c.ran("k"), 0)
+	slow.Told()
+	c.eventually("runs", func() bool { return c.send(1, keyed("k", "b")).Outcome == fleet.Completed })
+}
+
+// Keys outlive the log's retention.
+func TestCheckpointOutlivesRetention(t *testing.T) {
+	c := newCluster(t, 2, func(cfg *Config) { cfg.CheckpointInterval = 1e7 })
+	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.Completed)
+	c.eventually("recorded", func() bool { return c.at(0).unrecorded() == 0 })
+	stream := claim.StreamName(operation.Key{Customer: "daugava", Name: "k"}.Partition(2))
+	var upto platform.Offset
+	c.eventually("checkpoint", func() bool {
+		c.log.mu.Lock()
+		defer c.log.mu.Unlock()
+		for _, r := range c.log.streams[stream] {
+			rec, _ := claim.Decode(r)
+			if rec.Checkpoint != nil && rec.Checkpoint.Upto > 1 {
+				upto = rec.Checkpoint.Upto
+			}
+		}
+		return upto > 0
+	})
+	c.log.set(func(l *memLog) { l.first[stream] = upto })
+	c.crash(0)
+	c.crash(1)
+	c.start(node(2))
+	c.eventually("replayed", func() bool {
+		a := c.send(2, keyed("k", "b"))
+		return a.Outcome == fleet.Completed && a.Replayed
+	})
+	assert.Equal(t, c.ran("k"), 1)
+}
+
+// A large answer is replayed while its holder lives; later it is known at
+// least that the operation ran.
+func TestLargeAnswer(t *testing.T) {
+	c := newCluster(t, 2, func(cfg *Config) { cfg.MaxRecordedAnswer = 4 })
+	first := c.send(0, keyed("k", "b"))
+	c.eventually("recorded", func() bool { return c.at(0).unrecorded() == 0 })
+	a := c.send(1, keyed("k", "b"))
+	assert.DeepEqual(t, a.Body, first.Body)
+	c.crash(0)
+	c.wantOutcome(c.send(1, keyed("k", "b")), fleet.Completed)
+	assert.Equal(t, c.ran("k"), 1)
+}
--- a/operate/partition.go
+++ b/operate/partition.go
@@ -12,6 +12,7 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/rendezvous"
 )
 
 const (
@@ -37,9 +38,8 @@
 	cancel context.CancelFunc
 	kick   chan struct{}
 
-	mu      sync.Mutex
-	rec     *claim.Recorder
-	started bool
+	mu  sync.Mutex
+	rec *claim.Recorder
 	// read is set once a read has found the end of the stream; readAt is when
 	// the last such read began.
 	read    bool
@@ -53,14 +53,10 @@
 // assign takes up the partitions for which the instance stands among the first
 // and drops the others. The caller holds the service's lock.
 func (s *Service) assign(now time.Time) {
+	roles := rendezvous.NewTable(s.members)
 	for id := range s.cfg.Partitions {
-		ids := rank(claim.StreamName(id), s.members)
-		place := -1
-		for i, m := range ids[:min(len(ids), s.cfg.Recorders)] {
-			if m == s.cfg.Self.Instance {
-				place = i
-			}
-		}
+		ids := roles.Ranked(claim.StreamName(id), s.cfg.Recorders)
+		place := slices.Index(ids, s.cfg.Self.Instance)
 		p := s.partitions[id]
 		switch {
 		case place >= 0 && p == nil:
@@ -113,7 +109,6 @@
 	}
 	if !ok {
 		defer p.mu.Unlock()
-		p.s.stats.refused()
 		return claim.Reply{Verdict: claim.Refused}, p.rec.End(), nil
 	}
 	ch := make(chan claim.Reply, 1)
@@ -311,7 +306,7 @@
 
 // checkpoint appends the partition's state if one is due.
 func (p *partition) checkpoint(now time.Time) {
-	interval := time.Duration(p.s.cfg.CheckpointSeconds) * time.Second
+	interval := p.s.cfg.CheckpointInterval.D()
 	if p.busy || now.Sub(p.tried) < interval/10 || !p.rec.Fold().CheckpointDue(now, interval) {
 		return
 	}
--- a/operate/peers.go
+++ b/operate/peers.go
@@ -1,62 +1,43 @@
 package operate
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
+	"github.com/clementinereel/clementinereel/rendezvous"
 )
 
 const (
 	// pollEvery is how often an outcome is asked for again.
 	pollEvery = 150 * time.Millisecond
+	// patience is how long one who is out of reach is tried before the caller
+	// is told to come back.
+	patience = time.Second
 	// recordTries is how many recorders are tried for one entry.
 	recordTries = 2
 )
 
 // peer returns the client for an instance.
 func (s *Service) peer(id fleet.InstanceID) peerv1connect.OperationServiceClient {
-	return peerv1connect.NewOperationServiceClient(s.cfg.Peers, "http://"+string(id)+".peer")
-}
-
-// rank orders instances by rendezvous for a name, highest first.
-func rank(name string, members []fleet.Holder) []fleet.InstanceID {
-	type scored struct {
-		id    fleet.InstanceID
-		score uint64
-	}
-	list := make([]scored, 0, len(members))
-	for _, m := range members {
-		list = append(list, scored{m.Instance, xxhash.Sum64String(name + "\x00" + string(m.Instance))})
-	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
-	})
-	ids := make([]fleet.InstanceID, 0, len(list))
-	for _, e := range list {
-		if len(ids) == 0 || ids[len(ids)-1] != e.id {
-			ids = append(ids, e.id)
-		}
-	}
-	return ids
+	return peerv1connect.NewOperationServiceClient(s.cfg.Peers, peer.URL(id), peer.ClientOptions(maxMessage))
 }
 
 // recorders returns the instances that record a partition, first one first.
 func (s *Service) recorders(p int) []fleet.InstanceID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ids := rank(claim.StreamName(p), s.members)
-	return ids[:min(len(ids), max(s.cfg.Recorders, recordTries))]
+	return rendezvous.Ranked(claim.StreamName(p), s.members, max(s.cfg.Recorders, recordTries))
 }
 
 // claim submits an attempt's claim and returns the verdict. Refused stands
@@ -88,7 +69,7 @@
 }
 
 func (s *Service) claimTimeout(ctx context.Context) time.Duration {
-	limit := time.Duration(s.cfg.ClaimTimeoutMillis) * time.Millisecond
+	limit := s.cfg.ClaimTimeout.D()
 	if d, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(d)*2/3)
 	}
@@ -129,18 +110,17 @@
 }
 
 // follow waits for the outcome of another claim, at its holder or in the log.
+// If neither can tell, it is not held until its deadline.
 func (s *Service) follow(ctx context.Context, req *Request, id claim.ID) operation.Answer {
+	began := time.Now()
 	for {
 		if a, ok := s.await(ctx, req, id); ok {
 			return a
 		}
 		if op, ok := s.lookup(ctx, req.opKey()); ok && (op.Claim != id || op.State.Final()) {
-			return replay(req, op)
+			return s.replay(ctx, req, op)
 		}
-		if d, ok := ctx.Deadline(); ok && time.Until(d) < answerReserve+pollEvery {
-			return undecided(req, "the operation has no outcome yet")
-		}
-		if !sleep(ctx, pollEvery) {
+		if time.Since(began) > patience || !pause(ctx) {
 			return undecided(req, "the operation has no outcome yet")
 		}
 	}
@@ -195,7 +175,7 @@
 func (s *Service) lists(h fleet.Holder) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Contains(s.members, h)
+	return slices.ContainsFunc(s.members, func(m membership.Member) bool { return m.Holder() == h })
 }
 
 // lookup asks the recorders what they have read of a key.
@@ -257,6 +237,14 @@
 	}
 }
 
+// pause waits before the next try; false if the context leaves no time for it.
+func pause(ctx context.Context) bool {
+	if d, ok := ctx.Deadline(); ok && time.Until(d) < answerReserve+pollEvery {
+		return false
+	}
+	return sleep(ctx, pollEvery)
+}
+
 // sleep waits, and returns false if the context ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/operate/seal.go
+++ b/operate/seal.go
@@ -117,7 +117,8 @@
 	}
 	var entries []*peerv1.ClaimEntry
 	for _, f := range s.flights {
-		if e, ok := s.table.Outcome(f.a, s.cfg.MaxRecordedAnswer); ok && f.isTold() {
+		e, ok := s.table.Outcome(f.a, s.cfg.MaxRecordedAnswer)
+		if ok && (e.Kind != claim.Withdraw || f.isTold()) {
 			entries = append(entries, claim.EntryProto(&e))
 		}
 	}
--- a/operate/service.go
+++ b/operate/service.go
@@ -12,13 +12,18 @@
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/ticket"
 )
 
 const (
+	// maxMessage bounds a message between instances, in bytes.
+	maxMessage = 16 << 20
 	// historyKeep is how long processes are remembered after they left.
 	historyKeep = 48 * time.Hour
 	// refreshEvery is how often the ends of the partitions are asked for.
@@ -42,7 +47,7 @@
 	mu         sync.Mutex
 	table      *claim.Table
 	history    *claim.History
-	members    []fleet.Holder
+	members    []membership.Member
 	flights    map[*claim.Attempt]*flight
 	tickets    *ticket.Table
 	homed      map[ticket.ID]chan struct{}
@@ -61,13 +66,16 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Listed == nil {
+		cfg.Listed = func() []fleet.InstanceID { return nil }
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	orDefault(&cfg.Attempts.MaxAttempts, cfg.MaxAttempts)
 	orDefault(&cfg.Tickets.MaxTickets, cfg.MaxTickets)
 	ctx, cancel := context.WithCancel(context.Background())
-	gone := time.Duration(cfg.GoneSeconds) * time.Second
+	gone := cfg.GoneAfter.D()
 	s := &Service{
 		cfg: cfg, now: cfg.Now, stats: newStats(cfg.Metrics), ctx: ctx, cancel: cancel,
 		surveys: make(chan struct{}, cfg.MaxSurveys),
@@ -85,7 +93,7 @@
 
 // Handler returns the path and the handler that peers call.
 func (s *Service) Handler() (string, http.Handler) {
-	return peerv1connect.NewOperationServiceHandler(&server{s: s})
+	return peerv1connect.NewOperationServiceHandler(&server{s: s}, peer.HandlerOptions(maxMessage))
 }
 
 // Close ends the service's loops. It does not wait for operations; Seal does.
@@ -113,9 +121,9 @@
 	case req.Ticket != "":
 		a = Answer{Answer: s.doTicket(ctx, req, run)}
 	case req.Key == "":
-		a = Answer{Answer: refuse(req, http.StatusBadRequest, "a confirmation needs an "+operation.HeaderKey+" or an "+operation.HeaderTicket)}
+		a = Answer{Answer: refuse(req, http.StatusBadRequest, "a confirmation needs an "+header.IdempotencyKey+" or an "+header.OperationTicket)}
 	case !operation.ValidKey(req.Key):
-		a = Answer{Answer: refuse(req, http.StatusBadRequest, operation.HeaderKey+" must be 1 to 255 printable ASCII characters")}
+		a = Answer{Answer: refuse(req, http.StatusBadRequest, header.IdempotencyKey+" must be 1 to 255 printable ASCII characters")}
 	default:
 		a = s.doKeyed(ctx, req, run)
 	}
@@ -127,9 +135,10 @@
 // and forgets what is over.
 func (s *Service) Tick(now time.Time) {
 	members := s.cfg.Members()
+	listed := s.cfg.Listed()
 	s.mu.Lock()
 	s.members = members
-	s.history.Observe(now, known(members))
+	s.history.Observe(now, s.present(members, listed))
 	s.assign(now)
 	s.tickets.Sweep(now)
 	refresh := now.Sub(s.refreshed) >= refreshEvery
@@ -162,12 +171,19 @@
 	}()
 }
 
-// known leaves out members whose incarnation is not known.
-func known(members []fleet.Holder) []fleet.Holder {
+// present returns the processes that may run: the members, and those that the
+// platform still lists although no peer can reach them. The latest incarnation
+// that was seen stands for these; 0 if none was. The caller holds the lock.
+func (s *Service) present(members []membership.Member, listed []fleet.InstanceID) []fleet.Holder {
 	var list []fleet.Holder
+	seen := map[fleet.InstanceID]bool{}
 	for _, m := range members {
-		if m.Incarnation != 0 {
-			list = append(list, m)
+		seen[m.ID] = true
+		list = append(list, m.Holder())
+	}
+	for _, id := range listed {
+		if !seen[id] {
+			list = append(list, fleet.Holder{Instance: id, Incarnation: s.history.Latest(id)})
 		}
 	}
 	return list
@@ -223,8 +239,8 @@
 func (s *Service) others() []fleet.Holder {
 	var list []fleet.Holder
 	for _, m := range s.members {
-		if m.Instance != s.cfg.Self.Instance {
-			list = append(list, m)
+		if m.ID != s.cfg.Self.Instance {
+			list = append(list, m.Holder())
 		}
 	}
 	return list
--- a/operate/stats.go
+++ b/operate/stats.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/telemetry"
 )
 
 // sampleSize is how many values a histogram keeps.
@@ -17,52 +18,54 @@
 type stats struct {
 	reg        metrics.Registry
 	claimTime  metrics.Histogram
-	batch      metrics.Histogram
 	appends    metrics.Counter
+	entries    metrics.Counter
 	failures   metrics.Counter
-	refusals   metrics.Counter
 	unresolved metrics.Gauge
 }
 
 func newStats(reg metrics.Registry) *stats {
-	sample := func() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, 0.015) }
 	return &stats{
-		reg:        reg,
-		claimTime:  metrics.GetOrRegisterHistogram("operations.claim.micros", reg, sample()),
-		batch:      metrics.GetOrRegisterHistogram("operations.append.entries", reg, sample()),
-		appends:    metrics.GetOrRegisterCounter("operations.appends", reg),
-		failures:   metrics.GetOrRegisterCounter("operations.append.failures", reg),
-		refusals:   metrics.GetOrRegisterCounter("operations.claim.refused", reg),
-		unresolved: metrics.GetOrRegisterGauge("operations.unresolved", reg),
+		reg: reg,
+		claimTime: metrics.GetOrRegisterHistogram("operation_claim_seconds", reg,
+			metrics.NewExpDecaySample(sampleSize, 0.015)),
+		appends:    metrics.GetOrRegisterCounter("operation_appends", reg),
+		entries:    metrics.GetOrRegisterCounter("operation_appended_entries", reg),
+		failures:   metrics.GetOrRegisterCounter("operation_append_failures", reg),
+		unresolved: metrics.GetOrRegisterGauge("operations_unresolved", reg),
 	}
 }
 
+// count adds one to the counter of a labelled name.
+func (s *stats) count(base string, labels ...telemetry.Label) {
+	metrics.GetOrRegisterCounter(telemetry.Name(base, labels...), s.reg).Inc(1)
+}
+
 // outcome counts an answer by its outcome.
 func (s *stats) outcome(a operation.Answer) {
-	name := "operations.answers." + a.Outcome.String()
+	replayed := "no"
 	if a.Replayed {
-		name += ".replayed"
+		replayed = "yes"
 	}
-	metrics.GetOrRegisterCounter(name, s.reg).Inc(1)
+	s.count("operation_answers", telemetry.Label{Key: "outcome", Value: a.Outcome.String()},
+		telemetry.Label{Key: "replayed", Value: replayed})
 }
 
 func (s *stats) claimed(v claim.Verdict, took time.Duration) {
-	s.claimTime.Update(took.Microseconds())
-	metrics.GetOrRegisterCounter("operations.claims."+v.String(), s.reg).Inc(1)
+	s.claimTime.Update(took.Nanoseconds())
+	s.count("operation_claims", telemetry.Label{Key: "verdict", Value: v.String()})
 }
 
 func (s *stats) appended(entries int, err error) {
 	s.appends.Inc(1)
-	s.batch.Update(int64(entries))
+	s.entries.Inc(int64(entries))
 	if err != nil {
 		s.failures.Inc(1)
 	}
 }
 
-func (s *stats) refused() { s.refusals.Inc(1) }
-
 func (s *stats) surveys(result string) {
-	metrics.GetOrRegisterCounter("operations.surveys."+result, s.reg).Inc(1)
+	s.count("operation_surveys", telemetry.Label{Key: "result", Value: result})
 }
 
 // setUnresolved notes the depth of unresolved outcomes and logs its changes.
--- a/operate/survey.go
+++ b/operate/survey.go
@@ -45,7 +45,7 @@
 		return notRun(req, "the log is out of reach and no instance holds the key"), until
 	case f.Op.State.Final():
 		s.stats.surveys("found")
-		return replay(req, f.Op), time.Time{}
+		return s.replay(ctx, req, f.Op), time.Time{}
 	}
 	s.stats.surveys("doubt")
 	klog.V(1).InfoS("operation undecided", "customer", req.Customer, "key", req.Key, "doubt", f.Doubt)
--- a/operate/tickets.go
+++ b/operate/tickets.go
@@ -12,8 +12,11 @@
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
+	"github.com/clementinereel/clementinereel/rendezvous"
 	"github.com/clementinereel/clementinereel/ticket"
 )
 
@@ -40,8 +43,8 @@
 			operation.UseNewKey, "the instance issues no tickets now", retryBusy)
 	}
 	a := operation.Answer{Status: http.StatusCreated, Header: http.Header{}, Outcome: fleet.NotRun}
-	a.Header.Set(operation.HeaderTicket, id.String())
-	a.Header.Set(operation.HeaderOutcome, fleet.NotRun.String())
+	a.Header.Set(header.OperationTicket, id.String())
+	a.Header.Set(header.OperationOutcome, fleet.NotRun.String())
 	return a
 }
 
@@ -147,6 +150,7 @@
 // forward sends an operation to its home. While the home is listed but out of
 // reach it tries again; once it has ended, the heirs are asked.
 func (s *Service) forward(ctx context.Context, id ticket.ID, req *Request) operation.Answer {
+	began := time.Now()
 	for {
 		a, known, err := s.askExecute(ctx, id.Home.Instance, req)
 		if err == nil && known {
@@ -156,10 +160,7 @@
 		if gone {
 			return s.askHeirs(ctx, id, req)
 		}
-		if d, ok := ctx.Deadline(); ok && time.Until(d) < answerReserve+pollEvery {
-			return undecided(req, "the ticket's home is out of reach")
-		}
-		if !sleep(ctx, pollEvery) {
+		if time.Since(began) > patience || !pause(ctx) {
 			return undecided(req, "the ticket's home is out of reach")
 		}
 	}
@@ -172,12 +173,7 @@
 	if s.history.Superseded(s.now(), h) {
 		return true
 	}
-	for _, m := range s.members {
-		if m.Instance == h.Instance {
-			return false
-		}
-	}
-	return true
+	return !s.history.Present(h)
 }
 
 // askHeirs looks for the outcome that a home has handed over.
@@ -200,14 +196,13 @@
 func (s *Service) heirsOf(h fleet.Holder, n int) []fleet.InstanceID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var others []fleet.Holder
+	var others []membership.Member
 	for _, m := range s.members {
-		if m.Instance != h.Instance {
+		if m.ID != h.Instance {
 			others = append(others, m)
 		}
 	}
-	ids := rank("tickets of "+string(h.Instance), others)
-	return ids[:min(n, len(ids))]
+	return rendezvous.Ranked("tickets of "+string(h.Instance), others, n)
 }
 
 func (s *Service) askExecute(ctx context.Context, to fleet.InstanceID, req *Request) (operation.Answer, bool, error) {
--- a/operation/answer.go
+++ b/operation/answer.go
@@ -7,20 +7,12 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/problem"
 )
 
-const (
-	// HeaderOutcome carries the outcome of an operation in every answer.
-	HeaderOutcome = "Operation-Outcome"
-	// HeaderKey carries the caller's idempotency key.
-	HeaderKey = "Idempotency-Key"
-	// HeaderTicket carries an operation ticket.
-	HeaderTicket = "Operation-Ticket"
-	// HeaderReplayed is "true" on an answer that was given before.
-	HeaderReplayed = "Operation-Replayed"
-	// ContentTypeProblem is the media type of RFC 9457.
-	ContentTypeProblem = "application/problem+json"
-)
+// HeaderReplayed is "true" on an answer that was given before.
+const HeaderReplayed = "Operation-Replayed"
 
 // NextStep is what a caller may safely do after an answer.
 type NextStep string
@@ -55,17 +47,11 @@
 	Next NextStep
 }
 
-// Problem is the body of an answer that no target gave, after RFC 9457.
-type Problem struct {
-	Type      string   `json:"type"`
-	Title     string   `json:"title"`
-	Status    int      `json:"status"`
-	Detail    string   `json:"detail,omitempty"`
-	Outcome   string   `json:"outcome"`
-	Next      NextStep `json:"next"`
-	RequestID string   `json:"request_id,omitempty"`
-	Key       string   `json:"key,omitempty"`
-	Ticket    string   `json:"ticket,omitempty"`
+// document is the body of an answer that no target gave.
+type document struct {
+	problem.Problem
+	Key    string `json:"key,omitempty"`
+	Ticket string `json:"ticket,omitempty"`
 }
 
 // Name is how the answers of one request name it.
@@ -77,25 +63,36 @@
 
 // NewProblem returns an answer with a problem document.
 func NewProblem(n Name, status int, out fleet.Outcome, next NextStep, detail string, retry time.Duration) Answer {
-	p := Problem{
-		Type: "about:blank", Title: http.StatusText(status), Status: status,
-		Detail: detail, Outcome: out.String(), Next: next,
-		RequestID: n.RequestID, Key: n.Key, Ticket: n.Ticket,
-	}
-	body, err := json.Marshal(p)
+	d := document{Problem: *problem.New(status, typeOf(status, out), detail), Key: n.Key, Ticket: n.Ticket}
+	d.RequestID = n.RequestID
+	d.WithOutcome(out, string(next))
+	body, err := json.Marshal(d)
 	if err != nil {
 		panic("operation: problem document: " + err.Error())
 	}
 	h := http.Header{}
-	h.Set("Content-Type", ContentTypeProblem)
+	h.Set("Content-Type", problem.ContentType)
 	a := Answer{Status: status, Header: h, Body: body, Outcome: out, RetryAfter: retry, Next: next}
 	a.stamp()
 	return a
 }
 
+// typeOf returns the kind of problem that callers' programs tell apart.
+func typeOf(status int, out fleet.Outcome) problem.Type {
+	switch {
+	case status == http.StatusBadRequest:
+		return problem.KeyMissing
+	case status == http.StatusUnprocessableEntity:
+		return problem.KeyReused
+	case out == fleet.NotRun:
+		return problem.NotRun
+	}
+	return problem.Unknown
+}
+
 // NewCompleted returns a target's whole answer as the operation's answer.
-func NewCompleted(status int, header http.Header, body []byte) Answer {
-	a := Answer{Status: status, Header: header.Clone(), Body: body, Outcome: fleet.Completed}
+func NewCompleted(status int, h http.Header, body []byte) Answer {
+	a := Answer{Status: status, Header: h.Clone(), Body: body, Outcome: fleet.Completed}
 	if a.Header == nil {
 		a.Header = http.Header{}
 	}
@@ -116,12 +113,12 @@
 
 // stamp writes what the answer says into its header.
 func (a *Answer) stamp() {
-	a.Header.Set(HeaderOutcome, a.Outcome.String())
+	a.Header.Set(header.OperationOutcome, a.Outcome.String())
 	if a.Replayed {
 		a.Header.Set(HeaderReplayed, "true")
 	}
 	if a.RetryAfter > 0 {
 		secs := (a.RetryAfter + time.Second - 1) / time.Second
-		a.Header.Set("Retry-After", strconv.Itoa(int(secs)))
+		a.Header.Set(header.RetryAfter, strconv.Itoa(int(secs)))
 	}
 }
--- a/operation/state_test.go
+++ b/operation/state_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
 )
 
 // Nothing may lead from dispatched, or from any state after it, to a state
@@ -46,7 +47,7 @@
 func TestAnswerSaysOutcome(t *testing.T) {
 	n := Name{RequestID: "r1", Key: "k"}
 	p := NewProblem(n, 503, fleet.NotRun, RepeatSameKey, "log is down", 1500e6)
-	assert.Equal(t, p.Header.Get(HeaderOutcome), "not-run")
+	assert.Equal(t, p.Header.Get(header.OperationOutcome), "not-run")
 	assert.Equal(t, p.Header.Get("Retry-After"), "2")
 	c := NewCompleted(201, http.Header{"A": {"b"}}, []byte("x"))
 	r := c.AsReplay()
