--- a/allowance/server.go
+++ b/allowance/server.go
@@ -102,7 +102,7 @@
 
 // with calls f with a customer's granter.
 func (s *Server) with(c fleet.CustomerID, f func(*ratelimit.Granter)) {
-	sh := &s.shards[partitionOf(c)%serverShards]
+	sh := &s.shards[ratelimit.PartitionOf(c)%serverShards]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	g := sh.byCustomer[c]
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -24,9 +24,9 @@
 	askUrgently = 20 * time.Millisecond
 	// askLazily is the time after which even a small want is told.
 	askLazily = time.Second
-	// chargeEvery is the least time between charges of a rarely used account,
-	// minDebt what is worth one.
-	chargeEvery = time.Second
+	// chargeEvery is the period in which a rarely used account makes at most
+	// one charge, minDebt what is worth one.
+	chargeEvery = 5 * time.Second
 	minDebt     = 0.01
 	// answerWithin is when an unanswered demand is given up.
 	answerWithin = 500 * time.Millisecond
--- a/ratelimit/charge.go
+++ b/ratelimit/charge.go
@@ -3,8 +3,22 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/clementinereel/clementinereel/fleet"
 )
 
+// Partitions is the number of groups into which customers fall. All customers
+// of a partition have the same limiter; the number must be the same at all
+// instances.
+const Partitions = 256
+
+// PartitionOf returns a customer's partition, from 0 to Partitions-1.
+func PartitionOf(c fleet.CustomerID) uint64 {
+	return xxhash.Sum64String(string(c)) % Partitions
+}
+
 // rare tells whether an eighth of the account's overdrafts is ample for its use, so that
 // it needs to hold no tokens.
 func (a *Account) rare() bool {
@@ -18,7 +32,16 @@
 
 // chargeable tells whether a charge should be made now.
 func (a *Account) chargeable(now time.Time) bool {
-	return !a.waiting && now.Sub(a.asked) >= chargeEvery && a.rare() && a.inDebt()
+	return !a.waiting && a.turn(now) != a.turn(a.asked) && a.rare() && a.inDebt()
+}
+
+// turn numbers the periods in which an account may make one charge. They begin
+// at the same moments for all customers of a partition at an instance, so that
+// their charges go in one call, and at others for other instances.
+func (a *Account) turn(now time.Time) int64 {
+	phase := PartitionOf(a.customer)*uint64(chargeEvery)/Partitions +
+		xxhash.Sum64String(string(a.holder.Instance))%uint64(chargeEvery)
+	return (now.UnixNano() + int64(phase)) / int64(chargeEvery)
 }
 
 func (a *Account) inDebt() bool {
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -24,6 +24,16 @@
 // names the last answer applied; so the limiter takes back a grant whose
 // answer was lost, and repeats the answer to a repeated demand.
 //
+// # Rare use
+//
+// With many instances, most of a customer's accounts see a request once in
+// minutes. An account whose expected use is below an eighth of its overdraft
+// holds nothing: every 5 s at most it pays its debt by a Charge, which the
+// limiter takes from the bucket without keeping state of the account. A charge
+// whose answer is lost is made again, at the customer's cost; one that the
+// bucket is too low for stays a debt, so that a flood through many instances
+// meets its limit at each.
+//
 // # Cut off
 //
 // Each of the n listed instances is entitled to 1/n of a limit. A limiter
