Route by sorted prefixes; rebuild only the contracts that changed

Each customer held a map from prefix to routes, and each change compared and copied all customers. Routes now lie in one slice sorted by prefix, and a view names the contracts that changed since the one before.

--- a/publication/view.go
+++ b/publication/view.go
@@ -14,6 +14,10 @@
 type View struct {
 	// Next is the offset after the last record that the view reflects.
 	Next platform.Offset
+	// Since is Next of the view before, and Changed the customers whose
+	// contracts changed from that view to this one.
+	Since   platform.Offset
+	Changed []fleet.CustomerID
 	// Contracts are the contracts in force.
 	Contracts map[fleet.CustomerID]*Published
 	// Targets are the joined and leaving targets by service, ordered by id.
@@ -51,9 +55,10 @@
 	if s.view.Next == s.next {
 		return s.view
 	}
-	v := &View{Next: s.next, Contracts: s.view.Contracts, Targets: s.view.Targets}
+	v := &View{Next: s.next, Since: s.view.Next, Contracts: s.view.Contracts, Targets: s.view.Targets}
 	if len(s.changed.customers) > 0 {
 		v.Contracts = maps.Clone(s.contracts)
+		v.Changed = slices.Sorted(maps.Keys(s.changed.customers))
 	}
 	if len(s.changed.services) > 0 {
 		v.Targets = maps.Clone(s.view.Targets)
--- a/route/bench_test.go
+++ b/route/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/clementinereel/clementinereel/contract"
@@ -35,6 +36,26 @@
 	}
 }
 
+// BenchmarkBuild reports the memory of a table.
+func BenchmarkBuild(b *testing.B) {
+	v := bigView()
+	for range b.N {
+		before := heap()
+		table := Build(v)
+		b.ReportMetric(float64(heap()-before)/(1<<20), "MB/table")
+		runtime.KeepAlive(table)
+	}
+	runtime.KeepAlive(v)
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 func BenchmarkUpdateOneCustomer(b *testing.B) {
 	v := bigView()
 	table := Build(v)
@@ -43,6 +64,7 @@
 	for b.Loop() {
 		p := *old
 		v.Contracts["customer-7"] = &p
+		v.Since, v.Next, v.Changed = v.Next, v.Next+1, []fleet.CustomerID{"customer-7"}
 		table = table.Update(v)
 	}
 }
--- a/route/table.go
+++ b/route/table.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/clementinereel/clementinereel/contract"
@@ -56,15 +58,16 @@
 // customer is the routes of one contract.
 type customer struct {
 	published *publication.Published
-	// byPrefix holds the entries of each path prefix, written without
-	// trailing slash.
-	byPrefix map[string][]*Entry
+	// entries are ordered by prefix, then as in the contract.
+	entries []Entry
 	// longest is the length of the longest prefix.
 	longest int
 }
 
 // Table maps requests to routes.
 type Table struct {
+	// next is that of the view.
+	next      platform.Offset
 	customers map[fleet.CustomerID]*customer
 	hosts     map[string]*customer
 }
@@ -76,60 +79,113 @@
 func Build(v *publication.View) *Table { return Empty.Update(v) }
 
 // Update returns the table of a later view. Contracts that did not change
-// keep their entries. It returns t itself if no contract changed.
+// keep their entries. It is cheap if v is the view that followed that of t.
 func (t *Table) Update(v *publication.View) *Table {
-	if !t.differs(v) {
-		return t
+	changed := v.Changed
+	if t.next == 0 || t.next != v.Since {
+		changed = t.changed(v)
 	}
-	next := &Table{
-		customers: make(map[fleet.CustomerID]*customer, len(v.Contracts)),
-		hosts:     make(map[string]*customer, len(v.Contracts)),
+	if len(changed) == 0 {
+		return &Table{next: v.Next, customers: t.customers, hosts: t.hosts}
 	}
-	for id, p := range v.Contracts {
-		c := t.customers[id]
-		if c == nil || c.published != p {
-			c = newCustomer(p)
-		}
-		next.customers[id] = c
-		for _, h := range p.Contract.Hosts {
-			next.hosts[h] = c
-		}
+	next := &Table{next: v.Next, customers: maps.Clone(t.customers), hosts: maps.Clone(t.hosts)}
+	if next.customers == nil {
+		next.customers = make(map[fleet.CustomerID]*customer, len(changed))
+		next.hosts = make(map[string]*customer, len(changed))
+	}
+	for _, id := range changed {
+		next.remove(id)
+	}
+	for _, id := range changed {
+		next.add(v.Contracts[id])
 	}
 	return next
 }
 
-func (t *Table) differs(v *publication.View) bool {
-	if len(t.customers) != len(v.Contracts) {
-		return true
-	}
+// changed lists the customers whose contract differs from the view's.
+func (t *Table) changed(v *publication.View) []fleet.CustomerID {
+	var ids []fleet.CustomerID
 	for id, p := range v.Contracts {
 		if c := t.customers[id]; c == nil || c.published != p {
-			return true
+			ids = append(ids, id)
+		}
+	}
+	for id := range t.customers {
+		if v.Contracts[id] == nil {
+			ids = append(ids, id)
 		}
 	}
-	return false
+	return ids
 }
 
-func newCustomer(p *publication.Published) *customer {
-	c := &customer{published: p, byPrefix: make(map[string][]*Entry, len(p.Contract.Routes))}
-	services := make(map[string]*contract.Service, len(p.Contract.Services))
-	for i := range p.Contract.Services {
-		services[p.Contract.Services[i].Name] = &p.Contract.Services[i]
+func (t *Table) remove(id fleet.CustomerID) {
+	old := t.customers[id]
+	if old == nil {
+		return
+	}
+	for _, h := range old.published.Contract.Hosts {
+		delete(t.hosts, h)
+	}
+	delete(t.customers, id)
+}
+
+func (t *Table) add(p *publication.Published) {
+	if p == nil {
+		return
+	}
+	c := newCustomer(p)
+	t.customers[p.Contract.Customer] = c
+	for _, h := range p.Contract.Hosts {
+		t.hosts[h] = c
 	}
+}
+
+func newCustomer(p *publication.Published) *customer {
+	c := &customer{published: p, entries: make([]Entry, len(p.Contract.Routes))}
 	for i := range p.Contract.Routes {
 		r := &p.Contract.Routes[i]
-		prefix := strings.TrimSuffix(r.PathPrefix, "/")
-		c.longest = max(c.longest, len(prefix))
-		c.byPrefix[prefix] = append(c.byPrefix[prefix], &Entry{
+		e := Entry{
 			Published: p,
 			Route:     r,
-			Service:   services[r.Service],
+			Service:   service(&p.Contract, r.Service),
 			ServiceID: fleet.NewServiceID(p.Contract.Customer, r.Service),
-		})
+		}
+		c.entries[i] = e
+		c.longest = max(c.longest, len(e.prefix()))
 	}
+	slices.SortStableFunc(c.entries, func(a, b Entry) int { return strings.Compare(a.prefix(), b.prefix()) })
 	return c
 }
 
+// service returns the service of a name; contract.Check saw to it that there
+// is one.
+func service(c *contract.Contract, name string) *contract.Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// prefix returns the path prefix without trailing slash.
+func (e *Entry) prefix() string { return strings.TrimSuffix(e.Route.PathPrefix, "/") }
+
+// withPrefix returns the entries that have exactly the prefix.
+func (c *customer) withPrefix(prefix string) []Entry {
+	lo, found := slices.BinarySearchFunc(c.entries, prefix, func(e Entry, prefix string) int {
+		return strings.Compare(e.prefix(), prefix)
+	})
+	if !found {
+		return nil
+	}
+	hi := lo + 1
+	for hi < len(c.entries) && c.entries[hi].prefix() == prefix {
+		hi++
+	}
+	return c.entries[lo:hi]
+}
+
 // Match finds the route of a request. Host is the Host header, with or without
 // port; path is the decoded URL path. The longest prefix that has the method
 // wins. The entry is nil unless the result is Found.
@@ -153,7 +209,7 @@
 	}
 	var methods []string
 	for prefix, ok := first(path, c.longest); ok; prefix, ok = shorter(prefix) {
-		for _, e := range c.byPrefix[prefix] {
+		for _, e := range c.withPrefix(prefix) {
 			methods = append(methods, e.Route.Methods...)
 		}
 		if len(methods) > 0 {
@@ -194,9 +250,10 @@
 	}
 	result := NoRoute
 	for prefix, ok := first(path, c.longest); ok; prefix, ok = shorter(prefix) {
-		for _, e := range c.byPrefix[prefix] {
-			if hasMethod(e.Route.Methods, method) {
-				return e, Found
+		entries := c.withPrefix(prefix)
+		for i := range entries {
+			if slices.Contains(entries[i].Route.Methods, method) {
+				return &entries[i], Found
 			}
 			result = WrongMethod
 		}
@@ -224,12 +281,3 @@
 	}
 	return prefix[:i], true
 }
-
-func hasMethod(methods []string, method string) bool {
-	for _, m := range methods {
-		if m == method {
-			return true
-		}
-	}
-	return false
-}
