--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -45,7 +45,11 @@
 	total, prev tallies
 	decayed     time.Time
 	threshold   float64
-	settle      time.Duration
+	// bar is the threshold at the present rate of evidence.
+	bar    float64
+	settle time.Duration
+	// pooled are the service's rates of bad tries as heard; 0: unknown.
+	pooled [channels]float64
 	// lagging means that good tries are heard of later than bad ones.
 	lagging bool
 }
@@ -113,11 +117,18 @@
 		j.sum(now, r)
 	}
 	recent := j.recentAll()
+	j.bar = j.threshold + scarce(recent[failure])
 	for _, r := range j.rows {
 		j.stepRow(now, r, recent)
 	}
 }
 
+// scarce is what the threshold is changed by at the present rate of evidence.
+func scarce(recent tally) float64 {
+	rate := recent.tries() / window.Seconds()
+	return min(max(math.Log(rate/referenceRate), -scarcity), 0)
+}
+
 // forget decays the recent tallies.
 func (j *judge) forget(now time.Time) {
 	if j.decayed.IsZero() {
@@ -165,7 +176,7 @@
 
 func (j *judge) stepRow(now time.Time, r *row, recent tallies) {
 	for ch := range channels {
-		base := baseRate(ch, recent[ch].minus(r.recent[ch]))
+		base := j.base(ch, recent[ch].minus(r.recent[ch]))
 		bad := r.total[ch].bad > r.prev[ch].bad
 		for i := range r.charts[ch] {
 			c := &r.charts[ch][i]
@@ -177,17 +188,43 @@
 	r.pending = r.pending[:0]
 }
 
-func baseRate(ch channel, others tally) float64 {
-	rate := others.rate(basePrior[ch], priorTries)
+// base is the rate of bad tries expected of a target, given the others' recent
+// tries. Where the service's rate is known from the aggregator, it takes the
+// place of the prior.
+func (j *judge) base(ch channel, others tally) float64 {
+	prior := basePrior[ch]
+	if j.pooled[ch] > 0 {
+		prior = j.pooled[ch]
+	}
+	rate := others.rate(prior, priorTries)
 	return min(max(rate, baseFloor[ch]), baseCeiling)
 }
 
+// rates are the recent rates of bad tries, without the targets that stand
+// out, unless too many do.
+func (j *judge) rates() [channels]float64 {
+	hot, crowded := j.crowd()
+	var rates [channels]float64
+	for ch := range channels {
+		var recent, lately tally
+		for _, r := range j.rows {
+			if crowded || !slices.Contains(hot, r) {
+				recent = recent.plus(r.recent[ch])
+				lately = lately.plus(r.lately[ch])
+			}
+		}
+		rate := recent.rate(basePrior[ch], priorTries)
+		rates[ch] = max(rate, lately.rate(rate, contemporaryTries))
+	}
+	return rates
+}
+
 // bases are the rates of bad tries that a row is measured against.
 func (j *judge) bases(r *row) [channels]float64 {
 	var bases [channels]float64
 	recent := j.recentAll()
 	for ch := range channels {
-		bases[ch] = baseRate(ch, recent[ch].minus(r.recent[ch]))
+		bases[ch] = j.base(ch, recent[ch].minus(r.recent[ch]))
 	}
 	return bases
 }
@@ -228,7 +265,7 @@
 			suspects++
 			continue
 		}
-		if r.hot(j.threshold) {
+		if r.hot(j.bar) {
 			suspects++
 			hot = append(hot, r)
 		}
@@ -240,7 +277,7 @@
 // undecided tells whether any row is hot or accused.
 func (j *judge) undecided() bool {
 	for _, r := range j.rows {
-		if !r.crossed.IsZero() || r.window.tally.bad > 0 || r.hot(j.threshold) {
+		if !r.crossed.IsZero() || r.window.tally.bad > 0 || r.hot(j.bar) {
 			return true
 		}
 	}
@@ -271,7 +308,7 @@
 
 // weigh compares a target with what the others did since its sum left zero.
 func (j *judge) weigh(now time.Time, r *row, ch channel, c *chart, hot []*row, factor float64) (accusation, bool) {
-	limit := j.threshold * factor
+	limit := j.bar * factor
 	if c.sum < limit {
 		return accusation{}, false
 	}
@@ -289,7 +326,8 @@
 	base := j.bases(r)[ch]
 	base = max(base, others.rate(base, contemporaryTries), j.momentary(r, ch, hot, base))
 	base = min(base, baseCeiling)
-	limit *= 1 + troubleFactor*max(base-troubleBase, 0)
+	trouble := max(base, j.momentary(r, slowness, hot, basePrior[slowness]))
+	limit *= 1 + troubleFactor*max(trouble-troubleBase, 0)
 	score := likelihood(own, base, c.excess)
 	return accusation{channel: ch, score: score, base: base, excess: c.excess, shares: c.shares}, score >= limit
 }
