--- a/membership/measure_test.go
+++ b/membership/measure_test.go
@@ -140,6 +140,35 @@
 	}
 }
 
+// BenchmarkZoneLost reports the time until all views are rid of a third or a
+// sixth of the fleet that crashed at once, the bytes that an instance sends
+// meanwhile, and false deaths among the rest.
+func BenchmarkZoneLost(b *testing.B) {
+	for count, lost := range map[int]int{44: 15, 920: 153} {
+		b.Run(fmt.Sprintf("instances=%d/lost=%d", count, lost), func(b *testing.B) {
+			var took []time.Duration
+			var seconds float64
+			sent, deaths := 0, 0
+			for seed := uint64(1); b.Loop(); seed++ {
+				w := steadyFleet(seed, count)
+				a := &accusations{last: w.now, suspected: map[Member]bool{}}
+				for i := range lost {
+					w.crash(testID(i))
+				}
+				w.watch = func() { w.count(a) }
+				d, _ := w.until(2*time.Minute, w.converged)
+				took = append(took, d)
+				seconds += d.Seconds() * float64(count-lost)
+				sent += w.bytes
+				deaths += a.deaths
+			}
+			reportTimes(b, took, "")
+			b.ReportMetric(float64(sent)/seconds, "B/s")
+			b.ReportMetric(float64(deaths), "false-deaths")
+		})
+	}
+}
+
 // BenchmarkSuspicionFactor weighs detection of a crash against false deaths
 // with 5% of messages lost, in a fleet of 44.
 func BenchmarkSuspicionFactor(b *testing.B) {
--- a/membership/settings.go
+++ b/membership/settings.go
@@ -19,7 +19,7 @@
 	// Relays is the number of third members asked. Default 3.
 	Relays int
 	// SuspicionFactor times Interval times log10 of the fleet's size (at
-	// least 1) is the time in which a suspect may refute. Default 3.
+	// least 1.5) is the time in which a suspect may refute. Default 3.
 	SuspicionFactor float64
 	// SpreadFactor times log10 of the fleet's size (at least 1) is how often
 	// an instance passes on a changed record. Default 4.
@@ -78,16 +78,16 @@
 	return nil
 }
 
-func fleetFactor(members int) float64 {
-	return math.Max(1, math.Log10(float64(members)))
+func fleetFactor(members int, least float64) float64 {
+	return math.Max(least, math.Log10(float64(members)))
 }
 
 // suspicionTime is how long a suspect may take to refute.
 func (s Settings) suspicionTime(members int) time.Duration {
-	return time.Duration(s.SuspicionFactor * fleetFactor(members) * float64(s.Interval))
+	return time.Duration(s.SuspicionFactor * fleetFactor(members, 1.5) * float64(s.Interval))
 }
 
 // spreadCount is how often a changed record is passed on.
 func (s Settings) spreadCount(members int) int {
-	return int(math.Ceil(s.SpreadFactor * fleetFactor(members)))
+	return int(math.Ceil(s.SpreadFactor * fleetFactor(members, 1)))
 }
