--- a/membership/node.go
+++ b/membership/node.go
@@ -142,9 +142,18 @@
 
 // View returns the current snapshot. It is the same one while nothing changes.
 func (n *Node) View() *View {
-	if n.view != nil {
-		return n.view
+	if n.view == nil {
+		n.view = n.newView()
 	}
+	if n.view.LastContact != n.lastContact {
+		v := *n.view // the members are shared
+		v.LastContact = n.lastContact
+		n.view = &v
+	}
+	return n.view
+}
+
+func (n *Node) newView() *View {
 	members := append(make([]Member, 0, n.live), n.self)
 	for _, e := range n.table {
 		if e.State != Dead {
@@ -153,8 +162,6 @@
 	}
 	v := NewView(n.self.ID, members)
 	v.Epoch = n.epoch
-	v.LastContact = n.lastContact
-	n.view = v
 	return v
 }
 
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -20,6 +20,22 @@
 	}
 }
 
+// The time of the last contact goes on in a fleet where nothing changes, and
+// stops for an instance that nobody answers.
+func TestLastContact(t *testing.T) {
+	w := startFleet(1, 4, Settings{})
+	w.knowEachOther()
+	w.run(10 * time.Second)
+	before := w.nodes[testID(0)].View()
+	w.run(30 * time.Second)
+	after := w.nodes[testID(0)].View()
+	assert.Equal(t, after.Epoch, before.Epoch)
+	assert.Assert(t, w.now.Sub(after.LastContact) < 2*time.Second)
+	w.cutTo(testID(0), true)
+	w.run(30 * time.Second)
+	assert.Assert(t, w.now.Sub(w.nodes[testID(0)].View().LastContact) >= 29*time.Second)
+}
+
 // The list has dead instances and lacks live ones.
 func TestListLagsInBothDirections(t *testing.T) {
 	w := startFleet(1, 8, Settings{})
