--- a/claim/record.go
+++ b/claim/record.go
@@ -95,6 +95,25 @@
 
 func (e *Entry) identity() identity { return identity{e.Kind, e.Claim, e.Presumed} }
 
+// entryOverhead estimates the encoded size of an entry without its variable
+// parts, in bytes.
+const entryOverhead = 200
+
+// size estimates the encoded size of the entry, in bytes.
+func (e *Entry) size() int {
+	n := entryOverhead + len(e.Key.Name) + len(e.Reason)
+	if e.Answer == nil {
+		return n
+	}
+	for name, values := range e.Answer.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n + len(e.Answer.Body)
+}
+
 // Op is what the stream says of one key so far.
 type Op struct {
 	// Entry is the winning claim, with the target, answer, operator and
--- a/claim/recorder.go
+++ b/claim/recorder.go
@@ -23,6 +23,9 @@
 	AppendBurst int
 	// MaxBatch bounds the entries of one append. Default 512.
 	MaxBatch int
+	// MaxRecord bounds the estimated size of one append, in bytes. Default
+	// 256 KiB.
+	MaxRecord int
 	// MaxPending bounds entries that wait to be appended or read back.
 	// Default 4096. Beyond it claims are refused.
 	MaxPending int
@@ -46,6 +49,7 @@
 	setDefault(&c.AppendRate, 18)
 	setDefault(&c.AppendBurst, 10)
 	setDefault(&c.MaxBatch, 512)
+	setDefault(&c.MaxRecord, 256<<10)
 	setDefault(&c.MaxPending, 4096)
 	setDefault(&c.MaxKeys, 200_000)
 	setDefault(&c.MaxSize, 64<<20)
@@ -236,16 +240,18 @@
 	}
 	r.batch++
 	var entries []Entry
-	taken := 0
+	taken, size := 0, 0
 	for _, id := range r.queue {
-		if len(entries) == r.cfg.MaxBatch {
-			break
-		}
-		taken++
 		p := r.pending[id]
 		if p == nil {
+			taken++
 			continue
 		}
+		size += p.entry.size()
+		if len(entries) == r.cfg.MaxBatch || size > r.cfg.MaxRecord && len(entries) > 0 {
+			break
+		}
+		taken++
 		p.batch = r.batch
 		p.mayLand = true
 		entries = append(entries, p.entry)
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -98,6 +98,12 @@
 	assert.Assert(t, !submit(t0, Claim, 4))
 	assert.Assert(t, submit(t0, Complete, 5), "outcomes keep a reserve")
 	assert.Assert(t, !submit(t0, Complete, 6))
+	r = NewRecorder(RecorderConfig{MaxRecord: 500}, NewFold(0), t0)
+	for n := range 3 {
+		assert.Assert(t, submit(t0, Claim, n))
+	}
+	_, entries := r.Next(t0.Add(time.Second))
+	assert.Equal(t, len(entries), 2, "a record has a bound")
 	r = NewRecorder(RecorderConfig{}, NewFold(7), t0)
 	assert.Assert(t, !submit(t0, Claim, 1), "history not known")
 }
--- a/operate/partition.go
+++ b/operate/partition.go
@@ -17,7 +17,7 @@
 
 const (
 	// readLimit bounds the records of one read.
-	readLimit = 500
+	readLimit = 100
 	// readWait is how long a read waits at the end of the stream.
 	readWait = time.Second
 	// readBackoff is the pause after a failed read.
