--- a/outlier/chart.go
+++ b/outlier/chart.go
@@ -126,6 +126,19 @@
 	shares    []share
 }
 
+// charts are the sums of one target, by channel and alternative.
+type charts [channels][len(excesses)]chart
+
+func newCharts() *charts {
+	cs := &charts{}
+	for ch := range cs {
+		for i, e := range excesses {
+			cs[ch][i].excess = e
+		}
+	}
+	return cs
+}
+
 func (c *chart) reset() {
 	c.sum = 0
 	c.own = tally{}
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -171,8 +171,12 @@
 	}
 	d.judge.step(now)
 	d.accuse(now)
+	was := d.active
 	d.advance(now)
-	events := d.publish(now)
+	var events []Event
+	if was || d.active {
+		events = d.publish(now)
+	}
 	return Output{Snapshot: d.snapshot, Report: d.report(now), Events: events, Suspect: d.suspect}
 }
 
