--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -21,6 +21,11 @@
 // defaultTargets is how many targets a service has.
 const defaultTargets = 6
 
+// maxRunning is how many fleets run at once; further tests wait.
+const maxRunning = 3
+
+var running = make(chan struct{}, maxRunning)
+
 // Setup says what a Fleet consists of.
 type Setup struct {
 	// Binaries are the programs under test. Required.
@@ -40,7 +45,7 @@
 	// Target describes the targets; slots and connections come from the
 	// contract.
 	Target emulator.Options
-	// TargetLinks puts a Link before each target.
+	// TargetLinks puts a Switch before each target.
 	TargetLinks bool
 	// NoLinks leaves out the links before peers and platform.
 	NoLinks bool
@@ -72,16 +77,21 @@
 	setup Setup
 	dir   string
 	log   *platform.Client
+	// owners knows the instances' processes.
+	owners owners
 
 	Platform    *standin.Server
 	platformURL string
+	outage      logOutage
 	Contract    *contract.Contract
 	// Targets are the emulated targets by the service's name.
 	Targets   map[string][]*Target
 	Instances []*Instance
 
-	// revision is the offset of the contract in force.
+	// revision is the offset of the contract in force, newest that of the
+	// newest record of configuration.
 	revision     platform.Offset
+	newest       platform.Offset
 	publications int
 }
 
@@ -89,6 +99,8 @@
 // the test.
 func New(t testing.TB, s Setup) *Fleet {
 	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	s.complete()
 	f := &Fleet{t: t, setup: s, dir: t.TempDir(), Targets: map[string][]*Target{}, revision: publication.NoRevision}
 	f.startPlatform()
@@ -98,13 +110,14 @@
 	}
 	for _, i := range f.Instances {
 		i.WaitReady()
+		i.WaitInForce(f.newest)
 	}
 	return f
 }
 
 func (f *Fleet) startPlatform() {
 	f.Platform = standin.New(f.setup.Platform)
-	srv := httptest.NewServer(f.Platform.Handler())
+	srv := httptest.NewServer(f.outage.before(f.Platform.Handler()))
 	f.t.Cleanup(srv.CloseClientConnections)
 	f.platformURL = srv.URL
 	f.log = platform.NewClient(srv.URL, 0)
@@ -188,3 +201,25 @@
 	}
 	return o
 }
+
+// CutOneWay drops all that one instance sends to another, whichever of them
+// opened the connection. What the other sends still arrives.
+func (f *Fleet) CutOneWay(from, to *Instance) {
+	f.t.Helper()
+	to.Peers.From(from).Cut(Requests)
+	from.Peers.From(to).Cut(Answers)
+}
+
+// CutPeer drops all between two instances.
+func (f *Fleet) CutPeer(a, b *Instance) {
+	f.t.Helper()
+	f.CutOneWay(a, b)
+	f.CutOneWay(b, a)
+}
+
+// HealPeer ends all faults between two instances.
+func (f *Fleet) HealPeer(a, b *Instance) {
+	f.t.Helper()
+	a.Peers.From(b).Heal()
+	b.Peers.From(a).Heal()
+}
--- a/faults/instance.go
+++ b/faults/instance.go
@@ -19,6 +19,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/settings"
+	"github.com/clementinereel/clementinereel/status"
 )
 
 // Instance is one instance of the fleet, over the processes that run it one
@@ -27,10 +28,10 @@
 	t     testing.TB
 	fleet *Fleet
 	cfg   settings.Settings
-	// PeerLink stands before its peer address, LogLink between it and the
+	// Peers stands before its peer address, LogLink between it and the
 	// platform.
-	PeerLink *Link
-	LogLink  *Link
+	Peers   *Switch
+	LogLink *Link
 
 	cmd    *exec.Cmd
 	exited chan error
@@ -63,9 +64,9 @@
 	}
 	i.cfg.Advertise = i.cfg.PeerListen
 	if !f.setup.NoLinks {
-		i.PeerLink = NewLink(f.t, string(id)+"-peer", i.cfg.PeerListen)
+		i.Peers = f.newSwitch(string(id), i.cfg.PeerListen)
 		i.LogLink = NewLink(f.t, string(id)+"-log", strings.TrimPrefix(f.platformURL, "http://"))
-		i.cfg.Advertise = i.PeerLink.Addr()
+		i.cfg.Advertise = i.Peers.Addr()
 		i.cfg.Platform.URL = "http://" + i.LogLink.Addr()
 	}
 	f.t.Cleanup(i.cleanUp)
@@ -93,6 +94,7 @@
 	i.cmd = exec.Command(i.fleet.setup.Binaries.Instance(), "serve", "--config", i.file("json"))
 	i.cmd.Stdout, i.cmd.Stderr = log, log
 	assert.NilError(i.t, i.cmd.Start())
+	i.fleet.owners.set(i.ID(), i.cmd.Process.Pid)
 	i.exited = make(chan error, 1)
 	go func(cmd *exec.Cmd, exited chan error) { exited <- cmd.Wait() }(i.cmd, i.exited)
 	i.list(platform.Live)
@@ -166,6 +168,32 @@
 	return nil
 }
 
+// WaitInForce waits until the instance has applied the record at an offset.
+func (i *Instance) WaitInForce(offset platform.Offset) {
+	i.t.Helper()
+	Eventually(i.t, func() error {
+		r, err := i.Status()
+		if err != nil {
+			return err
+		}
+		if r.Config.Next <= offset {
+			return errors.Errorf("%s: %d is not in force: next is %d", i.ID(), offset, r.Config.Next)
+		}
+		return nil
+	})
+}
+
+// Status returns what the instance reports of itself.
+func (i *Instance) Status() (status.Report, error) {
+	var r status.Report
+	resp, err := adminClient.Get(i.AdminURL() + status.Path)
+	if err != nil {
+		return r, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	return r, errors.WithStack(json.NewDecoder(resp.Body).Decode(&r))
+}
+
 // adminClient reads admin pages.
 var adminClient = &http.Client{Timeout: 2 * time.Second}
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -10,40 +10,50 @@
 	"github.com/labstack/echo/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/clementinereel/clementinereel/allowance"
+	"github.com/clementinereel/clementinereel/evidence"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/follow"
+	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/pool"
 	"github.com/clementinereel/clementinereel/proxy"
+	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/route"
 	"github.com/clementinereel/clementinereel/settings"
+	"github.com/clementinereel/clementinereel/status"
 	"github.com/clementinereel/clementinereel/telemetry"
 	"github.com/clementinereel/clementinereel/upstream"
 )
 
 // Instance is one running instance.
 type Instance struct {
-	cfg       *settings.Settings
-	self      fleet.Holder
-	platform  *platform.Client
-	metrics   *telemetry.Registry
-	services  *upstream.Set
-	pool      *pool.Set
-	follower  *follow.Follower
-	transport *peer.Transport
-	gossip    *peer.Gossip
-	routes    atomic.Pointer[route.Table]
-	members   atomic.Pointer[members]
-	ready     atomic.Bool
-	stopping  atomic.Bool
-	cancel    context.CancelFunc
-	systems   sync.WaitGroup
-	hadPeers  bool // used by the tick alone
-	sockets   *listeners
-	callers   *http.Server
-	peers     *peer.Server
-	admin     *http.Server
+	cfg        *settings.Settings
+	self       fleet.Holder
+	platform   *platform.Client
+	metrics    *telemetry.Registry
+	services   *upstream.Set
+	pool       *pool.Set
+	follower   *follow.Follower
+	allowances *allowance.Client
+	operations *operate.Service
+	evidence   *evidence.Table
+	view       atomic.Pointer[publication.View]
+	transport  *peer.Transport
+	gossip     *peer.Gossip
+	routes     atomic.Pointer[route.Table]
+	members    atomic.Pointer[members]
+	started    time.Time
+	ready      atomic.Bool
+	stopping   atomic.Bool
+	cancel     context.CancelFunc
+	systems    sync.WaitGroup
+	hadPeers   bool // used by the tick alone
+	sockets    *listeners
+	callers    *http.Server
+	peers      *peer.Server
+	admin      *http.Server
 }
 
 // New opens an instance's sockets. Start makes it serve.
@@ -61,16 +71,23 @@
 		pool:     pool.New(pool.Config{}),
 		sockets:  sockets,
 	}
-	i.services = upstream.NewSet(upstream.Env{Via: via, Pool: i.pool, Seed: upstream.Seed()})
 	i.routes.Store(route.Empty)
 	if err := i.joinPeers(); err != nil {
 		sockets.close()
 		return nil, err
 	}
 	i.followMembers()
+	i.shareEvidence()
+	i.services = upstream.NewSet(upstream.Env{Via: via, Pool: i.pool, Evidence: i.evidence, Seed: upstream.Seed()})
 	i.followConfiguration()
+	i.shareLimits()
+	i.runOperations()
 	handler := proxy.New(proxy.Config{
-		Routes: i.routes.Load, Services: i.services, Metrics: i.metrics, Via: via,
+		Routes:     i.routes.Load,
+		Services:   i.services,
+		Limits:     i.allowances.Table(),
+		Operations: i.operations,
+		Metrics:    i.metrics,
 	})
 	i.callers = i.newCallerServer(handler)
 	i.admin = i.newAdminServer()
@@ -96,9 +113,12 @@
 	go serve("callers", i.callers, i.sockets.callers)
 	go serve("admin", i.admin, i.sockets.admin)
 	go serve("peers", i.peers, i.sockets.peers)
+	i.started = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
-	for _, system := range []func(context.Context){i.gossip.Run, i.follower.Run, i.run} {
+	for _, system := range []func(context.Context){
+		i.gossip.Run, i.follower.Run, i.allowances.Run, i.warm, i.run,
+	} {
 		i.systems.Go(func() { system(ctx) })
 	}
 }
@@ -118,6 +138,7 @@
 	e := echo.New()
 	e.GET("/livez", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", i.serveReady)
+	e.GET(status.Path, i.serveStatus)
 	e.GET("/metrics", echo.WrapHandler(i.metrics))
 	return &http.Server{Handler: e, ReadHeaderTimeout: i.cfg.Bounds.HeaderTimeout.D()}
 }
--- a/membership/node.go
+++ b/membership/node.go
@@ -142,9 +142,18 @@
 
 // View returns the current snapshot. It is the same one while nothing changes.
 func (n *Node) View() *View {
-	if n.view != nil {
-		return n.view
+	if n.view == nil {
+		n.view = n.newView()
 	}
+	if n.view.LastContact != n.lastContact {
+		v := *n.view // the members are shared
+		v.LastContact = n.lastContact
+		n.view = &v
+	}
+	return n.view
+}
+
+func (n *Node) newView() *View {
 	members := append(make([]Member, 0, n.live), n.self)
 	for _, e := range n.table {
 		if e.State != Dead {
@@ -153,8 +162,6 @@
 	}
 	v := NewView(n.self.ID, members)
 	v.Epoch = n.epoch
-	v.LastContact = n.lastContact
-	n.view = v
 	return v
 }
 
@@ -301,6 +308,7 @@
 	}
 	if known && !m.supersedes(old.Member) {
 		n.raiseOffset(old, m)
+		n.correct(old, m)
 		return
 	}
 	if m.Incarnation == old.Incarnation {
@@ -329,6 +337,14 @@
 	}
 }
 
+// correct passes a record on once more, in the answer at the latest, if the
+// sender accuses the member by an older one.
+func (n *Node) correct(e *entry, m Member) {
+	if m.State >= Suspect && e.supersedes(m) {
+		n.enqueueTimes(e, max(e.spread, 1))
+	}
+}
+
 // count keeps the number of members that are not dead.
 func (n *Node) count(old *entry, m Member) {
 	wasLive := old.State != 0 && old.State != Dead
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"errors"
 	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/problem"
 	"github.com/clementinereel/clementinereel/upstream"
 )
@@ -16,16 +18,21 @@
 
 // answer passes a target's whole answer on to the caller.
 func (h *Handler) answer(x *exchange, a *upstream.Answer) {
+	h.log.answered(x, a.Status)
+	h.write(x, a.Status, a.Header, a.Body)
+}
+
+// write sends a whole answer to the caller.
+func (h *Handler) write(x *exchange, status int, fields http.Header, body []byte) {
 	dst := x.w.Header()
-	id := dst.Get("Request-Id")
-	maps.Copy(dst, a.Header)
-	dst.Set("Request-Id", id)
+	maps.Copy(dst, fields)
+	dst.Set(header.RequestID, x.id)
 	if x.r.Method != http.MethodHead {
-		dst.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		dst.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.w.WriteHeader(a.Status)
-	_, _ = x.w.Write(a.Body)
-	h.finished(x, a.Status)
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(body)
+	h.finished(x, status)
 }
 
 // tryProblem says why a try brought no answer that may be passed on.
@@ -33,6 +40,9 @@
 	if res.TooLarge {
 		return problem.New(http.StatusBadGateway, problem.AnswerTooLarge, "the target's answer is larger than the contract allows")
 	}
+	if errors.Is(res.Err, upstream.ErrNoTarget) {
+		return noTarget()
+	}
 	switch res.Try {
 	case fleet.TryTimeout:
 		return problem.New(http.StatusGatewayTimeout, problem.TargetTimeout, "the target did not answer within the deadline").After(retryLater)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -7,7 +7,9 @@
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/problem"
+	"github.com/clementinereel/clementinereel/ratelimit"
 	"github.com/clementinereel/clementinereel/requestid"
 	"github.com/clementinereel/clementinereel/route"
 	"github.com/clementinereel/clementinereel/telemetry"
@@ -20,18 +22,22 @@
 	Routes func() *route.Table
 	// Services finds the runtime state of a service.
 	Services *upstream.Set
-	Metrics  *telemetry.Registry
-	Via      upstream.Via
+	// Limits holds this instance's allowances under the contracts' limits.
+	Limits *ratelimit.Table
+	// Operations sees to it that confirmations run at most once.
+	Operations *operate.Service
+	Metrics    *telemetry.Registry
 }
 
 // Handler serves callers' requests.
 type Handler struct {
 	cfg Config
+	log requestLog
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg}
+	return &Handler{cfg: cfg, log: newRequestLog()}
 }
 
 // exchange is one request on its way through the handler.
@@ -57,6 +63,12 @@
 		return
 	}
 	x.deadline = x.arrived.Add(x.route.Deadline.D())
+	limits, p := h.limit(x)
+	if p != nil {
+		h.refuse(x, p)
+		return
+	}
+	defer func() { limits.Done(time.Now()) }()
 	switch x.route.Class {
 	case fleet.Lookup:
 		h.lookup(x)
@@ -90,6 +102,9 @@
 // refuse ends an exchange with a problem.
 func (h *Handler) refuse(x *exchange, p *problem.Problem) {
 	p.Write(x.w, x.id)
+	if !h.log.refused(x, p) {
+		h.cfg.Metrics.Counter("log_lines_left_out").Inc(1)
+	}
 	h.finished(x, p.Status)
 }
 
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -24,6 +24,16 @@
 // names the last answer applied; so the limiter takes back a grant whose
 // answer was lost, and repeats the answer to a repeated demand.
 //
+// # Rare use
+//
+// With many instances, most of a customer's accounts see a request once in
+// minutes. An account whose expected use is below an eighth of its overdraft
+// holds nothing: every 5 s at most it pays its debt by a Charge, which the
+// limiter takes from the bucket without keeping state of the account. A charge
+// whose answer is lost is made again, at the customer's cost; one that the
+// bucket is too low for stays a debt, so that a flood through many instances
+// meets its limit at each.
+//
 // # Cut off
 //
 // Each of the n listed instances is entitled to 1/n of a limit. A limiter
@@ -43,7 +53,7 @@
 //
 // and requests in flight at most
 //
-//	g*(3*concurrency + n) + f*max(1, concurrency/n)
+//	g*(4*concurrency + n) + f*max(1, concurrency/n)
 //
 // where g is the number of instances that act as the customer's limiter in
 // the window, each counted anew when the role moves (1 in ordinary times),
@@ -53,8 +63,9 @@
 // the cut, the sum of g*rate and f*rate/n is at most 1.1*rate.
 //
 // The bound on requests in flight is for a sudden rise: slots are handed out
-// three times over while less than half of them are in use, since few would
-// otherwise be spread too thin over many instances. Accounts that are in
+// three times over while less than half of them are in use, and every account
+// has its even share of them besides, since few would otherwise be spread too
+// thin over many instances. Accounts that are in
 // contact settle at concurrency as soon as the limiter has heard of the rise,
 // at most Lifetime/3 later for those in use.
 package ratelimit
