outlier: let targets of a service in trouble differ by nature

Cause: where the whole service slows down, its slower targets time out more often than the others. The yardstick of latency follows the service within seconds, so only the uneven timeouts stay, and they accused.

Change: a target may have up to three times the others' rate of bad tries, in proportion as that rate nears 3%.

--- a/outlier/accuse.go
+++ b/outlier/accuse.go
@@ -94,7 +94,7 @@
 	}
 	base := j.bases(r)[ch]
 	base = max(base, others.rate(base, contemporaryTries), j.momentary(r, ch, hot, base))
-	base = min(base, baseCeiling)
+	base = min(diverse(base), baseCeiling)
 	trouble := max(base, j.momentary(r, slowness, hot, basePrior[slowness]))
 	limit *= 1 + troubleFactor*max(trouble-troubleBase, 0)
 	score := likelihood(own, base, c.excess)
@@ -163,3 +163,17 @@
 	}
 	r.aside = aside
 }
+
+// Targets differ by nature, and the more so the worse the service is off:
+// where troubled or more of all tries are bad, one of them may have up to
+// diversity times as many.
+const (
+	diversity = 3.0
+	troubled  = 0.03
+)
+
+// diverse is the rate of bad tries that a target may have where the others
+// have the given rate.
+func diverse(rate float64) float64 {
+	return rate * (1 + (diversity-1)*min(rate/troubled, 1))
+}
