outlier: raise the bar for targets that are full, cold or returning

Cause: at 110% load work waits at the targets, and the waiting times out in bursts that hit the slower targets; a cold target fails half of its tries that way.

Change: the threshold is half as high again for a target that shed lately, is warming up or returned; a target that warms up is accused only of failing nearly all of its tries.

--- a/lab/own.go
+++ b/lab/own.go
@@ -10,6 +10,11 @@
 // Own is the product's policy, set up by the contract of the service.
 var Own = Maker{Name: "pooled", New: newPooled}
 
+// Policies lists every policy that is measured: the baselines, the product's
+// own by the service's contract, and the own with either user's weight.
+var Policies = append(Baselines, Own,
+	Weighted("pooled-0.9", daugavaWeight), Weighted("pooled-0.1", loneStarWeight))
+
 // Weighted is Own with another weight of false ejections.
 func Weighted(name string, weight float64) Maker {
 	return Maker{Name: name, New: func(s Service, instance int) Policy {
--- a/outlier/accuse.go
+++ b/outlier/accuse.go
@@ -78,7 +78,10 @@
 // weigh compares a target with what the others did since its sum left zero.
 func (j *judge) weigh(now time.Time, r *row, ch channel, c *chart, hot []*row, factor float64) (accusation, bool) {
 	limit := j.bar * factor
-	if c.sum < limit {
+	if r.muted {
+		limit *= mutedFactor
+	}
+	if c.sum < limit || r.warming && c.excess < excesses[len(excesses)-1] {
 		return accusation{}, false
 	}
 	own := c.own
--- a/outlier/aggregator.go
+++ b/outlier/aggregator.go
@@ -218,6 +218,7 @@
 	a.forgetReporters(now)
 	for i, f := range a.cases {
 		a.judge.rows[i].muted = f.muted(now, a.cfg)
+		a.judge.rows[i].warming = f.warming(now, a.cfg)
 	}
 	if a.dirty {
 		a.median = a.medianLatency()
--- a/outlier/config.go
+++ b/outlier/config.go
@@ -103,6 +103,9 @@
 	// drainHold is how long a target gets no work after it said that it is
 	// draining.
 	drainHold = 3 * time.Second
+	// mutedFactor raises the threshold for targets that are busy, cold or
+	// returning: work that waits there times out in bursts.
+	mutedFactor = 1.5
 	// busyHold is how long after a target shed load its slowness is no
 	// evidence: it said itself that it is full.
 	busyHold = 3 * time.Second
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -278,7 +278,8 @@
 			s.stay = nil
 		}
 		d.judge.mark(r, s.stay.aside() || s.pooledAside())
-		r.muted = d.warming(s, now) || s.stay != nil || s.pooled != nil || now.Sub(s.shedAt) < busyHold
+		r.warming = d.warming(s, now)
+		r.muted = r.warming || s.stay != nil || s.pooled != nil || now.Sub(s.shedAt) < busyHold
 		d.active = d.active || r.muted || !s.drainingAt.IsZero()
 	}
 	d.active = d.active || d.judge.undecided()
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -32,6 +32,8 @@
 	window slowWindows
 	// muted rows gather no evidence of slowness: cold or warming up.
 	muted bool
+	// warming rows joined or were cold lately.
+	warming bool
 	// aside rows are ejected or on trial; they are no yardstick for others.
 	aside bool
 	// crossed is when the accusation that stands now was first found.
