--- a/lab/plot.go
+++ b/lab/plot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -14,7 +15,9 @@
 const (
 	plotWidth, plotHeight = 26 * vg.Centimeter, 12 * vg.Centimeter
 	// barRoom is the part of a fault's place that its bars take together.
-	barRoom = 1.6 * vg.Centimeter
+	barRoom = 1.2 * vg.Centimeter
+	// legendRoom times the highest bar leaves room for the legend.
+	legendRoom = 1.3
 )
 
 // chart is one kind of plot.
@@ -64,41 +67,50 @@
 }
 
 func (ch chart) draw(dir string, cells []Cell) error {
-	var names []string
-	values := map[string]plotter.Values{}
+	faults := ch.faults(cells)
+	if len(faults) == 0 {
+		return nil
+	}
 	var order []string
+	values := map[string]plotter.Values{}
 	for _, c := range cells {
-		if !ch.applies(c) {
+		if !slices.Contains(faults, c.Fault.Name) {
 			continue
 		}
-		if len(names) == 0 || names[len(names)-1] != c.Fault.Name {
-			names = append(names, c.Fault.Name)
-		}
 		if values[c.Policy] == nil {
 			order = append(order, c.Policy)
 		}
 		values[c.Policy] = append(values[c.Policy], ch.value(c))
 	}
-	if len(names) == 0 {
-		return nil
-	}
 	p := plot.New()
 	c := cells[0]
 	p.Title.Text = fmt.Sprintf("%s at %.0f%% load", c.Service.ID(), 100*c.Load)
 	p.Y.Label.Text = ch.label
-	p.Legend.Top = true
 	p.X.Tick.Label.Rotation = 0.5
 	p.X.Tick.Label.XAlign = -1
 	if err := addBars(p, order, values); err != nil {
 		return err
 	}
-	p.NominalX(names...)
+	p.NominalX(faults...)
+	p.Legend.Top = true
+	p.Y.Max *= legendRoom
 	file := fmt.Sprintf("%s-%s-%.0f.svg", ch.file, strings.ReplaceAll(string(c.Service.ID()), "/", "-"), 100*c.Load)
 	return p.Save(plotWidth, plotHeight, filepath.Join(dir, file))
 }
 
+// faults lists the faults that the chart applies to, in the cells' order.
+func (ch chart) faults(cells []Cell) []string {
+	var names []string
+	for _, c := range cells {
+		if ch.applies(c) && !slices.Contains(names, c.Fault.Name) {
+			names = append(names, c.Fault.Name)
+		}
+	}
+	return names
+}
+
 func addBars(p *plot.Plot, order []string, values map[string]plotter.Values) error {
-	width := barRoom / vg.Length(len(order)) / 2
+	width := barRoom / vg.Length(len(order))
 	for i, name := range order {
 		bars, err := plotter.NewBarChart(values[name], width)
 		if err != nil {
