--- a/operate/config.go
+++ b/operate/config.go
@@ -163,13 +163,14 @@
 	Log platform.Log
 	// Peers reaches the instance i at "http://i.peer", by relay if need be.
 	Peers *http.Client
-	// Members returns the member view, this instance included. Roles fall on
-	// its members.
-	Members func() []membership.Member
-	// Listed returns the instances that the platform lists, live or leaving,
-	// by its last answer. One that is listed may run, whether or not peers
-	// reach it.
-	Listed func() []fleet.InstanceID
+	// Members returns every process that may run, this one included: those
+	// that peers know and those that the platform lists, live or leaving.
+	// Being out of reach is no reason to be left out. An incarnation that is
+	// not known is 0.
+	Members func() []fleet.Holder
+	// View returns the member view. Roles fall on its members. Default: all
+	// Members whose incarnation is known, as alive and ready.
+	View func() []membership.Member
 	// Run dispatches operations that arrive under a ticket from peers.
 	Run Runner
 	// Now is the clock. Default time.Now.
--- a/operate/fake_test.go
+++ b/operate/fake_test.go
@@ -18,7 +18,6 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/platform"
 )
@@ -110,9 +109,11 @@
 	log   *memLog
 	mu    sync.Mutex
 	nodes map[fleet.InstanceID]*Service
-	cut   map[[2]fleet.InstanceID]bool
-	inc   atomic.Int64
-	runs  map[string]int
+	// listed are instances that the platform still lists and nobody reaches.
+	listed []fleet.Holder
+	cut    map[[2]fleet.InstanceID]bool
+	inc    atomic.Int64
+	runs   map[string]int
 	// behave is what the target does; it may be replaced.
 	behave func(ctx context.Context, req *Request) Result
 	change func(c *Config)
@@ -207,12 +208,12 @@
 	return c.nodes[node(i)]
 }
 
-func (c *cluster) members() []membership.Member {
+func (c *cluster) members() []fleet.Holder {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []membership.Member
-	for id, s := range c.nodes {
-		list = append(list, membership.Member{ID: id, Incarnation: s.cfg.Self.Incarnation, State: membership.Alive, Ready: true})
+	list := slices.Clone(c.listed)
+	for _, s := range c.nodes {
+		list = append(list, s.cfg.Self)
 	}
 	return list
 }
--- a/operate/keyed_test.go
+++ b/operate/keyed_test.go
@@ -138,6 +138,22 @@
 	assert.Equal(t, c.ran("k"), 1)
 }
 
+// An instance that the platform lists counts, though no peer knows it any more.
+func TestListedInstanceMayHoldTheKey(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.mu.Lock()
+	c.listed = []fleet.Holder{{Instance: "i9"}}
+	c.mu.Unlock()
+	c.eventually("seen", func() bool {
+		s := c.at(0)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.history.Present(fleet.Holder{Instance: "i9"})
+	})
+	c.log.set(func(l *memLog) { l.down = true })
+	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.Unknown)
+}
+
 // The log goes down after the claim: the operation runs, and a repeat gets its
 // answer from the holder.
 func TestLogDownBetweenClaimAndOutcome(t *testing.T) {
--- a/operate/service.go
+++ b/operate/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,8 +67,8 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	if cfg.Listed == nil {
-		cfg.Listed = func() []fleet.InstanceID { return nil }
+	if cfg.View == nil {
+		cfg.View = func() []membership.Member { return aliveOf(cfg.Members()) }
 	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
@@ -134,11 +135,10 @@
 // Tick does what is due: it follows the members, takes and drops partitions,
 // and forgets what is over.
 func (s *Service) Tick(now time.Time) {
-	members := s.cfg.Members()
-	listed := s.cfg.Listed()
+	view, processes := s.cfg.View(), s.cfg.Members()
 	s.mu.Lock()
-	s.members = members
-	s.history.Observe(now, s.present(members, listed))
+	s.members = view
+	s.history.Observe(now, s.latest(processes))
 	s.assign(now)
 	s.tickets.Sweep(now)
 	refresh := now.Sub(s.refreshed) >= refreshEvery
@@ -171,19 +171,26 @@
 	}()
 }
 
-// present returns the processes that may run: the members, and those that the
-// platform still lists although no peer can reach them. The latest incarnation
-// that was seen stands for these; 0 if none was. The caller holds the lock.
-func (s *Service) present(members []membership.Member, listed []fleet.InstanceID) []fleet.Holder {
-	var list []fleet.Holder
-	seen := map[fleet.InstanceID]bool{}
-	for _, m := range members {
-		seen[m.ID] = true
-		list = append(list, m.Holder())
+// aliveOf returns processes as members of a view.
+func aliveOf(processes []fleet.Holder) []membership.Member {
+	var list []membership.Member
+	for _, h := range processes {
+		if h.Incarnation != 0 {
+			list = append(list, membership.Member{
+				ID: h.Instance, Incarnation: h.Incarnation, State: membership.Alive, Ready: true,
+			})
+		}
 	}
-	for _, id := range listed {
-		if !seen[id] {
-			list = append(list, fleet.Holder{Instance: id, Incarnation: s.history.Latest(id)})
+	return list
+}
+
+// latest puts the latest incarnation that was seen in the place of one that is
+// not known. The caller holds the lock.
+func (s *Service) latest(processes []fleet.Holder) []fleet.Holder {
+	list := slices.Clone(processes)
+	for i := range list {
+		if list[i].Incarnation == 0 {
+			list[i].Incarnation = s.history.Latest(list[i].Instance)
 		}
 	}
 	return list
