Hand operate the member view and every listed process

Cause: roles fall on the member view, surveys ask every listed process. Change: the instance supplies both. Measured: go test ./instance green. Conclusion: none beyond it.

--- a/instance/operations.go
+++ b/instance/operations.go
@@ -26,20 +26,26 @@
 		Self:     i.self,
 		Log:      i.platform,
 		Peers:    i.transport.Client(),
-		Members:  func() []membership.Member { return i.members.Load().view.Members },
-		Listed:   i.listed,
+		Members:  i.processes,
+		View:     func() []membership.Member { return i.members.Load().view.Members },
 		Run:      i.runOperation,
 		Metrics:  i.metrics.Metrics(),
 	})
 	i.peers.Handle(i.operations.Handler())
 }
 
-// listed names the instances that the platform lists, reachable or not.
-func (i *Instance) listed() []fleet.InstanceID {
-	list := i.gossip.Listed()
-	out := make([]fleet.InstanceID, 0, len(list))
-	for _, l := range list {
-		out = append(out, l.ID)
+// processes lists every process that the platform names or that peers know,
+// reachable or not.
+func (i *Instance) processes() []fleet.Holder {
+	view := i.members.Load().view
+	out := make([]fleet.Holder, 0, len(view.Members))
+	for _, m := range view.Members {
+		out = append(out, m.Holder())
+	}
+	for _, l := range i.gossip.Listed() {
+		if _, ok := view.Get(l.ID); !ok {
+			out = append(out, fleet.Holder{Instance: l.ID})
+		}
 	}
 	return out
 }
