Ask the next recorder when one takes long

Cause: an instance that is cut off from the log, where calls hang, held the claims of its partitions until their time was over: in a fleet of three with one cut off, 18 of 71 confirmations were refused as not run. Ruled out: the stand-by's reading; it follows the stream all along. Change: the next recorder is asked after 300 ms or at the first refusal. The claim is the same one, so two appends of it do no harm. Measured: TestRecorderCutOffFromTheLog refuses before, completes all 24 after.

--- a/operate/keyed_test.go
+++ b/operate/keyed_test.go
@@ -33,6 +33,29 @@
 	}
 }
 
+// hangingLog is a log that one instance cannot reach: its calls hang.
+type hangingLog struct{ platform.Log }
+
+func (hangingLog) Append(ctx context.Context, _ string, _ []byte) (platform.Offset, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// A recorder that is cut off from the log does not hold up its partitions.
+func TestRecorderCutOffFromTheLog(t *testing.T) {
+	c := newCluster(t, 3, func(cfg *Config) {
+		cfg.Partitions = 16
+		if cfg.Self.Instance == node(0) {
+			cfg.Log = hangingLog{cfg.Log}
+		}
+	})
+	for k := range 24 {
+		key := fmt.Sprint("quote-", k)
+		c.wantOutcome(c.send(1+k%2, keyed(key, "b")), fleet.Completed)
+		assert.Equal(t, c.ran(key), 1)
+	}
+}
+
 func TestRefusedBeforeAnythingIsSent(t *testing.T) {
 	c := newCluster(t, 2, nil)
 	a := c.send(0, keyed("", "b"))
--- a/operate/peers.go
+++ b/operate/peers.go
@@ -49,23 +49,68 @@
 	s.table.Submitted(a)
 	entry := a.Entry(claim.Claim)
 	s.mu.Unlock()
-	withheld := true
-	for _, id := range s.recorders(a.Key.Partition(s.cfg.Partitions)) {
-		v, op, err := s.submit(ctx, id, entry)
-		if err == nil && v != claim.Refused {
-			return v, op
-		}
-		withheld = withheld && err == nil
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if withheld && ctx.Err() == nil {
+	r := s.askRecorders(ctx, entry)
+	if r.withheld && ctx.Err() == nil {
 		s.mu.Lock()
 		s.table.Withheld(a)
 		s.mu.Unlock()
 	}
-	return claim.Refused, claim.Op{}
+	return r.verdict, r.op
+}
+
+// recorderHedge is how long a recorder may take before the next one is asked
+// as well: the first may be cut off from the log, where calls hang. Two
+// recorders that append one claim do no harm.
+const recorderHedge = 300 * time.Millisecond
+
+// recorded is what recorders said of an entry.
+type recorded struct {
+	verdict claim.Verdict
+	op      claim.Op
+	// withheld tells that every recorder asked said that it appended nothing.
+	withheld bool
+}
+
+// askRecorders submits an entry to the recorders of its partition in their
+// order until one gives a verdict other than Refused.
+func (s *Service) askRecorders(ctx context.Context, e claim.Entry) recorded {
+	type reply struct {
+		verdict claim.Verdict
+		op      claim.Op
+		err     error
+	}
+	left := s.recorders(e.Key.Partition(s.cfg.Partitions))
+	replies := make(chan reply, len(left))
+	running := 0
+	askNext := func() {
+		if len(left) == 0 || ctx.Err() != nil {
+			return
+		}
+		id := left[0]
+		left = left[1:]
+		running++
+		go func() {
+			v, op, err := s.submit(ctx, id, e)
+			replies <- reply{v, op, err}
+		}()
+	}
+	out := recorded{verdict: claim.Refused, withheld: true}
+	hedge := time.NewTicker(recorderHedge)
+	defer hedge.Stop()
+	for askNext(); running > 0; {
+		select {
+		case r := <-replies:
+			running--
+			if r.err == nil && r.verdict != claim.Refused {
+				return recorded{verdict: r.verdict, op: r.op}
+			}
+			out.withheld = out.withheld && r.err == nil
+			askNext()
+		case <-hedge.C:
+			askNext()
+		}
+	}
+	return out
 }
 
 func (s *Service) claimTimeout(ctx context.Context) time.Duration {
