--- a/faults/wait.go
+++ b/faults/wait.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/poll"
 )
 
@@ -14,13 +15,20 @@
 	waitDelay = 20 * time.Millisecond
 )
 
+// errHopeless ends the wait for a condition that cannot come about.
+var errHopeless = errors.New("in vain")
+
 // Eventually waits until a condition holds; the condition says why not.
 func Eventually(t testing.TB, condition func() error) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if err := condition(); err != nil {
-			return poll.Continue("%v", err)
+		err := condition()
+		switch {
+		case err == nil:
+			return poll.Success()
+		case errors.Is(err, errHopeless):
+			return poll.Error(err)
 		}
-		return poll.Success()
+		return poll.Continue("%v", err)
 	}, poll.WithTimeout(waitLimit), poll.WithDelay(waitDelay))
 }
