load: callers ask again after answers that leave hope

After "not run", "unknown", a refusal for overload or a failure a caller waits a moment and repeats under its key, as the answers tell it to.

--- a/load/operation.go
+++ b/load/operation.go
@@ -13,6 +13,10 @@
 	"github.com/clementinereel/clementinereel/header"
 )
 
+// repeatPause is how long a caller waits before it asks again after an answer
+// that is not final, or after none.
+const repeatPause = 100 * time.Millisecond
+
 // settle is how long an operation still waits, after its first whole answer,
 // for the answers to its other asks, which are checked too.
 const settle = time.Second
@@ -72,30 +76,26 @@
 	open, left := 1, op.stream.Repeats
 	patience := newTimer(op.stream.Patience)
 	defer patience.Stop()
-	again := func() {
-		if left > 0 {
-			left--
-			open++
-			start()
-			patience.Reset(max(op.stream.Patience, time.Millisecond))
-		}
-	}
 	for open > 0 {
 		select {
 		case a := <-answers:
 			asks = append(asks, a)
 			open--
-			switch {
-			case a.verdict.final():
+			if a.verdict.final() {
 				left = 0
 				defer time.AfterFunc(settle, cancel).Stop()
-			case open == 0:
-				again()
 			}
-		case <-patience.C:
-			if op.stream.Patience > 0 {
-				again()
+			if open > 0 || left == 0 {
+				continue
 			}
+			time.Sleep(repeatPause)
+		case <-patience.C:
+		}
+		if left > 0 {
+			left--
+			open++
+			start()
+			resetTimer(patience, op.stream.Patience)
 		}
 	}
 	return asks
@@ -103,12 +103,21 @@
 
 // newTimer returns a timer that never fires if d is not above 0.
 func newTimer(d time.Duration) *time.Timer {
+	t := time.NewTimer(never)
+	resetTimer(t, d)
+	return t
+}
+
+func resetTimer(t *time.Timer, d time.Duration) {
 	if d <= 0 {
-		d = MaxDuration * 2
+		d = never
 	}
-	return time.NewTimer(d)
+	t.Reset(d)
 }
 
+// never is longer than any run.
+const never = 24 * MaxDuration
+
 // ask sends the request once and judges its answer.
 func (op *operation) ask(ctx context.Context, base string) ask {
 	ctx, cancel := context.WithTimeout(ctx, op.stream.Timeout)
--- a/load/options.go
+++ b/load/options.go
@@ -91,7 +91,8 @@
 	// Default 0: it waits for the Timeout.
 	Patience time.Duration
 	// Repeats bounds the asks after the first. A caller also asks again
-	// when it got no answer. Default 0.
+	// after an answer that leaves hope, such as "not run", or after none.
+	// Default 0.
 	Repeats int
 }
 
--- a/load/verdict.go
+++ b/load/verdict.go
@@ -28,13 +28,9 @@
 	Lost Verdict = "lost"
 )
 
-// final tells whether a caller has no reason to ask again.
+// final tells whether a caller has no reason to ask again under its key.
 func (v Verdict) final() bool {
-	switch v {
-	case Lost, Truncated, Unavailable, Failed:
-		return false
-	}
-	return true
+	return v == Whole || v == Wrong || v == Refused
 }
 
 // ask is one request of an operation.
