--- a/follow/bench_test.go
+++ b/follow/bench_test.go
@@ -46,32 +46,16 @@
 
 func benchmarkInForce(b *testing.B, reached, tails int) {
 	x := newFixture(b)
-	registry := metrics.NewRegistry()
-	inForce := make(chan platform.Offset, 100*benchFleet)
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	listeners, view := benchMembers(b)
-	for i, l := range listeners {
-		o := Options{Log: x.log, Registry: registry}
-		o.Tail = func() bool { return i < tails }
-		if i >= reached {
-			o.Log = unreachable{}
-		}
-		o.OnChange = func(v *publication.View) { inForce <- v.Next }
-		f := benchFollower(b, l, view(i), o)
-		wg.Go(func() { f.Run(ctx) })
-	}
+	fl := startFleet(b, x, reached, tails)
 	base := x.publish("0", publication.NoRevision)
-	awaitAll(inForce, base)
-	pulls := metrics.GetOrRegisterCounter("config_pulls", registry)
+	fl.await(base)
+	pulls := metrics.GetOrRegisterCounter("config_pulls", fl.registry)
 	before := pulls.Count()
 	var times []time.Duration
 	for i := range b.N {
 		began := time.Now()
 		base = x.publish(fmt.Sprint(i+1), base)
-		awaitAll(inForce, base)
+		fl.await(base)
 		times = append(times, time.Since(began))
 	}
 	slices.Sort(times)
@@ -80,6 +64,76 @@
 	b.ReportMetric(float64(pulls.Count()-before)/float64(b.N), "pulls/op")
 }
 
+// BenchmarkIdle measures what the followers send each other in a second
+// without changes, while some of them tail the log.
+func BenchmarkIdle(b *testing.B) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	for _, tails := range []int{benchFleet, 4} {
+		b.Run(fmt.Sprintf("%d of %d tail", tails, benchFleet), func(b *testing.B) {
+			x := newFixture(b)
+			fl := startFleet(b, x, benchFleet, tails)
+			fl.await(x.publish("0", publication.NoRevision))
+			before := fl.bytesOut()
+			for range b.N {
+				time.Sleep(time.Second)
+			}
+			b.ReportMetric(float64(fl.bytesOut()-before)/float64(b.N*benchFleet), "B-sent/s")
+		})
+	}
+}
+
+// benchmarked is a fleet of followers that call each other over loopback.
+type benchmarked struct {
+	registry   metrics.Registry
+	inForce    chan platform.Offset
+	transports []*peer.Transport
+}
+
+// startFleet runs followers until the benchmark ends. Only the first reached
+// of them reach the log, and only the first tails tail it.
+func startFleet(b *testing.B, x *fixture, reached, tails int) *benchmarked {
+	fl := &benchmarked{registry: metrics.NewRegistry(), inForce: make(chan platform.Offset, 100*benchFleet)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	b.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	listeners, view := benchMembers(b)
+	for i, l := range listeners {
+		o := Options{Log: x.log, Registry: fl.registry}
+		o.Tail = func() bool { return i < tails }
+		if i >= reached {
+			o.Log = unreachable{}
+		}
+		o.OnChange = func(v *publication.View) { fl.inForce <- v.Next }
+		t := peer.NewTransport(fleet.Holder{Instance: view(i).Self, Incarnation: 1}, peer.Settings{}, metrics.NewRegistry())
+		t.SetView(view(i))
+		fl.transports = append(fl.transports, t)
+		f := benchFollower(b, l, t, o)
+		wg.Go(func() { f.Run(ctx) })
+	}
+	return fl
+}
+
+// await waits until all followers have applied the record.
+func (fl *benchmarked) await(at platform.Offset) {
+	for n := benchFleet; n > 0; {
+		if next := <-fl.inForce; next == at+1 {
+			n--
+		}
+	}
+}
+
+func (fl *benchmarked) bytesOut() int64 {
+	var n int64
+	for _, t := range fl.transports {
+		n += t.Stats().BytesOut
+	}
+	return n
+}
+
 // benchMembers opens the members' listeners and returns their views.
 func benchMembers(b *testing.B) ([]net.Listener, func(i int) *membership.View) {
 	var listeners []net.Listener
@@ -96,9 +150,7 @@
 }
 
 // benchFollower returns a follower that serves its peers on a listener.
-func benchFollower(b *testing.B, l net.Listener, view *membership.View, o Options) *Follower {
-	t := peer.NewTransport(fleet.Holder{Instance: view.Self, Incarnation: 1}, peer.Settings{}, metrics.NewRegistry())
-	t.SetView(view)
+func benchFollower(b *testing.B, l net.Listener, t *peer.Transport, o Options) *Follower {
 	o.Peers = NewRemotePeers(t.Client(), t.View)
 	f := New(o)
 	s := peer.NewServer(t)
@@ -110,12 +162,3 @@
 	})
 	return f
 }
-
-// awaitAll waits until all followers have applied the record.
-func awaitAll(inForce <-chan platform.Offset, at platform.Offset) {
-	for n := benchFleet; n > 0; {
-		if next := <-inForce; next == at+1 {
-			n--
-		}
-	}
-}
--- a/reelctl/reelctl_test.go
+++ b/reelctl/reelctl_test.go
@@ -253,7 +253,7 @@
 			_ = json.NewEncoder(w).Encode(r)
 		}))
 		t.Cleanup(ts.Close)
-		args = append(args, "--admin", strings.TrimPrefix(ts.URL, "http://"))
+		args = append(args, "--instance", ts.URL)
 	}
 	out, code := x.run(append(args, "--customer", "daugava")...)
 	assert.Equal(t, code, ExitNotKnown, out)
--- a/reelctl/status.go
+++ b/reelctl/status.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,7 +29,7 @@
 // StatusCmd asks instances for their reports.
 type StatusCmd struct {
 	Output
-	Admin     []string         `placeholder:"ADDR" help:"Operators' addresses of instances, as 10.0.0.7:9000. Default: all instances of the platform's list, at --admin-port."`
+	Admin     []string         `aliases:"instance" placeholder:"ADDR" help:"Operators' addresses of instances, as 10.0.0.7:9000 or http://10.0.0.7:9000. Default: all instances of the platform's list, at --admin-port."`
 	Platform  string           `env:"REELCTL_PLATFORM" placeholder:"URL" help:"Base URL of the platform's list, as http://10.0.0.5:7000."`
 	AdminPort int              `default:"9000" help:"Port of the operators' address of the listed instances."`
 	Customer  fleet.CustomerID `help:"Restrict the reports to one customer."`
@@ -101,7 +102,7 @@
 }
 
 func (c *StatusCmd) askOne(ctx context.Context, addr string) reported {
-	u := url.URL{Scheme: "http", Host: addr, Path: status.Path}
+	u := url.URL{Scheme: "http", Host: strings.TrimPrefix(addr, "http://"), Path: status.Path}
 	if c.Customer != "" {
 		u.RawQuery = url.Values{"customer": {string(c.Customer)}}.Encode()
 	}
