Log the log's failures once; count records before they are in force

A log that is down for hours gave a line every two seconds at each instance, and a fresh instance a line for each record of the stream. Only the first failure and the recovery are logged now, and records that come in bulk are summed up. Counters now run ahead of the view, so that who sees a view finds its records counted.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -15,6 +15,9 @@
 	"github.com/clementinereel/clementinereel/publication"
 )
 
+// maxLines is how many records are logged one by one when they come at once.
+const maxLines = 64
+
 // Pulled is a peer's answer to a pull: records, or a packed snapshot if the
 // peer no longer holds the records asked for.
 type Pulled struct {
@@ -159,9 +162,16 @@
 	if len(decisions) == 0 {
 		return
 	}
-	f.publish()
+	quiet := len(decisions) > maxLines
 	for _, d := range decisions {
-		f.note(d)
+		f.count(d)
+		if !quiet || d.Skipped() {
+			logDecision(d)
+		}
+	}
+	f.publish()
+	if quiet {
+		klog.InfoS("configuration caught up", "records", len(decisions), "next", f.replica.Next())
 	}
 }
 
@@ -191,18 +201,26 @@
 	}
 }
 
-// note logs and counts a decision.
-func (f *Follower) note(d publication.Decision) {
+// count counts a decision.
+func (f *Follower) count(d publication.Decision) {
 	f.counters.records.Inc(1)
+	switch d.Verdict {
+	case publication.Accepted, publication.Checkpointed:
+	case publication.Malformed:
+		f.counters.malformed.Inc(1)
+	default:
+		f.counters.refused.Inc(1)
+	}
+}
+
+func logDecision(d publication.Decision) {
 	switch d.Verdict {
 	case publication.Accepted:
 		klog.InfoS("configuration changed", "offset", d.Offset, "kind", d.Kind, "publication", d.ID, "customer", d.Customer, "target", d.Target)
 	case publication.Checkpointed:
 	case publication.Malformed:
-		f.counters.malformed.Inc(1)
 		klog.InfoS("configuration record skipped", "offset", d.Offset, "reason", d.Message)
 	default:
-		f.counters.refused.Inc(1)
 		klog.InfoS("configuration record refused", "offset", d.Offset, "verdict", d.Verdict, "publication", d.ID, "customer", d.Customer, "target", d.Target, "current", d.Current, "reason", d.Message)
 	}
 }
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -164,6 +164,21 @@
 	assert.Assert(t, !f.Contact().IsZero())
 }
 
+func TestSkipsMalformedAndRefusesStaleRecords(t *testing.T) {
+	x := newFixture(t)
+	f := x.start("a", Options{Log: x.log})
+	for range 2 * maxLines {
+		x.server.Append(publication.Stream, []byte("rubbish"))
+	}
+	base := x.publish("one", publication.NoRevision)
+	x.publish("late", publication.NoRevision)
+	x.publish("two", base)
+	x.await(f, "two")
+	assert.Equal(t, f.counters.malformed.Count(), int64(2*maxLines))
+	assert.Equal(t, f.counters.refused.Count(), int64(1))
+	assert.Equal(t, f.counters.records.Count(), int64(2*maxLines+3))
+}
+
 func TestFollowsPeersWithoutTheLog(t *testing.T) {
 	x := newFixture(t)
 	x.start("a", Options{Log: x.log})
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -166,7 +166,7 @@
 		return
 	}
 	f.counters.peerErrors.Inc(1)
-	klog.InfoS("configuration pull failed", "peer", id, "reason", err.Error())
+	klog.V(1).InfoS("configuration pull failed", "peer", id, "reason", err.Error())
 }
 
 // needsPeers tells whether the log cannot be relied on for new records.
--- a/follow/tail.go
+++ b/follow/tail.go
@@ -50,13 +50,15 @@
 	}
 }
 
+// logFailed notes a failed call; only the first of several is logged.
 func (f *Follower) logFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	f.logFailing.Store(true)
 	f.counters.logErrors.Inc(1)
-	klog.InfoS("configuration log failed", "next", f.Next(), "reason", err.Error())
+	if !f.logFailing.Swap(true) {
+		klog.InfoS("configuration log failed", "next", f.Next(), "reason", err.Error())
+	}
 }
 
 // read reads and applies the next records of the log.
@@ -64,25 +66,26 @@
 	from := f.Next()
 	batch, err := f.opts.Log.Read(ctx, publication.Stream, from, f.settings.ReadLimit, f.settings.ReadWait)
 	if errors.Is(err, platform.ErrExpired) {
-		f.logAnswered()
 		f.counters.expired.Inc(1)
 		return f.recover(ctx, batch.First)
 	}
 	if err != nil {
 		return err
 	}
-	f.logAnswered()
 	if batch.Next < from {
 		f.counters.behind.Inc(1)
 		return errors.Errorf("the log ends at %d, before the state in force", batch.Next)
 	}
+	f.logAnswered()
 	f.apply(batch.Records)
 	return nil
 }
 
 func (f *Follower) logAnswered() {
 	f.logContact.Store(time.Now().UnixNano())
-	f.logFailing.Store(false)
+	if f.logFailing.Swap(false) {
+		klog.InfoS("configuration log answers again", "next", f.Next())
+	}
 }
 
 // recover takes over the newest checkpoint that the log keeps from first on.
