--- a/operate/fake_test.go
+++ b/operate/fake_test.go
@@ -117,11 +117,20 @@
 	// behave is what the target does; it may be replaced.
 	behave func(ctx context.Context, req *Request) Result
 	change func(c *Config)
+	// runners, if one is stored under an operation's name, take the place of
+	// behave; they are told the instance. order is for loads.
+	runners sync.Map
+	order   []*Service
 }
 
+// runner is a target's behaviour that knows who calls it.
+type runner func(ctx context.Context, at *Service) Result
+
 func newCluster(t *testing.T, n int, change func(c *Config)) *cluster {
 	t.Helper()
-	t.Parallel()
+	if !*measure {
+		t.Parallel()
+	}
 	c := &cluster{
 		t: t, log: newMemLog(), nodes: map[fleet.InstanceID]*Service{},
 		cut: map[[2]fleet.InstanceID]bool{}, runs: map[string]int{}, change: change,
@@ -164,8 +173,13 @@
 	cfg := Config{
 		Settings: Settings{Partitions: 2, AppendsPerSecond: 1000, ClaimTimeout: contract.Duration(time.Second), GoneAfter: contract.Duration(50 * time.Millisecond)},
 		Self:     self, Log: c.log, Members: c.members,
-		Peers:    &http.Client{Transport: &wire{c: c, from: id}},
-		Run:      func(ctx context.Context, req *Request) Result { return c.behaviour()(ctx, req) },
+		Peers: &http.Client{Transport: &wire{c: c, from: id}},
+		Run: func(ctx context.Context, req *Request) Result {
+			if r, ok := c.runners.Load(req.Key + req.Ticket); ok {
+				return r.(runner)(ctx, c.byID(id))
+			}
+			return c.behaviour()(ctx, req)
+		},
 		Attempts: claim.TableConfig{HoldOff: 400 * time.Millisecond, TellWithin: 300 * time.Millisecond},
 	}
 	if c.change != nil {
@@ -202,10 +216,12 @@
 	s.Close()
 }
 
-func (c *cluster) at(i int) *Service {
+func (c *cluster) at(i int) *Service { return c.byID(node(i)) }
+
+func (c *cluster) byID(id fleet.InstanceID) *Service {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.nodes[node(i)]
+	return c.nodes[id]
 }
 
 func (c *cluster) members() []fleet.Holder {
