--- a/peer/transport.go
+++ b/peer/transport.go
@@ -210,6 +210,11 @@
 			return resp, err
 		}
 	}
+	// The connection may be lost and not the path, or the peer be starved.
+	resp, err := p.call(withBody(req, body))
+	if err == nil || req.Context().Err() != nil {
+		return resp, err
+	}
 	return nil, errors.Wrapf(ErrUnreachable, "%s: %v", p.id, cause)
 }
 
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -152,6 +152,22 @@
 	assert.ErrorContains(t, err, ErrUnreachable.Error())
 }
 
+// With no relay left, a connection that has lost data is replaced.
+func TestLostConnectionIsReplaced(t *testing.T) {
+	network, nodes := startEcho(t, 2, quickCalls)
+	_, _, err := post(t.Context(), nodes[0], "i1", "warm")
+	assert.NilError(t, err)
+	sent := nodes[0].transport.Stats().BytesOut
+	network.set("i0", nodes[1].member.Addr, true)
+	go func() {
+		waitFor(t, "lost bytes", func() bool { return nodes[0].transport.Stats().BytesOut > sent })
+		network.set("i0", nodes[1].member.Addr, false)
+	}()
+	_, body, err := post(t.Context(), nodes[0], "i1", "hello")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "i0@1 hello")
+}
+
 func TestSlowHandlerIsNotTakenForACut(t *testing.T) {
 	t.Parallel()
 	_, nodes := newNodes(t, 3, Settings{PingAfter: 20 * time.Millisecond, PingTimeout: patience})
