--- a/peer/relay.go
+++ b/peer/relay.go
@@ -41,7 +41,7 @@
 		return
 	}
 	rl.transport.counters.relayedIn.Inc(1)
-	resp, err := rl.transport.RoundTrip(outgoing(r, to))
+	resp, err := rl.send(r, to)
 	if err != nil {
 		klog.InfoS("relay failed", "from", r.Header.Get(HeaderFrom), "to", to, "err", err)
 		relayFailed(w, http.StatusBadGateway, err)
@@ -55,6 +55,18 @@
 	}
 }
 
+// send makes the call, unless the relay's own path is known to be cut.
+func (rl *relay) send(r *http.Request, to fleet.InstanceID) (*http.Response, error) {
+	p, err := rl.transport.path(to, "")
+	if err != nil {
+		return nil, err
+	}
+	if !p.usable() {
+		return nil, errPathCut
+	}
+	return rl.transport.RoundTrip(outgoing(r, to))
+}
+
 // outgoing returns the call as the relay sends it.
 func outgoing(r *http.Request, to fleet.InstanceID) *http.Request {
 	out := r.Clone(WithoutRelay(r.Context()))
