--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -19,25 +18,10 @@
 // delivery is a message under way.
 type delivery struct {
 	at  time.Time
-	seq int
 	to  fleet.InstanceID
 	msg Message
 }
 
-type deliveries []delivery
-
-func (d deliveries) Len() int { return len(d) }
-func (d deliveries) Less(i, j int) bool {
-	return d[i].at.Before(d[j].at) || d[i].at.Equal(d[j].at) && d[i].seq < d[j].seq
-}
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
-func (d *deliveries) Pop() any {
-	last := (*d)[len(*d)-1]
-	*d = (*d)[:len(*d)-1]
-	return last
-}
-
 // network carries messages in memory and in simulated time.
 type network struct {
 	now      time.Time
@@ -48,7 +32,7 @@
 	paused   map[fleet.InstanceID]bool
 	cut      map[[2]fleet.InstanceID]bool // from, to
 	loss     float64
-	queue    deliveries
+	queue    []delivery // in the order of their times: the latency is constant
 	sent     int
 	bytes    int
 	watch    func()
@@ -118,13 +102,14 @@
 		if w.cut[[2]fleet.InstanceID{from, e.To}] || w.rand.Float64() < w.loss {
 			continue
 		}
-		heap.Push(&w.queue, delivery{w.now.Add(testLatency), w.sent, e.To, e.Message})
+		w.queue = append(w.queue, delivery{w.now.Add(testLatency), e.To, e.Message})
 	}
 }
 
 func (w *network) deliverUntil(end time.Time) {
 	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		d := heap.Pop(&w.queue).(delivery)
+		d := w.queue[0]
+		w.queue = w.queue[1:]
 		w.now = d.at
 		n, ok := w.nodes[d.to]
 		if !ok || w.paused[d.to] {
