Name the instance that a call is for; send the secret with pings

A replaced instance's address can be another's before all views know it, and a call would have run at the wrong instance. Calls now carry Peer-To and any other instance refuses them with 421, which counts as no answer. Pings of a path went without the secret and were answered 401: they told the path's state, but counted as unauthorized calls.

--- a/peer/header.go
+++ b/peer/header.go
@@ -15,6 +15,9 @@
 	// HeaderFrom names the process that made the call or, in an answer, the
 	// one that gave it, as "instance@incarnation".
 	HeaderFrom = "Peer-From"
+	// HeaderTo names the instance that is meant to answer. Another one that
+	// has come by its address refuses the call.
+	HeaderTo = "Peer-To"
 	// HeaderRelayTo names the instance to which a call is to be forwarded.
 	HeaderRelayTo = "Relay-To"
 	// HeaderRelayHops is "1" in a call to a relay, and absent beyond it.
--- a/peer/path.go
+++ b/peer/path.go
@@ -19,6 +19,7 @@
 // path is the direct way to one peer at one address: its connection and
 // whether it is cut.
 type path struct {
+	self     fleet.Holder
 	id       fleet.InstanceID
 	addr     string
 	settings Settings
@@ -37,7 +38,7 @@
 
 func newPath(id fleet.InstanceID, addr string, t *Transport) *path {
 	p := &path{
-		id: id, addr: addr,
+		self: t.self, id: id, addr: addr,
 		settings: t.settings,
 		counters: t.counters,
 		dial:     t.dial,
@@ -184,7 +185,11 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	p.setHeaders(req)
 	resp, err := p.roundTripper().RoundTrip(req)
+	if err == nil && resp.StatusCode == http.StatusMisdirectedRequest {
+		err = errMisdirected
+	}
 	if err != nil && parent.Err() == nil {
 		p.markCut(err)
 	}
@@ -198,13 +203,20 @@
 // call sends a request directly. While no answer begins it pings the peer, and
 // gives up with errPathCut when a ping fails.
 func (p *path) call(req *http.Request) (*http.Response, error) {
-	ctx, cancel := context.WithCancelCause(req.Context())
+	caller := req.Context()
+	ctx, cancel := context.WithCancelCause(caller)
 	watch := time.AfterFunc(p.settings.PingAfter, func() { p.watch(ctx, cancel) })
-	resp, err := p.roundTripper().RoundTrip(req.WithContext(ctx))
+	req = req.Clone(ctx)
+	p.setHeaders(req)
+	resp, err := p.roundTripper().RoundTrip(req)
 	watch.Stop()
+	if err == nil && resp.StatusCode == http.StatusMisdirectedRequest {
+		_ = resp.Body.Close()
+		err = errMisdirected
+	}
 	if err != nil {
 		cancel(nil)
-		return nil, p.failed(ctx, req, err)
+		return nil, p.failed(ctx, caller, err)
 	}
 	p.markOpen()
 	body := http.MaxBytesReader(nil, resp.Body, p.settings.MaxBody)
@@ -213,11 +225,11 @@
 }
 
 // failed notes what a call without an answer tells of the path.
-func (p *path) failed(ctx context.Context, req *http.Request, err error) error {
+func (p *path) failed(ctx, caller context.Context, err error) error {
 	switch {
 	case errors.Is(context.Cause(ctx), errPathCut):
 		return errPathCut
-	case req.Context().Err() != nil:
+	case caller.Err() != nil:
 		p.verify()
 	default:
 		p.markCut(err)
@@ -225,6 +237,17 @@
 	return err
 }
 
+// setHeaders names both ends. A forwarded call keeps its first sender's name.
+func (p *path) setHeaders(req *http.Request) {
+	if req.Header.Get(HeaderFrom) == "" {
+		req.Header.Set(HeaderFrom, p.self.String())
+	}
+	req.Header.Set(HeaderTo, string(p.id))
+	if p.settings.Secret != "" {
+		req.Header.Set("Authorization", bearer(p.settings.Secret))
+	}
+}
+
 // watch pings the peer until the call ends or a ping fails.
 func (p *path) watch(ctx context.Context, cancel context.CancelCauseFunc) {
 	for ctx.Err() == nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -87,6 +87,10 @@
 		http.Error(w, "wrong or missing secret", http.StatusUnauthorized)
 		return
 	}
+	if to := r.Header.Get(HeaderTo); to != "" && to != string(s.transport.self.Instance) {
+		http.Error(w, "meant for instance "+to, http.StatusMisdirectedRequest)
+		return
+	}
 	if r.ContentLength > s.settings.MaxBody {
 		s.counters.malformed.Inc(1)
 		http.Error(w, "body too large", http.StatusRequestEntityTooLarge)
--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -38,7 +38,8 @@
 		"large body of unknown length": {Settings{MaxBody: 4}, func(r *http.Request) {
 			r.ContentLength = -1
 		}, 400, Stats{CallsIn: 1, Malformed: 1}},
-		"relay to oneself": {edit: withHeader(HeaderRelayTo, "i0"), status: 200, want: Stats{CallsIn: 1}},
+		"meant for another": {edit: withHeader(HeaderTo, "i9"), status: 421, want: Stats{CallsIn: 1}},
+		"relay to oneself":  {edit: withHeader(HeaderRelayTo, "i0"), status: 200, want: Stats{CallsIn: 1}},
 		"second hop": {edit: func(r *http.Request) {
 			r.Header.Set(HeaderRelayTo, "i1")
 			r.Header.Set(HeaderRelayHops, "2")
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -24,7 +24,8 @@
 	// answer. The call may have taken effect.
 	ErrUnreachable = errors.New("peer unreachable")
 
-	errPathCut = errors.New("path to peer cut")
+	errPathCut     = errors.New("path to peer cut")
+	errMisdirected = errors.New("another instance has the peer's address")
 )
 
 // maxRelays bounds how many relays are tried for one call.
@@ -112,7 +113,6 @@
 		closeBody(req)
 		return nil, err
 	}
-	req = t.prepare(req)
 	if withoutRelay(req.Context()) {
 		return p.call(req)
 	}
@@ -149,19 +149,6 @@
 	return p, nil
 }
 
-// prepare clones the request with the headers of a call between instances. A
-// forwarded call keeps its first sender's name.
-func (t *Transport) prepare(req *http.Request) *http.Request {
-	req = req.Clone(req.Context())
-	if req.Header.Get(HeaderFrom) == "" {
-		req.Header.Set(HeaderFrom, t.self.String())
-	}
-	if t.settings.Secret != "" {
-		req.Header.Set("Authorization", bearer(t.settings.Secret))
-	}
-	return req
-}
-
 // buffer reads the body of a request, so that each try gets its own reader: a
 // try that was given up may read on for a moment. It is not ok, and the body
 // untouched, if the body's length is unknown or above the bound.
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,6 +97,7 @@
 	assert.Assert(t, nodes[0].transport.Cut("i1"))
 	assert.Equal(t, nodes[2].transport.Stats().RelayedIn, int64(1))
 
+	assert.Equal(t, nodes[2].transport.Stats().Unauthorized, int64(0))
 	_, body, err = post(t.Context(), nodes[1], "i0", "back")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "i1@1 back")
@@ -223,6 +225,21 @@
 	assert.Assert(t, body == "i0@1 "+large)
 }
 
+// An address that now belongs to another instance runs nothing for the old one.
+func TestReusedAddress(t *testing.T) {
+	t.Parallel()
+	_, nodes := newNodes(t, 2, quickCalls)
+	var runs atomic.Int64
+	nodes[1].server.Handle("/echo", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	nodes[1].start(t)
+	old := nodes[1].member
+	old.ID = "gone"
+	nodes[0].transport.SetView(membership.NewView("i0", []membership.Member{nodes[0].member, old}))
+	_, _, err := post(t.Context(), nodes[0], "gone", "hello")
+	assert.ErrorContains(t, err, ErrUnreachable.Error())
+	assert.Equal(t, runs.Load(), int64(0))
+}
+
 func TestPathsFollowTheView(t *testing.T) {
 	_, nodes := startEcho(t, 2, Settings{})
 	_, _, err := post(t.Context(), nodes[0], "i1", "hello")
