Let an account that gets no answers earn its entitlement at once

Cause: an account cut off from its limiter lived on what it held until the grant's lifetime of 6 s was over: 4 of 128 confirmations, at a sixth of the limit, were refused with 429 while one path between instances was cut. Change: it earns its entitlement as soon as a demand is unanswered for 500 ms. The worst overshoot stays as documented: it is counted there by the accounts that are cut off.

--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -259,25 +259,41 @@
 }
 
 // settle drops what was granted once its lifetime ended, and lets an account
-// that is cut off earn its own entitlement.
+// whose demands stay unanswered earn its own entitlement.
 func (a *Account) settle(now time.Time) {
-	if now.Sub(a.heard) <= Lifetime {
+	expired := now.Sub(a.heard) > Lifetime
+	cutOff := a.waiting && now.Sub(a.waitedAt) > answerWithin
+	if !expired && !cutOff {
 		return
 	}
-	cutOff := a.waiting && now.Sub(a.waitedAt) > answerWithin
 	for i := range a.lines {
 		l := &a.lines[i]
-		l.granted = false
-		l.level = 0
-		l.balance = math.Min(l.balance, 0)
+		if expired {
+			l.granted = false
+			l.level = 0
+			l.balance = math.Min(l.balance, 0)
+		}
 		if cutOff {
-			earned := now.Sub(l.at).Seconds() * l.Rate / float64(a.listed)
-			l.balance = math.Min(0, l.balance+earned)
+			l.earn(now, a.waitedAt, a.listed)
 		}
 		l.at = now
 	}
 }
 
+// earn adds the line's entitlement since it last earned, though not from
+// before the wait began, and not beyond paying its debt.
+func (l *line) earn(now, waitedAt time.Time, listed int) {
+	if l.balance >= 0 {
+		return
+	}
+	since := l.at
+	if waitedAt.After(since) {
+		since = waitedAt
+	}
+	earned := now.Sub(since).Seconds() * l.Rate / float64(listed)
+	l.balance = math.Min(0, l.balance+earned)
+}
+
 // decision describes the tighter limit.
 func (a *Account) decision(ok bool, route int) Decision {
 	l := &a.lines[route]
