--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -11,14 +11,14 @@
 
 const (
 	// horizon is for how long of its demand an account holds tokens.
-	horizon = 400 * time.Millisecond
+	horizon = 600 * time.Millisecond
 	// spread is how many standard deviations of a random flow over the
 	// horizon an account holds on top.
 	spread = 1.5
 	// smoothing is the time constant of the offered rate's average.
 	smoothing = 3 * time.Second
 	// askEvery is the least time between demands on a tick.
-	askEvery = 200 * time.Millisecond
+	askEvery = 400 * time.Millisecond
 	// askUrgently is the least time between demands of an account that is
 	// about to refuse requests.
 	askUrgently = 20 * time.Millisecond
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -19,7 +19,7 @@
 // The limiter counts what accounts hold against its bucket: level and held
 // tokens together do not exceed the burst. Accounts hold at most 70 % of it,
 // each by its part of the offered load, and ask for no more than they expect
-// to use in 400 ms beyond their overdraft. A grant belongs to one numbered demand.
+// to use in 600 ms beyond their overdraft. A grant belongs to one numbered demand.
 // An account applies only the answer to its latest demand, and the demand
 // names the last answer applied; so the limiter takes back a grant whose
 // answer was lost, and repeats the answer to a repeated demand.
@@ -65,7 +65,7 @@
 // The bound on requests in flight is for a sudden rise: slots are handed out
 // three times over while less than half of them are in use, and every account
 // has its even share of them besides, since few would otherwise be spread too
-// thin over many instances. Accounts that are in
-// contact settle at concurrency as soon as the limiter has heard of the rise,
-// at most Lifetime/3 later for those in use.
+// thin over many instances. Accounts that are in contact settle at concurrency
+// as soon as the limiter has heard of the rise, at most Lifetime/3 later for
+// those in use.
 package ratelimit
