faults: confirmations under twelve faults, by key and by ticket

Callers repeat after 0.7 s through other instances while an instance is killed, paused or restarted, the log is slow, gone or loses replies, a path is cut one way, and three pairs of these. What was wrong were rate limits far below the contract, while the limiter could not be reached; callers who repeat get past those, and a test of its own is to show them.

--- a/faults/experiment/table.go
+++ b/faults/experiment/table.go
@@ -101,7 +101,7 @@
 		parts = append(parts, fmt.Sprintf("detected=%v after %v, %d sick", d.detected, d.took.Round(time.Millisecond), d.work))
 	}
 	for _, c := range r.Report.Classes {
-		parts = append(parts, fmt.Sprintf("%v %.1f%%", c.Class, 100*r.goodput(c.Class)))
+		parts = append(parts, fmt.Sprintf("%v %.1f%% %v", c.Class, 100*r.goodput(c.Class), c.Answers))
 	}
 	parts = append(parts, fmt.Sprintf("false targets %d pairs %d, ejecting instances %d, below floor %d",
 		r.FalseTargets, r.FalsePairs, r.Ejecting, r.BelowFloor))
--- a/load/operation.go
+++ b/load/operation.go
@@ -55,8 +55,8 @@
 func (op *operation) run(ctx context.Context) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if failed, ok := op.getTicket(ctx); !ok {
-		return conclude(op.intended, []ask{failed})
+	if refused := op.getTicket(ctx); op.wantsTicket() {
+		return conclude(op.intended, refused)
 	}
 	answers := make(chan ask, op.stream.Repeats+1)
 	last := -1
@@ -176,28 +176,43 @@
 	}
 }
 
-// getTicket asks for an operation ticket, if the stream uses them. Without
-// one the operation ends: nothing has been sent.
-func (op *operation) getTicket(ctx context.Context) (ask, bool) {
-	if !op.stream.Tickets || op.key == "" || op.side.direct {
-		return ask{}, true
+// wantsTicket tells whether the operation cannot begin without a ticket.
+func (op *operation) wantsTicket() bool {
+	return op.stream.Tickets && op.key != "" && op.ticket == "" && !op.side.direct
+}
+
+// getTicket asks for an operation ticket, if the stream uses them, as often
+// as for an answer. It returns the asks that were refused.
+func (op *operation) getTicket(ctx context.Context) []ask {
+	var refused []ask
+	for n := 0; op.wantsTicket() && n <= op.stream.Repeats; n++ {
+		if n > 0 {
+			time.Sleep(repeatPause)
+		}
+		if a, ok := op.askTicket(ctx); !ok {
+			refused = append(refused, a)
+		}
 	}
+	return refused
+}
+
+// askTicket asks once.
+func (op *operation) askTicket(ctx context.Context) (ask, bool) {
 	ctx, cancel := context.WithTimeout(ctx, op.stream.Timeout)
 	defer cancel()
-	failed := ask{sent: time.Now(), verdict: Lost, detail: "no ticket"}
+	a := ask{sent: time.Now(), verdict: Lost, detail: "no ticket"}
 	base := op.side.balancer.urls[op.side.balancer.pick(op.rand, -1)]
 	resp, err := op.side.client.Do(op.request(ctx, base, true))
-	failed.answered = time.Now()
+	a.answered = time.Now()
 	if err != nil {
-		return failed, false
+		return a, false
 	}
 	defer resp.Body.Close()
-	op.ticket = resp.Header.Get(header.OperationTicket)
-	if op.ticket == "" {
-		failed.verdict, _ = judge(resp, emulator.Answer{})
-		failed.detail = "no ticket: " + resp.Status
-		return failed, false
+	if t := resp.Header.Get(header.OperationTicket); t != "" {
+		op.ticket, op.key = t, t
+		return a, true
 	}
-	op.key = op.ticket
-	return ask{}, true
+	a.verdict, _ = judge(resp, emulator.Answer{})
+	a.detail = "no ticket: " + resp.Status
+	return a, false
 }
