--- a/publication/checkpoint.go
+++ b/publication/checkpoint.go
@@ -72,6 +72,7 @@
 		c.targets[id] = maps.Clone(byID)
 	}
 	c.stopped = slices.Clone(s.stopped)
+	c.refusals = s.refusals.clone()
 	c.view, c.changed = s.View(), changes{}
 	return &c
 }
@@ -83,6 +84,8 @@
 	Next platform.Offset `json:"next"`
 	// Checkpoint is the newest checkpoint in the stream.
 	Checkpoint CheckpointMark `json:"checkpoint"`
+	// Refused are the refusals, oldest first.
+	Refused []refusal `json:"refused"`
 	// Contracts and Targets are how many follow.
 	Contracts int `json:"contracts"`
 	Targets   int `json:"targets"`
@@ -118,7 +121,7 @@
 func (s *State) write(w io.Writer) error {
 	enc := json.NewEncoder(w)
 	contracts, targets := s.ordered()
-	if err := enc.Encode(head{s.next, s.checkpoint, len(contracts), len(targets)}); err != nil {
+	if err := enc.Encode(head{s.next, s.checkpoint, s.refusals.order, len(contracts), len(targets)}); err != nil {
 		return errors.WithStack(err)
 	}
 	for _, p := range contracts {
@@ -163,6 +166,9 @@
 	}
 	s := NewState()
 	s.next, s.checkpoint = h.Next, h.Checkpoint
+	for _, r := range h.Refused[:min(len(h.Refused), maxRefusals)] {
+		s.refusals.add(r)
+	}
 	for range h.Contracts {
 		if err := s.readContract(dec); err != nil {
 			return nil, err
--- a/publication/decision.go
+++ b/publication/decision.go
@@ -13,7 +13,8 @@
 	Accepted Verdict = "accepted"
 	// Checkpointed records carry a part of a checkpoint; nothing changes.
 	Checkpointed Verdict = "checkpoint"
-	// Repeated records name a publication that was accepted before.
+	// Repeated records name a publication that was accepted before, which
+	// Current is then the revision of, or refused before.
 	Repeated Verdict = "repeated"
 	// Conflict means that the record's base is no longer current.
 	Conflict Verdict = "conflict"
--- a/publication/state.go
+++ b/publication/state.go
@@ -48,7 +48,8 @@
 	hosts     map[string]fleet.CustomerID
 	targets   map[fleet.ServiceID]map[fleet.TargetID]*announced
 	// stopped holds tombstones in the order in which they were laid.
-	stopped []targetKey
+	stopped  []targetKey
+	refusals refusals
 	// checkpoint is the newest one in the stream.
 	checkpoint CheckpointMark
 	view       *View
@@ -81,6 +82,7 @@
 	s.expireTombstones(r.Time)
 	d := s.decide(r)
 	d.Offset = r.Offset
+	s.remember(d)
 	return d
 }
 
@@ -89,13 +91,14 @@
 	if err != nil {
 		return Decision{Verdict: Malformed, Current: NoRevision, Message: err.Error()}
 	}
-	var d Decision
-	switch e.Kind {
-	case KindContract:
+	d, refused := s.refusedBefore(e)
+	switch {
+	case refused:
+	case e.Kind == KindContract:
 		d = s.applyContract(r, e)
-	case KindTarget:
+	case e.Kind == KindTarget:
 		d = s.applyTarget(r, e)
-	case KindCheckpoint:
+	default:
 		d = s.applyCheckpoint(r, e)
 	}
 	d.Kind, d.ID = e.Kind, e.ID
--- a/publication/state_test.go
+++ b/publication/state_test.go
@@ -77,6 +77,29 @@
 	assert.Equal(t, s.Apply(l.add(EncodeContract("d", NoRevision, &other))).Verdict, Accepted)
 }
 
+func TestSecondCopyOfARefusedPublicationIsRefused(t *testing.T) {
+	l, s, c := &stream{t: t}, NewState(), example(t)
+	s.Apply(l.add(EncodeContract("a", NoRevision, c)))
+	other := *c
+	other.Customer = "other"
+	assert.Equal(t, s.Apply(l.add(EncodeContract("b", NoRevision, &other))).Verdict, HostTaken)
+	moved := *c
+	moved.Hosts = []string{"elsewhere.example"}
+	assert.Equal(t, s.Apply(l.add(EncodeContract("c", 0, &moved))).Verdict, Accepted)
+	packed, err := s.Snapshot()
+	assert.NilError(t, err)
+	restored, err := Restore(packed)
+	assert.NilError(t, err)
+	again := l.add(EncodeContract("b", NoRevision, &other))
+	assert.Equal(t, s.Apply(again).Verdict, Repeated)
+	assert.Equal(t, restored.Apply(again).Verdict, Repeated)
+	for i := range maxRefusals {
+		s.remember(Decision{Verdict: Invalid, ID: fmt.Sprint("other-", i)})
+	}
+	assert.Equal(t, len(s.refusals.byID), maxRefusals)
+	assert.Equal(t, s.Apply(l.add(EncodeContract("b", NoRevision, &other))).Verdict, Accepted)
+}
+
 func TestTargetAnnouncements(t *testing.T) {
 	l, s := &stream{t: t}, NewState()
 	s.Apply(l.add(EncodeContract("a", NoRevision, example(t))))
--- a/reelctl/stream.go
+++ b/reelctl/stream.go
@@ -96,10 +96,11 @@
 	}
 }
 
-// find returns the decision on a publication: the first that the log has.
+// find returns the decision on a publication: the first that the log has, or
+// what the state tells of an earlier one.
 func (s *stream) find(id string) (publication.Decision, bool) {
 	for _, e := range s.entries {
-		if e.ID == id && e.Verdict != publication.Repeated {
+		if e.ID == id {
 			return e.Decision, true
 		}
 	}
--- a/reelctl/submit.go
+++ b/reelctl/submit.go
@@ -47,8 +47,11 @@
 		Verdict: d.Verdict, ID: d.ID, Customer: d.Customer, Target: d.Target,
 		Revision: publication.NoRevision, Current: d.Current, CurrentID: d.CurrentID, Message: d.Message,
 	}
-	if d.Verdict == publication.Accepted {
+	switch d.Verdict {
+	case publication.Accepted:
 		r.Revision = d.Offset
+	case publication.Repeated:
+		r.Revision = d.Current
 	}
 	return r
 }
@@ -58,6 +61,10 @@
 	switch r.Verdict {
 	case publication.Accepted:
 		return ExitOK
+	case publication.Repeated:
+		if r.Revision != publication.NoRevision {
+			return ExitOK
+		}
 	case publication.Conflict:
 		return ExitConflict
 	case NotAppended, NotKnown:
