Read the log for 5 s at a time

With reads of 20 s, the last contact of an instance whose log answers but has nothing new grew to 20 s, past the 8 s after which an instance without live peers stops being ready; and a log that hangs was noticed only after as long.

--- a/follow/settings.go
+++ b/follow/settings.go
@@ -6,8 +6,8 @@
 type Settings struct {
 	// ReadLimit bounds the records of one read of the log. Default 1000.
 	ReadLimit int
-	// ReadWait is how long a read of the log waits for a new record.
-	// Default 20 s.
+	// ReadWait is how long a read of the log waits for a new record. It
+	// bounds how old Follower.Contact gets while the log answers. Default 5 s.
 	ReadWait time.Duration
 	// RetryMin and RetryMax bound the pause after an error; it doubles from
 	// one to the other. Defaults 100 ms and 2 s.
@@ -43,7 +43,7 @@
 // withDefaults fills in the fields that are zero.
 func (s Settings) withDefaults() Settings {
 	setDefault(&s.ReadLimit, 1000)
-	setDefault(&s.ReadWait, 20*time.Second)
+	setDefault(&s.ReadWait, 5*time.Second)
 	setDefault(&s.RetryMin, 100*time.Millisecond)
 	setDefault(&s.RetryMax, 2*time.Second)
 	setDefault(&s.Upstreams, 2)
