--- a/publication/checkpoint.go
+++ b/publication/checkpoint.go
@@ -190,7 +190,13 @@
 	if c.Contract == nil || c.Revision < 0 || c.Revision >= s.next {
 		return errors.Errorf("contract at revision %d of a state at %d", c.Revision, s.next)
 	}
+	if _, _, taken := s.hostTaken(c.Contract); taken || s.contracts[c.Contract.Customer] != nil {
+		return errors.Errorf("customer %q or a host of it stands twice", c.Contract.Customer)
+	}
 	contract.Fill(c.Contract)
+	if err := contract.Check(c.Contract); err != nil {
+		return err
+	}
 	s.put(&Published{Contract: *c.Contract, Revision: c.Revision, PublicationID: c.PublicationID, Time: c.Time})
 	return nil
 }
@@ -203,6 +209,12 @@
 	if t.Revision < 0 || t.Revision >= s.next {
 		return errors.Errorf("target at revision %d of a state at %d", t.Revision, s.next)
 	}
+	if v, message := checkTarget(&t.Target); v != Accepted {
+		return errors.New(message)
+	}
+	if s.targets[t.Target.Service][t.Target.ID] != nil {
+		return errors.Errorf("target %q of %q stands twice", t.Target.ID, t.Target.Service)
+	}
 	s.putTarget(&announced{Target: t.Target, Revision: t.Revision, PublicationID: t.PublicationID})
 	return nil
 }
--- a/publication/doc.go
+++ b/publication/doc.go
@@ -17,7 +17,7 @@
 // snapshot equals one that folded every record.
 //
 // Compatibility: a record's decision must be the same in every version that
-// runs beside another. Rules of contract.Check may be tightened only together
-// with a new contract.Format; checkpoints and snapshots carry contracts that
-// were accepted already and are not checked again.
+// runs beside another, and every version must take the checkpoints and
+// snapshots of the others. Rules of contract.Check may therefore be changed
+// only together with a new contract.Format.
 package publication
--- a/publication/state.go
+++ b/publication/state.go
@@ -212,6 +212,9 @@
 }
 
 func checkTarget(t *fleet.Target) (Verdict, string) {
+	if t.State != fleet.Joined && t.State != fleet.Leaving && t.State != fleet.Stopped {
+		return Invalid, "target state missing"
+	}
 	if len(t.ID) == 0 || len(t.ID) > maxID {
 		return Invalid, fmt.Sprintf("target id %q: want 1 to %d bytes", t.ID, maxID)
 	}
--- a/publication/state_test.go
+++ b/publication/state_test.go
@@ -1,6 +1,7 @@
 package publication
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -117,14 +118,16 @@
 		{NoRevision, announce("t1", "10.0.0.1:80", fleet.Joined), Accepted, 1},
 		{NoRevision, announce("t1", "10.0.0.1:80", fleet.Joined), Conflict, 1},
 		{4, announce("t1", "10.0.0.2:80", fleet.Leaving), WrongMove, 1},
+		{4, announce("t1", "", 0), Invalid, 1},
 		{4, announce("t1", "", fleet.Leaving), Accepted, 1},
-		{7, announce("t1", "", fleet.Joined), Accepted, 1},
-		{8, announce("t1", "", fleet.Stopped), Accepted, 0},
-		{9, announce("t1", "", fleet.Joined), WrongMove, 0},
+		{8, announce("t1", "", fleet.Joined), Accepted, 1},
+		{9, announce("t1", "", fleet.Stopped), Accepted, 0},
+		{10, announce("t1", "", fleet.Joined), WrongMove, 0},
 		{NoRevision, announce("t1", "10.0.0.1:80", fleet.Joined), Conflict, 0},
 	}
 	for i, step := range steps {
-		d := s.Apply(l.add(EncodeTarget(fmt.Sprint(i), step.base, step.a)))
+		data, err := EncodeTarget(fmt.Sprint(i), step.base, step.a)
+		d := s.Apply(l.add(bytes.Replace(data, []byte(`,"state":"target-state(0)"`), nil, 1), err))
 		assert.Equal(t, d.Verdict, step.want, "step %d: %s", i, d.Message)
 		assert.Equal(t, len(s.View().Targets["daugava/plan-uploads"]), step.count, "step %d", i)
 	}
@@ -255,3 +258,25 @@
 		assert.NilError(t, err)
 	})
 }
+
+func FuzzRestore(f *testing.F) {
+	s := NewState()
+	l := &stream{t: f}
+	s.Apply(l.add(EncodeContract("a", NoRevision, example(f))))
+	s.Apply(l.add(EncodeTarget("b", NoRevision, announce("t1", "10.0.0.1:80", fleet.Joined))))
+	s.Apply(l.add(EncodeTarget("c", 1, announce("t1", "", fleet.Stopped))))
+	s.Apply(l.add(EncodeContract("d", NoRevision, &contract.Contract{})))
+	f.Add([]byte(canonical(f, s)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := readState(json.NewDecoder(bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		for range 2 {
+			s.Apply(platform.Record{Offset: s.Next(), Time: epoch.Add(2 * TombstoneAge), Data: []byte("rubbish")})
+		}
+		again, err := readState(json.NewDecoder(strings.NewReader(canonical(t, s))))
+		assert.NilError(t, err)
+		assert.Equal(t, canonical(t, again), canonical(t, s))
+	})
+}
