--- a/publication/state.go
+++ b/publication/state.go
@@ -48,7 +48,8 @@
 	hosts     map[string]fleet.CustomerID
 	targets   map[fleet.ServiceID]map[fleet.TargetID]*announced
 	// stopped holds tombstones in the order in which they were laid.
-	stopped []targetKey
+	stopped  []targetKey
+	refusals refusals
 	// checkpoint is the newest one in the stream.
 	checkpoint CheckpointMark
 	view       *View
@@ -81,6 +82,7 @@
 	s.expireTombstones(r.Time)
 	d := s.decide(r)
 	d.Offset = r.Offset
+	s.remember(d)
 	return d
 }
 
@@ -89,13 +91,14 @@
 	if err != nil {
 		return Decision{Verdict: Malformed, Current: NoRevision, Message: err.Error()}
 	}
-	var d Decision
-	switch e.Kind {
-	case KindContract:
+	d, refused := s.refusedBefore(e)
+	switch {
+	case refused:
+	case e.Kind == KindContract:
 		d = s.applyContract(r, e)
-	case KindTarget:
+	case e.Kind == KindTarget:
 		d = s.applyTarget(r, e)
-	case KindCheckpoint:
+	default:
 		d = s.applyCheckpoint(r, e)
 	}
 	d.Kind, d.ID = e.Kind, e.ID
@@ -209,6 +212,9 @@
 }
 
 func checkTarget(t *fleet.Target) (Verdict, string) {
+	if t.State != fleet.Joined && t.State != fleet.Leaving && t.State != fleet.Stopped {
+		return Invalid, "target state missing"
+	}
 	if len(t.ID) == 0 || len(t.ID) > maxID {
 		return Invalid, fmt.Sprintf("target id %q: want 1 to %d bytes", t.ID, maxID)
 	}
