--- a/claim/recorder.go
+++ b/claim/recorder.go
@@ -12,9 +12,13 @@
 
 // RecorderConfig bounds a recorder of one partition.
 type RecorderConfig struct {
-	// Linger is how long an entry may wait for others to share its append.
+	// Linger is how long a claim may wait for others to share its append.
 	// Default 2 ms.
 	Linger time.Duration
+	// OutcomeLinger is the same for all other entries. Nobody waits for these
+	// before a dispatch, so that they may ride along with claims. Default
+	// 50 ms.
+	OutcomeLinger time.Duration
 	// AppendRate bounds appends a second. Default 18, so that 16 partitions
 	// stay within 300 a second.
 	AppendRate float64
@@ -46,6 +50,7 @@
 // WithDefaults fills in the defaults.
 func (c RecorderConfig) WithDefaults() RecorderConfig {
 	setDefault(&c.Linger, 2*time.Millisecond)
+	setDefault(&c.OutcomeLinger, 50*time.Millisecond)
 	setDefault(&c.AppendRate, 18)
 	setDefault(&c.AppendBurst, 10)
 	setDefault(&c.MaxBatch, 512)
@@ -295,16 +300,26 @@
 	}
 }
 
-// due tells whether the head of the queue has lingered or a batch is full.
+// due tells whether a batch is full or an entry has lingered long enough.
 func (r *Recorder) due(now time.Time) bool {
-	for len(r.queue) > 0 && r.pending[r.queue[0]] == nil {
-		r.queue = r.queue[1:]
+	if len(r.queue) >= r.cfg.MaxBatch {
+		return true
 	}
-	if len(r.queue) == 0 {
-		return false
+	for _, id := range r.queue {
+		p := r.pending[id]
+		if p != nil && now.Sub(p.since) >= r.linger(p.entry.Kind) {
+			return true
+		}
+	}
+	return false
+}
+
+// linger returns how long an entry may wait for others to share its append.
+func (r *Recorder) linger(k Kind) time.Duration {
+	if k == Claim {
+		return r.cfg.Linger
 	}
-	full := len(r.queue) >= r.cfg.MaxBatch
-	return full || now.Sub(r.pending[r.queue[0]].since) >= r.cfg.Linger
+	return r.cfg.OutcomeLinger
 }
 
 func (r *Recorder) token(now time.Time) bool {
