--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -52,8 +53,13 @@
 	// BalancerWait is Stop.BalancerWait of the instances. Default 1s, ten
 	// times what load takes to notice.
 	BalancerWait time.Duration
+	// ListInterval is Platform.ListInterval of the instances. Default 200ms,
+	// so that a fleet finds itself quickly.
+	ListInterval time.Duration
 	// Platform sets the platform's stand-in up.
 	Platform standin.Options
+	// Around, if set, stands between the instances and the platform.
+	Around func(http.Handler) http.Handler
 }
 
 func (s *Setup) complete() {
@@ -69,6 +75,12 @@
 	if s.BalancerWait == 0 {
 		s.BalancerWait = time.Second
 	}
+	if s.ListInterval == 0 {
+		s.ListInterval = 200 * time.Millisecond
+	}
+	if s.Around == nil {
+		s.Around = func(h http.Handler) http.Handler { return h }
+	}
 }
 
 // Fleet is a running fleet of processes with its surroundings.
@@ -117,7 +129,7 @@
 
 func (f *Fleet) startPlatform() {
 	f.Platform = standin.New(f.setup.Platform)
-	srv := httptest.NewServer(f.outage.before(f.Platform.Handler()))
+	srv := httptest.NewServer(f.setup.Around(f.outage.before(f.Platform.Handler())))
 	f.t.Cleanup(srv.CloseClientConnections)
 	f.platformURL = srv.URL
 	f.log = platform.NewClient(srv.URL, 0)
--- a/faults/instance.go
+++ b/faults/instance.go
@@ -58,7 +58,7 @@
 		Platform: settings.Platform{
 			URL:          f.platformURL,
 			Timeout:      contract.Duration(2 * time.Second),
-			ListInterval: contract.Duration(200 * time.Millisecond),
+			ListInterval: contract.Duration(f.setup.ListInterval),
 		},
 		Stop: settings.Stop{BalancerWait: contract.Duration(f.setup.BalancerWait)},
 	}
