--- a/admission/queue.go
+++ b/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
@@ -12,6 +13,8 @@
 type Queue struct {
 	gate  *Gate
 	clock func() time.Time
+	// queued is how many requests wait; Tick has nothing to do for none.
+	queued atomic.Int64
 
 	mu      sync.Mutex
 	waiting map[Ticket]chan Event
@@ -38,6 +41,8 @@
 	if d.Verdict != Queued {
 		return d, nil
 	}
+	q.queued.Add(1)
+	defer q.queued.Add(-1)
 	ch := q.register(d.Ticket)
 	select {
 	case e := <-ch:
@@ -58,7 +63,11 @@
 
 // Tick refuses waiting requests that can't finish any more; call it several
 // times a second.
-func (q *Queue) Tick() { q.deliver(q.gate.Tick(q.clock())) }
+func (q *Queue) Tick() {
+	if q.queued.Load() > 0 {
+		q.deliver(q.gate.Tick(q.clock()))
+	}
+}
 
 // SetCapacity is Gate.SetCapacity.
 func (q *Queue) SetCapacity(slots int, share float64) { q.gate.SetCapacity(slots, share) }
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -29,6 +29,8 @@
 	settings  *contract.Service
 	config    balancer.Config
 	targets   []fleet.Target
+	seen      *outlier.Snapshot
+	members   balancer.Members
 	slots     int
 	instances int
 }
--- a/upstream/set.go
+++ b/upstream/set.go
@@ -93,6 +93,7 @@
 	}
 	svc.settings = cs
 	svc.targets = ts
+	svc.seen = nil
 	svc.tick(now, members)
 	return svc
 }
@@ -104,22 +105,29 @@
 	changed := false
 	for _, svc := range *s.services.Load() {
 		before := svc.balancer.Picker()
-		svc.tick(now, members)
-		changed = changed || !svc.balancer.Picker().SameConnections(before)
+		if svc.tick(now, members) {
+			changed = changed || !svc.balancer.Picker().SameConnections(before)
+		}
 	}
 	if changed {
 		s.share()
 	}
 }
 
-// tick rebuilds the choice among the service's targets.
-func (s *Service) tick(now time.Time, members balancer.Members) {
-	h := s.health.Snapshot()
-	s.balancer.Update(now, s.targets, h.Weight, members)
-	s.setCapacity(h, members.Len())
+// tick rebuilds the choice among the service's targets if what it follows
+// from has changed, and tells whether it has.
+func (s *Service) tick(now time.Time, members balancer.Members) bool {
 	for _, g := range s.gates {
 		g.Tick()
 	}
+	h := s.health.Snapshot()
+	if h == s.seen && members == s.members {
+		return false
+	}
+	s.seen, s.members = h, members
+	s.balancer.Update(now, s.targets, h.Weight, members)
+	s.setCapacity(h, members.Len())
+	return true
 }
 
 // setCapacity tells the gates how many slots are healthy.
