instance: keep owners and counts of a member list until it changes

Cause: each tick hashed every service's name against every member to find the aggregator, and copied the list of live members to count it. Change: both are kept with the member list.

--- a/instance/health.go
+++ b/instance/health.go
@@ -18,6 +18,5 @@
 
 // aggregatorOf returns the instance that pools a service's evidence.
 func (i *Instance) aggregatorOf(id fleet.ServiceID) fleet.InstanceID {
-	owner, _ := i.members.Load().roles.Owner("evidence/" + string(id))
-	return owner
+	return i.members.Load().aggregator(id)
 }
--- a/instance/limits.go
+++ b/instance/limits.go
@@ -45,7 +45,7 @@
 	m := i.members.Load()
 	return ratelimit.View{
 		Listed:  max(len(i.gossip.Listed()), len(m.view.Members), 1),
-		Reached: max(len(m.view.Live()), 1),
+		Reached: max(m.live, 1),
 		Since:   m.since,
 	}
 }
--- a/instance/members.go
+++ b/instance/members.go
@@ -1,9 +1,11 @@
 package instance
 
 import (
+	"sync"
 	"time"
 
 	"github.com/clementinereel/clementinereel/balancer"
+	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/rendezvous"
 )
@@ -12,9 +14,12 @@
 // immutable and built anew when the view's epoch changes.
 type members struct {
 	view        *membership.View
+	live        int
 	since       time.Time
 	roles       *rendezvous.Table
 	forBalancer balancer.Members
+	// aggregators holds the owners of services' evidence that were looked up.
+	aggregators sync.Map // fleet.ServiceID -> fleet.InstanceID
 }
 
 func newMembers(v *membership.View, self balancer.Member) *members {
@@ -25,12 +30,23 @@
 	}
 	return &members{
 		view:        v,
+		live:        len(live),
 		since:       time.Now(),
 		roles:       rendezvous.NewTable(v.Members),
 		forBalancer: balancer.NewMembers(self, all),
 	}
 }
 
+// aggregator returns the instance that pools a service's evidence.
+func (m *members) aggregator(id fleet.ServiceID) fleet.InstanceID {
+	if known, ok := m.aggregators.Load(id); ok {
+		return known.(fleet.InstanceID)
+	}
+	owner, _ := m.roles.Owner("evidence/" + string(id))
+	m.aggregators.Store(id, owner)
+	return owner
+}
+
 // followMembers takes a changed member view into use.
 func (i *Instance) followMembers() *members {
 	v := i.gossip.View()
