rendezvous: find the first few members without sorting all

Cause: Ranked sorted every member, hashing at each comparison, though two are asked for. Change: the first n are kept in order in one pass.

--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -137,16 +137,22 @@
 // Ranked returns up to n members in the order in which they hold the role.
 func (t *Table) Ranked(key string, n int) []fleet.InstanceID {
 	keyHash := xxhash.Sum64String(key)
-	ranked := slices.Clone(t.candidates)
-	slices.SortFunc(ranked, func(a, b candidate) int {
-		if a.before(weight(keyHash, a.hash), b, weight(keyHash, b.hash)) {
-			return -1
+	n = min(n, len(t.candidates))
+	first := make([]*candidate, 0, n+1) // the first n so far, in order
+	for i := range t.candidates {
+		c := &t.candidates[i]
+		at := len(first)
+		for at > 0 && c.before(weight(keyHash, c.hash), *first[at-1], weight(keyHash, first[at-1].hash)) {
+			at--
+		}
+		if at < n {
+			first = slices.Insert(first, at, c)
+			first = first[:min(len(first), n)]
 		}
-		return 1
-	})
-	ids := make([]fleet.InstanceID, 0, min(n, len(ranked)))
-	for i := range min(n, len(ranked)) {
-		ids = append(ids, ranked[i].id)
+	}
+	ids := make([]fleet.InstanceID, len(first))
+	for i, c := range first {
+		ids[i] = c.id
 	}
 	return ids
 }
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -121,6 +121,33 @@
 	assert.Equal(t, testing.AllocsPerRun(100, func() { table.Owner("some/key") }), 0.0)
 }
 
+func TestRankedIsAPrefixOfTheWholeOrder(t *testing.T) {
+	table := NewTable(fleetOf(44))
+	for i := range 200 {
+		key := strconv.Itoa(i)
+		all := table.Ranked(key, 44)
+		assert.Equal(t, len(all), 44)
+		owner, _ := table.Owner(key)
+		assert.Equal(t, all[0], owner)
+		for _, n := range []int{0, 1, 2, 7} {
+			assert.DeepEqual(t, table.Ranked(key, n), all[:n])
+		}
+		assert.DeepEqual(t, table.Ranked(key, 99), all)
+	}
+}
+
+func BenchmarkRanked(b *testing.B) {
+	for _, count := range []int{44, 920} {
+		table := NewTable(fleetOf(count))
+		b.Run(fmt.Sprintf("members=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Ranked("some/key", 2)
+			}
+		})
+	}
+}
+
 func BenchmarkOwner(b *testing.B) {
 	for _, count := range []int{44, 920} {
 		members := fleetOf(count)
