operate: do the work of a tick only when it is due

Cause: each tick, 20 a second, listed all processes, compared them with the history, built a table of the members and ranked it for 16 partitions. Each instance also asked each recorder every second how far its stream reaches: 920 calls a second at a recorder. Change: the tick follows members and processes when they change and once a second; recorders are asked less often in larger fleets, 40 instances a second (1 s up to 40 instances); eight others are greeted, whose answer leaves the processes out. An end that is up to 23 s old can refuse one repeat after "not run"; the answer to that repeat brings the new end.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -50,6 +50,7 @@
 	cancel     context.CancelFunc
 	systems    sync.WaitGroup
 	hadPeers   bool // used by the tick alone
+	known      processList
 	sockets    *listeners
 	callers    *http.Server
 	peers      *peer.Server
--- a/instance/operations.go
+++ b/instance/operations.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/clementinereel/clementinereel/admission"
@@ -15,6 +16,7 @@
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/retry"
 	"github.com/clementinereel/clementinereel/upstream"
 )
@@ -37,17 +39,34 @@
 // processes lists every process that the platform names or that peers know,
 // reachable or not.
 func (i *Instance) processes() []fleet.Holder {
-	view := i.members.Load().view
-	out := make([]fleet.Holder, 0, len(view.Members))
-	for _, m := range view.Members {
-		out = append(out, m.Holder())
+	return i.known.follow(i.members.Load().view, i.gossip.Listed())
+}
+
+// processList keeps the list of processes until what it follows from changes.
+type processList struct {
+	mu     sync.Mutex
+	view   *membership.View
+	listed []platform.Listed
+	all    []fleet.Holder
+}
+
+func (p *processList) follow(v *membership.View, listed []platform.Listed) []fleet.Holder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	same := len(listed) == len(p.listed) && (len(listed) == 0 || &listed[0] == &p.listed[0])
+	if v == p.view && same {
+		return p.all
+	}
+	p.view, p.listed, p.all = v, listed, make([]fleet.Holder, 0, len(v.Members))
+	for _, m := range v.Members {
+		p.all = append(p.all, m.Holder())
 	}
-	for _, l := range i.gossip.Listed() {
-		if _, ok := view.Get(l.ID); !ok {
-			out = append(out, fleet.Holder{Instance: l.ID})
+	for _, l := range listed {
+		if _, ok := v.Get(l.ID); !ok {
+			p.all = append(p.all, fleet.Holder{Instance: l.ID})
 		}
 	}
-	return out
+	return p.all
 }
 
 // runOperation dispatches an operation to a target of its service.
--- a/operate/partition.go
+++ b/operate/partition.go
@@ -12,7 +12,6 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/rendezvous"
 )
 
 const (
@@ -53,9 +52,8 @@
 // assign takes up the partitions for which the instance stands among the first
 // and drops the others. The caller holds the service's lock.
 func (s *Service) assign(now time.Time) {
-	roles := rendezvous.NewTable(s.members)
 	for id := range s.cfg.Partitions {
-		ids := roles.Ranked(claim.StreamName(id), s.cfg.Recorders)
+		ids := s.roles.Ranked(claim.StreamName(id), s.cfg.Recorders)
 		place := slices.Index(ids, s.cfg.Self.Instance)
 		p := s.partitions[id]
 		switch {
--- a/operate/peers.go
+++ b/operate/peers.go
@@ -15,7 +15,6 @@
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
-	"github.com/clementinereel/clementinereel/rendezvous"
 )
 
 const (
@@ -37,7 +36,7 @@
 func (s *Service) recorders(p int) []fleet.InstanceID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return rendezvous.Ranked(claim.StreamName(p), s.members, max(s.cfg.Recorders, recordTries))
+	return s.roles.Ranked(claim.StreamName(p), max(s.cfg.Recorders, recordTries))
 }
 
 // claim submits an attempt's claim and returns the verdict. Refused stands
--- a/operate/service.go
+++ b/operate/service.go
@@ -19,6 +19,7 @@
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
 	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/rendezvous"
 	"github.com/clementinereel/clementinereel/ticket"
 )
 
@@ -29,6 +30,11 @@
 	historyKeep = 48 * time.Hour
 	// refreshEvery is how often the ends of the partitions are asked for.
 	refreshEvery = time.Second
+	// greetings is to how many others a process makes itself known. One would
+	// do; more of them outlive the loss of some.
+	greetings = 8
+	// endsRate is how many instances a second ask a recorder for the ends.
+	endsRate = 40
 	// retryBusy is when a repeat of an undecided operation makes sense.
 	retryBusy = 2 * time.Second
 )
@@ -49,6 +55,8 @@
 	table      *claim.Table
 	history    *claim.History
 	members    []membership.Member
+	roles      *rendezvous.Table
+	processes  []fleet.Holder
 	flights    map[*claim.Attempt]*flight
 	tickets    *ticket.Table
 	homed      map[ticket.ID]chan struct{}
@@ -56,6 +64,7 @@
 	ends       []platform.Offset
 	kept       keptAnswers
 	refreshed  time.Time
+	endsAsked  time.Time
 	greeting   bool
 	sealed     bool
 }
@@ -81,6 +90,7 @@
 		cfg: cfg, now: cfg.Now, stats: newStats(cfg.Metrics), ctx: ctx, cancel: cancel,
 		surveys: make(chan struct{}, cfg.MaxSurveys),
 		table:   claim.NewTable(cfg.Attempts, cfg.Self),
+		roles:   rendezvous.NewTable(nil),
 		history: claim.NewHistory(cfg.Now(), gone, historyKeep),
 		flights: map[*claim.Attempt]*flight{},
 		tickets: ticket.NewTable(cfg.Tickets, cfg.Self),
@@ -137,24 +147,34 @@
 func (s *Service) Tick(now time.Time) {
 	view, processes := s.cfg.View(), s.cfg.Members()
 	s.mu.Lock()
-	s.members = view
-	s.history.Observe(now, s.latest(processes))
-	s.assign(now)
-	s.tickets.Sweep(now)
 	refresh := now.Sub(s.refreshed) >= refreshEvery
-	if refresh {
-		s.refreshed = now
+	changed := s.setMembers(view)
+	if refresh || !slices.Equal(s.processes, processes) {
+		s.processes = processes
+		s.history.Observe(now, s.latest(processes))
+	}
+	if refresh || changed {
+		s.assign(now)
+	}
+	if !refresh {
+		s.mu.Unlock()
+		return
 	}
+	s.refreshed = now
+	s.tickets.Sweep(now)
 	parts := make([]*partition, 0, len(s.partitions))
 	for _, p := range s.partitions {
 		parts = append(parts, p)
 	}
-	s.mu.Unlock()
-	if !refresh {
-		return
+	askEnds := now.Sub(s.endsAsked) >= endsEvery(len(view))
+	if askEnds {
+		s.endsAsked = now
 	}
+	s.mu.Unlock()
 	s.spawn(s.greet)
-	s.spawn(s.refreshEnds)
+	if askEnds {
+		s.spawn(s.refreshEnds)
+	}
 	unresolved := 0
 	for _, p := range parts {
 		unresolved += p.maintain(now)
@@ -162,6 +182,23 @@
 	s.stats.setUnresolved(unresolved)
 }
 
+// setMembers takes a member view over and tells whether it is another one.
+// The caller holds the lock.
+func (s *Service) setMembers(view []membership.Member) bool {
+	if len(view) == len(s.members) && (len(view) == 0 || &view[0] == &s.members[0]) {
+		return false
+	}
+	s.members, s.roles = view, rendezvous.NewTable(view)
+	return true
+}
+
+// endsEvery is how far apart an instance's questions for the ends are, so that
+// a recorder gets endsRate of them. An old end costs a repeat after "not run"
+// one more refusal, whose answer brings the new end.
+func endsEvery(instances int) time.Duration {
+	return max(refreshEvery, time.Duration(instances)*time.Second/endsRate)
+}
+
 // spawn runs a function in the background until Close.
 func (s *Service) spawn(f func(ctx context.Context)) {
 	s.wg.Add(1)
@@ -209,7 +246,7 @@
 	s.ends[p] = max(s.ends[p], end)
 }
 
-// greet makes this process known to another, before the first attempt.
+// greet makes this process known to others, before the first attempt.
 func (s *Service) greet(ctx context.Context) {
 	s.mu.Lock()
 	others := s.others()
@@ -219,18 +256,21 @@
 	if skip {
 		return
 	}
-	met := len(others) == 0
+	met := 0
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, m := range others {
 		if a, err := s.askSurvey(ctx, m, operation.Key{}, true); err == nil {
 			s.meet(a)
-			met = true
+			met++
+		}
+		if met == greetings {
+			break
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.greeting = false
-	if met {
+	if met > 0 || len(others) == 0 {
 		s.table.Greeted(s.now())
 	}
 }
--- a/operate/survey.go
+++ b/operate/survey.go
@@ -140,7 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history.Met(from)
-	return claim.SurveyAnswer{From: s.cfg.Self, View: s.history.All()}
+	return claim.SurveyAnswer{From: s.cfg.Self}
 }
 
 func surveyOf(m *peerv1.SurveyResponse) claim.SurveyAnswer {
