ratelimit: go over the accounts only when the fleet's size changed

Cause: SetView, called each tick, locked every account to write the same number again. Change: it returns at once if the number is in force.

--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -143,7 +143,9 @@
 
 // SetView puts a new number of listed instances in force.
 func (t *Table) SetView(v View) {
-	t.listed.Store(int64(v.listed()))
+	if t.listed.Swap(int64(v.listed())) == int64(v.listed()) {
+		return
+	}
 	t.each(func(_ *shard, a *Account) { a.listed = v.listed() })
 }
 
