pool: look for what to warm without a goroutine for each target

Cause: Warm, four times a second, started a goroutine for every target and asked the kernel about every ready connection. Change: a goroutine starts only where a connection is wanting, and ready connections are looked over every 5 s; one that died meanwhile is found when it is taken, as before.

--- a/pool/host.go
+++ b/pool/host.go
@@ -24,6 +24,8 @@
 	// ready are connections opened ahead, which the transport hasn't seen.
 	ready   []*conn
 	retired bool
+	// checked is when the ready connections were last looked over.
+	checked time.Time
 }
 
 func newHost(cfg Config, t fleet.Target, share int) *host {
@@ -113,10 +115,34 @@
 	return c
 }
 
-// warm drops ready connections that are dead or old, and opens one if the
-// target has fewer than Warm.
+// staleEvery is how often the ready connections are looked over.
+const staleEvery = 5 * time.Second
+
+// wanting drops ready connections that are dead or old, now and then, and
+// tells whether warm would open one.
+func (h *host) wanting() bool {
+	h.mu.Lock()
+	due := len(h.ready) > 0 && time.Since(h.checked) >= staleEvery
+	if due {
+		h.checked = time.Now()
+	}
+	h.mu.Unlock()
+	if due {
+		h.dropStale()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.short()
+}
+
+// short tells whether the target has fewer than Warm connections. The lock is
+// held.
+func (h *host) short() bool {
+	return !h.retired && h.open < min(h.cfg.Warm, h.share)
+}
+
+// warm opens a connection if the target has fewer than Warm.
 func (h *host) warm(ctx context.Context) error {
-	h.dropStale()
 	if !h.reserve() {
 		return nil
 	}
@@ -131,7 +157,7 @@
 func (h *host) reserve() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.retired || h.open >= min(h.cfg.Warm, h.share) {
+	if !h.short() {
 		return false
 	}
 	h.open++
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -88,6 +87,9 @@
 	var failed []fleet.Target
 	places := make(chan struct{}, warmDials)
 	for _, h := range s.snapshot() {
+		if !h.wanting() {
+			continue
+		}
 		places <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-places }()
@@ -105,10 +107,11 @@
 // warmDials bounds the connections that Warm opens at once.
 const warmDials = 8
 
+// snapshot returns the hosts; the map is replaced, never changed.
 func (s *Set) snapshot() map[key]*host {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return maps.Clone(s.hosts)
+	return s.hosts
 }
 
 // Open is how many connections the Set holds to targets it has a share of.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -316,6 +316,19 @@
 	assert.Equal(t, s.Open(), 0)
 }
 
+func TestDeadWarmConnectionIsReplaced(t *testing.T) {
+	target := newRawTarget(t)
+	s := newSet(t, Config{}, target.Target, 4)
+	s.Warm(t.Context())
+	h := s.snapshot()[keyOf(target.Target)]
+	dead := h.ready[0]
+	dead.Conn.(*net.TCPConn).CloseRead()
+	h.checked = time.Now().Add(-staleEvery)
+	s.Warm(t.Context())
+	assert.Equal(t, s.Open(), 1)
+	assert.Assert(t, h.ready[0] != dead)
+}
+
 // BenchmarkRoundTrip gives the cost of the Set over the plain transport.
 func BenchmarkRoundTrip(b *testing.B) {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
@@ -397,3 +410,26 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapInuse + m.StackInuse
 }
+
+// BenchmarkWarmSteady gives the cost of Warm when every target has its warm
+// connection, by the number of targets.
+func BenchmarkWarmSteady(b *testing.B) {
+	target := newRawTarget(b)
+	for _, n := range []int{31, 1000} {
+		s := New(Config{})
+		b.Cleanup(s.Close)
+		shares := make([]Share, n)
+		for i := range shares {
+			shares[i] = Share{Target: target.Target, Connections: 1}
+			shares[i].Target.ID = fleet.TargetID(fmt.Sprint(i))
+		}
+		s.Update(shares)
+		s.Warm(b.Context())
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Warm(b.Context())
+			}
+		})
+	}
+}
