peer, follow: list other members only when they are needed

Cause: every call to a peer copied and shuffled the list of live members to have relays at hand; the two loops that pull configuration while the log is down listed all members four times a second while it is up. Change: both ask first whether they need it.

--- a/follow/pull.go
+++ b/follow/pull.go
@@ -63,8 +63,11 @@
 func (f *Follower) pull(ctx context.Context) {
 	b := f.newBackoff()
 	for ctx.Err() == nil {
-		ids := f.random(1)
-		if !f.needsPeers() || len(ids) == 0 {
+		var ids []fleet.InstanceID
+		if f.needsPeers() {
+			ids = f.random(1)
+		}
+		if len(ids) == 0 {
 			sleep(ctx, f.settings.PeerInterval)
 			continue
 		}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -195,15 +195,19 @@
 }
 
 func (t *Transport) directOrRelay(req *http.Request, body []byte, p *path) (*http.Response, error) {
-	relays := t.relays(p)
 	cause := errPathCut
-	if p.usable() || len(relays) == 0 {
+	usable := p.usable()
+	if usable {
 		resp, err := p.call(withBody(req, body))
 		if err == nil || req.Context().Err() != nil {
 			return resp, err
 		}
 		cause = err
 	}
+	relays := t.relays(p)
+	if !usable && len(relays) == 0 {
+		return p.call(withBody(req, body))
+	}
 	for _, id := range relays {
 		resp, err := t.relayed(withBody(req, body), p, id)
 		if err == nil || req.Context().Err() != nil {
