telemetry: histograms that take memory for what came, and a bound

Cause: each histogram of a customer, class and status set 17 KB aside for its sample at its first request, and every customer had its own. The sum that went with a histogram's count was that of the sample only. Change: a histogram keeps the last 1,028 durations and grows to it; the sum is that of all. The first 500 customers that an instance meets have their own metrics; the others share those of "(others)". Full figures for each of 28,000 customers need another place than each instance's /metrics.

--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -61,7 +61,7 @@
 // decided counts a decision on a request.
 func (h *Handler) decided(x *exchange, what, reason string) {
 	labels := []telemetry.Label{
-		{Key: "customer", Value: string(x.customer)},
+		{Key: "customer", Value: string(h.cfg.Metrics.Customer(x.customer))},
 		{Key: "class", Value: x.route.Class.String()},
 		{Key: "decision", Value: what},
 	}
--- a/telemetry/expose.go
+++ b/telemetry/expose.go
@@ -68,7 +68,7 @@
 	case metrics.Gauge:
 		fmt.Fprintf(w, "%s%s%s %d\n", prefix, base, braces(labels), m.Value())
 	case metrics.Histogram:
-		writeSummary(w, base, labels, m.Snapshot())
+		writeSummary(w, base, labels, m)
 	}
 }
 
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -10,13 +11,17 @@
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
-// sampleSize is how many recent durations a histogram keeps; 1028 gives 99.9%
-// confidence with a 5% margin of error (metrics.NewExpDecaySample).
 const (
-	sampleSize  = 1028
-	sampleAlpha = 0.015
+	// sampleSize is how many recent durations a histogram keeps.
+	sampleSize = 1028
+	// maxCustomers is how many customers have metrics of their own at one
+	// instance, those that came first; the others share those of Others.
+	maxCustomers = 500
 )
 
+// Others stands for the customers without metrics of their own.
+const Others fleet.CustomerID = "(others)"
+
 // Label is one label of a metric.
 type Label struct{ Key, Value string }
 
@@ -47,6 +52,8 @@
 type Registry struct {
 	reg       metrics.Registry
 	durations sync.Map // requestKey -> metrics.Histogram
+	customers sync.Map // fleet.CustomerID -> struct{}
+	admitted  atomic.Int64
 }
 
 type requestKey struct {
@@ -70,10 +77,24 @@
 	return metrics.GetOrRegisterGauge(Name(name, labels...), r.reg)
 }
 
+// Customer returns the customer as metrics name it: itself or Others.
+func (r *Registry) Customer(c fleet.CustomerID) fleet.CustomerID {
+	if _, ok := r.customers.Load(c); ok {
+		return c
+	}
+	if r.admitted.Load() >= maxCustomers {
+		return Others
+	}
+	if _, ok := r.customers.LoadOrStore(c, struct{}{}); !ok {
+		r.admitted.Add(1)
+	}
+	return c
+}
+
 // Request records one answered request: its duration by customer, class and
 // outcome, where the outcome is the answer's status class as "2xx".
 func (r *Registry) Request(c fleet.CustomerID, class fleet.Class, status int, d time.Duration) {
-	key := requestKey{customer: c, class: class, outcome: statusClass(status)}
+	key := requestKey{customer: r.Customer(c), class: class, outcome: statusClass(status)}
 	h, ok := r.durations.Load(key)
 	if !ok {
 		h, _ = r.durations.LoadOrStore(key, r.newDuration(key))
@@ -86,7 +107,7 @@
 		Label{"customer", string(key.customer)},
 		Label{"class", key.class.String()},
 		Label{"status", key.outcome})
-	return metrics.GetOrRegisterHistogram(name, r.reg, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	return metrics.GetOrRegisterHistogram(name, r.reg, &window{})
 }
 
 func statusClass(status int) string {
