--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -164,6 +164,21 @@
 	assert.Assert(t, !f.Contact().IsZero())
 }
 
+func TestSkipsMalformedAndRefusesStaleRecords(t *testing.T) {
+	x := newFixture(t)
+	f := x.start("a", Options{Log: x.log})
+	for range 2 * maxLines {
+		x.server.Append(publication.Stream, []byte("rubbish"))
+	}
+	base := x.publish("one", publication.NoRevision)
+	x.publish("late", publication.NoRevision)
+	x.publish("two", base)
+	x.await(f, "two")
+	assert.Equal(t, f.counters.malformed.Count(), int64(2*maxLines))
+	assert.Equal(t, f.counters.refused.Count(), int64(1))
+	assert.Equal(t, f.counters.records.Count(), int64(2*maxLines+3))
+}
+
 func TestFollowsPeersWithoutTheLog(t *testing.T) {
 	x := newFixture(t)
 	x.start("a", Options{Log: x.log})
@@ -272,10 +287,12 @@
 	x.mesh.mu.Unlock()
 	assert.NilError(t, f.pullFrom(context.Background(), "liar", 0))
 	assert.Equal(t, f.View().Contracts["daugava"].PublicationID, "two")
-	empty := newFixture(t)
-	f.opts.Log = empty.log
-	assert.ErrorContains(t, f.read(context.Background()), "before the state in force")
-	assert.Equal(t, f.View().Contracts["daugava"].PublicationID, "two")
+	behind := New(Options{Log: newFixture(t).log, Settings: quick})
+	got, err := f.Serve(context.Background(), "", 0, 0)
+	assert.NilError(t, err)
+	behind.apply(got.Records)
+	assert.ErrorContains(t, behind.read(context.Background()), "before the state in force")
+	assert.Equal(t, behind.View().Contracts["daugava"].PublicationID, "two")
 }
 
 func TestCheckpointIsDueByAgeAndByRecords(t *testing.T) {
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -63,8 +63,11 @@
 func (f *Follower) pull(ctx context.Context) {
 	b := f.newBackoff()
 	for ctx.Err() == nil {
-		ids := f.random(1)
-		if !f.needsPeers() || len(ids) == 0 {
+		var ids []fleet.InstanceID
+		if f.needsPeers() {
+			ids = f.random(1)
+		}
+		if len(ids) == 0 {
 			sleep(ctx, f.settings.PeerInterval)
 			continue
 		}
@@ -166,7 +169,7 @@
 		return
 	}
 	f.counters.peerErrors.Inc(1)
-	klog.InfoS("configuration pull failed", "peer", id, "reason", err.Error())
+	klog.V(1).InfoS("configuration pull failed", "peer", id, "reason", err.Error())
 }
 
 // needsPeers tells whether the log cannot be relied on for new records.
--- a/operate/keyed_test.go
+++ b/operate/keyed_test.go
@@ -33,6 +33,29 @@
 	}
 }
 
+// hangingLog is a log that one instance cannot reach: its calls hang.
+type hangingLog struct{ platform.Log }
+
+func (hangingLog) Append(ctx context.Context, _ string, _ []byte) (platform.Offset, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+// A recorder that is cut off from the log does not hold up its partitions.
+func TestRecorderCutOffFromTheLog(t *testing.T) {
+	c := newCluster(t, 3, func(cfg *Config) {
+		cfg.Partitions = 16
+		if cfg.Self.Instance == node(0) {
+			cfg.Log = hangingLog{cfg.Log}
+		}
+	})
+	for k := range 24 {
+		key := fmt.Sprint("quote-", k)
+		c.wantOutcome(c.send(1+k%2, keyed(key, "b")), fleet.Completed)
+		assert.Equal(t, c.ran(key), 1)
+	}
+}
+
 func TestRefusedBeforeAnythingIsSent(t *testing.T) {
 	c := newCluster(t, 2, nil)
 	a := c.send(0, keyed("", "b"))
@@ -138,6 +161,22 @@
 	assert.Equal(t, c.ran("k"), 1)
 }
 
+// An instance that the platform lists counts, though no peer knows it any more.
+func TestListedInstanceMayHoldTheKey(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.mu.Lock()
+	c.listed = []fleet.Holder{{Instance: "i9"}}
+	c.mu.Unlock()
+	c.eventually("seen", func() bool {
+		s := c.at(0)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.history.Present(fleet.Holder{Instance: "i9"})
+	})
+	c.log.set(func(l *memLog) { l.down = true })
+	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.Unknown)
+}
+
 // The log goes down after the claim: the operation runs, and a repeat gets its
 // answer from the holder.
 func TestLogDownBetweenClaimAndOutcome(t *testing.T) {
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,6 +97,7 @@
 	assert.Assert(t, nodes[0].transport.Cut("i1"))
 	assert.Equal(t, nodes[2].transport.Stats().RelayedIn, int64(1))
 
+	assert.Equal(t, nodes[2].transport.Stats().Unauthorized, int64(0))
 	_, body, err = post(t.Context(), nodes[1], "i0", "back")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "i1@1 back")
@@ -144,12 +146,36 @@
 }
 
 func TestUnreachableByAll(t *testing.T) {
-	network, nodes := startEcho(t, 3, quickCalls)
+	s := quickCalls
+	s.RetryMin, s.RetryMax = time.Hour, time.Hour
+	network, nodes := startEcho(t, 3, s)
 	for _, from := range []string{"i0", "i2"} {
 		network.set(from, nodes[1].member.Addr, true)
 	}
 	_, _, err := post(t.Context(), nodes[0], "i1", "hello")
 	assert.ErrorContains(t, err, ErrUnreachable.Error())
+	assert.Assert(t, nodes[2].transport.Cut("i1"))
+	_, _, err = post(t.Context(), nodes[0], "i1", "hello")
+	assert.ErrorContains(t, err, ErrUnreachable.Error())
+	stats := nodes[2].transport.Stats()
+	assert.Equal(t, stats.RelayedIn, int64(2))
+	assert.Equal(t, stats.CallsOut, int64(1), "the relay tried a path that it knew to be cut")
+}
+
+// With no relay left, a connection that has lost data is replaced.
+func TestLostConnectionIsReplaced(t *testing.T) {
+	network, nodes := startEcho(t, 2, quickCalls)
+	_, _, err := post(t.Context(), nodes[0], "i1", "warm")
+	assert.NilError(t, err)
+	sent := nodes[0].transport.Stats().BytesOut
+	network.set("i0", nodes[1].member.Addr, true)
+	go func() {
+		waitFor(t, "lost bytes", func() bool { return nodes[0].transport.Stats().BytesOut > sent })
+		network.set("i0", nodes[1].member.Addr, false)
+	}()
+	_, body, err := post(t.Context(), nodes[0], "i1", "hello")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "i0@1 hello")
 }
 
 func TestSlowHandlerIsNotTakenForACut(t *testing.T) {
@@ -199,6 +225,21 @@
 	assert.Assert(t, body == "i0@1 "+large)
 }
 
+// An address that now belongs to another instance runs nothing for the old one.
+func TestReusedAddress(t *testing.T) {
+	t.Parallel()
+	_, nodes := newNodes(t, 2, quickCalls)
+	var runs atomic.Int64
+	nodes[1].server.Handle("/echo", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	nodes[1].start(t)
+	old := nodes[1].member
+	old.ID = "gone"
+	nodes[0].transport.SetView(membership.NewView("i0", []membership.Member{nodes[0].member, old}))
+	_, _, err := post(t.Context(), nodes[0], "gone", "hello")
+	assert.ErrorContains(t, err, ErrUnreachable.Error())
+	assert.Equal(t, runs.Load(), int64(0))
+}
+
 func TestPathsFollowTheView(t *testing.T) {
 	_, nodes := startEcho(t, 2, Settings{})
 	_, _, err := post(t.Context(), nodes[0], "i1", "hello")
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -11,22 +11,24 @@
 
 const (
 	// horizon is for how long of its demand an account holds tokens.
-	horizon = 400 * time.Millisecond
+	horizon = 600 * time.Millisecond
 	// spread is how many standard deviations of a random flow over the
 	// horizon an account holds on top.
 	spread = 1.5
 	// smoothing is the time constant of the offered rate's average.
 	smoothing = 3 * time.Second
 	// askEvery is the least time between demands on a tick.
-	askEvery = 200 * time.Millisecond
+	askEvery = 400 * time.Millisecond
 	// askUrgently is the least time between demands of an account that is
 	// about to refuse requests.
 	askUrgently = 20 * time.Millisecond
+	// maxPause bounds the time between demands that the limiter has nothing for.
+	maxPause = 5 * time.Second
 	// askLazily is the time after which even a small want is told.
 	askLazily = time.Second
 	// chargeEvery is the period in which a rarely used account makes at most
 	// one charge, minDebt what is worth one.
-	chargeEvery = 5 * time.Second
+	chargeEvery = 15 * time.Second
 	minDebt     = 0.01
 	// answerWithin is when an unanswered demand is given up.
 	answerWithin = 500 * time.Millisecond
@@ -82,8 +84,9 @@
 	urgent   bool
 	// charge is the Seq of the charge that is under way, 0 if none is.
 	charge uint64
-	// short says that the last grant was less than the demand.
-	short bool
+	// pause is the least time to the next demand if the last grant left the
+	// account low, 0 otherwise.
+	pause time.Duration
 }
 
 // line is the account's part of one limit.
@@ -177,10 +180,7 @@
 	if l.balance-1 < -l.own(a.listed) {
 		return false
 	}
-	if l.Concurrency > 0 && l.inFlight >= a.slots(l) {
-		return false
-	}
-	return true
+	return !a.full(l)
 }
 
 func (a *Account) slots(l *line) int {
@@ -208,9 +208,16 @@
 
 // low tells whether the line would refuse a request soon.
 func (a *Account) low(l *line) bool {
-	if l.Concurrency > 0 && l.inFlight >= a.slots(l) {
-		return true
-	}
+	return a.full(l) || a.dry(l)
+}
+
+// full tells whether the line has no free slot.
+func (a *Account) full(l *line) bool {
+	return l.Concurrency > 0 && l.inFlight >= a.slots(l)
+}
+
+// dry tells whether the line has few tokens left.
+func (a *Account) dry(l *line) bool {
 	own := l.own(a.listed)
 	left := l.balance + own
 	return left < 1 || left < math.Max(l.expected(), own)/4
@@ -252,25 +259,41 @@
 }
 
 // settle drops what was granted once its lifetime ended, and lets an account
-// that is cut off earn its own entitlement.
+// whose demands stay unanswered earn its own entitlement.
 func (a *Account) settle(now time.Time) {
-	if now.Sub(a.heard) <= Lifetime {
+	expired := now.Sub(a.heard) > Lifetime
+	cutOff := a.waiting && now.Sub(a.waitedAt) > answerWithin
+	if !expired && !cutOff {
 		return
 	}
-	cutOff := a.waiting && now.Sub(a.waitedAt) > answerWithin
 	for i := range a.lines {
 		l := &a.lines[i]
-		l.granted = false
-		l.level = 0
-		l.balance = math.Min(l.balance, 0)
+		if expired {
+			l.granted = false
+			l.level = 0
+			l.balance = math.Min(l.balance, 0)
+		}
 		if cutOff {
-			earned := now.Sub(l.at).Seconds() * l.Rate / float64(a.listed)
-			l.balance = math.Min(0, l.balance+earned)
+			l.earn(now, a.waitedAt, a.listed)
 		}
 		l.at = now
 	}
 }
 
+// earn adds the line's entitlement since it last earned, though not from
+// before the wait began, and not beyond paying its debt.
+func (l *line) earn(now, waitedAt time.Time, listed int) {
+	if l.balance >= 0 {
+		return
+	}
+	since := l.at
+	if waitedAt.After(since) {
+		since = waitedAt
+	}
+	earned := now.Sub(since).Seconds() * l.Rate / float64(listed)
+	l.balance = math.Min(0, l.balance+earned)
+}
+
 // decision describes the tighter limit.
 func (a *Account) decision(ok bool, route int) Decision {
 	l := &a.lines[route]
