--- a/outlier/doc.go
+++ b/outlier/doc.go
@@ -38,6 +38,12 @@
 // look sick at once, since then the network or the observer is the likelier
 // cause. Config.FalseEjectionWeight sets the threshold and the settling time.
 //
+// Targets differ by nature, which shows where the service is in trouble: a
+// target may then have up to three times the others' rate of bad tries. The
+// threshold is half as high again for a target that shed lately, warms up or
+// returns, since work that waits there times out in bursts; one that warms up
+// is accused only of failing nearly all of its tries.
+//
 // # Scope
 //
 // An Aggregator accuses a target before everyone only if instances in several
