outlier: spare a warming target that has answered

Cause: at 110% load a cold target, four times as slow, times out on most tries, which the alternative of failing nearly all did not exclude.

Change: a target that warms up is accused only while no good try is known since its failures began.

--- a/outlier/accuse.go
+++ b/outlier/accuse.go
@@ -81,7 +81,7 @@
 	if r.muted {
 		limit *= mutedFactor
 	}
-	if c.sum < limit || r.warming && c.excess < excesses[len(excesses)-1] {
+	if c.sum < limit || r.warming && c.own.good > 0 {
 		return accusation{}, false
 	}
 	own := c.own
--- a/outlier/doc.go
+++ b/outlier/doc.go
@@ -42,7 +42,7 @@
 // target may then have up to three times the others' rate of bad tries. The
 // threshold is half as high again for a target that shed lately, warms up or
 // returns, since work that waits there times out in bursts; one that warms up
-// is accused only of failing nearly all of its tries.
+// is accused only while nobody heard of a good try there.
 //
 // # Scope
 //
