outlier: weigh failures by how they come in clumps

Cause: with two slots at 110% load, two long requests at one target make those behind them time out together: four to five failures of different instances within a fifth of a second, which the test took one by one.

--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -30,6 +30,7 @@
 	// charts are nil while every sum is zero.
 	charts *charts
 	window slowWindows
+	clumps clumps
 	// muted rows gather no evidence of slowness: cold or warming up.
 	muted bool
 	// aside rows are ejected or on trial; they are no yardstick for others.
@@ -139,7 +140,9 @@
 
 // sum adds a row's pending tries to its tallies.
 func (j *judge) sum(now time.Time, r *row) {
+	bad := 0.0
 	for _, s := range r.pending {
+		bad += s.tallies[failure].bad
 		for ch := range r.total {
 			r.total[ch] = r.total[ch].plus(s.tallies[ch])
 			if !r.aside {
@@ -149,6 +152,7 @@
 			}
 		}
 	}
+	r.clumps.add(now, bad)
 }
 
 func (j *judge) recentAll() tallies {
