outlier: widen the windows of slowness to the service's median latency

Cause: at uploads (median half a second) one long request makes those behind it slow for a second, four windows of 250 ms.

Change: a window lasts as long as the median, 250 ms at least.

--- a/outlier/aggregator.go
+++ b/outlier/aggregator.go
@@ -221,6 +221,7 @@
 	}
 	if a.dirty {
 		a.median = a.medianLatency()
+		a.judge.median = a.median
 		a.dirty = false
 	}
 	a.judge.step(now)
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -193,6 +193,7 @@
 	}
 	if samples >= medianSamples {
 		d.rec.slowAfter.Store(int64(slowLimit(median)))
+		d.judge.median = median
 	}
 	if now.Sub(d.halvedAt) >= halveInterval {
 		d.halvedAt = now
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -52,6 +52,8 @@
 	settle time.Duration
 	// pooled are the service's rates of bad tries as heard; 0: unknown.
 	pooled [channels]float64
+	// median is the service's median latency; 0: unknown.
+	median time.Duration
 	// lagging means that good tries are heard of later than bad ones.
 	lagging bool
 }
@@ -100,7 +102,7 @@
 			continue
 		}
 		r.window.add(now, r.pending)
-		r.pending = r.window.close(now, r.pending)
+		r.pending = r.window.close(now, j.median, r.pending)
 		j.sum(now, r)
 	}
 	recent := j.recentAll()
--- a/outlier/window.go
+++ b/outlier/window.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// slowWindow is the time over which the evidence of slowness at one target
-// counts as one try. A pause of the target, or one long request with others
+// slowWindow is the least time over which the evidence of slowness at one
+// target counts as one try; in services whose median latency is longer, that is. A pause of the target, or one long request with others
 // queued behind it, makes many tries slow at once; tried one by one they
 // would look like many independent failures.
 const slowWindow = 250 * time.Millisecond
@@ -35,8 +35,8 @@
 
 // close returns the window's evidence once the window is over: one bad try if
 // most tries were slow, one good try otherwise, shared among those who saw it.
-func (w *slowWindows) close(now time.Time, to []seen) []seen {
-	if len(w.seen) == 0 || now.Sub(w.opened) < slowWindow {
+func (w *slowWindows) close(now time.Time, median time.Duration, to []seen) []seen {
+	if len(w.seen) == 0 || now.Sub(w.opened) < max(slowWindow, median) {
 		return to
 	}
 	slow := w.tally.bad > w.tally.good
