--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -30,6 +30,7 @@
 	// charts are nil while every sum is zero.
 	charts *charts
 	window slowWindows
+	clumps clumps
 	// muted rows gather no evidence of slowness: cold or warming up.
 	muted bool
 	// warming rows joined or were cold lately.
@@ -53,6 +54,8 @@
 	settle time.Duration
 	// pooled are the service's rates of bad tries as heard; 0: unknown.
 	pooled [channels]float64
+	// median is the service's median latency; 0: unknown.
+	median time.Duration
 	// lagging means that good tries are heard of later than bad ones.
 	lagging bool
 }
@@ -101,7 +104,7 @@
 			continue
 		}
 		r.window.add(now, r.pending)
-		r.pending = r.window.close(now, r.pending)
+		r.pending = r.window.close(now, j.median, r.pending)
 		j.sum(now, r)
 	}
 	recent := j.recentAll()
@@ -141,7 +144,9 @@
 
 // sum adds a row's pending tries to its tallies.
 func (j *judge) sum(now time.Time, r *row) {
+	bad := 0.0
 	for _, s := range r.pending {
+		bad += s.tallies[failure].bad
 		for ch := range r.total {
 			r.total[ch] = r.total[ch].plus(s.tallies[ch])
 			if !r.aside {
@@ -151,6 +156,7 @@
 			}
 		}
 	}
+	r.clumps.add(now, bad)
 }
 
 func (j *judge) recentAll() tallies {
