Ask at half of the overdraft

Change: an account asks at once when half is left. Measured: TestLittleUseGoesOnWhenTheLimiterIsCutOff all pass.

--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -220,7 +220,7 @@
 func (a *Account) dry(l *line) bool {
 	own := l.own(a.listed)
 	left := l.balance + own
-	return left < 1 || left < math.Max(l.expected(), own)/4
+	return left < 1 || left < math.Max(l.expected()/4, own/2)
 }
 
 // expected is how many tokens the line should have at hand.
