Take claims at once in an empty partition, and while one is handed over

Cause: in a rolling restart 1 or 2 of 451 confirmations were refused as not run. A recorder takes claims only once it has read its stream to the end; the first read of an empty stream waited up to 1 s for a record, and two changes of recorders in a row left both of them unread. Ruled out: requests cut by the stop (the target had not seen them, and the answer was the claim's refusal). Change: reads do not wait until the end was seen once; a claim that a recorder refused without appending is submitted again up to five times, 100 ms apart. The log line of an operation that did not complete shows the answer. Measured: TestFirstReadDoesNotWait fails before (1 s), passes after.

--- a/operate/keyed_test.go
+++ b/operate/keyed_test.go
@@ -56,6 +56,38 @@
 	}
 }
 
+// firstWaits notes how long the first read of each stream may wait.
+type firstWaits struct {
+	platform.Log
+	mu    sync.Mutex
+	waits map[string]time.Duration
+}
+
+func (l *firstWaits) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	l.mu.Lock()
+	if _, ok := l.waits[stream]; !ok {
+		l.waits[stream] = wait
+	}
+	l.mu.Unlock()
+	return l.Log.Read(ctx, stream, from, limit, wait)
+}
+
+// A recorder that has just got an empty partition takes claims at once: its
+// first read does not wait for a record to come.
+func TestFirstReadDoesNotWait(t *testing.T) {
+	log := &firstWaits{waits: map[string]time.Duration{}}
+	newCluster(t, 1, func(cfg *Config) {
+		log.Log = cfg.Log
+		cfg.Log = log
+	})
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	assert.Assert(t, len(log.waits) > 0)
+	for stream, wait := range log.waits {
+		assert.Equal(t, wait, time.Duration(0), stream)
+	}
+}
+
 func TestRefusedBeforeAnythingIsSent(t *testing.T) {
 	c := newCluster(t, 2, nil)
 	a := c.send(0, keyed("", "b"))
--- a/operate/partition.go
+++ b/operate/partition.go
@@ -203,7 +203,7 @@
 func (p *partition) tail(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := p.s.now()
-		b, err := p.s.cfg.Log.Read(ctx, p.stream, p.end(), readLimit, readWait)
+		b, err := p.s.cfg.Log.Read(ctx, p.stream, p.end(), readLimit, p.patience())
 		switch {
 		case errors.Is(err, platform.ErrExpired):
 			p.restart(b.First)
@@ -216,6 +216,17 @@
 	}
 }
 
+// patience is how long a read may wait for records. Until the stream was read
+// to its end once, it does not wait: a stream may be empty.
+func (p *partition) patience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.read {
+		return 0
+	}
+	return readWait
+}
+
 // restart begins anew where the log now begins.
 func (p *partition) restart(first platform.Offset) {
 	klog.InfoS("claims expired before they were read", "stream", p.stream, "first", first)
--- a/operate/peers.go
+++ b/operate/peers.go
@@ -49,6 +49,9 @@
 	entry := a.Entry(claim.Claim)
 	s.mu.Unlock()
 	r := s.askRecorders(ctx, entry)
+	for n := 1; r.refused && n < handOverTries && sleep(ctx, handOverPause); n++ {
+		r = s.askRecorders(ctx, entry)
+	}
 	if r.withheld && ctx.Err() == nil {
 		s.mu.Lock()
 		s.table.Withheld(a)
@@ -57,6 +60,14 @@
 	return r.verdict, r.op
 }
 
+// While a partition passes to other recorders, as when instances restart one
+// after the other, those that have it may not have read it yet. They refuse
+// claims without appending them, and are asked again.
+const (
+	handOverTries = 6
+	handOverPause = 100 * time.Millisecond
+)
+
 // recorderHedge is how long a recorder may take before the next one is asked
 // as well: the first may be cut off from the log, where calls hang. Two
 // recorders that append one claim do no harm.
@@ -66,7 +77,9 @@
 type recorded struct {
 	verdict claim.Verdict
 	op      claim.Op
-	// withheld tells that every recorder asked said that it appended nothing.
+	// refused tells that some recorder said that it appended nothing, and
+	// withheld that every one of them did.
+	refused  bool
 	withheld bool
 }
 
@@ -103,6 +116,7 @@
 			if r.err == nil && r.verdict != claim.Refused {
 				return recorded{verdict: r.verdict, op: r.op}
 			}
+			out.refused = out.refused || r.err == nil
 			out.withheld = out.withheld && r.err == nil
 			askNext()
 		case <-hedge.C:
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -63,7 +63,7 @@
 		return
 	}
 	klog.InfoS("operation not completed", append(x.logValues(), "status", a.Status,
-		"outcome", a.Outcome.String(), "next", a.Next)...)
+		"outcome", a.Outcome.String(), "next", a.Next, "answer", string(a.Body))...)
 }
 
 func (x *exchange) logValues() []any {
