--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -121,13 +121,11 @@
 	in := startFleet(t, 2, limited(0.001, 10))
 	table := in[1].client.Table()
 	table.Take(time.Now(), "c", ratelimit.Whole).Done(time.Now())
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		in[1].client.Tick(t.Context())
-		if in[0].server.Len() == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("nothing was charged")
-	}, poll.WithTimeout(20*time.Second))
+	due := table.Due(time.Now().Add(time.Minute))
+	assert.Equal(t, len(due.Charges), 1)
+	in[1].client.ask(t.Context(), "i0", due)
+	assert.Equal(t, in[0].server.Len(), 1)
+	assert.Equal(t, len(table.Due(time.Now().Add(2*time.Minute)).Charges), 0, "the debt is paid")
 	unpaid := ratelimit.Charge{Customer: "c", Limits: []ratelimit.LimitCharge{{Tokens: 9.5}}}
 	unknown := ratelimit.Charge{Customer: "unknown"}
 	assert.DeepEqual(t, in[0].server.Charge([]ratelimit.Charge{unpaid, unknown}), []bool{false, false})
