--- a/faults/path_test.go
+++ b/faults/path_test.go
@@ -54,7 +54,7 @@
 func assertWhole(t *testing.T, rep *load.Report) {
 	t.Helper()
 	for _, c := range rep.Classes {
-		assert.Equal(t, c.Ended[load.Whole], c.Operations, "%v: %+v", c.Class, c.Answers)
+		assert.Equal(t, c.Ended[load.Whole], c.Operations, "%v: %+v %+v", c.Class, c.Answers, c.Examples)
 	}
 	assertPromises(t, rep)
 }
@@ -64,8 +64,8 @@
 func assertPromises(t *testing.T, rep *load.Report) {
 	t.Helper()
 	for _, c := range rep.Classes {
-		assert.Equal(t, c.Wrong, 0, "%v: %+v", c.Class, c.Answers)
-		assert.Equal(t, c.Truncated, 0, "%v: %+v", c.Class, c.Answers)
+		assert.Equal(t, c.Wrong, 0, "%v: %+v %+v", c.Class, c.Answers, c.Examples)
+		assert.Equal(t, c.Truncated, 0, "%v: %+v %+v", c.Class, c.Answers, c.Examples)
 	}
 	assert.Equal(t, rep.Audit.Doubled, 0, "%+v", rep.Audit)
 	assert.Equal(t, rep.Audit.FalseNotRun, 0, "%+v", rep.Audit)
@@ -108,7 +108,7 @@
 	rep := run(t, f.Load(2*time.Second, mix(f)))
 	assertPromises(t, rep)
 	for _, c := range rep.Classes {
-		assert.Equal(t, c.Ended[load.Whole], 0, "%v: %+v", c.Class, c.Answers)
-		assert.Equal(t, c.Ended[load.Lost], 0, "%v: %+v", c.Class, c.Answers)
+		assert.Equal(t, c.Ended[load.Whole], 0, "%v: %+v %+v", c.Class, c.Answers, c.Examples)
+		assert.Equal(t, c.Ended[load.Lost], 0, "%v: %+v %+v", c.Class, c.Answers, c.Examples)
 	}
 }
--- a/load/judge.go
+++ b/load/judge.go
@@ -18,24 +18,24 @@
 const maxAnswer = 64 << 20
 
 // judge reads an answer and compares it with what it must say.
-func judge(resp *http.Response, want emulator.Answer) (Verdict, string) {
+func judge(resp *http.Response, want emulator.Answer) (Verdict, detail) {
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return Truncated, "truncated"
+		return Truncated, detail{kind: "truncated"}
 	}
-	detail := describe(resp, data)
+	d := describe(resp, data)
 	if v, ok := operationVerdict(resp); ok {
-		return v, detail
+		return v, d
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return refusal(resp.StatusCode), detail
+		return refusal(resp.StatusCode), d
 	}
 	var got emulator.Answer
 	if json.Unmarshal(data, &got) != nil || !sameRequest(got, want) {
-		return Wrong, "wrong: " + detail
+		return Wrong, detail{kind: "wrong: " + d.kind, text: excerpt(data)}
 	}
-	return Whole, detail
+	return Whole, d
 }
 
 // operationVerdict is what the fleet says of an operation that did not
@@ -67,19 +67,28 @@
 	return got == want
 }
 
-// describe gives the status with the type of the problem document, if any.
-func describe(resp *http.Response, data []byte) string {
+// describe gives the status with the type of the problem document, if any, and
+// what the document says of the case.
+func describe(resp *http.Response, data []byte) detail {
 	if resp.StatusCode < http.StatusBadRequest {
-		return fmt.Sprint(resp.StatusCode)
+		return detail{kind: fmt.Sprint(resp.StatusCode)}
 	}
 	var problem struct {
-		Type string `json:"type"`
+		Type   string `json:"type"`
+		Detail string `json:"detail"`
+	}
+	if json.Unmarshal(data, &problem) != nil {
+		problem.Detail = excerpt(data)
 	}
-	_ = json.Unmarshal(data, &problem)
 	kind := problem.Type[strings.LastIndexByte(problem.Type, ':')+1:]
-	return strings.TrimSpace(fmt.Sprint(resp.StatusCode, " ", kind))
+	return detail{kind: strings.TrimSpace(fmt.Sprint(resp.StatusCode, " ", kind)), text: problem.Detail}
 }
 
+// excerptBytes bounds what an example shows of an answer.
+const excerptBytes = 200
+
+func excerpt(data []byte) string { return string(data[:min(len(data), excerptBytes)]) }
+
 // pacedChunks is into how many parts a stretched body is cut.
 const pacedChunks = 32
 
--- a/load/operation.go
+++ b/load/operation.go
@@ -126,7 +126,7 @@
 	resp, err := op.side.client.Do(op.request(ctx, base, false))
 	if err != nil {
 		a.answered = time.Now()
-		a.verdict, a.detail = Lost, "lost"
+		a.verdict, a.detail = Lost, detail{kind: "lost", text: err.Error()}
 		return a
 	}
 	a.verdict, a.detail = judge(resp, op.expected())
@@ -200,11 +200,12 @@
 func (op *operation) askTicket(ctx context.Context) (ask, bool) {
 	ctx, cancel := context.WithTimeout(ctx, op.stream.Timeout)
 	defer cancel()
-	a := ask{sent: time.Now(), verdict: Lost, detail: "no ticket"}
+	a := ask{sent: time.Now(), verdict: Lost, detail: detail{kind: "no ticket"}}
 	base := op.side.balancer.urls[op.side.balancer.pick(op.rand, -1)]
 	resp, err := op.side.client.Do(op.request(ctx, base, true))
 	a.answered = time.Now()
 	if err != nil {
+		a.detail.text = err.Error()
 		return a, false
 	}
 	defer resp.Body.Close()
@@ -212,7 +213,7 @@
 		op.ticket, op.key = t, t
 		return a, true
 	}
-	a.verdict, _ = judge(resp, emulator.Answer{})
-	a.detail = "no ticket: " + resp.Status
+	a.verdict, a.detail = judge(resp, emulator.Answer{})
+	a.detail.kind = "no ticket: " + a.detail.kind
 	return a, false
 }
--- a/load/report.go
+++ b/load/report.go
@@ -24,6 +24,7 @@
 	notSent    int
 	verdicts   map[Verdict]int
 	answers    map[string]int
+	examples   map[string]string
 	wrong      int
 	truncated  int
 	latency    *hdrhistogram.Histogram
@@ -33,6 +34,7 @@
 	return &tally{
 		verdicts: map[Verdict]int{},
 		answers:  map[string]int{},
+		examples: map[string]string{},
 		latency:  hdrhistogram.New(minLatency, maxLatency, digits),
 	}
 }
@@ -42,7 +44,10 @@
 	t.verdicts[o.verdict]++
 	for _, a := range o.asks {
 		t.asks++
-		t.answers[a.detail]++
+		t.answers[a.detail.kind]++
+		if a.detail.text != "" && t.examples[a.detail.kind] == "" {
+			t.examples[a.detail.kind] = a.answered.Format(time.RFC3339Nano) + " " + a.detail.text
+		}
 		switch a.verdict {
 		case Wrong:
 			t.wrong++
@@ -86,7 +91,10 @@
 	Truncated int `json:"truncated"`
 	// Answers counts asks by status and type of problem.
 	Answers map[string]int `json:"answers"`
-	Latency Latency        `json:"latency"`
+	// Examples has, for kinds of answers that were not whole, when the first
+	// one came and what it said.
+	Examples map[string]string `json:"examples,omitempty"`
+	Latency  Latency           `json:"latency"`
 }
 
 // Comparison is the latency that the fleet adds to one class.
@@ -161,6 +169,7 @@
 		Wrong:      t.wrong,
 		Truncated:  t.truncated,
 		Answers:    t.answers,
+		Examples:   t.examples,
 		Latency: Latency{
 			P50:  t.quantile(50),
 			P90:  t.quantile(90),
--- a/load/verdict.go
+++ b/load/verdict.go
@@ -38,8 +38,14 @@
 	sent     time.Time
 	answered time.Time
 	verdict  Verdict
-	// detail is the status with the problem's type, for the report.
-	detail string
+	detail   detail
+}
+
+// detail describes an answer for the report: the status with the type of the
+// problem, and what the problem says of the case.
+type detail struct {
+	kind string
+	text string
 }
 
 // outcome is what became of an operation.
