operate: survey many keys at once, cache clients, notice a dead log sooner

With the log down, 44 instances and 200 operations a second, one question for each key and peer cost more processor time than the machine had: all answers were unknown, the slowest after 37 s. Cause, by profile: half of the time went into a client and a handler made for each call.

--- a/claim/recorder.go
+++ b/claim/recorder.go
@@ -74,6 +74,10 @@
 // a divisor: outcomes of running work must find room when claims do not.
 const outcomeReserve = 4
 
+// sureFailures is how many appends in a row must fail for the log to count as
+// down.
+const sureFailures = 2
+
 // Waiter names one who waits for an entry to be read back.
 type Waiter uint64
 
@@ -112,6 +116,8 @@
 	tokens  float64
 	refill  time.Time
 	replies []Reply
+	// failures counts appends that failed since one did not.
+	failures int
 	// again is when the next entry may be appended again; zero if none.
 	again time.Time
 	// oldest is since when entries have waited without one being read back.
@@ -199,9 +205,14 @@
 	return r.fold.Len() < r.cfg.MaxKeys && r.fold.Size() < r.cfg.MaxSize
 }
 
-// stalled tells whether entries have waited for longer than MaxWait.
+// stalled tells whether entries have waited for too long: MaxWait, or the less
+// of it the surer it is that the log is down.
 func (r *Recorder) stalled(now time.Time) bool {
-	return !r.oldest.IsZero() && now.Sub(r.oldest) > r.cfg.MaxWait
+	limit := r.cfg.MaxWait
+	if r.failures >= sureFailures {
+		limit = min(limit, r.cfg.RetryAppend)
+	}
+	return !r.oldest.IsZero() && now.Sub(r.oldest) > limit
 }
 
 // Claimants returns the holders whose claims for a key wait here.
@@ -338,6 +349,10 @@
 // effect: they are awaited in the stream for RetryAppend, then appended again.
 func (r *Recorder) Appended(now time.Time, batch uint64, err error) {
 	r.flying = false
+	r.failures++
+	if err == nil {
+		r.failures = 0
+	}
 	if err == nil && r.fold.Covered() {
 		return
 	}
--- a/operate/config.go
+++ b/operate/config.go
@@ -47,8 +47,13 @@
 	MaxPartitionBytes int64 `json:"max_partition_bytes,omitempty"`
 	// MaxTickets bounds the tickets of the instance. Default 50000.
 	MaxTickets int `json:"max_tickets,omitempty"`
-	// MaxSurveys bounds the surveys that run at once. Default 64.
+	// MaxSurveys bounds the keys that wait for a survey while the log is out
+	// of reach. Default 1024. Beyond it the outcome is unknown, with the word
+	// that a repeat is safe.
 	MaxSurveys int `json:"max_surveys,omitempty"`
+	// MaxSurveyed is the number of instances up to which surveys are made.
+	// Default 100. In larger fleets they would cost too much.
+	MaxSurveyed int `json:"max_surveyed,omitempty"`
 	// CheckpointInterval is how often a partition's state is appended whole.
 	// Default "10m". It must be less than a quarter of the log's retention.
 	CheckpointInterval contract.Duration `json:"checkpoint_interval,omitempty"`
@@ -67,7 +72,8 @@
 	orDefault(&s.Linger, contract.Duration(2*time.Millisecond))
 	orDefault(&s.MaxRecordedAnswer, 16<<10)
 	orDefault(&s.MaxKeptAnswers, 16<<20)
-	orDefault(&s.MaxSurveys, 64)
+	orDefault(&s.MaxSurveys, 1024)
+	orDefault(&s.MaxSurveyed, 100)
 	orDefault(&s.CheckpointInterval, contract.Duration(10*time.Minute))
 	orDefault(&s.GoneAfter, contract.Duration(time.Minute))
 	return s
--- a/operate/peers.go
+++ b/operate/peers.go
@@ -29,7 +29,12 @@
 
 // peer returns the client for an instance.
 func (s *Service) peer(id fleet.InstanceID) peerv1connect.OperationServiceClient {
-	return peerv1connect.NewOperationServiceClient(s.cfg.Peers, peer.URL(id), peer.ClientOptions(maxMessage))
+	if c, ok := s.clients.Load(id); ok {
+		return c.(peerv1connect.OperationServiceClient)
+	}
+	c := peerv1connect.NewOperationServiceClient(s.cfg.Peers, peer.URL(id), peer.ClientOptions(maxMessage))
+	s.clients.Store(id, c)
+	return c
 }
 
 // recorders returns the instances that record a partition, first one first.
--- a/operate/server.go
+++ b/operate/server.go
@@ -79,10 +79,14 @@
 // Survey implements OperationServiceHandler.
 func (v *server) Survey(_ context.Context, r *connect.Request[peerv1.SurveyRequest]) (*connect.Response[peerv1.SurveyResponse], error) {
 	if r.Msg.GetGreeting() {
-		return connect.NewResponse(surveyProto(v.s.greeted(claim.HolderOf(r.Msg.GetFrom())))), nil
+		v.s.met(claim.HolderOf(r.Msg.GetFrom()))
+		return connect.NewResponse(surveyProto(v.s.cfg.Self, nil)), nil
 	}
-	key := operation.Key{Customer: fleet.CustomerID(r.Msg.GetCustomer()), Name: r.Msg.GetKey()}
-	return connect.NewResponse(surveyProto(v.s.answerSurvey(key))), nil
+	keys := make([]operation.Key, 0, len(r.Msg.GetKeys()))
+	for _, k := range r.Msg.GetKeys() {
+		keys = append(keys, operation.Key{Customer: fleet.CustomerID(k.GetCustomer()), Name: k.GetKey()})
+	}
+	return connect.NewResponse(surveyProto(v.s.cfg.Self, v.s.answerSurvey(keys))), nil
 }
 
 // Execute implements OperationServiceHandler.
--- a/operate/service.go
+++ b/operate/service.go
@@ -48,7 +48,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
-	surveys chan struct{}
+	clients sync.Map // of instances to their clients
 	receipt *receipts
 
 	mu         sync.Mutex
@@ -66,6 +66,8 @@
 	refreshed  time.Time
 	endsAsked  time.Time
 	greeting   bool
+	questions  []*question
+	surveying  bool
 	sealed     bool
 }
 
@@ -88,7 +90,6 @@
 	gone := cfg.GoneAfter.D()
 	s := &Service{
 		cfg: cfg, now: cfg.Now, stats: newStats(cfg.Metrics), ctx: ctx, cancel: cancel,
-		surveys: make(chan struct{}, cfg.MaxSurveys),
 		table:   claim.NewTable(cfg.Attempts, cfg.Self),
 		roles:   rendezvous.NewTable(nil),
 		history: claim.NewHistory(cfg.Now(), gone, historyKeep),
@@ -189,6 +190,7 @@
 		return false
 	}
 	s.members, s.roles = view, rendezvous.NewTable(view)
+	s.clients.Clear()
 	return true
 }
 
@@ -259,8 +261,7 @@
 	met := 0
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, m := range others {
-		if a, err := s.askSurvey(ctx, m, operation.Key{}, true); err == nil {
-			s.meet(a)
+		if s.meet(ctx, m) == nil {
 			met++
 		}
 		if met == greetings {
@@ -275,13 +276,6 @@
 	}
 }
 
-// meet notes the processes that another one knows.
-func (s *Service) meet(a claim.SurveyAnswer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.history.Met(a.From)
-}
-
 // others returns the members but this one. The caller holds the lock.
 func (s *Service) others() []fleet.Holder {
 	var list []fleet.Holder
--- a/operate/survey.go
+++ b/operate/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,29 +21,50 @@
 	surveyCall = 300 * time.Millisecond
 	// surveyRounds bounds how often newly named processes are asked.
 	surveyRounds = 3
-	// surveyFanout bounds the questions of one survey that run at once.
+	// surveyFanout bounds the questions that run at once.
 	surveyFanout = 64
+	// surveyBatch bounds the keys of one question.
+	surveyBatch = 256
 )
 
+// question is a key that waits for the next survey.
+type question struct {
+	key    operation.Key
+	claim  claim.ID
+	answer chan surveyed
+}
+
+// surveyed is a survey's finding and until when it may be told.
+type surveyed struct {
+	claim.Finding
+	until time.Time
+}
+
 // survey finds out whether not run is true of a key that could not be claimed,
 // and returns the answer with the time until which it may be told. The attempt
 // has been abandoned; it is nil if there was no room for one.
 func (s *Service) survey(ctx context.Context, req *Request, a *claim.Attempt) (operation.Answer, time.Time) {
-	select {
-	case s.surveys <- struct{}{}:
-		defer func() { <-s.surveys }()
-	default:
+	q := &question{key: req.opKey(), answer: make(chan surveyed, 1)}
+	if a != nil {
+		q.claim = a.ID
+	}
+	if !s.enqueue(q) {
 		s.stats.surveys("busy")
 		return undecided(req, "too many operations are undecided"), time.Time{}
 	}
-	f, until := s.find(ctx, req.opKey(), a)
+	var f surveyed
+	select {
+	case f = <-q.answer:
+	case <-ctx.Done():
+		return undecided(req, "the deadline passed"), time.Time{}
+	}
 	switch {
 	case f.NotRun && f.Fenced:
 		s.stats.surveys("fenced")
 		return notRun(req, "the claim was given up before anything was sent"), time.Time{}
 	case f.NotRun:
 		s.stats.surveys("not-run")
-		return notRun(req, "the log is out of reach and no instance holds the key"), until
+		return notRun(req, "the log is out of reach and no instance holds the key"), f.until
 	case f.Op.State.Final():
 		s.stats.surveys("found")
 		return s.replay(ctx, req, f.Op), time.Time{}
@@ -52,32 +74,87 @@
 	return undecided(req, f.Doubt), time.Time{}
 }
 
-// find asks all instances for the key.
-func (s *Service) find(ctx context.Context, key operation.Key, a *claim.Attempt) (claim.Finding, time.Time) {
+// enqueue has a key surveyed with the next batch. It returns false where too
+// many wait, or where the fleet is too large to be asked.
+func (s *Service) enqueue(q *question) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.questions) >= s.cfg.MaxSurveys || len(s.members) > s.cfg.MaxSurveyed {
+		return false
+	}
+	s.questions = append(s.questions, q)
+	if !s.surveying {
+		s.surveying = true
+		s.spawn(s.surveyLoop)
+	}
+	return true
+}
+
+// surveyLoop asks for batches of keys until none waits.
+func (s *Service) surveyLoop(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		n := min(len(s.questions), surveyBatch)
+		batch := s.questions[:n]
+		s.questions = slices.Clone(s.questions[n:])
+		s.surveying = n > 0
+		s.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		s.surveyKeys(ctx, batch)
+	}
+}
+
+// surveyKeys asks all instances for a batch of keys.
+func (s *Service) surveyKeys(ctx context.Context, batch []*question) {
 	began := s.now()
+	keys := make([]operation.Key, len(batch))
+	surveys := make([]*claim.Survey, len(batch))
 	s.mu.Lock()
 	tell := s.table.Config().TellWithin
-	var id claim.ID
-	if a != nil {
-		id = a.ID
+	for i, q := range batch {
+		keys[i] = q.key
+		surveys[i] = claim.NewSurvey(began, q.claim, s.history)
 	}
-	sv := claim.NewSurvey(began, id, s.history)
 	s.mu.Unlock()
-	sv.Add(s.answerSurvey(key))
+	addAll(surveys, s.answerSurvey(keys))
 	for range surveyRounds {
-		ask := sv.Ask()
-		if len(ask) == 0 {
-			break
+		if ask := askNext(surveys); len(ask) > 0 {
+			s.askAll(ctx, surveys, ask, keys)
 		}
-		s.askAll(ctx, sv, ask, key)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return sv.Find(s.now(), tell), began.Add(tell)
+	for i, q := range batch {
+		q.answer <- surveyed{Finding: surveys[i].Find(s.now(), tell), until: began.Add(tell)}
+	}
+}
+
+// askNext returns the processes that a survey of the batch has still to ask.
+func askNext(surveys []*claim.Survey) []fleet.Holder {
+	seen := map[fleet.Holder]bool{}
+	var list []fleet.Holder
+	for _, sv := range surveys {
+		for _, m := range sv.Ask() {
+			if !seen[m] {
+				seen[m] = true
+				list = append(list, m)
+			}
+		}
+	}
+	return list
+}
+
+// addAll adds a process's answers, one to each survey.
+func addAll(surveys []*claim.Survey, answers []claim.SurveyAnswer) {
+	for i, a := range answers {
+		surveys[i].Add(a)
+	}
 }
 
 // askAll puts the question to processes at once and adds their answers.
-func (s *Service) askAll(ctx context.Context, sv *claim.Survey, ask []fleet.Holder, key operation.Key) {
+func (s *Service) askAll(ctx context.Context, surveys []*claim.Survey, ask []fleet.Holder, keys []operation.Key) {
 	ctx, cancel := context.WithTimeout(ctx, surveyCall)
 	defer cancel()
 	var (
@@ -86,90 +163,125 @@
 		sem = make(chan struct{}, surveyFanout)
 	)
 	for _, m := range ask {
-		wg.Add(1)
 		sem <- struct{}{}
-		go func() {
-			defer wg.Done()
+		wg.Go(func() {
 			defer func() { <-sem }()
-			a, err := s.askSurvey(ctx, m, key, false)
+			answers, err := s.askSurvey(ctx, m, keys)
 			if err != nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			sv.Add(a)
-		}()
+			addAll(surveys, answers)
+		})
 	}
 	wg.Wait()
 }
 
-// askSurvey asks one process. An answer of another incarnation counts for that
-// one alone.
-func (s *Service) askSurvey(ctx context.Context, m fleet.Holder, key operation.Key, greeting bool) (claim.SurveyAnswer, error) {
+// askSurvey asks one process for keys. An answer of another incarnation counts
+// for that one alone.
+func (s *Service) askSurvey(ctx context.Context, m fleet.Holder, keys []operation.Key) ([]claim.SurveyAnswer, error) {
 	if m == s.cfg.Self {
-		return s.answerSurvey(key), nil
+		return s.answerSurvey(keys), nil
 	}
-	resp, err := s.peer(m.Instance).Survey(ctx, connect.NewRequest(&peerv1.SurveyRequest{
-		From: claim.HolderProto(s.cfg.Self), Customer: string(key.Customer), Key: key.Name, Greeting: greeting,
-	}))
+	req := &peerv1.SurveyRequest{From: claim.HolderProto(s.cfg.Self)}
+	for _, k := range keys {
+		req.Keys = append(req.Keys, &peerv1.OperationKey{Customer: string(k.Customer), Key: k.Name})
+	}
+	resp, err := s.peer(m.Instance).Survey(ctx, connect.NewRequest(req))
 	if err != nil {
-		return claim.SurveyAnswer{}, errors.Wrapf(err, "survey of %s", m)
+		return nil, errors.Wrapf(err, "survey of %s", m)
+	}
+	if len(resp.Msg.GetAnswers()) != len(keys) {
+		return nil, errors.Errorf("survey of %s: %d answers to %d keys", m, len(resp.Msg.GetAnswers()), len(keys))
 	}
 	return surveyOf(resp.Msg), nil
 }
 
 // answerSurvey answers for this instance, as holder and as recorder.
-func (s *Service) answerSurvey(key operation.Key) claim.SurveyAnswer {
-	p := key.Partition(s.cfg.Partitions)
+func (s *Service) answerSurvey(keys []operation.Key) []claim.SurveyAnswer {
+	answers := make([]claim.SurveyAnswer, len(keys))
+	parts := make([]*partition, len(keys))
 	s.mu.Lock()
 	now := s.now()
-	a := claim.SurveyAnswer{
-		From: s.cfg.Self, Live: s.table.Survey(now, key), View: s.history.All(),
-		Watched: s.history.Watched(now), End: s.ends[p],
+	view, watched := s.history.All(), s.history.Watched(now)
+	for i, key := range keys {
+		p := key.Partition(s.cfg.Partitions)
+		parts[i] = s.partitions[p]
+		answers[i] = claim.SurveyAnswer{
+			From: s.cfg.Self, Live: s.table.Survey(now, key), View: view, Watched: watched, End: s.ends[p],
+		}
 	}
-	part := s.partitions[p]
 	s.mu.Unlock()
-	if part != nil {
-		part.answer(&a, key)
+	for i, key := range keys {
+		if parts[i] != nil {
+			parts[i].answer(&answers[i], key)
+		}
 	}
-	return a
+	return answers
 }
 
-// greeted answers a process that makes itself known.
-func (s *Service) greeted(from fleet.Holder) claim.SurveyAnswer {
+// meet makes this process known to another one.
+func (s *Service) meet(ctx context.Context, m fleet.Holder) error {
+	resp, err := s.peer(m.Instance).Survey(ctx, connect.NewRequest(&peerv1.SurveyRequest{
+		From: claim.HolderProto(s.cfg.Self), Greeting: true,
+	}))
+	if err != nil {
+		return errors.Wrapf(err, "greeting %s", m)
+	}
+	s.met(claim.HolderOf(resp.Msg.GetSelf()))
+	return nil
+}
+
+// met notes a process that made itself known.
+func (s *Service) met(m fleet.Holder) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.Met(from)
-	return claim.SurveyAnswer{From: s.cfg.Self}
+	s.history.Met(m)
 }
 
-func surveyOf(m *peerv1.SurveyResponse) claim.SurveyAnswer {
-	a := claim.SurveyAnswer{
-		From: claim.HolderOf(m.GetSelf()), Live: m.GetLive(),
-		Watched: time.Duration(m.GetWatchedNanos()), End: offset(m.GetEnd()),
-		Covered: m.GetCovered(), Age: time.Duration(m.GetAgeNanos()), Next: offset(m.GetNext()),
-		Op: claim.OpOf(m.GetState()),
+func surveyOf(m *peerv1.SurveyResponse) []claim.SurveyAnswer {
+	from, view := claim.HolderOf(m.GetSelf()), holdersOf(m.GetView())
+	answers := make([]claim.SurveyAnswer, 0, len(m.GetAnswers()))
+	for _, k := range m.GetAnswers() {
+		answers = append(answers, claim.SurveyAnswer{
+			From: from, View: view, Watched: time.Duration(m.GetWatchedNanos()),
+			Live: k.GetLive(), Claimants: holdersOf(k.GetClaimants()), End: offset(k.GetEnd()),
+			Covered: k.GetCovered(), Age: time.Duration(k.GetAgeNanos()), Next: offset(k.GetNext()),
+			Op: claim.OpOf(k.GetState()),
+		})
 	}
-	for _, h := range m.GetView() {
-		a.View = append(a.View, claim.HolderOf(h))
-	}
-	for _, h := range m.GetClaimants() {
-		a.Claimants = append(a.Claimants, claim.HolderOf(h))
-	}
-	return a
+	return answers
 }
 
-func surveyProto(a claim.SurveyAnswer) *peerv1.SurveyResponse {
-	m := &peerv1.SurveyResponse{
-		Self: claim.HolderProto(a.From), Live: a.Live, WatchedNanos: int64(a.Watched),
-		End: int64(a.End), Covered: a.Covered, AgeNanos: int64(a.Age), Next: int64(a.Next),
-		State: claim.OpProto(&a.Op),
+func surveyProto(self fleet.Holder, answers []claim.SurveyAnswer) *peerv1.SurveyResponse {
+	m := &peerv1.SurveyResponse{Self: claim.HolderProto(self)}
+	for i := range answers {
+		a := &answers[i]
+		if i == 0 {
+			m.View = holderProtos(a.View)
+			m.WatchedNanos = int64(a.Watched)
+		}
+		m.Answers = append(m.Answers, &peerv1.KeyAnswer{
+			Live: a.Live, Claimants: holderProtos(a.Claimants), End: int64(a.End), Covered: a.Covered,
+			AgeNanos: int64(a.Age), Next: int64(a.Next), State: claim.OpProto(&a.Op),
+		})
 	}
-	for _, h := range a.View {
-		m.View = append(m.View, claim.HolderProto(h))
+	return m
+}
+
+func holdersOf(list []*peerv1.OperationHolder) []fleet.Holder {
+	out := make([]fleet.Holder, 0, len(list))
+	for _, h := range list {
+		out = append(out, claim.HolderOf(h))
 	}
-	for _, h := range a.Claimants {
-		m.Claimants = append(m.Claimants, claim.HolderProto(h))
+	return out
+}
+
+func holderProtos(list []fleet.Holder) []*peerv1.OperationHolder {
+	out := make([]*peerv1.OperationHolder, 0, len(list))
+	for _, h := range list {
+		out = append(out, claim.HolderProto(h))
 	}
-	return m
+	return out
 }
--- a/peer/peerv1/peerv1connect/operations.connect.go
+++ b/peer/peerv1/peerv1connect/operations.connect.go
@@ -62,8 +62,8 @@
 	Ends(context.Context, *connect.Request[peerv1.EndsRequest]) (*connect.Response[peerv1.EndsResponse], error)
 	// Await waits at a claim's holder for the operation's outcome.
 	Await(context.Context, *connect.Request[peerv1.AwaitRequest]) (*connect.Response[peerv1.AwaitResponse], error)
-	// Survey asks an instance whether it holds an attempt for a key, and keeps
-	// it from beginning one for a short time.
+	// Survey asks an instance whether it holds attempts for keys, and keeps it
+	// from beginning some for a short time.
 	Survey(context.Context, *connect.Request[peerv1.SurveyRequest]) (*connect.Response[peerv1.SurveyResponse], error)
 	// Execute runs an operation under a ticket at the ticket's home, or
 	// replays its outcome at the home or an heir.
@@ -185,8 +185,8 @@
 	Ends(context.Context, *connect.Request[peerv1.EndsRequest]) (*connect.Response[peerv1.EndsResponse], error)
 	// Await waits at a claim's holder for the operation's outcome.
 	Await(context.Context, *connect.Request[peerv1.AwaitRequest]) (*connect.Response[peerv1.AwaitResponse], error)
-	// Survey asks an instance whether it holds an attempt for a key, and keeps
-	// it from beginning one for a short time.
+	// Survey asks an instance whether it holds attempts for keys, and keeps it
+	// from beginning some for a short time.
 	Survey(context.Context, *connect.Request[peerv1.SurveyRequest]) (*connect.Response[peerv1.SurveyResponse], error)
 	// Execute runs an operation under a ticket at the ticket's home, or
 	// replays its outcome at the home or an heir.
