--- a/operate/keyed.go
+++ b/operate/keyed.go
@@ -13,12 +13,8 @@
 	"github.com/clementinereel/clementinereel/operation"
 )
 
-const (
-	// tellFallback is when an answer counts as told if nobody said so.
-	tellFallback = 30 * time.Second
-	// answerReserve is left of a request's deadline to give its answer.
-	answerReserve = 100 * time.Millisecond
-)
+// answerReserve is left of a request's deadline to give its answer.
+const answerReserve = 100 * time.Millisecond
 
 // flight is an attempt in progress and those who wait for its answer.
 type flight struct {
@@ -97,7 +93,6 @@
 		return Answer{Answer: undecided(req, "an earlier attempt has just ended")}
 	}
 	once := sync.OnceFunc(f.leave)
-	time.AfterFunc(time.Until(req.Deadline)+tellFallback, once)
 	select {
 	case <-f.done:
 	case <-ctx.Done():
