--- /dev/null
+++ b/claim/fold_entry.go
@@ -0,0 +1,116 @@
+package claim
+
+import (
+	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/platform"
+)
+
+// applyEntry applies one entry of the record at an offset.
+func (f *Fold) applyEntry(at platform.Offset, e *Entry) {
+	op := f.ops[e.Key]
+	if op != nil && op.expired(f.now) {
+		f.remove(op)
+		op = nil
+	}
+	switch e.Kind {
+	case Claim:
+		f.claim(op, e)
+	case Withdraw:
+		f.withdraw(op, e, at)
+	case Complete:
+		f.complete(op, e)
+	case Lose:
+		f.lose(op, e)
+	case SettleCompleted:
+		f.settle(op, e, operation.SettleCompleted)
+	case SettleNotRun:
+		f.settle(op, e, operation.SettleNotRun)
+	}
+}
+
+// claim lets the first claim for a free key win. A key is free if it has no
+// operation, or if the last was withdrawn before the request arrived.
+func (f *Fold) claim(op *Op, e *Entry) {
+	var withdrawn platform.Offset
+	if op != nil {
+		open := op.State == operation.NotRun && e.Claim != op.Claim && e.Base >= op.Withdrawn
+		if !open {
+			return
+		}
+		withdrawn = op.Withdrawn
+		f.remove(op)
+	}
+	f.put(&Op{Entry: *e, State: operation.Claimed, Claimed: f.now, Withdrawn: withdrawn})
+}
+
+// withdraw opens the key. Where the withdrawal arrives before its claim, it
+// stands in the claim's place.
+func (f *Fold) withdraw(op *Op, e *Entry, at platform.Offset) {
+	if op == nil {
+		f.put(&Op{Entry: *e, State: operation.NotRun, Claimed: f.now, Decided: f.now, Withdrawn: at + 1})
+		f.expire(f.ops[e.Key])
+		return
+	}
+	if op.Claim != e.Claim {
+		return
+	}
+	switch {
+	case op.State == operation.Claimed:
+		f.move(op, operation.Abandon, e)
+	case op.State == operation.Unknown && op.Presumed:
+		f.move(op, operation.Deny, e)
+	default:
+		f.contradict(op, operation.SettledCompleted)
+		return
+	}
+	op.Withdrawn = at + 1
+}
+
+func (f *Fold) complete(op *Op, e *Entry) {
+	if op == nil || op.Claim != e.Claim {
+		return
+	}
+	switch op.State {
+	case operation.Claimed:
+		// The stream keeps no entry for the dispatch; the holder does.
+		op.State = operation.Dispatched
+		f.move(op, operation.Complete, e)
+	case operation.Unknown:
+		f.move(op, operation.Report, e)
+	default:
+		f.contradict(op, operation.SettledNotRun)
+	}
+}
+
+func (f *Fold) lose(op *Op, e *Entry) {
+	if op == nil || op.Claim != e.Claim {
+		return
+	}
+	switch {
+	case op.State == operation.Claimed:
+		f.move(op, operation.Lose, e)
+		op.Presumed = e.Presumed
+	case op.State == operation.Unknown && op.Presumed && !e.Presumed:
+		// The holder itself confirms it, and names the target.
+		op.Presumed = false
+		op.Target = e.Target
+	}
+}
+
+func (f *Fold) settle(op *Op, e *Entry, ev operation.Event) {
+	if op == nil || op.Claim != e.Claim || op.State != operation.Unknown {
+		return
+	}
+	op.Operator = e.Operator
+	op.Reason = e.Reason
+	f.move(op, ev, e)
+}
+
+// contradict marks an operation that an operator settled one way and whose
+// holder reports the other.
+func (f *Fold) contradict(op *Op, settled operation.State) {
+	if op.State == settled {
+		op.Contradicted = true
+		f.note(op)
+	}
+}
