--- a/operate/measure_test.go
+++ b/operate/measure_test.go
@@ -120,7 +120,7 @@
 	const seconds = 5
 	fmt.Fprintln(tw, "partitions\tlog ms\top/s\tcompleted\tappends/s\tentries/append\tclaim p50 ms\tclaim p99 ms\t")
 	for _, x := range []struct{ partitions, latency int }{{16, 2}, {16, 10}, {16, 50}, {4, 10}} {
-		for _, rate := range []int{100, 500, 2000} {
+		for _, rate := range []int{100, 500, 2000, 6000} {
 			c := fleetOf(t, 44, x.partitions, time.Duration(x.latency)*time.Millisecond)
 			c.log.set(func(l *memLog) { l.appends = 0 })
 			began := time.Now()
