upstream: keep state only for services with targets; follow changes only

Cause: a contract names at least one service, so 28,000 contracts are 28,000 services, most without a target of their own. Each had a detector, three gates and a place in each tick, and each change of configuration set all of them anew. Change: a service gets its state with its first target (a request to it is refused as before: no target yet); a change touches only services whose contract or targets are new; a new service no longer copies the list of all others.

--- a/evidence/table.go
+++ b/evidence/table.go
@@ -66,7 +66,7 @@
 		s = &Service{id: id, detector: outlier.NewDetector(cfg, t.self, t.zone)}
 		s.set(now, cfg, targets)
 		t.services[id] = s
-		t.order = append(slices.Clone(t.order), s)
+		t.order = append(t.order, s) // a tick under way doesn't look beyond its end
 		t.mu.Unlock()
 		return s
 	}
--- a/instance/capacity_test.go
+++ b/instance/capacity_test.go
@@ -26,7 +26,7 @@
 	"github.com/clementinereel/clementinereel/status"
 )
 
-// size is that of a configuration.
+// size is that of a configuration. The targets are those of the first services.
 type size struct {
 	customers, services, targets, routes int
 }
@@ -40,28 +40,24 @@
 		assert.NilError(t, err)
 		return v
 	}
-	s := size{customers: n("CAPACITY_CUSTOMERS", 1), services: n("CAPACITY_SERVICES", 3), targets: n("CAPACITY_TARGETS", 31)}
+	s := size{customers: n("CAPACITY_CUSTOMERS", 1), services: n("CAPACITY_SERVICES", 1), targets: n("CAPACITY_TARGETS", 31)}
 	s.routes = n("CAPACITY_ROUTES", s.customers)
 	return s
 }
 
-// contractOf is the n-th customer's contract; the first of them have the
-// services.
+// contractOf is the n-th customer's contract. Each has a service and a route
+// of its own; further routes are spread over all.
 func (s size) contractOf(t *testing.T, n int) *contract.Contract {
-	services, routes := "", ""
-	if n < s.services {
-		services = `{"name":"main","slots_per_target":4,"connections_per_target":300,"detection":{}}`
-	}
-	if n < s.services && n < s.routes {
-		for k := n; k < s.routes; k += s.services {
-			if routes != "" {
-				routes += ","
-			}
-			routes += fmt.Sprintf(`{"name":"r%d","path_prefix":"/v1/r%d","service":"main","class":"lookup","limits":{"rate_per_second":50},"deadline":"2s","retry":{}}`, k, k)
+	routes := ""
+	for k := n; k < max(s.routes, s.customers); k += s.customers {
+		if routes != "" {
+			routes += ","
 		}
+		routes += fmt.Sprintf(`{"name":"r%d","path_prefix":"/v1/r%d","service":"main","class":"lookup","limits":{"rate_per_second":50},"deadline":"2s","retry":{}}`, k, k)
 	}
 	c, err := contract.Decode(fmt.Appendf(nil, `{"format":"clementinereel/contract/v1","customer":"customer-%d","hosts":["customer-%d.example"],
-		"limits":{"rate_per_second":100},"services":[%s],"routes":[%s]}`, n, n, services, routes))
+		"limits":{"rate_per_second":100},"services":[{"name":"main","slots_per_target":4,"connections_per_target":300,"detection":{}}],
+		"routes":[%s]}`, n, n, routes))
 	assert.NilError(t, err)
 	return c
 }
@@ -91,9 +87,10 @@
 }
 
 // TestCapacity prints what instances in this process cost when idle, at a
-// configuration whose size CAPACITY_CUSTOMERS, CAPACITY_SERVICES,
-// CAPACITY_TARGETS and CAPACITY_ROUTES give. CAPACITY is the number of
-// instances; without it the test is skipped. docs/CAPACITY.md uses it.
+// configuration of CAPACITY_CUSTOMERS contracts and CAPACITY_ROUTES routes,
+// and CAPACITY_TARGETS targets divided among CAPACITY_SERVICES services.
+// CAPACITY is the number of instances; without it the test is skipped.
+// docs/CAPACITY.md uses it.
 func TestCapacity(t *testing.T) {
 	n, err := strconv.Atoi("0" + os.Getenv("CAPACITY"))
 	assert.NilError(t, err)
--- a/instance/operations.go
+++ b/instance/operations.go
@@ -73,9 +73,12 @@
 func (i *Instance) runOperation(ctx context.Context, req *operate.Request) operate.Result {
 	svc := i.services.Service(req.Service)
 	route := i.routeOf(req)
-	if svc == nil || route == nil {
+	if route == nil {
 		return notRun(req, http.StatusNotFound, "the contract in force has no such route", 0)
 	}
+	if svc == nil {
+		return notRun(req, http.StatusServiceUnavailable, "the service has no targets yet", time.Second)
+	}
 	gate := svc.Gate(route.Class)
 	d, err := gate.Acquire(ctx, route.Value, req.Deadline)
 	if err != nil {
--- a/upstream/set.go
+++ b/upstream/set.go
@@ -43,12 +43,13 @@
 	return s
 }
 
-// Service returns a service, nil if no contract in force has it.
+// Service returns a service, nil if no contract in force has it or it never
+// had a target.
 func (s *Set) Service(id fleet.ServiceID) *Service {
 	return (*s.services.Load())[id]
 }
 
-// All returns the services of all contracts in force. The map must not be
+// All returns the services of all contracts in force that have targets. The map must not be
 // changed.
 func (s *Set) All() map[fleet.ServiceID]*Service { return *s.services.Load() }
 
@@ -62,7 +63,9 @@
 		for i := range p.Contract.Services {
 			cs := &p.Contract.Services[i]
 			id := fleet.NewServiceID(customer, cs.Name)
-			next[id] = s.follow(now, old[id], id, cs, v.Targets[id], members)
+			if svc := s.follow(now, old[id], id, cs, v.Targets[id], members); svc != nil {
+				next[id] = svc
+			}
 		}
 	}
 	for id := range old {
@@ -85,8 +88,15 @@
 	s.env.Pool.Update(shares)
 }
 
-// follow brings one service in line with its contract and targets.
+// follow brings one service in line with its contract and targets. A service
+// that never had a target is nil: contracts may name many of them.
 func (s *Set) follow(now time.Time, svc *Service, id fleet.ServiceID, cs *contract.Service, ts []fleet.Target, members balancer.Members) *Service {
+	if svc == nil && len(ts) == 0 {
+		return nil
+	}
+	if svc != nil && svc.settings == cs && same(svc.targets, ts) {
+		return svc
+	}
 	health := s.env.Evidence.Set(id, outlier.FromContract(*cs), ts)
 	if svc == nil || svc.config != balancer.FromContract(*cs) {
 		svc = newService(id, s.env, cs, health, now)
@@ -98,6 +108,11 @@
 	return svc
 }
 
+// same tells whether two lists that are never changed are one.
+func same(a, b []fleet.Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // Tick rebuilds the choice of targets by what is known of their health.
 func (s *Set) Tick(now time.Time, members balancer.Members) {
 	s.mu.Lock()
