operate: a recorder with nothing to append sleeps

Cause: each partition's recorder looked every 50 ms for appends due again; a fleet of four instances has eight recorders in each.

--- a/operate/partition.go
+++ b/operate/partition.go
@@ -25,8 +25,10 @@
 	partSize = 256 << 10
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
-	// idlePoll is how often a recorder looks for appends that are due again.
-	idlePoll = 50 * time.Millisecond
+	// duePoll is how often a recorder with entries looks for appends that are
+	// due again, idlePoll how often one without looks up.
+	duePoll  = 50 * time.Millisecond
+	idlePoll = time.Second
 )
 
 // partition records one partition: it reads its stream and appends to it.
@@ -165,8 +167,11 @@
 		p.mu.Lock()
 		batch, entries := p.rec.Next(p.s.now())
 		wait := idlePoll
-		if p.rec.Queued() > 0 {
+		switch {
+		case p.rec.Queued() > 0:
 			wait = p.s.cfg.recorder().WithDefaults().Linger
+		case p.rec.Len() > 0:
+			wait = duePoll
 		}
 		p.mu.Unlock()
 		if len(entries) > 0 {
