peer: read the platform's list less often in larger fleets

Cause: every instance read the whole list every 5 s. Change: the pause is at least 20 ms a member: 5 s up to 250 members, 18 s at 920.

--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -166,11 +166,19 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(g.opts.ListInterval):
+		case <-time.After(g.listPause()):
 		}
 	}
 }
 
+// listPerMember times the members is the least time between two reads of the
+// list: each of them reads a list as long as the fleet.
+const listPerMember = 20 * time.Millisecond
+
+func (g *Gossip) listPause() time.Duration {
+	return max(g.opts.ListInterval, time.Duration(len(g.View().Members))*listPerMember)
+}
+
 func seeds(listed []platform.Listed) []membership.Seed {
 	var out []membership.Seed
 	for _, l := range listed {
