operate: append receipts less often in larger fleets, and at a stop

Cause: each instance with ticketed work appended receipts every 0.5 s: at 920 instances 1,840 appends a second, where the log takes several hundred. Change: the pause is at least 10 ms a member (0.5 s up to 50 members, 9 s at 920: 100 appends a second); a graceful stop appends what waits. Figures: computed from the pauses, not measured.

--- a/operate/receipts.go
+++ b/operate/receipts.go
@@ -14,8 +14,11 @@
 const (
 	// ReceiptStream is the log stream with receipts of ticketed operations.
 	ReceiptStream = "ticket-receipts"
-	// receiptEvery is how often receipts are appended.
-	receiptEvery = 500 * time.Millisecond
+	// receiptEvery is how often receipts are appended, receiptPerMember times
+	// the members the least: all instances share the log's appends, of which
+	// receipts take 100 a second at most.
+	receiptEvery     = 500 * time.Millisecond
+	receiptPerMember = 10 * time.Millisecond
 	// maxReceipts bounds the receipts that wait; the oldest are dropped.
 	maxReceipts = 5000
 )
@@ -63,20 +66,35 @@
 
 // flush appends what waits until nothing does.
 func (r *receipts) flush(ctx context.Context) {
-	for sleep(ctx, receiptEvery) {
-		r.mu.Lock()
-		list := r.list
-		r.list = nil
-		if len(list) == 0 {
-			r.runs = false
-			r.mu.Unlock()
+	for sleep(ctx, r.pause()) {
+		if !r.flushOnce(ctx) {
 			return
 		}
+	}
+}
+
+func (r *receipts) pause() time.Duration {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return max(receiptEvery, time.Duration(len(r.s.members))*receiptPerMember)
+}
+
+// flushOnce appends what waits. Without anything it ends the flushing and
+// returns false.
+func (r *receipts) flushOnce(ctx context.Context) bool {
+	r.mu.Lock()
+	list := r.list
+	r.list = nil
+	if len(list) == 0 {
+		r.runs = false
 		r.mu.Unlock()
-		if err := r.append(ctx, list); err != nil {
-			r.putBack(list)
-		}
+		return false
+	}
+	r.mu.Unlock()
+	if err := r.append(ctx, list); err != nil {
+		r.putBack(list)
 	}
+	return true
 }
 
 func (r *receipts) append(ctx context.Context, list []Receipt) error {
--- a/operate/seal.go
+++ b/operate/seal.go
@@ -43,6 +43,7 @@
 	if err := s.drain(flush, s.unrecorded); err != nil {
 		klog.InfoS("outcomes left for the heirs", "count", s.unrecorded())
 	}
+	s.receipt.flushOnce(flush)
 	return s.handOver(ctx)
 }
 
--- a/operate/ticket_test.go
+++ b/operate/ticket_test.go
@@ -123,3 +123,12 @@
 	c.eventually("replayed", func() bool { return c.send(1, keyed("k", "b")).Outcome == fleet.Completed })
 	assert.Equal(t, c.ran("k"), 1)
 }
+
+func TestSealFlushesReceipts(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.wantOutcome(c.send(0, c.ticketed(0, "b")), fleet.Completed)
+	assert.NilError(t, c.at(0).Seal(context.Background()))
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	assert.Assert(t, len(c.log.streams[ReceiptStream]) > 0)
+}
