--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // CustomerID names a customer. It is the name of the customer's contract.
@@ -16,6 +17,12 @@
 	return ServiceID(string(c) + "/" + name)
 }
 
+// Split returns the customer and the service's name in its contract.
+func (s ServiceID) Split() (CustomerID, string) {
+	customer, name, _ := strings.Cut(string(s), "/")
+	return CustomerID(customer), name
+}
+
 // TargetID names one target (back end) of a service. It is unique within the
 // service and never used again for another machine.
 type TargetID string
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -37,6 +37,8 @@
 	pool       *pool.Set
 	follower   *follow.Follower
 	allowances *allowance.Client
+	limiter    *allowance.Server
+	limits     sync.Map // fleet.CustomerID -> *limitsInForce
 	operations *operate.Service
 	evidence   *evidence.Table
 	view       atomic.Pointer[publication.View]
@@ -118,7 +120,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	for _, system := range []func(context.Context){
-		i.gossip.Run, i.follower.Run, i.allowances.Run, i.warm, i.run,
+		i.gossip.Run, i.follower.Run, i.allowances.Run, i.warm, i.tidy, i.run,
 	} {
 		i.systems.Go(func() { system(ctx) })
 	}
--- a/instance/limits.go
+++ b/instance/limits.go
@@ -11,17 +11,17 @@
 
 // shareLimits sets up the customers' limits over the fleet.
 func (i *Instance) shareLimits() {
-	server := allowance.NewServer(i.limitsOf, i.limiterView, time.Now)
+	i.limiter = allowance.NewServer(i.limitsOf, i.limiterView, time.Now)
 	i.allowances = allowance.NewClient(allowance.Config{
 		Self:    i.self,
 		Source:  i.limitsOf,
 		Limiter: i.limiterOf,
 		HTTP:    i.transport.Client(),
-		Local:   server,
+		Local:   i.limiter,
 		Clock:   time.Now,
 		Metrics: i.metrics.Metrics(),
 	})
-	i.peers.Handle(server.Handler())
+	i.peers.Handle(i.limiter.Handler())
 }
 
 // limitsOf returns a customer's limits in force.
@@ -30,7 +30,35 @@
 	if v == nil || v.Contracts[c] == nil {
 		return nil, false
 	}
-	return ratelimit.LimitsOf(&v.Contracts[c].Contract), true
+	p := v.Contracts[c]
+	if known, ok := i.limits.Load(c); ok && known.(*limitsInForce).of == p {
+		return known.(*limitsInForce).limits, true
+	}
+	l := &limitsInForce{of: p, limits: ratelimit.LimitsOf(&p.Contract)}
+	i.limits.Store(c, l)
+	return l.limits, true
+}
+
+// limitsInForce are the limits of one published contract.
+type limitsInForce struct {
+	of     *publication.Published
+	limits ratelimit.Limits
+}
+
+// shareOf tells which part of a service's requests of a class arrives here:
+// that of the route where it is largest.
+func (i *Instance) shareOf(id fleet.ServiceID, class fleet.Class) float64 {
+	customer, name := id.Split()
+	share := 0.0
+	if p := i.view.Load().Contracts[customer]; p != nil {
+		for k := range p.Contract.Routes {
+			r := &p.Contract.Routes[k]
+			if r.Service == name && r.Class == class {
+				share = max(share, i.allowances.Table().Share(customer, ratelimit.RouteID(r.Name)))
+			}
+		}
+	}
+	return share
 }
 
 // limiterOf returns the instance that hands out a customer's allowances.
--- a/instance/tick.go
+++ b/instance/tick.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
 )
 
 // tickInterval is the time between two runs of every system.
@@ -10,14 +12,19 @@
 
 // run runs the systems until the context ends.
 func (i *Instance) run(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
+	every(ctx, tickInterval, i.tick)
+}
+
+// every calls f at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			i.tick(now)
+			f(now)
 		}
 	}
 }
@@ -28,16 +35,26 @@
 
 // warm keeps connections to targets open ahead of use.
 func (i *Instance) warm(ctx context.Context) {
-	t := time.NewTicker(warmInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			i.pool.Warm(ctx)
-		}
-	}
+	every(ctx, warmInterval, func(time.Time) { i.pool.Warm(ctx) })
+}
+
+// tidyInterval is the time between two runs of what need not happen at every
+// tick.
+const tidyInterval = 2 * time.Second
+
+// tidy forgets what is over and follows slow changes.
+func (i *Instance) tidy(ctx context.Context) {
+	every(ctx, tidyInterval, func(time.Time) {
+		i.limiter.Tick()
+		i.allowances.Forget(i.gone)
+		i.services.Rebalance(i.shareOf)
+	})
+}
+
+// gone tells whether an instance has left the fleet.
+func (i *Instance) gone(id fleet.InstanceID) bool {
+	_, ok := i.members.Load().view.Get(id)
+	return !ok
 }
 
 // tick runs every system once.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,9 @@
 	URL string `json:"url"`
 	// Timeout bounds one call. Default "5s".
 	Timeout contract.Duration `json:"timeout,omitempty"`
+	// Retention is how long the log keeps a record; checkpoints are appended
+	// well before. Default "24h".
+	Retention contract.Duration `json:"retention,omitempty"`
 	// ListInterval is the time between reads of the list. Default "2s".
 	ListInterval contract.Duration `json:"list_interval,omitempty"`
 }
@@ -86,6 +89,7 @@
 // Defaults of the settings above.
 const (
 	DefaultListInterval  = 2 * time.Second
+	DefaultRetention     = 24 * time.Hour
 	DefaultPlatformWait  = 5 * time.Second
 	DefaultBalancerWait  = 3 * time.Second
 	DefaultInFlightWait  = 10 * time.Minute
@@ -121,6 +125,7 @@
 	orString(&s.Advertise, s.PeerListen)
 	orDuration(&s.Platform.Timeout, DefaultPlatformWait)
 	orDuration(&s.Platform.ListInterval, DefaultListInterval)
+	orDuration(&s.Platform.Retention, DefaultRetention)
 	orDuration(&s.Stop.BalancerWait, DefaultBalancerWait)
 	orDuration(&s.Stop.InFlightWait, DefaultInFlightWait)
 	orDuration(&s.Bounds.HeaderTimeout, DefaultHeaderTimeout)
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/clementinereel/clementinereel/admission"
@@ -25,6 +26,9 @@
 	budget   *retry.Budget
 	gates    [len(classes)]*admission.Queue
 
+	// used tells that a request came since the last Rebalance.
+	used atomic.Bool
+
 	// The tick alone uses what follows.
 	settings  *contract.Service
 	config    balancer.Config
@@ -33,6 +37,8 @@
 	members   balancer.Members
 	slots     int
 	instances int
+	// shares are this instance's parts of the traffic by class.
+	shares [len(classes)]float64
 }
 
 var classes = [...]fleet.Class{fleet.Lookup, fleet.Confirmation, fleet.Upload}
@@ -76,6 +82,7 @@
 // the balancer is patient; newRequest makes the request anew for each of
 // them. A result without Target means that no target could be chosen.
 func (s *Service) Send(ctx context.Context, class fleet.Class, search *balancer.Search, newRequest func() *Request) Result {
+	s.used.Store(true)
 	begun := time.Now()
 	last := Result{Try: fleet.TryDialFailed, Err: ErrNoTarget}
 	for {
--- a/upstream/set.go
+++ b/upstream/set.go
@@ -156,7 +156,35 @@
 		return
 	}
 	s.slots, s.instances = slots, instances
-	for _, g := range s.gates {
-		g.SetCapacity(slots, 1/float64(instances))
+	for i := range s.gates {
+		s.shares[i] = 1 / float64(instances)
+	}
+	s.openGates()
+}
+
+// openGates gives every gate its part of the healthy slots.
+func (s *Service) openGates() {
+	for i, g := range s.gates {
+		g.SetCapacity(s.slots, s.shares[i])
+	}
+}
+
+// ShareOf tells which part of the fleet's requests of a class at a service,
+// from 0 to 1, arrives at this instance.
+type ShareOf func(id fleet.ServiceID, class fleet.Class) float64
+
+// Rebalance gives the gates of services that had requests since the last call
+// the part of the healthy slots that goes with their part of the traffic.
+func (s *Set) Rebalance(share ShareOf) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, svc := range *s.services.Load() {
+		if !svc.used.Swap(false) {
+			continue
+		}
+		for i, class := range classes {
+			svc.shares[i] = share(id, class)
+		}
+		svc.openGates()
 	}
 }
