Do not take the word to go on for an answer

A target that said 100 Continue and then broke the connection was recorded as one whose answer broke off. Both results speak against the target in the same way; only counters and log lines were wrong.

--- a/pool/trace.go
+++ b/pool/trace.go
@@ -29,6 +29,8 @@
 		ConnectDone:          func(_, _ string, err error) { t.set(func() { t.dialing, t.dialErr = false, err != nil }) },
 		GotConn:              func(i httptrace.GotConnInfo) { t.gotConn(i.Conn) },
 		GotFirstResponseByte: func() { t.set(func() { t.answered = true }) },
+		// The target's word to go on is no part of its answer.
+		Got100Continue: func() { t.set(func() { t.answered = false }) },
 	})
 }
 
--- a/upstream/try.go
+++ b/upstream/try.go
@@ -139,6 +139,9 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		res.Try, res.Err = classifyError(ctx, err, trace), err
+		if res.Try == fleet.TryReset {
+			res.Try = fleet.TryTruncated // the answer's header was there
+		}
 		return
 	}
 	if int64(len(body)) > limit {
