--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -127,7 +127,7 @@
 		Tries:        r.tries,
 		Last:         last,
 		Unsent:       last != 0 && !r.last.Sent,
-		Running:      r.running,
+		Running:      r.others(last),
 		FirstTry:     r.first,
 		Expected:     r.svc.Expected(r.job.Policy.Class),
 		OtherTarget:  r.svc.HasOther(&r.tried),
@@ -144,6 +144,14 @@
 	}
 }
 
+// others counts the tries that run beside the one that is decided on.
+func (r *run) others(last fleet.TryResult) int {
+	if last == 0 {
+		return r.running - 1
+	}
+	return r.running
+}
+
 // add carries out the planned try if the budget still has it.
 func (r *run) add() {
 	d := r.pending
