pool: send bodyless requests without looking for their body

net/http looks for the first byte of a body of unknown length, which starts a goroutine and a timer for each lookup. An encoding that it writes no header for keeps it from that; nothing is repeated as before.

BenchmarkLookup, GOMAXPROCS=4, five runs, load average 40 on 12 cores: 139 allocations before, 130 after; 160-174 us of processor time before (median 169), 156-174 after (median 164): within the noise.

--- a/instance/path_bench_test.go
+++ b/instance/path_bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,6 +97,7 @@
 	b.ReportAllocs()
 	var refused int
 	n := 0
+	before := processTime(b)
 	for b.Loop() {
 		w := &discard{h: http.Header{}}
 		i.callers.Handler.ServeHTTP(w, r)
@@ -106,5 +108,14 @@
 			i.services.Tick(time.Now(), i.members.Load().forBalancer)
 		}
 	}
+	b.ReportMetric(float64((processTime(b)-before).Microseconds())/float64(n), "cpu-us/op")
 	assert.Assert(b, refused*100 <= n, "%d of %d refused", refused, n)
 }
+
+// processTime is the processor time that the process has used, which other
+// work on the machine sways less than the clock.
+func processTime(tb testing.TB) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(tb, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/pool/roundtrip.go
+++ b/pool/roundtrip.go
@@ -31,7 +31,7 @@
 	}
 	r.GetBody = nil
 	if r.Body == nil || r.Body == http.NoBody {
-		r.Body = emptyBody(r.Method)
+		setEmptyBody(&r)
 	}
 	r.Header = lowerKeys(r.Header)
 	return &r
@@ -60,17 +60,26 @@
 	return h
 }
 
-// emptyBody returns a body of which http.Transport doesn't know that it is
-// empty, for the methods that it repeats; others keep their Content-Length: 0.
-func emptyBody(method string) io.ReadCloser {
-	switch method {
+// setEmptyBody gives the request a body of which http.Transport doesn't know
+// that it is empty, for the methods that it repeats; others keep their
+// Content-Length: 0. The encoding keeps http.Transport from finding out, which
+// costs a goroutine and a timer; it writes no header for it.
+func setEmptyBody(r *http.Request) {
+	switch r.Method {
 	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return opaque{}
+		r.Body = opaque{}
+		r.TransferEncoding = identity
+	default:
+		r.Body = nil
 	}
-	return nil
 }
 
+var identity = []string{"identity"}
+
 type opaque struct{}
 
 func (opaque) Read([]byte) (int, error) { return 0, io.EOF }
 func (opaque) Close() error             { return nil }
+
+// WriteTo spares http.Transport a buffer to copy nothing.
+func (opaque) WriteTo(io.Writer) (int64, error) { return 0, nil }
