Copy a request's header once for each try

The handler copied it for each try to add the request's id, and the sender copied the copy; an answer's header, which belongs to nobody else, was copied too. Names of fields that hold for one connection are canonical already.

--- a/header/forward.go
+++ b/header/forward.go
@@ -13,13 +13,19 @@
 	if out == nil {
 		out = make(http.Header)
 	}
+	return Strip(out)
+}
+
+// Strip takes the fields that hold for one connection only off a header, and
+// returns it.
+func Strip(h http.Header) http.Header {
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
-			out.Del(textproto.TrimString(name))
+			h.Del(textproto.TrimString(name))
 		}
 	}
 	for _, name := range hopByHop {
-		out.Del(name)
+		delete(h, name)
 	}
-	return out
+	return h
 }
--- /dev/null
+++ b/header/forward_test.go
@@ -0,0 +1,23 @@
+package header
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestForwarded keeps what is meant for the other end, and the original.
+func TestForwarded(t *testing.T) {
+	h := http.Header{"Connection": {"close, X-One", "x-two"}, "X-One": {"1"}, "X-Two": {"2"}, "X-Three": {"3"}}
+	for _, name := range hopByHop {
+		assert.Equal(t, name, http.CanonicalHeaderKey(name))
+		if name != "Connection" {
+			h[name] = []string{"x"}
+		}
+	}
+	fields := len(h)
+	assert.DeepEqual(t, Forwarded(h), http.Header{"X-Three": {"3"}})
+	assert.Equal(t, len(h), fields)
+	assert.DeepEqual(t, Forwarded(nil), http.Header{})
+}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 
-	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/upstream"
 )
 
@@ -28,12 +27,11 @@
 }
 
 func (x *exchange) request() *upstream.Request {
-	h := x.r.Header.Clone()
-	h.Set(header.RequestID, x.id)
 	return &upstream.Request{
 		Method:    x.r.Method,
 		URL:       x.r.URL,
-		Header:    h,
+		Header:    x.r.Header,
+		ID:        x.id,
 		MaxAnswer: x.route.MaxAnswer,
 	}
 }
--- a/upstream/try.go
+++ b/upstream/try.go
@@ -18,8 +18,12 @@
 type Request struct {
 	Method string
 	// URL gives path and query; its scheme and host are not used.
-	URL    *url.URL
+	URL *url.URL
+	// Header is not changed. Fields that hold for one connection only are
+	// left out on the way.
 	Header http.Header
+	// ID, if not empty, is sent as the request's id.
+	ID string
 	// Body may be nil. It is read once: a try that began to read it cannot
 	// be followed by another with the same body.
 	Body io.Reader
@@ -111,6 +115,9 @@
 	if req.OneBody {
 		out.Header.Set("Expect", "100-continue")
 	}
+	if req.ID != "" {
+		out.Header.Set(header.RequestID, req.ID)
+	}
 	out.Header.Set(header.ViaInstance, string(via.Instance))
 	out.Header.Set(header.ViaZone, string(via.Zone))
 	if deadline, ok := ctx.Deadline(); ok {
@@ -150,7 +157,7 @@
 	}
 	res.Try = classifyAnswer(resp)
 	res.RetryAfter = retryAfter(resp.Header)
-	res.Answer = &Answer{Status: resp.StatusCode, Header: header.Forwarded(resp.Header), Body: body}
+	res.Answer = &Answer{Status: resp.StatusCode, Header: header.Strip(resp.Header), Body: body}
 }
 
 func classifyAnswer(resp *http.Response) fleet.TryResult {
