--- a/outlier/accuse.go
+++ b/outlier/accuse.go
@@ -100,9 +100,6 @@
 	base = min(diverse(base), baseCeiling)
 	trouble := max(base, j.momentary(r, slowness, hot, basePrior[slowness]))
 	limit *= 1 + troubleFactor*max(trouble-troubleBase, 0)
-	if ch == failure {
-		own.bad /= j.clumpSize(r, hot)
-	}
 	score := likelihood(own, base, c.excess)
 	return accusation{channel: ch, score: score, base: base, excess: c.excess, shares: c.shares}, score >= limit
 }
--- a/outlier/config.go
+++ b/outlier/config.go
@@ -75,7 +75,7 @@
 	referenceRate = 100.0
 	scarcity      = 4.0
 	// settleSpeed and settleCaution bound how long an accusation must hold.
-	settleSpeed   = 200 * time.Millisecond
+	settleSpeed   = 100 * time.Millisecond
 	settleCaution = 500 * time.Millisecond
 	// trialGoodSpeed and trialGoodCaution are the good tries that end a trial.
 	trialGoodSpeed   = 4
--- a/outlier/judge.go
+++ b/outlier/judge.go
@@ -30,7 +30,6 @@
 	// charts are nil while every sum is zero.
 	charts *charts
 	window slowWindows
-	clumps clumps
 	// muted rows gather no evidence of slowness: cold or warming up.
 	muted bool
 	// warming rows joined or were cold lately.
@@ -144,9 +143,7 @@
 
 // sum adds a row's pending tries to its tallies.
 func (j *judge) sum(now time.Time, r *row) {
-	bad := 0.0
 	for _, s := range r.pending {
-		bad += s.tallies[failure].bad
 		for ch := range r.total {
 			r.total[ch] = r.total[ch].plus(s.tallies[ch])
 			if !r.aside {
@@ -156,7 +153,6 @@
 			}
 		}
 	}
-	r.clumps.add(now, bad)
 }
 
 func (j *judge) recentAll() tallies {
