Let the fixture's service have a leaving target

Cause: a service that never had a target has no runtime state any more, and the proxy itself answers that no target can be chosen. Change: the test's service has one target, which is leaving; the check is the same.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -208,7 +208,7 @@
 	assert.Assert(t, f.count.Load() <= requests+requests/10+1, "%d tries", f.count.Load())
 }
 
-// TestNoTarget sends to a service without targets.
+// TestNoTarget sends to a service whose only target is leaving.
 func TestNoTarget(t *testing.T) {
 	res := runJob(job(fleet.Confirmation, "body"), newService(t))
 	assert.Assert(t, res.Unrun())
--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -26,7 +26,8 @@
 // generous bounds requests whose end no test waits for.
 const generous = 20 * time.Second
 
-// newService returns a service whose targets are served by the handlers.
+// newService returns a service whose targets are served by the handlers. With
+// none, its one target is leaving.
 func newService(tb testing.TB, targets ...http.Handler) *upstream.Service {
 	tb.Helper()
 	const id fleet.ServiceID = "daugava/main"
@@ -37,6 +38,9 @@
 		}}},
 		Targets: map[fleet.ServiceID][]fleet.Target{},
 	}
+	if len(targets) == 0 {
+		view.Targets[id] = []fleet.Target{{ID: "gone", Service: id, Addr: "127.0.0.1:1", Zone: "a", State: fleet.Leaving}}
+	}
 	for k, h := range targets {
 		srv := httptest.NewServer(h)
 		tb.Cleanup(srv.Close)
