--- a/outlier/floor_test.go
+++ b/outlier/floor_test.go
@@ -74,6 +74,7 @@
 }
 
 func TestFloorHoldsInEveryHistory(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := testConfig(rapid.Float64Range(0, 1).Draw(t, "weight"))
 		cfg.FloorPercent = rapid.IntRange(1, 100).Draw(t, "floor")
@@ -97,6 +98,7 @@
 }
 
 func TestSameEjectionsSameTargetsGivenBack(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		ts := testTargets(10)
 		x, y := NewDetector(testConfig(0.5), "x", "z0"), NewDetector(testConfig(0.5), "y", "z0")
@@ -114,6 +116,7 @@
 
 // TestAggregatorLeavesTheFloor accuses every target but one, in turn.
 func TestAggregatorLeavesTheFloor(t *testing.T) {
+	t.Parallel()
 	a := NewAggregator(testConfig(0), "agg")
 	a.SetTargets(testTargets(10))
 	for i := range 9 {
--- a/outlier/policy_test.go
+++ b/outlier/policy_test.go
@@ -47,6 +47,7 @@
 }
 
 func TestSickTargetIsEjectedEverywhere(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		targets int
@@ -63,6 +64,7 @@
 		{"all tries, little traffic", 6, 4, 0.5, 1, 15 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(3) {
 				f := newFakeFleet(testConfig(c.weight), 40, c.targets, c.rate, seed)
 				sick(f, c.share)
@@ -76,6 +78,7 @@
 }
 
 func TestNobodyIsEjected(t *testing.T) {
+	t.Parallel()
 	slow := func(f *fakeFleet, factor float64) (fleet.TryResult, time.Duration) {
 		return fleet.TryOK, time.Duration(factor * float64(f.usual()))
 	}
@@ -127,6 +130,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			for _, w := range []float64{0, 1} {
 				f := newFakeFleet(testConfig(w), 40, 10, 240, 7)
 				f.answer = func(_ fleet.Zone, _, target int, at time.Duration) (fleet.TryResult, time.Duration) {
@@ -140,6 +144,7 @@
 }
 
 func TestSlowTargetIsEjected(t *testing.T) {
+	t.Parallel()
 	f := newFakeFleet(testConfig(0.5), 40, 10, 240, 1)
 	f.answer = func(_ fleet.Zone, _, target int, at time.Duration) (fleet.TryResult, time.Duration) {
 		if target == 3 && at >= onset {
@@ -154,6 +159,7 @@
 }
 
 func TestScopeFollowsWhoSawIt(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		cut   func(zone fleet.Zone, instance int) bool
@@ -163,6 +169,7 @@
 		{"one instance", func(_ fleet.Zone, i int) bool { return i == 4 }, ScopeInstance},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			f := newFakeFleet(testConfig(0.5), 40, 10, 400, 1)
 			f.answer = func(z fleet.Zone, i, target int, at time.Duration) (fleet.TryResult, time.Duration) {
 				if target == 3 && at >= onset && c.cut(z, i) {
@@ -185,6 +192,7 @@
 }
 
 func TestInstanceCutOffBlamesItself(t *testing.T) {
+	t.Parallel()
 	f := newFakeFleet(testConfig(0.5), 40, 10, 400, 1)
 	f.answer = func(_ fleet.Zone, i, target int, at time.Duration) (fleet.TryResult, time.Duration) {
 		if i == 4 && target < 6 && at >= onset {
@@ -201,6 +209,7 @@
 }
 
 func TestDetectionWithoutAggregator(t *testing.T) {
+	t.Parallel()
 	f := newFakeFleet(testConfig(0.5), 40, 10, 400, 1)
 	f.deliver = func(int) bool { return false }
 	sick(f, 1)
@@ -217,6 +226,7 @@
 }
 
 func TestStayDoublesAndTargetReturns(t *testing.T) {
+	t.Parallel()
 	f := newFakeFleet(testConfig(0.5), 40, 10, 240, 1)
 	sick(f, 1)
 	f.run(onset + 40*time.Second)
@@ -230,6 +240,7 @@
 }
 
 func TestVerdictsRunOutWithoutAggregator(t *testing.T) {
+	t.Parallel()
 	d := NewDetector(testConfig(0.5), "i", "z0")
 	d.SetTargets(epoch, testTargets(10))
 	d.Tick(epoch)
@@ -252,6 +263,7 @@
 }
 
 func TestRepeatedReportsCountOnce(t *testing.T) {
+	t.Parallel()
 	report := func(seq uint64, good, failed uint32) Report {
 		return Report{From: "i", Zone: "z0", Session: 5, Seq: seq,
 			Targets: []TargetCounts{{Target: "t01", Counts: Counts{Good: good, Fast: good, Failed: failed}}}}
@@ -272,6 +284,7 @@
 }
 
 func TestLostReportIsMadeUpFor(t *testing.T) {
+	t.Parallel()
 	d, a := NewDetector(testConfig(0.5), "i", "z0"), NewAggregator(testConfig(0.5), "agg")
 	d.SetTargets(epoch, testTargets(3))
 	a.SetTargets(testTargets(3))
