outlier: order verdicts fully, and describe the test as it is now

Cause: of two verdicts equal but for the reason, the one kept depended on the order of a map; the package comment was older than the test.

--- a/outlier/doc.go
+++ b/outlier/doc.go
@@ -23,7 +23,10 @@
 // it ended as fleet.TryResult.Failed says. In the slowness channel it is bad
 // if it took longer than a multiple of the service's median latency; a try
 // that is still open at that age counts at once, which is how a target that
-// lets work time out is found before the first timeout. Shed, draining, cold
+// lets work time out is found before the first timeout. All tries at a target
+// within a short window are one try there, and failures are divided by the
+// size of the clumps in which they usually come: both channels are tested as
+// if tries were independent. Shed, draining, cold
 // and canceled tries are evidence in neither.
 //
 // # The test
@@ -37,6 +40,8 @@
 // It must hold for a settling time, and it is dropped while too many targets
 // look sick at once, since then the network or the observer is the likelier
 // cause. Config.FalseEjectionWeight sets the threshold and the settling time.
+// The threshold is lower where evidence is scarce and higher where the whole
+// service is in trouble.
 //
 // Targets differ by nature, which shows where the service is in trouble: a
 // target may then have up to three times the others' rate of bad tries. The
@@ -46,9 +51,9 @@
 //
 // # Scope
 //
-// An Aggregator accuses a target before everyone only if instances in several
-// zones saw it fail and no zone contradicts; otherwise only before the zones
-// that saw it. A Detector's own accusation counts on its instance alone.
+// An Aggregator accuses a target before everyone only if that is likelier than
+// some zones, or a few reporters, being cut off from it. If zones are likelier,
+// it accuses the target before those. A Detector's own accusation counts on its instance alone.
 //
 // # Return
 //
--- a/outlier/publish.go
+++ b/outlier/publish.go
@@ -90,8 +90,10 @@
 		return v.Zone == ""
 	case v.Remaining != w.Remaining:
 		return v.Remaining > w.Remaining
+	case v.Score != w.Score:
+		return v.Score > w.Score
 	}
-	return v.Score > w.Score
+	return v.Reason > w.Reason
 }
 
 // publish makes the next snapshot and returns what changed.
