--- a/operate/partition.go
+++ b/operate/partition.go
@@ -25,8 +25,10 @@
 	partSize = 256 << 10
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
-	// idlePoll is how often a recorder looks for appends that are due again.
-	idlePoll = 50 * time.Millisecond
+	// duePoll is how often a recorder with entries looks for appends that are
+	// due again, idlePoll how often one without looks up.
+	duePoll  = 50 * time.Millisecond
+	idlePoll = time.Second
 )
 
 // partition records one partition: it reads its stream and appends to it.
@@ -165,8 +167,11 @@
 		p.mu.Lock()
 		batch, entries := p.rec.Next(p.s.now())
 		wait := idlePoll
-		if p.rec.Queued() > 0 {
+		switch {
+		case p.rec.Queued() > 0:
 			wait = p.s.cfg.recorder().WithDefaults().Linger
+		case p.rec.Len() > 0:
+			wait = duePoll
 		}
 		p.mu.Unlock()
 		if len(entries) > 0 {
@@ -203,7 +208,7 @@
 func (p *partition) tail(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := p.s.now()
-		b, err := p.s.cfg.Log.Read(ctx, p.stream, p.end(), readLimit, readWait)
+		b, err := p.s.cfg.Log.Read(ctx, p.stream, p.end(), readLimit, p.patience())
 		switch {
 		case errors.Is(err, platform.ErrExpired):
 			p.restart(b.First)
@@ -216,6 +221,17 @@
 	}
 }
 
+// patience is how long a read may wait for records. Until the stream was read
+// to its end once, it does not wait: a stream may be empty.
+func (p *partition) patience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.read {
+		return 0
+	}
+	return readWait
+}
+
 // restart begins anew where the log now begins.
 func (p *partition) restart(first platform.Offset) {
 	klog.InfoS("claims expired before they were read", "stream", p.stream, "first", first)
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -32,6 +32,9 @@
 	minDebt     = 0.01
 	// answerWithin is when an unanswered demand is given up.
 	answerWithin = 500 * time.Millisecond
+	// cutOffAfter is how long a demand is unanswered before the account earns
+	// its own entitlement.
+	cutOffAfter = 200 * time.Millisecond
 	// keepAlive is how often an account in use speaks to its limiter.
 	keepAlive = Lifetime / 3
 	// idleAfter is when an unused account ends.
@@ -109,6 +112,7 @@
 	entered float64
 	busy    float64
 	busyAt  time.Time
+	told    time.Time
 }
 
 // newAccount returns an empty account. The counter numbers the demands of all
@@ -132,7 +136,7 @@
 func (a *Account) setLimits(now time.Time, ls Limits) {
 	lines := make([]line, 0, len(ls))
 	for _, l := range ls {
-		ln := line{at: now, busyAt: now}
+		ln := line{at: now, busyAt: now, told: now}
 		if i := a.index(l.ID); i >= 0 {
 			ln = a.lines[i]
 		}
@@ -220,7 +224,7 @@
 func (a *Account) dry(l *line) bool {
 	own := l.own(a.listed)
 	left := l.balance + own
-	return left < 1 || left < math.Max(l.expected(), own)/4
+	return left < 1 || left < math.Max(l.expected()/4, own/2)
 }
 
 // expected is how many tokens the line should have at hand.
@@ -262,7 +266,7 @@
 // whose demands stay unanswered earn its own entitlement.
 func (a *Account) settle(now time.Time) {
 	expired := now.Sub(a.heard) > Lifetime
-	cutOff := a.waiting && now.Sub(a.waitedAt) > answerWithin
+	cutOff := a.waiting && now.Sub(a.waitedAt) > cutOffAfter
 	if !expired && !cutOff {
 		return
 	}
