--- a/claim/recorder.go
+++ b/claim/recorder.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// SetAppendRate changes the bound of appends a second.
+func (r *Recorder) SetAppendRate(rate float64) { r.cfg.AppendRate = rate }
+
 // Fold returns the partition's state as read so far.
 func (r *Recorder) Fold() *Fold { return r.fold }
 
--- a/operate/partition.go
+++ b/operate/partition.go
@@ -25,6 +25,8 @@
 	partSize = 256 << 10
 	// appendTimeout bounds one append.
 	appendTimeout = 3 * time.Second
+	// standbyShare divides the append rate of those who do not stand first.
+	standbyShare = 4
 	// duePoll is how often a recorder with entries looks for appends that are
 	// due again, idlePoll how often one without looks up.
 	duePoll  = 50 * time.Millisecond
@@ -61,7 +63,7 @@
 		switch {
 		case place >= 0 && p == nil:
 			p = s.takePartition(id, now)
-			p.first = place == 0
+			p.setFirst(place == 0)
 		case place >= 0:
 			p.setFirst(place == 0)
 		case p != nil && p.idle():
@@ -84,10 +86,18 @@
 	return p
 }
 
+// setFirst says whether this instance stands first for the partition. One that
+// does not appends at a part of the rate, so that claims that are handed to
+// both do not double the load of a slow log.
 func (p *partition) setFirst(first bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.first = first
+	rate := p.s.cfg.recorder().AppendRate
+	if !first {
+		rate /= standbyShare
+	}
+	p.rec.SetAppendRate(rate)
 }
 
 func (p *partition) idle() bool {
