operate: keep the doubt of an earlier try of a claim

Cause: when a claim was submitted again, only the last try decided whether it can be in the log. One that an earlier try had left there was never withdrawn, and its key stayed shut while the holder lived.

--- a/operate/keyed_test.go
+++ b/operate/keyed_test.go
@@ -303,3 +303,13 @@
 	c.wantOutcome(c.send(1, keyed("k", "b")), fleet.Completed)
 	assert.Equal(t, c.ran("k"), 1)
 }
+
+// A claim that one try may have left in the log stays to be withdrawn, though
+// all recorders refused it at the next try.
+func TestDoubtOfAnEarlierTryIsKept(t *testing.T) {
+	sure := recorded{verdict: claim.Refused, refused: true, withheld: true}
+	doubt := recorded{verdict: claim.Refused, refused: true}
+	assert.Assert(t, sure.after(sure).withheld)
+	assert.Assert(t, !sure.after(doubt).withheld)
+	assert.Assert(t, !sure.after(sure.after(doubt)).withheld)
+}
--- a/operate/peers.go
+++ b/operate/peers.go
@@ -55,7 +55,7 @@
 	s.mu.Unlock()
 	r := s.askRecorders(ctx, entry)
 	for n := 1; r.refused && n < handOverTries && sleep(ctx, handOverPause); n++ {
-		r = s.askRecorders(ctx, entry)
+		r = s.askRecorders(ctx, entry).after(r)
 	}
 	if r.withheld && ctx.Err() == nil {
 		s.mu.Lock()
@@ -88,6 +88,13 @@
 	withheld bool
 }
 
+// after joins what recorders said at an earlier try: one try that may have led
+// to an append leaves doubt, whatever they said since.
+func (r recorded) after(earlier recorded) recorded {
+	r.withheld = r.withheld && earlier.withheld
+	return r
+}
+
 // askRecorders submits an entry to the recorders of its partition in their
 // order until one gives a verdict other than Refused.
 func (s *Service) askRecorders(ctx context.Context, e claim.Entry) recorded {
