--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -105,6 +105,7 @@
 	revision     platform.Offset
 	newest       platform.Offset
 	publications int
+	files        int
 }
 
 // New starts a fleet and waits until all instances are ready. It ends with
