dispatch: race only where a hedge may come, and elsewhere

Each request had a goroutine, a timer and a channel of 16 results, for hedges that most classes cannot have. Now a try runs in its caller's goroutine unless a hedge is planned beside it; only such a race has goroutines, and its own context.

A hedge did not know where the first try was, which was in nobody's list of tried targets yet, and could join it at the same slow target; with one target it always did. The tests show the latter. The former they do not: with the line taken out they still pass, as the balancer prefers the less busy target.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,55 +24,77 @@
 // Run tries the job until there is an answer or nothing more may be done.
 // The context bounds it; it should have the job's deadline.
 func Run(ctx context.Context, svc *upstream.Service, job *Job) upstream.Result {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(upstream.ErrGivenUp)
-	r := &run{ctx: ctx, svc: svc, job: job, ended: make(chan upstream.Result, maxTries)}
-	return r.loop()
+	r := &run{ctx: ctx, svc: svc, job: job, giveUp: func(error) {}}
+	defer func() { r.giveUp(upstream.ErrGivenUp) }()
+	res := r.firstTry()
+	for !good(&res) {
+		r.note(&res)
+		var ok bool
+		if res, ok = r.next(); !ok {
+			return r.last
+		}
+	}
+	return res
 }
 
 // maxTries bounds the tries of one request: contracts allow fewer.
 const maxTries = 16
 
-// run is the state of one job. Its loop owns it; tries only send results.
+// run is the state of one job. It belongs to the goroutine that called Run;
+// tries that race only send results.
 type run struct {
 	ctx context.Context
 	svc *upstream.Service
 	job *Job
 
-	ended    chan upstream.Result
 	tried    balancer.Search
 	tries    int
-	running  int
 	first    time.Time
 	last     upstream.Result
-	pending  retry.Decision // the retry or hedge that the timer waits for
-	timer    *time.Timer
+	pending  retry.Decision // the retry or hedge that comes next
 	consumed bool
+
+	// A race has two tries, each in its own goroutine.
+	running int
+	ended   chan upstream.Result
+	giveUp  context.CancelCauseFunc
 }
 
-func (r *run) loop() upstream.Result {
+// firstTry returns how the first try ended, or the hedge if that ended first.
+func (r *run) firstTry() upstream.Result {
 	r.first = time.Now()
 	r.svc.Budget().First(r.first, r.job.Policy)
-	r.timer = time.NewTimer(time.Hour)
-	defer r.timer.Stop()
-	r.start()
+	r.tries = 1
 	r.plan(0)
-	for {
-		select {
-		case res := <-r.ended:
-			r.running--
-			r.noteTried(res)
-			if good(&res) {
-				return res
-			}
-			r.last = res
-			r.plan(res.Try)
-		case <-r.timer.C:
-			r.add()
-		}
-		if r.running == 0 && r.pending.Action == retry.Stop {
-			return r.last
-		}
+	if r.pending.Action == retry.Hedge {
+		return r.race()
+	}
+	return r.send(r.ctx, nil)
+}
+
+// next returns how the next try ended, false if there is none.
+func (r *run) next() (upstream.Result, bool) {
+	if r.running > 0 {
+		return r.receive(), true
+	}
+	if r.pending.Action != retry.Retry || !r.pause(r.pending.After) || !r.allowed() {
+		return upstream.Result{}, false
+	}
+	return r.send(r.ctx, nil), true
+}
+
+// pause waits before a retry, unless the context ends first.
+func (r *run) pause(d time.Duration) bool {
+	if d <= 0 {
+		return r.ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-t.C:
+		return true
 	}
 }
 
@@ -81,16 +103,12 @@
 	return res.Try == fleet.TryOK
 }
 
-// start begins one more try.
-func (r *run) start() {
-	r.tries++
-	r.running++
+// send makes one try in this goroutine. Place, if not nil, is told where.
+func (r *run) send(ctx context.Context, place *upstream.Place) upstream.Result {
+	ctx, cancel := r.tryContext(ctx)
+	defer cancel()
 	search := r.tried
-	ctx, cancel := r.tryContext()
-	go func() {
-		defer cancel()
-		r.ended <- r.svc.Send(ctx, r.job.Policy.Class, &search, r.job.NewRequest)
-	}()
+	return r.svc.Send(ctx, r.job.Policy.Class, &search, place, r.job.NewRequest)
 }
 
 // waitFactor times the expected latency is the least time that a try is given
@@ -98,23 +116,26 @@
 const waitFactor = 4
 
 // tryContext bounds a try so that time is left for those that may follow.
-func (r *run) tryContext() (context.Context, context.CancelFunc) {
+func (r *run) tryContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	left := time.Until(r.job.Deadline)
 	rest := r.job.Policy.Attempts - r.tries + 1
 	if r.job.Policy.Class != fleet.Lookup || rest <= 1 {
-		return context.WithCancel(r.ctx)
+		return ctx, func() {}
 	}
 	share := left / time.Duration(rest)
 	share = max(share, waitFactor*r.svc.Expected(r.job.Policy.Class))
-	return context.WithTimeout(r.ctx, min(share, left))
+	return context.WithTimeout(ctx, min(share, left))
 }
 
-// noteTried keeps further tries away from a target that was tried.
-func (r *run) noteTried(res upstream.Result) {
+// note keeps further tries away from a target that failed, and decides on the
+// next.
+func (r *run) note(res *upstream.Result) {
+	r.last = *res
 	r.consumed = r.consumed || res.BodyUsed
 	if res.Target.ID != "" {
 		r.tried.Tried.Add(res.Target.ID)
 	}
+	r.plan(res.Try)
 }
 
 // plan decides on the next try, after one ended or while one runs.
@@ -127,10 +148,10 @@
 		Tries:        r.tries,
 		Last:         last,
 		Unsent:       last != 0 && !r.last.Sent,
-		Running:      r.others(last),
+		Running:      r.running,
 		FirstTry:     r.first,
 		Expected:     r.svc.Expected(r.job.Policy.Class),
-		OtherTarget:  r.svc.HasOther(&r.tried),
+		OtherTarget:  r.svc.HasMore(r.busy(last)),
 		RetryAfter:   r.last.RetryAfter,
 		BodyConsumed: r.consumed,
 		Random:       rand.Float64(),
@@ -139,33 +160,27 @@
 	if r.tries >= maxTries || r.ctx.Err() != nil {
 		r.pending = retry.Decision{Action: retry.Stop, Reason: retry.Exhausted}
 	}
-	if r.pending.Action != retry.Stop {
-		r.timer.Reset(r.pending.After)
-	}
 }
 
-// others counts the tries that run beside the one that is decided on.
-func (r *run) others(last fleet.TryResult) int {
+// busy counts the targets that are of no use to a further try: those that
+// failed and, while the first try runs, that one's.
+func (r *run) busy(last fleet.TryResult) int {
 	if last == 0 {
-		return r.running - 1
+		return 1
 	}
-	return r.running
+	return r.tried.Tried.Len()
 }
 
-// add carries out the planned try if the budget still has it.
-func (r *run) add() {
-	d := r.pending
-	r.pending = retry.Decision{Action: retry.Stop}
-	if d.Action == retry.Stop || d.Action == 0 || r.ctx.Err() != nil {
-		return
-	}
-	if !r.svc.Budget().Spend(time.Now(), d) {
-		return
+// allowed takes the planned try from the budget and counts it.
+func (r *run) allowed() bool {
+	if !r.svc.Budget().Spend(time.Now(), r.pending) {
+		return false
 	}
 	if r.job.Added != nil {
-		r.job.Added(d.Action)
+		r.job.Added(r.pending.Action)
 	}
-	r.start()
+	r.tries++
+	return true
 }
 
 // Answered tells whether a result has an answer that may be passed on to the
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -110,6 +110,28 @@
 	}
 }
 
+// TestHedgeGoesElsewhere has one target of two hang for good: a hedge never
+// joins its first try there. Where there is one target only, none begins.
+func TestHedgeGoesElsewhere(t *testing.T) {
+	hang := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	for range 10 {
+		svc := newService(t, http.HandlerFunc(hang), http.HandlerFunc(echo))
+		for range 3 {
+			j := hedged(job(fleet.Lookup, ""))
+			j.Policy.HedgeAfter = 5 * time.Millisecond
+			res := runJob(j, svc)
+			answered(t, &res, "")
+		}
+	}
+	f := &firstTime{others: echo, first: func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond) // lets a hedge begin, if there is one
+		echo(w, r)
+	}}
+	res := runJob(hedged(job(fleet.Lookup, "")), newService(t, f))
+	answered(t, &res, "")
+	assert.Equal(t, f.count.Load(), int64(1))
+}
+
 // TestHedgeFailure lets the hedge fail while the first try still runs: the
 // first try's answer counts.
 func TestHedgeFailure(t *testing.T) {
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -72,16 +72,36 @@
 // Expected is the latency to be expected of a try, 0 if nothing is known yet.
 func (s *Service) Expected(c fleet.Class) time.Duration { return s.Gate(c).Stats().Latency }
 
-// HasOther tells whether a target can be chosen that was not tried yet.
-func (s *Service) HasOther(tried *balancer.Search) bool {
-	return s.balancer.Picker().Len() > tried.Tried.Len()
+// HasMore tells whether more than n targets can be chosen.
+func (s *Service) HasMore(n int) bool { return s.balancer.Picker().Len() > n }
+
+// Place tells where a running try is. It is safe for concurrent use.
+type Place struct {
+	id atomic.Pointer[fleet.TargetID]
+}
+
+// Target is the target that was chosen last, "" before the first.
+func (p *Place) Target() fleet.TargetID {
+	if id := p.id.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
+
+func (p *Place) set(id fleet.TargetID) {
+	if p == nil {
+		return
+	}
+	chosen := id // not id: it would cost an allocation without a Place, too
+	p.id.Store(&chosen)
 }
 
 // Send searches for a target that takes the request and returns how the try
 // ended there. Targets that shed the request are passed over for as long as
 // the balancer is patient; newRequest makes the request anew for each of
-// them. A result without Target means that no target could be chosen.
-func (s *Service) Send(ctx context.Context, class fleet.Class, search *balancer.Search, newRequest func() *Request) Result {
+// them. Place, if not nil, is told of each choice. A result without Target
+// means that no target could be chosen.
+func (s *Service) Send(ctx context.Context, class fleet.Class, search *balancer.Search, place *Place, newRequest func() *Request) Result {
 	s.used.Store(true)
 	begun := time.Now()
 	last := Result{Try: fleet.TryDialFailed, Err: ErrNoTarget}
@@ -92,8 +112,8 @@
 		if !ok {
 			pause, again = s.balancer.Exhausted(search, time.Since(begun))
 		} else {
-			req := newRequest()
-			last = s.try(ctx, class, pick, req)
+			place.set(pick.Target.ID)
+			last = s.try(ctx, class, pick, newRequest())
 			if last.Try != fleet.TryShed || last.BodyUsed {
 				search.Tried.Add(pick.Target.ID)
 				return last
