Mount reelctl operations; count operations in the status

Cause: the commands for unknown outcomes could not be reached, and /status left the counts at zero. Change: reelctl operations; Service.Counts fills the report.

--- a/cmd/reelctl/main.go
+++ b/cmd/reelctl/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/clementinereel/clementinereel/load/loadcmd"
+	"github.com/clementinereel/clementinereel/operatecmd"
 	"github.com/clementinereel/clementinereel/reelctl"
 )
 
@@ -24,7 +25,8 @@
 
 type cli struct {
 	reelctl.Commands
-	Load loadcmd.Cmd `cmd:"" help:"Send an open-loop load and report latency and wrong, truncated, doubled and lost answers."`
+	Operations operatecmd.Cmd `cmd:"" help:"List and settle operations whose outcome is unknown."`
+	Load       loadcmd.Cmd    `cmd:"" help:"Send an open-loop load and report latency and wrong, truncated, doubled and lost answers."`
 }
 
 func main() {
--- a/instance/status.go
+++ b/instance/status.go
@@ -28,6 +28,7 @@
 		Revisions:   map[fleet.CustomerID]platform.Offset{},
 		Ejected:     []status.Ejection{},
 	}
+	r.Operations.Pending, r.Operations.Unknown = i.operations.Counts()
 	v := i.follower.View()
 	for id, p := range v.Contracts {
 		if only != "" && id != only {
--- a/operate/stats.go
+++ b/operate/stats.go
@@ -75,3 +75,11 @@
 	}
 	s.unresolved.Update(int64(n))
 }
+
+// Counts returns how many keyed operations run at this instance, and how many
+// outcomes are unresolved in the partitions for which it stands first.
+func (s *Service) Counts() (running, unresolved int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.flights), int(s.stats.unresolved.Value())
+}
