--- a/lab/measure_test.go
+++ b/lab/measure_test.go
@@ -26,7 +26,7 @@
 
 // TestMeasure makes the tables of docs/MEASUREMENTS-DETECTION.md:
 //
-//	go test ./lab -v -run TestMeasure -timeout 30m -args -measure
+//	go test ./lab -v -run TestMeasure -timeout 180m -args -measure
 func TestMeasure(t *testing.T) {
 	if !*measure {
 		t.Skip("measures only with -args -measure")
