--- a/faults/experiment/run.go
+++ b/faults/experiment/run.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,9 +39,9 @@
 	Run   int
 	// Detections has an entry for each sick target.
 	Detections []detection
-	// FalseTargets counts healthy targets set aside by any instance,
-	// FalsePairs pairs of an instance and such a target.
-	FalseTargets int
+	// FalseTargets are the healthy targets set aside by any instance,
+	// FalsePairs counts pairs of an instance and such a target.
+	FalseTargets []fleet.TargetID
 	FalsePairs   int
 	// Ejecting counts the instances that set a sick target aside.
 	Ejecting   int
@@ -90,7 +92,7 @@
 			r.Detections = append(r.Detections, detect(s.Arrivals(), c.Window, fault.limited()))
 		}
 	}
-	r.FalseTargets, r.FalsePairs = len(w.seen.wrong), w.seen.wrongPairs()
+	r.FalseTargets, r.FalsePairs = slices.Sorted(maps.Keys(w.seen.wrong)), w.seen.wrongPairs()
 	r.Ejecting, r.BelowFloor = len(w.seen.right), w.seen.below
 	f.SetLog(faults.LogUp)
 	return r
--- a/faults/experiment/table.go
+++ b/faults/experiment/table.go
@@ -74,7 +74,7 @@
 				row.Undetected++
 			}
 		}
-		row.FalseTargets += r.FalseTargets
+		row.FalseTargets += len(r.FalseTargets)
 		row.FalsePairs += r.FalsePairs
 		row.BelowFloor += r.BelowFloor
 		cr := r.Report.Class(c.Class)
@@ -105,7 +105,7 @@
 	for _, c := range r.Report.Classes {
 		parts = append(parts, fmt.Sprintf("%v %.1f%% %v", c.Class, 100*r.goodput(c.Class), c.Answers))
 	}
-	parts = append(parts, fmt.Sprintf("false targets %d pairs %d, ejecting instances %d, below floor %d",
+	parts = append(parts, fmt.Sprintf("false targets %v pairs %d, ejecting instances %d, below floor %d",
 		r.FalseTargets, r.FalsePairs, r.Ejecting, r.BelowFloor))
 	return strings.Join(parts, "; ")
 }
--- a/faults/experiment/watch.go
+++ b/faults/experiment/watch.go
@@ -17,7 +17,7 @@
 // observation sums up what the instances' status pages said in a run.
 type observation struct {
 	mu sync.Mutex
-	// false are the targets that were set aside without being sick, with the
+	// wrong are the targets that were set aside without being sick, with the
 	// number of instances that did so.
 	wrong map[fleet.TargetID]map[fleet.InstanceID]bool
 	// right are the instances that set a sick target aside.
