--- a/faults/experiment/table.go
+++ b/faults/experiment/table.go
@@ -20,6 +20,8 @@
 type Row struct {
 	User  string
 	Fault string
+	// Eject tells whether setting the sick targets aside is right.
+	Eject bool
 	Runs  int
 	// Detection gives median, and worst, in seconds; Undetected counts runs
 	// in which a sick target was never left alone.
@@ -61,7 +63,7 @@
 }
 
 func summarize(c Config, runs []Result) Row {
-	row := Row{User: c.User.Name, Fault: runs[0].Fault.Name, Runs: len(runs), Goodput: map[fleet.Class]float64{}}
+	row := Row{User: c.User.Name, Fault: runs[0].Fault.Name, Eject: runs[0].Fault.Eject, Runs: len(runs), Goodput: map[fleet.Class]float64{}}
 	var took, p50, p99 []float64
 	tries, operations := 0, 0
 	for _, r := range runs {
@@ -72,7 +74,7 @@
 				row.Undetected++
 			}
 		}
-		row.FalseTargets += r.FalseTargets
+		row.FalseTargets += len(r.FalseTargets)
 		row.FalsePairs += r.FalsePairs
 		row.BelowFloor += r.BelowFloor
 		cr := r.Report.Class(c.Class)
@@ -103,7 +105,7 @@
 	for _, c := range r.Report.Classes {
 		parts = append(parts, fmt.Sprintf("%v %.1f%% %v", c.Class, 100*r.goodput(c.Class), c.Answers))
 	}
-	parts = append(parts, fmt.Sprintf("false targets %d pairs %d, ejecting instances %d, below floor %d",
+	parts = append(parts, fmt.Sprintf("false targets %v pairs %d, ejecting instances %d, below floor %d",
 		r.FalseTargets, r.FalsePairs, r.Ejecting, r.BelowFloor))
 	return strings.Join(parts, "; ")
 }
