dispatch: run the first try of a race in its caller's goroutine

A request that may be hedged handed its first try to a goroutine and waited for it: two more hand-overs for each lookup, although few are ever hedged. Now only a hedge that begins has a goroutine; when it brings the answer it cancels the first try, which returns at once. A hedge shares no state with the first try.

A new test has two slow requests and a budget for one hedge.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,7 +17,7 @@
 	Deadline time.Time
 	// NewRequest makes the request anew for each try.
 	NewRequest func() *upstream.Request
-	// Added, if not nil, is told of each further try.
+	// Added, if not nil, is told of each further try, in any goroutine.
 	Added func(retry.Action)
 }
 
@@ -40,8 +40,7 @@
 // maxTries bounds the tries of one request: contracts allow fewer.
 const maxTries = 16
 
-// run is the state of one job. It belongs to the goroutine that called Run;
-// tries that race only send results.
+// run is the state of one job. It belongs to the goroutine that called Run.
 type run struct {
 	ctx context.Context
 	svc *upstream.Service
@@ -54,13 +53,13 @@
 	pending  retry.Decision // the retry or hedge that comes next
 	consumed bool
 
-	// A race has two tries, each in its own goroutine.
+	// A race has a hedge beside the first try.
 	running int
-	ended   chan upstream.Result
+	ended   chan *upstream.Result
 	giveUp  context.CancelCauseFunc
 }
 
-// firstTry returns how the first try ended, or the hedge if that ended first.
+// firstTry returns how the first try ended.
 func (r *run) firstTry() upstream.Result {
 	r.first = time.Now()
 	r.svc.Budget().First(r.first, r.job.Policy)
@@ -75,7 +74,10 @@
 // next returns how the next try ended, false if there is none.
 func (r *run) next() (upstream.Result, bool) {
 	if r.running > 0 {
-		return r.receive(), true
+		if res, ok := r.receive(); ok {
+			return res, true
+		}
+		r.plan(r.last.Try) // now that nothing runs
 	}
 	if r.pending.Action != retry.Retry || !r.pause(r.pending.After) || !r.allowed() {
 		return upstream.Result{}, false
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -148,6 +148,38 @@
 	assert.Equal(t, f.count.Load(), int64(2))
 }
 
+// TestHedgeOverBudget has two slow requests and a budget for one hedge. The
+// other gets the answer to its first try.
+func TestHedgeOverBudget(t *testing.T) {
+	var count atomic.Int64
+	both, hedge := make(chan struct{}), make(chan struct{})
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch n := count.Add(1); n {
+		case 1, 2:
+			if n == 2 {
+				close(both)
+			}
+			<-both
+			<-hedge
+		case 3:
+			close(hedge)
+		}
+		echo(w, r)
+	})
+	svc := newService(t, h, h, h)
+	var wg sync.WaitGroup
+	for _, body := range []string{"one", "two"} {
+		wg.Go(func() {
+			j := hedged(job(fleet.Lookup, body))
+			j.Policy.Percent, j.Policy.HedgeAfter = 0, 50*time.Millisecond
+			res := runJob(j, svc)
+			assert.Check(t, res.Try == fleet.TryOK && string(res.Answer.Body) == body, "%+v", res)
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, count.Load(), int64(3))
+}
+
 // TestNoHedgeOfOtherClasses sets a hedge up for classes that have none.
 func TestNoHedgeOfOtherClasses(t *testing.T) {
 	for _, class := range []fleet.Class{fleet.Confirmation, fleet.Upload} {
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -4,57 +4,64 @@
 	"context"
 	"time"
 
+	"github.com/clementinereel/clementinereel/retry"
 	"github.com/clementinereel/clementinereel/upstream"
 )
 
-// racers is how many tries a race has.
-const racers = 2
-
-// race runs the first try and, once it is slow, a hedge beside it. It returns
-// how the one that ended first did; receive waits for the other. The context
-// of both ends with the job.
+// race runs the first try in this goroutine and, once it is slow, a hedge in
+// another. It returns how the first try ended; receive waits for the hedge,
+// which cancels the first try if it brings the answer. The context of both
+// ends with the job.
 func (r *run) race() upstream.Result {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	r.giveUp = cancel
-	r.ended = make(chan upstream.Result, racers)
-	first := &upstream.Place{}
-	r.spawn(ctx, first)
-	t := time.NewTimer(r.pending.After)
-	defer t.Stop()
-	select {
-	case res := <-r.ended:
-		r.running--
-		return res
-	case <-t.C:
+	h := &hedge{
+		ctx: ctx, giveUp: cancel, svc: r.svc, job: r.job, planned: r.pending,
+		ended: make(chan *upstream.Result, 1),
 	}
-	if ctx.Err() == nil && r.allowed() {
-		r.avoid(first)
-		r.spawn(ctx, nil)
+	t := time.AfterFunc(r.pending.After, h.join)
+	res := r.send(ctx, &h.first)
+	if !t.Stop() {
+		r.running, r.ended = 1, h.ended
 	}
-	return r.receive()
+	return res
 }
 
-// spawn begins a try in a goroutine of its own.
-func (r *run) spawn(ctx context.Context, place *upstream.Place) {
-	r.running++
-	ctx, cancel := r.tryContext(ctx)
-	search := r.tried
-	go func() {
-		defer cancel()
-		r.ended <- r.svc.Send(ctx, r.job.Policy.Class, &search, place, r.job.NewRequest)
-	}()
+// receive waits for the hedge; false means that it was not allowed.
+func (r *run) receive() (upstream.Result, bool) {
+	r.running = 0
+	res := <-r.ended
+	if res == nil {
+		return upstream.Result{}, false
+	}
+	r.tries++
+	return *res, true
 }
 
-// receive waits for a running try.
-func (r *run) receive() upstream.Result {
-	res := <-r.ended
-	r.running--
-	return res
+// hedge is the second try of a race. It shares no state with the first.
+type hedge struct {
+	ctx     context.Context
+	giveUp  context.CancelCauseFunc
+	svc     *upstream.Service
+	job     *Job
+	planned retry.Decision
+	first   upstream.Place // where the first try is
+	ended   chan *upstream.Result
 }
 
-// avoid keeps further tries away from where a running one is.
-func (r *run) avoid(p *upstream.Place) {
-	if id := p.Target(); id != "" {
+// join begins the hedge if it is still allowed, and tells how it ended.
+func (h *hedge) join() {
+	r := &run{ctx: h.ctx, svc: h.svc, job: h.job, tries: 1, pending: h.planned}
+	if h.ctx.Err() != nil || !r.allowed() {
+		h.ended <- nil
+		return
+	}
+	if id := h.first.Target(); id != "" {
 		r.tried.Tried.Add(id)
 	}
+	res := r.send(h.ctx, nil)
+	h.ended <- &res
+	if good(&res) {
+		h.giveUp(upstream.ErrGivenUp)
+	}
 }
