--- a/operation/doc.go
+++ b/operation/doc.go
@@ -17,7 +17,8 @@
 //	unknown    -> settled-completed, settled-not-run   an operator decided
 //
 // No transition leads from dispatched back to claimed or planned, so what was
-// once written to a target, by even one byte, is never written again. Unknown
+// once written to a target, by even one byte, is never written again, unless
+// that target itself said that it did not run it. Unknown
 // is a state of its own: it is neither a success nor a failure, and nothing
 // but evidence from outside the fleet, or from the holder, leads out of it.
 //
