--- a/faults/experiment/experiment_test.go
+++ b/faults/experiment/experiment_test.go
@@ -14,7 +14,6 @@
 	"github.com/clementinereel/clementinereel/emulator"
 	"github.com/clementinereel/clementinereel/faults"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/load"
 )
 
 func TestDetect(t *testing.T) {
@@ -49,8 +48,8 @@
 // with commas between, or "all". docs/TESTING.md explains the variables.
 func TestMeasure(t *testing.T) {
 	names := os.Getenv("EXPERIMENT")
-	if names == "" || names == "added" {
-		t.Skip("EXPERIMENT names no fault")
+	if names == "" {
+		t.Skip("EXPERIMENT is not set")
 	}
 	b, err := faults.Build()
 	assert.NilError(t, err)
@@ -75,19 +74,6 @@
 	assert.NilError(t, Plot(filepath.Join(dir, "experiment.svg"), byUser))
 }
 
-// TestAdded measures the latency that the fleet adds, if EXPERIMENT is "added".
-func TestAdded(t *testing.T) {
-	if os.Getenv("EXPERIMENT") != "added" {
-		t.Skip("EXPERIMENT is not added")
-	}
-	b, err := faults.Build()
-	assert.NilError(t, err)
-	defer b.Remove()
-	a := MeasureAdded(t, b, number(t, "EXPERIMENT_INSTANCES", "4"))
-	t.Logf("capacity %.0f lookups/s; at half of it:", a.Capacity)
-	assert.NilError(t, a.Report.Print(os.Stdout, load.Text))
-}
-
 func config(t *testing.T, names string) Config {
 	t.Helper()
 	c := Config{Class: fleet.Lookup, WarmUp: 3 * time.Second, Window: 8 * time.Second}
