Show self-suspicion, name completed operations, one code for wrong usage

Change: gauge evidence_services_suspect, problem type operation-completed, exit code 2; the unused type not-ready is gone.

--- a/cmd/clementinereel/main.go
+++ b/cmd/clementinereel/main.go
@@ -61,10 +61,15 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	var c cli
-	k := kong.Parse(&c,
+	parser := kong.Must(&c,
 		kong.Name("clementinereel"),
 		kong.Description(description),
 		kong.BindTo(ctx, (*context.Context)(nil)))
+	k, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		parser.Errorf("%s", err)
+		os.Exit(exitUsage)
+	}
 	setVerbosity(c.Verbosity)
 	code := exitCode(k.Run())
 	klog.Flush()
--- a/instance/health.go
+++ b/instance/health.go
@@ -13,6 +13,7 @@
 	sender := evidence.NewSender(i.transport.Client(), peer.URL)
 	i.evidence = evidence.NewTable(i.self.Instance, i.cfg.Zone, evidence.Settings{},
 		i.aggregatorOf, sender, time.Now, i.metrics.Metrics())
+	i.suspect = i.metrics.Gauge("evidence_services_suspect")
 	i.peers.Handle(i.evidence.Handler())
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/allowance"
@@ -38,7 +39,8 @@
 	follower   *follow.Follower
 	allowances *allowance.Client
 	limiter    *allowance.Server
-	limits     sync.Map // fleet.CustomerID -> *limitsInForce
+	limits     sync.Map      // fleet.CustomerID -> *limitsInForce
+	suspect    metrics.Gauge // services for which this instance suspects itself
 	operations *operate.Service
 	evidence   *evidence.Table
 	view       atomic.Pointer[publication.View]
--- a/instance/tick.go
+++ b/instance/tick.go
@@ -62,6 +62,7 @@
 	m := i.followMembers()
 	i.allowances.Table().SetView(i.limiterView())
 	i.evidence.Tick(now)
+	i.suspect.Update(int64(i.evidence.Suspect()))
 	i.services.Tick(now, m.forBalancer)
 	i.operations.Tick(now)
 	i.judgeReady(now)
--- a/operation/answer.go
+++ b/operation/answer.go
@@ -86,6 +86,8 @@
 		return problem.KeyReused
 	case out == fleet.NotRun:
 		return problem.NotRun
+	case out == fleet.Completed:
+		return problem.Completed
 	}
 	return problem.Unknown
 }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -34,11 +34,12 @@
 	TargetFailed   Type = "urn:clementinereel:problem:target-failed"
 	TargetTimeout  Type = "urn:clementinereel:problem:target-timeout"
 	AnswerTooLarge Type = "urn:clementinereel:problem:answer-too-large"
-	NotReady       Type = "urn:clementinereel:problem:not-ready"
 	KeyMissing     Type = "urn:clementinereel:problem:operation-key-missing"
 	KeyReused      Type = "urn:clementinereel:problem:operation-key-reused"
-	NotRun         Type = "urn:clementinereel:problem:operation-not-run"
-	Unknown        Type = "urn:clementinereel:problem:operation-outcome-unknown"
+	// Completed stands for a completed operation whose answer is not kept.
+	Completed Type = "urn:clementinereel:problem:operation-completed"
+	NotRun    Type = "urn:clementinereel:problem:operation-not-run"
+	Unknown   Type = "urn:clementinereel:problem:operation-outcome-unknown"
 )
 
 // Problem is one error as a caller gets it.
