Let two requests at once pass at any instance

Cause: at 36 real instances without any fault, 14 of 432 uploads were refused with 429: their limit of 24 in flight is less than one for each instance, and one is what each had. Change: two for each account while the limiter is not heard or little is in flight. The worst case of requests in flight grows to 4*concurrency + 2n. Measured: TestTwoAtOnceAtAnyInstance fails before, passes after; the property test holds the new bound. Confirmations at 36 instances, 1 % of which meet a burst beyond the overdraft of two tokens, are not helped by it.

--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -41,7 +41,7 @@
 // as reached while at least 90 % are, so that ordinary failures lose no rate.
 // An account whose demands stay unanswered drops what it was granted when
 // the grant's lifetime ends and lives on its own entitlement: rate/n, with
-// the overdraft for burst, and max(1, concurrency/n) slots. However the
+// the overdraft for burst, and max(2, concurrency/n) slots. However the
 // instances are cut apart, the sum over all parts that know of the cut stays
 // within the rate plus 10 %.
 //
@@ -53,7 +53,7 @@
 //
 // and requests in flight at most
 //
-//	g*(4*concurrency + n) + f*max(1, concurrency/n)
+//	g*(4*concurrency + 2n) + f*max(2, concurrency/n)
 //
 // where g is the number of instances that act as the customer's limiter in
 // the window, each counted anew when the role moves (1 in ordinary times),
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -22,6 +22,10 @@
 	// the limiter hands out looseFactor times the limit.
 	looseBelow  = 0.5
 	looseFactor = 3
+	// leastSlots is what every account has at least while the limiter is not
+	// heard or little is in flight: with one, the second of two requests at
+	// an instance is refused however little the fleet is used.
+	leastSlots = 2
 	// stockable is the share of the bucket's depth that accounts may hold
 	// together; the rest takes in the rate between two demands.
 	stockable = 0.7
@@ -241,7 +245,7 @@
 	least := 0
 	all := float64(l.Concurrency) * view.scope()
 	if b.busy < looseBelow*all {
-		least = max(1, int(all)/max(1, view.Listed))
+		least = max(leastSlots, int(all)/max(1, view.Listed))
 		all *= looseFactor
 	}
 	slots := min(d.WantSlots, int(all)-b.slots)
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -100,5 +100,5 @@
 
 // ownSlots is the concurrency of an account without a grant.
 func (l *Limit) ownSlots(n int) int {
-	return max(1, l.Concurrency/n)
+	return max(leastSlots, l.Concurrency/n)
 }
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -166,6 +166,17 @@
 	assert.Equal(t, f.passed, f.offered)
 }
 
+// TestTwoAtOnceAtAnyInstance sends two requests at once to a fresh instance
+// whose even share of the concurrency is less than one.
+func TestTwoAtOnceAtAnyInstance(t *testing.T) {
+	limits := wholeLimit(1000)
+	limits[0].Concurrency = 24
+	f := newTestFleet(9, 36, limits, uneven(36))
+	first := f.tables[5].Take(f.now, "c", Whole)
+	second := f.tables[5].Take(f.now, "c", Whole)
+	assert.Assert(t, first.OK && second.OK)
+}
+
 // TestLittleUseGoesOnWhenTheLimiterIsCutOff loses the limiter in the middle of
 // a use far below the limit.
 func TestLittleUseGoesOnWhenTheLimiterIsCutOff(t *testing.T) {
