--- a/balancer/random/random.go
+++ b/balancer/random/random.go
@@ -1,5 +1,3 @@
-// Package random chooses targets at random by weight. It is the baseline that
-// other policies are measured against.
 package random
 
 import "github.com/clementinereel/clementinereel/balancer/policy"
--- a/balancer/roundrobin/roundrobin.go
+++ b/balancer/roundrobin/roundrobin.go
@@ -1,5 +1,3 @@
-// Package roundrobin takes the targets in turn. It is the baseline that other
-// policies are measured against; it gives targets on trial their full turn.
 package roundrobin
 
 import "github.com/clementinereel/clementinereel/balancer/policy"
--- /dev/null
+++ b/load/loadcmd/doc.go
@@ -0,0 +1,2 @@
+// Package loadcmd is the command `reelctl load`.
+package loadcmd
--- a/load/loadcmd/loadcmd.go
+++ b/load/loadcmd/loadcmd.go
@@ -1,4 +1,3 @@
-// Package loadcmd is the command `reelctl load`.
 package loadcmd
 
 import (
