Remove a setting that bounded nothing

Cause: bounds.answer_memory_bytes was accepted and documented, but no code read it: bodies held at once are bounded by gates and by each route's max_body_bytes and max_answer_bytes only. Measured: go vet, staticcheck on the touched packages and go test ./instance green. Conclusion: a bound on the memory of bodies over the whole process is still to be built.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -77,8 +77,6 @@
 	HeaderTimeout contract.Duration `json:"header_timeout,omitempty"`
 	// IdleTimeout closes an idle caller's connection. Default "75s".
 	IdleTimeout contract.Duration `json:"idle_timeout,omitempty"`
-	// AnswerMemory bounds the bytes of bodies held at once. Default 24 MiB.
-	AnswerMemory int64 `json:"answer_memory_bytes,omitempty"`
 }
 
 // Defaults of the settings above.
@@ -91,7 +89,6 @@
 	DefaultMaxHeader     = 32 << 10
 	DefaultHeaderTimeout = 5 * time.Second
 	DefaultIdleTimeout   = 75 * time.Second
-	DefaultAnswerMemory  = 24 << 20
 )
 
 // Load reads, completes and checks a settings file.
@@ -128,9 +125,6 @@
 	if s.Bounds.MaxHeader == 0 {
 		s.Bounds.MaxHeader = DefaultMaxHeader
 	}
-	if s.Bounds.AnswerMemory == 0 {
-		s.Bounds.AnswerMemory = DefaultAnswerMemory
-	}
 	return s.check()
 }
 
