--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // BenchmarkKeys folds a claim and a completion of 256 bytes for each of a
@@ -42,7 +42,7 @@
 	runtime.KeepAlive(records)
 }
 
-func keyRecords(b *testing.B, n int) (records []platform.Record, size int) {
+func keyRecords(b *testing.B, n int) (records []logservice.Record, size int) {
 	const together = 25 // keys in a record
 	answer := operation.NewCompleted(201, nil, make([]byte, 256))
 	for from := 0; from < n; from += together {
@@ -56,7 +56,7 @@
 		}
 		data := Encode(entries)
 		size += len(data)
-		records = append(records, platform.Record{Offset: platform.Offset(len(records)), Time: t0, Data: data})
+		records = append(records, logservice.Record{Offset: logservice.Offset(len(records)), Time: t0, Data: data})
 	}
 	return records, size
 }
--- a/claim/checkpoint.go
+++ b/claim/checkpoint.go
@@ -4,14 +4,14 @@
 	"slices"
 	"time"
 
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // Part is one record's share of a checkpoint: the state of a partition from
 // its records before offset Upto.
 type Part struct {
-	Upto  platform.Offset
+	Upto  logservice.Offset
 	Time  time.Time
 	Index int
 	Count int
@@ -115,7 +115,7 @@
 
 type partKey struct {
 	maker string
-	upto  platform.Offset
+	upto  logservice.Offset
 }
 
 // add takes a part and tells whether its checkpoint is now complete. Parts of
--- a/claim/codec.go
+++ b/claim/codec.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // Encode returns the data of one record with entries.
@@ -37,7 +37,7 @@
 }
 
 // Decode reads one record of a partition's stream.
-func Decode(r platform.Record) (Record, error) {
+func Decode(r logservice.Record) (Record, error) {
 	out := Record{Offset: r.Offset, Time: r.Time}
 	rec := &peerv1.ClaimRecord{}
 	if err := proto.Unmarshal(r.Data, rec); err != nil {
@@ -62,7 +62,7 @@
 
 func partOf(p *peerv1.CheckpointPart) *Part {
 	part := &Part{
-		Upto: platform.Offset(p.GetUpto()), Time: timeOf(p.GetTimeUnixNanos()),
+		Upto: logservice.Offset(p.GetUpto()), Time: timeOf(p.GetTimeUnixNanos()),
 		Index: int(p.GetPart()), Count: int(p.GetParts()), Maker: p.GetMaker(),
 		Operator: p.GetOperator(), Reason: p.GetReason(),
 	}
@@ -103,7 +103,7 @@
 		Kind:  Kind(p.GetKind()),
 		Key:   operation.Key{Customer: fleet.CustomerID(p.GetCustomer()), Name: p.GetKey()},
 		Claim: ID{Holder: HolderOf(p.GetHolder()), Seq: p.GetSeq()}, Digest: operation.Digest(p.GetDigest()),
-		Base: platform.Offset(p.GetBase()), Window: time.Duration(p.GetWindowNanos()),
+		Base: logservice.Offset(p.GetBase()), Window: time.Duration(p.GetWindowNanos()),
 		Service: fleet.ServiceID(p.GetService()), Route: p.GetRoute(), Target: fleet.TargetID(p.GetTarget()),
 		Answer: AnswerOf(p.GetAnswer()), Presumed: p.GetPresumed(),
 		Operator: p.GetOperator(), Reason: p.GetReason(),
@@ -124,7 +124,7 @@
 	return Op{
 		Entry: EntryOf(p.GetClaim()), State: operation.State(p.GetState()),
 		Claimed: timeOf(p.GetClaimedUnixNanos()), Decided: timeOf(p.GetDecidedUnixNanos()),
-		Withdrawn: platform.Offset(p.GetWithdrawn()), Contradicted: p.GetContradicted(),
+		Withdrawn: logservice.Offset(p.GetWithdrawn()), Contradicted: p.GetContradicted(),
 	}
 }
 
--- a/claim/fold.go
+++ b/claim/fold.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // Record is one decoded record of a partition's stream.
 type Record struct {
-	Offset     platform.Offset
+	Offset     logservice.Offset
 	Time       time.Time
 	Entries    []Entry
 	Checkpoint *Part
@@ -27,14 +27,14 @@
 	// open holds those that are live or unresolved.
 	open map[operation.Key]*Op
 	size int64
-	next platform.Offset
+	next logservice.Offset
 	// now is the latest time of the log's clock among the records; it never
 	// goes back.
 	now     time.Time
 	covered bool
 	// pending keeps records that were read before any covering checkpoint.
 	pending []Record
-	first   platform.Offset
+	first   logservice.Offset
 	parts   partSet
 	// checkpointed is the latest log time of a complete checkpoint.
 	checkpointed time.Time
@@ -45,7 +45,7 @@
 
 // NewFold returns a fold that starts at the first record that the log keeps.
 // From offset 0 on the history is whole; later it needs a checkpoint.
-func NewFold(first platform.Offset) *Fold {
+func NewFold(first logservice.Offset) *Fold {
 	return &Fold{
 		ops: map[operation.Key]*Op{}, open: map[operation.Key]*Op{}, next: first, first: first,
 		covered: first == 0, expiry: map[int64][]operation.Key{},
@@ -54,7 +54,7 @@
 }
 
 // Next returns the offset after the last record that was applied.
-func (f *Fold) Next() platform.Offset { return f.next }
+func (f *Fold) Next() logservice.Offset { return f.next }
 
 // Covered tells whether the fold knows the whole history of its keys.
 func (f *Fold) Covered() bool { return f.covered }
--- a/claim/fold_entry.go
+++ b/claim/fold_entry.go
@@ -1,12 +1,12 @@
 package claim
 
 import (
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // applyEntry applies one entry of the record at an offset.
-func (f *Fold) applyEntry(at platform.Offset, e *Entry) {
+func (f *Fold) applyEntry(at logservice.Offset, e *Entry) {
 	op := f.ops[e.Key]
 	if op != nil && op.expired(f.now) {
 		f.remove(op)
@@ -31,7 +31,7 @@
 // claim lets the first claim for a free key win. A key is free if it has no
 // operation, or if the last was withdrawn before the request arrived.
 func (f *Fold) claim(op *Op, e *Entry) {
-	var withdrawn platform.Offset
+	var withdrawn logservice.Offset
 	if op != nil {
 		open := op.State == operation.NotRun && e.Claim != op.Claim && e.Base >= op.Withdrawn
 		if !open {
@@ -45,7 +45,7 @@
 
 // withdraw opens the key. Where the withdrawal arrives before its claim, it
 // stands in the claim's place.
-func (f *Fold) withdraw(op *Op, e *Entry, at platform.Offset) {
+func (f *Fold) withdraw(op *Op, e *Entry, at logservice.Offset) {
 	if op == nil {
 		f.put(&Op{Entry: *e, State: operation.NotRun, Claimed: f.now, Decided: f.now, Withdrawn: at + 1})
 		f.expire(f.ops[e.Key])
--- a/claim/fold_test.go
+++ b/claim/fold_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 var (
@@ -22,7 +22,7 @@
 	hour = time.Hour
 )
 
-func claimOf(id ID, base platform.Offset) Entry {
+func claimOf(id ID, base logservice.Offset) Entry {
 	return Entry{Kind: Claim, Key: key, Claim: id, Digest: "d", Base: base, Window: hour}
 }
 
@@ -169,13 +169,13 @@
 func TestCodec(t *testing.T) {
 	e := about(Complete, cx)
 	e.Service, e.Route, e.Target, e.Base = "daugava/quotes", "confirm", "t1", 7
-	got, err := Decode(platform.Record{Offset: 3, Time: t0, Data: Encode([]Entry{e, claimOf(cy, 1)})})
+	got, err := Decode(logservice.Record{Offset: 3, Time: t0, Data: Encode([]Entry{e, claimOf(cy, 1)})})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got.Entries, []Entry{e, claimOf(cy, 1)})
 	f := NewFold(0)
 	apply(f, claimOf(cx, 0), about(Complete, cx))
 	part := f.Checkpoint("m", 1<<20)[0]
-	got, err = Decode(platform.Record{Data: EncodePart(&part)})
+	got, err = Decode(logservice.Record{Data: EncodePart(&part)})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, *got.Checkpoint, part)
 }
--- a/claim/holder.go
+++ b/claim/holder.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // TableConfig bounds an instance's table of attempts.
@@ -45,7 +45,7 @@
 	Key    operation.Key
 	Digest operation.Digest
 	// Base is how far the instance knew the stream when the request arrived.
-	Base    platform.Offset
+	Base    logservice.Offset
 	Window  time.Duration
 	Service fleet.ServiceID
 	Route   string
--- a/claim/model_node_test.go
+++ b/claim/model_node_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 var errLost = errors.New("reply lost")
@@ -35,7 +35,7 @@
 	table      *Table
 	rec        *Recorder
 	hist       *History
-	end        platform.Offset
+	end        logservice.Offset
 	readAt     time.Time
 	read       bool
 	paused     bool
@@ -50,7 +50,7 @@
 func newNode(m *model, self fleet.Holder) *node {
 	return &node{
 		m: m, self: self, table: NewTable(TableConfig{}, self),
-		rec:   NewRecorder(RecorderConfig{MaxPending: 64}, NewFold(platform.Offset(m.first)), m.now),
+		rec:   NewRecorder(RecorderConfig{MaxPending: 64}, NewFold(logservice.Offset(m.first)), m.now),
 		hist:  NewHistory(m.now, time.Minute, time.Hour),
 		waits: map[*track][]operation.Key{}, dones: map[Waiter]func(Reply){},
 	}
--- a/claim/model_recorder_test.go
+++ b/claim/model_recorder_test.go
@@ -1,6 +1,6 @@
 package claim
 
-import "github.com/clementinereel/clementinereel/platform"
+import "github.com/clementinereel/clementinereel/logservice"
 
 func (n *node) appendNext() {
 	batch, entries := n.rec.Next(n.m.now)
@@ -17,7 +17,7 @@
 	}
 	began := m.now
 	if int(n.rec.End()) < m.first {
-		n.rec.Restart(NewFold(platform.Offset(m.first)), m.now)
+		n.rec.Restart(NewFold(logservice.Offset(m.first)), m.now)
 		n.read = false
 	}
 	for ; limit > 0 && int(n.rec.End()) < len(m.log); limit-- {
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // rules switches rules of the protocol off, to show that the model notices.
@@ -194,7 +194,7 @@
 	}
 	switch {
 	case m.logDown || fate == 9:
-		n.rec.Appended(m.now, batch, platform.ErrRefused)
+		n.rec.Appended(m.now, batch, logservice.ErrRefused)
 	case fate == 8: // late effect, reply lost
 		m.flights = append(m.flights, flight{n, rec, batch})
 		n.rec.Appended(m.now, batch, errLost)
@@ -208,7 +208,7 @@
 }
 
 func (m *model) land(rec Record) {
-	rec.Offset = platform.Offset(len(m.log))
+	rec.Offset = logservice.Offset(len(m.log))
 	rec.Time = m.now
 	for _, e := range rec.Entries {
 		m.note("landed at %d: %s %s %s base %d", rec.Offset, e.Kind, e.Key.Name, e.Claim, e.Base)
--- a/claim/record.go
+++ b/claim/record.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // StreamName returns the log stream of a partition.
@@ -69,7 +69,7 @@
 	Digest operation.Digest
 	// Base is the offset up to which the holder knew the stream when the
 	// request arrived.
-	Base platform.Offset
+	Base logservice.Offset
 	// Window is how long the key is remembered after its outcome.
 	Window  time.Duration
 	Service fleet.ServiceID
@@ -126,7 +126,7 @@
 	Decided time.Time
 	// Withdrawn is the offset after the last withdrawal for the key, 0 if
 	// there was none. Only claims with a base at or beyond it may win.
-	Withdrawn platform.Offset
+	Withdrawn logservice.Offset
 	// Contradicted is set when the holder reported another outcome than the
 	// one that an operator had settled.
 	Contradicted bool
--- a/claim/recorder.go
+++ b/claim/recorder.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // outcomeReserve is the share of MaxPending that claims leave to outcomes, as
@@ -354,4 +354,4 @@
 
 // End returns how far the stream has been read: the base of claims for
 // requests that arrive from now on.
-func (r *Recorder) End() platform.Offset { return r.fold.Next() }
+func (r *Recorder) End() logservice.Offset { return r.fold.Next() }
--- a/claim/survey.go
+++ b/claim/survey.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // SurveyAnswer is what one instance says of a key.
@@ -23,12 +23,12 @@
 	// appended or read back.
 	Claimants []fleet.Holder
 	// End is how far the instance knows that the partition's stream reaches.
-	End platform.Offset
+	End logservice.Offset
 	// Covered is set if the instance has read the whole history of the key,
 	// up to Next, with a read that found the end and began Age ago.
 	Covered bool
 	Age     time.Duration
-	Next    platform.Offset
+	Next    logservice.Offset
 	// Op is what that history says; its State is 0 if nothing.
 	Op Op
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -14,8 +14,8 @@
 	"github.com/clementinereel/clementinereel/examples"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/instance"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/settings"
 )
@@ -56,7 +56,7 @@
 		if first == nil {
 			first = cfg
 		}
-		log.Put(platform.Listed{ID: cfg.Instance, Addr: cfg.Advertise, Zone: cfg.Zone, State: platform.Live})
+		log.Put(logservice.Listed{ID: cfg.Instance, Addr: cfg.Advertise, Zone: cfg.Zone, State: logservice.Live})
 		go func() { done <- instance.Run(ctx, cfg) }()
 	}
 	if err := waitReady(ctx, first.AdminListen); err != nil {
@@ -90,7 +90,7 @@
 
 // publish appends the contract and announces its targets.
 func publish(ctx context.Context, logURL string, con *contract.Contract) error {
-	cl := platform.NewClient(logURL, 0)
+	cl := logservice.NewClient(logURL, 0)
 	rec, err := publication.EncodeContract("dev-contract", publication.NoRevision, con)
 	if err != nil {
 		return err
@@ -108,7 +108,7 @@
 	return nil
 }
 
-func announce(ctx context.Context, cl *platform.Client, cust fleet.CustomerID, svc contract.Service, n int) error {
+func announce(ctx context.Context, cl *logservice.Client, cust fleet.CustomerID, svc contract.Service, n int) error {
 	em, err := emulator.New(emulator.Options{Slots: svc.Slots})
 	if err != nil {
 		return err
--- a/faults/fleet.go
+++ b/faults/fleet.go
@@ -14,8 +14,8 @@
 	"github.com/clementinereel/clementinereel/examples"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/load"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -88,7 +88,7 @@
 	t     testing.TB
 	setup Setup
 	dir   string
-	log   *platform.Client
+	log   *logservice.Client
 	// owners knows the instances' processes.
 	owners owners
 
@@ -102,8 +102,8 @@
 
 	// revision is the offset of the contract in force, newest that of the
 	// newest record of configuration.
-	revision     platform.Offset
-	newest       platform.Offset
+	revision     logservice.Offset
+	newest       logservice.Offset
 	publications int
 	files        int
 }
@@ -133,7 +133,7 @@
 	srv := httptest.NewServer(f.setup.Around(f.outage.before(f.Platform.Handler())))
 	f.t.Cleanup(srv.CloseClientConnections)
 	f.platformURL = srv.URL
-	f.log = platform.NewClient(srv.URL, 0)
+	f.log = logservice.NewClient(srv.URL, 0)
 }
 
 // publish appends the contract and announces its targets.
--- a/faults/instance.go
+++ b/faults/instance.go
@@ -17,7 +17,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/settings"
 	"github.com/clementinereel/clementinereel/status"
 )
@@ -104,7 +104,7 @@
 	for range startAttempts {
 		i.launch()
 		if i.listening() {
-			i.list(platform.Live)
+			i.list(logservice.Live)
 			return
 		}
 		time.Sleep(startPause)
@@ -173,8 +173,8 @@
 }
 
 // list puts the instance into the platform's list.
-func (i *Instance) list(s platform.ListedState) {
-	i.fleet.Platform.Put(platform.Listed{ID: i.ID(), Addr: i.cfg.Advertise, Zone: i.cfg.Zone, State: s})
+func (i *Instance) list(s logservice.ListedState) {
+	i.fleet.Platform.Put(logservice.Listed{ID: i.ID(), Addr: i.cfg.Advertise, Zone: i.cfg.Zone, State: s})
 }
 
 // Kill ends the process at once; the platform's list does not notice.
@@ -194,7 +194,7 @@
 // Term asks the process to stop and waits until it has done so well.
 func (i *Instance) Term() {
 	i.t.Helper()
-	i.list(platform.Leaving)
+	i.list(logservice.Leaving)
 	i.signal(syscall.SIGTERM)
 	select {
 	case err := <-i.exited:
@@ -219,7 +219,7 @@
 }
 
 // WaitInForce waits until the instance has applied the record at an offset.
-func (i *Instance) WaitInForce(offset platform.Offset) {
+func (i *Instance) WaitInForce(offset logservice.Offset) {
 	i.t.Helper()
 	Eventually(i.t, func() error {
 		r, err := i.Status()
--- a/faults/operation_test.go
+++ b/faults/operation_test.go
@@ -11,7 +11,7 @@
 	"github.com/clementinereel/clementinereel/emulator"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/load"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 )
 
 // confirmationService is the service whose work must not repeat.
--- a/faults/reelctl_test.go
+++ b/faults/reelctl_test.go
@@ -10,18 +10,18 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementinereel/clementinereel/contract"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/reelctl"
 )
 
 // waitSameRevision waits until all instances have one revision in force, other
 // than the one before, and returns it.
-func waitSameRevision(t *testing.T, f *Fleet, before platform.Offset) platform.Offset {
+func waitSameRevision(t *testing.T, f *Fleet, before logservice.Offset) logservice.Offset {
 	t.Helper()
-	var now platform.Offset
+	var now logservice.Offset
 	Eventually(t, func() error {
-		var all []platform.Offset
+		var all []logservice.Offset
 		for _, i := range f.Instances {
 			r, err := i.Status()
 			if err != nil {
--- a/faults/target.go
+++ b/faults/target.go
@@ -9,7 +9,7 @@
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/emulator"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -23,7 +23,7 @@
 	Callers *Switch
 	fleet   *Fleet
 	// revision is the offset of its last announcement.
-	revision platform.Offset
+	revision logservice.Offset
 }
 
 // AddTarget starts a target of a service and announces it.
@@ -67,7 +67,7 @@
 }
 
 // append adds a record to the configuration stream.
-func (f *Fleet) append(rec []byte) platform.Offset {
+func (f *Fleet) append(rec []byte) logservice.Offset {
 	f.t.Helper()
 	offset, err := f.log.Append(context.Background(), publication.Stream, rec)
 	assert.NilError(f.t, err)
--- a/follow/bench_test.go
+++ b/follow/bench_test.go
@@ -15,9 +15,9 @@
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/peer"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -86,14 +86,14 @@
 // benchmarked is a fleet of followers that call each other over loopback.
 type benchmarked struct {
 	registry   metrics.Registry
-	inForce    chan platform.Offset
+	inForce    chan logservice.Offset
 	transports []*peer.Transport
 }
 
 // startFleet runs followers until the benchmark ends. Only the first reached
 // of them reach the log, and only the first tails tail it.
 func startFleet(b *testing.B, x *fixture, reached, tails int) *benchmarked {
-	fl := &benchmarked{registry: metrics.NewRegistry(), inForce: make(chan platform.Offset, 100*benchFleet)}
+	fl := &benchmarked{registry: metrics.NewRegistry(), inForce: make(chan logservice.Offset, 100*benchFleet)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	b.Cleanup(func() {
@@ -118,7 +118,7 @@
 }
 
 // await waits until all followers have applied the record.
-func (fl *benchmarked) await(at platform.Offset) {
+func (fl *benchmarked) await(at logservice.Offset) {
 	for n := benchFleet; n > 0; {
 		if next := <-fl.inForce; next == at+1 {
 			n--
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -11,7 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -21,25 +21,25 @@
 // Pulled is a peer's answer to a pull: records, or a packed snapshot if the
 // peer no longer holds the records asked for.
 type Pulled struct {
-	Records  []platform.Record
+	Records  []logservice.Record
 	Snapshot []byte
 	// Next is the offset up to which the peer has applied.
-	Next platform.Offset
+	Next logservice.Offset
 }
 
 // Peers gives access to the other instances.
 type Peers interface {
 	// Offsets returns the configuration offset of each peer that may be
 	// reachable. An offset may lag behind the peer's true one.
-	Offsets() map[fleet.InstanceID]platform.Offset
+	Offsets() map[fleet.InstanceID]logservice.Offset
 	// Pull asks a peer for what it has from an offset on. The peer may hold
 	// the call for wait while it has nothing.
-	Pull(ctx context.Context, id fleet.InstanceID, from platform.Offset, wait time.Duration) (Pulled, error)
+	Pull(ctx context.Context, id fleet.InstanceID, from logservice.Offset, wait time.Duration) (Pulled, error)
 }
 
 // Options are what a Follower works with.
 type Options struct {
-	Log platform.Log
+	Log logservice.Log
 	// Peers may be nil: no peer is asked.
 	Peers Peers
 	// Tail tells whether this instance tails the log at present. Default:
@@ -109,7 +109,7 @@
 func (f *Follower) View() *publication.View { return f.view.Load() }
 
 // Next is the offset of the first record that was not applied yet.
-func (f *Follower) Next() platform.Offset { return f.View().Next }
+func (f *Follower) Next() logservice.Offset { return f.View().Next }
 
 // Contact returns when the log or a peer last answered; zero if none ever did.
 // An instance whose contact is long past may serve an old state.
@@ -155,7 +155,7 @@
 }
 
 // apply folds records from the log or a peer.
-func (f *Follower) apply(records []platform.Record) {
+func (f *Follower) apply(records []logservice.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	decisions := f.replica.Apply(records)
--- a/follow/follower_test.go
+++ b/follow/follower_test.go
@@ -16,10 +16,10 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -50,10 +50,10 @@
 	self fleet.InstanceID
 }
 
-func (p meshPeers) Offsets() map[fleet.InstanceID]platform.Offset {
+func (p meshPeers) Offsets() map[fleet.InstanceID]logservice.Offset {
 	p.mesh.mu.Lock()
 	defer p.mesh.mu.Unlock()
-	offsets := make(map[fleet.InstanceID]platform.Offset)
+	offsets := make(map[fleet.InstanceID]logservice.Offset)
 	for id, f := range p.mesh.followers {
 		switch {
 		case id == p.self:
@@ -66,7 +66,7 @@
 	return offsets
 }
 
-func (p meshPeers) Pull(ctx context.Context, id fleet.InstanceID, from platform.Offset, wait time.Duration) (Pulled, error) {
+func (p meshPeers) Pull(ctx context.Context, id fleet.InstanceID, from logservice.Offset, wait time.Duration) (Pulled, error) {
 	p.mesh.mu.Lock()
 	f, ok := p.mesh.followers[id]
 	stale, old := p.mesh.stale[id]
@@ -84,19 +84,19 @@
 // unreachable is a log that cannot be reached.
 type unreachable struct{}
 
-func (unreachable) Append(context.Context, string, []byte) (platform.Offset, error) {
+func (unreachable) Append(context.Context, string, []byte) (logservice.Offset, error) {
 	return 0, errors.New("unreachable")
 }
 
-func (unreachable) Read(context.Context, string, platform.Offset, int, time.Duration) (platform.Batch, error) {
-	return platform.Batch{}, errors.New("unreachable")
+func (unreachable) Read(context.Context, string, logservice.Offset, int, time.Duration) (logservice.Batch, error) {
+	return logservice.Batch{}, errors.New("unreachable")
 }
 
 type fixture struct {
 	t       testing.TB
 	mesh    *mesh
 	server  *standin.Server
-	log     *platform.Client
+	log     *logservice.Client
 	example *contract.Contract
 }
 
@@ -109,7 +109,7 @@
 	c, err := contract.Decode(data)
 	assert.NilError(t, err)
 	m := &mesh{followers: map[fleet.InstanceID]*Follower{}, stale: map[fleet.InstanceID]Pulled{}}
-	return &fixture{t: t, mesh: m, server: server, log: platform.NewClient(ts.URL, time.Second), example: c}
+	return &fixture{t: t, mesh: m, server: server, log: logservice.NewClient(ts.URL, time.Second), example: c}
 }
 
 // start runs a follower until the test ends.
@@ -136,7 +136,7 @@
 }
 
 // publish appends a revision of the example contract, past all faults.
-func (x *fixture) publish(id string, base platform.Offset) platform.Offset {
+func (x *fixture) publish(id string, base logservice.Offset) logservice.Offset {
 	data, err := publication.EncodeContract(id, base, x.example)
 	assert.NilError(x.t, err)
 	return x.server.Append(publication.Stream, data)
@@ -154,7 +154,7 @@
 
 func TestFollowsTheLog(t *testing.T) {
 	x := newFixture(t)
-	seen := make(chan platform.Offset, 100)
+	seen := make(chan logservice.Offset, 100)
 	f := x.start("a", Options{Log: x.log, OnChange: func(v *publication.View) { seen <- v.Next }})
 	base := x.publish("one", publication.NoRevision)
 	x.await(f, "one")
@@ -300,14 +300,14 @@
 	f := New(Options{Log: x.log, Settings: Settings{CheckpointRecords: 3}})
 	now := time.Unix(1_800_000_000, 0)
 	assert.Assert(t, !f.checkpointDue(now))
-	f.apply([]platform.Record{{Offset: 0, Time: now}})
+	f.apply([]logservice.Record{{Offset: 0, Time: now}})
 	assert.Assert(t, f.checkpointDue(now))
 	parts, err := f.state().EncodeCheckpoint()
 	assert.NilError(t, err)
-	f.apply([]platform.Record{{Offset: 1, Time: now, Data: parts[0]}})
+	f.apply([]logservice.Record{{Offset: 1, Time: now, Data: parts[0]}})
 	assert.Assert(t, !f.checkpointDue(now.Add(5*time.Hour)))
 	assert.Assert(t, f.checkpointDue(now.Add(7*time.Hour)))
-	f.apply([]platform.Record{{Offset: 2, Time: now}, {Offset: 3, Time: now}, {Offset: 4, Time: now}})
+	f.apply([]logservice.Record{{Offset: 2, Time: now}, {Offset: 3, Time: now}, {Offset: 4, Time: now}})
 	assert.Assert(t, f.checkpointDue(now))
 }
 
--- a/follow/peers.go
+++ b/follow/peers.go
@@ -9,11 +9,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // maxWait bounds how long a peer's pull is held.
@@ -40,16 +40,16 @@
 }
 
 // Offsets implements Peers.
-func (p *RemotePeers) Offsets() map[fleet.InstanceID]platform.Offset {
-	offsets := make(map[fleet.InstanceID]platform.Offset)
+func (p *RemotePeers) Offsets() map[fleet.InstanceID]logservice.Offset {
+	offsets := make(map[fleet.InstanceID]logservice.Offset)
 	for id, next := range p.view().Offsets() {
-		offsets[id] = platform.Offset(next)
+		offsets[id] = logservice.Offset(next)
 	}
 	return offsets
 }
 
 // Pull implements Peers.
-func (p *RemotePeers) Pull(ctx context.Context, id fleet.InstanceID, from platform.Offset, wait time.Duration) (Pulled, error) {
+func (p *RemotePeers) Pull(ctx context.Context, id fleet.InstanceID, from logservice.Offset, wait time.Duration) (Pulled, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+replyTimeout)
 	defer cancel()
 	c := peerv1connect.NewConfigServiceClient(p.client, peer.URL(id), connect.WithReadMaxBytes(maxAnswer))
@@ -61,10 +61,10 @@
 }
 
 func decodePulled(m *peerv1.PullResponse) Pulled {
-	got := Pulled{Snapshot: m.Snapshot, Next: platform.Offset(m.Next)}
+	got := Pulled{Snapshot: m.Snapshot, Next: logservice.Offset(m.Next)}
 	for _, r := range m.Records {
-		got.Records = append(got.Records, platform.Record{
-			Offset: platform.Offset(r.GetOffset()),
+		got.Records = append(got.Records, logservice.Record{
+			Offset: logservice.Offset(r.GetOffset()),
 			Time:   time.Unix(0, r.GetTimeUnixNanos()).UTC(),
 			Data:   r.GetData(),
 		})
@@ -102,7 +102,7 @@
 	}
 	wait := time.Duration(min(req.Msg.WaitMillis, maxWait.Milliseconds())) * time.Millisecond
 	caller, _ := peer.Sender(ctx)
-	got, err := s.follower.Serve(ctx, caller.Instance, platform.Offset(req.Msg.From), wait)
+	got, err := s.follower.Serve(ctx, caller.Instance, logservice.Offset(req.Msg.From), wait)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -12,7 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -204,7 +204,7 @@
 
 // Serve answers a pull of a peer. It holds the call for up to wait while it has
 // nothing from the offset on.
-func (f *Follower) Serve(ctx context.Context, caller fleet.InstanceID, from platform.Offset, wait time.Duration) (Pulled, error) {
+func (f *Follower) Serve(ctx context.Context, caller fleet.InstanceID, from logservice.Offset, wait time.Duration) (Pulled, error) {
 	f.counters.pulled.Inc(1)
 	f.heed(hint{caller, from})
 	f.await(ctx, from, wait)
@@ -221,7 +221,7 @@
 // hint says that a peer has applied up to an offset.
 type hint struct {
 	id   fleet.InstanceID
-	next platform.Offset
+	next logservice.Offset
 }
 
 // heed lets chase know of a peer that is ahead, unless it knows of one already.
@@ -236,7 +236,7 @@
 }
 
 // await waits until the state has gone beyond an offset.
-func (f *Follower) await(ctx context.Context, from platform.Offset, wait time.Duration) {
+func (f *Follower) await(ctx context.Context, from logservice.Offset, wait time.Duration) {
 	timeout := time.NewTimer(min(wait, maxWait))
 	defer timeout.Stop()
 	for {
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -7,7 +7,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -19,7 +19,7 @@
 // ask for it at the same time.
 type packed struct {
 	mu   sync.Mutex
-	next platform.Offset
+	next logservice.Offset
 	data []byte
 }
 
--- a/follow/tail.go
+++ b/follow/tail.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -65,7 +65,7 @@
 func (f *Follower) read(ctx context.Context) error {
 	from := f.Next()
 	batch, err := f.opts.Log.Read(ctx, publication.Stream, from, f.settings.ReadLimit, f.settings.ReadWait)
-	if errors.Is(err, platform.ErrExpired) {
+	if errors.Is(err, logservice.ErrExpired) {
 		f.counters.expired.Inc(1)
 		return f.recover(ctx, batch.First)
 	}
@@ -89,7 +89,7 @@
 }
 
 // recover takes over the newest checkpoint that the log keeps from first on.
-func (f *Follower) recover(ctx context.Context, first platform.Offset) error {
+func (f *Follower) recover(ctx context.Context, first logservice.Offset) error {
 	var c publication.Collector
 	for from := first; ; {
 		batch, err := f.opts.Log.Read(ctx, publication.Stream, from, f.settings.ReadLimit, 0)
--- a/instance/bench_test.go
+++ b/instance/bench_test.go
@@ -10,8 +10,8 @@
 	"github.com/clementinereel/clementinereel/balancer"
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/settings"
 )
@@ -72,7 +72,7 @@
 	s := publication.NewState()
 	add := func(rec []byte, err error) {
 		assert.NilError(tb, err)
-		s.Apply(platform.Record{Offset: s.Next(), Time: time.Now().Add(-time.Hour), Data: rec})
+		s.Apply(logservice.Record{Offset: s.Next(), Time: time.Now().Add(-time.Hour), Data: rec})
 	}
 	for n := range services {
 		c, err := contract.Decode(fmt.Appendf(nil, `{"format":"clementinereel/contract/v1","customer":"customer-%d","hosts":["customer-%d.example"],
--- a/instance/capacity_test.go
+++ b/instance/capacity_test.go
@@ -20,8 +20,8 @@
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/instance"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/status"
 )
@@ -68,7 +68,7 @@
 	srv := httptest.NewServer(b.list.Handler())
 	t.Cleanup(srv.Close)
 	b.logURL = srv.URL
-	b.log = platform.NewClient(srv.URL, 0)
+	b.log = logservice.NewClient(srv.URL, 0)
 	add := func(rec []byte, err error) {
 		assert.NilError(t, err)
 		b.list.Append(publication.Stream, rec)
@@ -160,7 +160,7 @@
 }
 
 // inForce is the revision of a contract in force.
-func inForce(t *testing.T, i *instance.Instance, c fleet.CustomerID) platform.Offset {
+func inForce(t *testing.T, i *instance.Instance, c fleet.CustomerID) logservice.Offset {
 	resp, err := http.Get("http://" + i.AdminAddr() + status.Path + "?customer=" + string(c))
 	assert.NilError(t, err)
 	defer resp.Body.Close()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -15,9 +15,9 @@
 	"github.com/clementinereel/clementinereel/evidence"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/follow"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/peer"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/pool"
 	"github.com/clementinereel/clementinereel/proxy"
 	"github.com/clementinereel/clementinereel/publication"
@@ -32,7 +32,7 @@
 type Instance struct {
 	cfg        *settings.Settings
 	self       fleet.Holder
-	platform   *platform.Client
+	platform   *logservice.Client
 	metrics    *telemetry.Registry
 	services   *upstream.Set
 	pool       *pool.Set
@@ -71,7 +71,7 @@
 	i := &Instance{
 		cfg:      cfg,
 		self:     fleet.Holder{Instance: cfg.Instance, Incarnation: fleet.Incarnation(time.Now().UnixNano())},
-		platform: platform.NewClient(cfg.Platform.URL, cfg.Platform.Timeout.D()),
+		platform: logservice.NewClient(cfg.Platform.URL, cfg.Platform.Timeout.D()),
 		metrics:  telemetry.NewRegistry(),
 		pool:     pool.New(pool.Config{}),
 		sockets:  sockets,
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -18,8 +18,8 @@
 	"github.com/clementinereel/clementinereel/examples"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/instance"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/settings"
 )
@@ -28,7 +28,7 @@
 
 // bench is a small fleet in this process.
 type bench struct {
-	log     *platform.Client
+	log     *logservice.Client
 	list    *standin.Server
 	logURL  string
 	targets []*emulator.Emulator
@@ -41,7 +41,7 @@
 	srv := httptest.NewServer(b.list.Handler())
 	t.Cleanup(srv.Close)
 	b.logURL = srv.URL
-	b.log = platform.NewClient(srv.URL, 0)
+	b.log = logservice.NewClient(srv.URL, 0)
 	b.publish(t)
 	for k := range n {
 		b.start(t, k)
@@ -93,7 +93,7 @@
 	assert.NilError(t, cfg.Complete())
 	i, err := instance.New(cfg)
 	assert.NilError(t, err)
-	b.list.Put(platform.Listed{ID: cfg.Instance, Addr: i.PeerAddr(), Zone: cfg.Zone, State: platform.Live})
+	b.list.Put(logservice.Listed{ID: cfg.Instance, Addr: i.PeerAddr(), Zone: cfg.Zone, State: logservice.Live})
 	i.Start()
 	t.Cleanup(i.Stop)
 	b.all = append(b.all, i)
--- a/instance/operations.go
+++ b/instance/operations.go
@@ -13,10 +13,10 @@
 	"github.com/clementinereel/clementinereel/dispatch"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/retry"
 	"github.com/clementinereel/clementinereel/upstream"
 )
@@ -46,11 +46,11 @@
 type processList struct {
 	mu     sync.Mutex
 	view   *membership.View
-	listed []platform.Listed
+	listed []logservice.Listed
 	all    []fleet.Holder
 }
 
-func (p *processList) follow(v *membership.View, listed []platform.Listed) []fleet.Holder {
+func (p *processList) follow(v *membership.View, listed []logservice.Listed) []fleet.Holder {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	same := len(listed) == len(p.listed) && (len(listed) == 0 || &listed[0] == &p.listed[0])
--- a/instance/path_bench_test.go
+++ b/instance/path_bench_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -57,7 +57,7 @@
 	s := publication.NewState()
 	add := func(rec []byte, err error) {
 		assert.NilError(tb, err)
-		s.Apply(platform.Record{Offset: s.Next(), Time: time.Now().Add(-time.Hour), Data: rec})
+		s.Apply(logservice.Record{Offset: s.Next(), Time: time.Now().Add(-time.Hour), Data: rec})
 	}
 	c, err := contract.Decode([]byte(`{"format":"clementinereel/contract/v1","customer":"daugava","hosts":["daugava.example"],
 		"limits":{"rate_per_second":100000},"services":[{"name":"main","slots_per_target":64,"connections_per_target":300,"detection":{}}],
--- a/instance/status.go
+++ b/instance/status.go
@@ -6,8 +6,8 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/outlier"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/status"
 )
@@ -25,7 +25,7 @@
 		Zone:        i.cfg.Zone,
 		Ready:       i.ready.Load(),
 		Config:      status.Config{Next: i.follower.Next(), Contact: i.follower.Contact()},
-		Revisions:   map[fleet.CustomerID]platform.Offset{},
+		Revisions:   map[fleet.CustomerID]logservice.Offset{},
 		Ejected:     []status.Ejection{},
 	}
 	r.Operations.Pending, r.Operations.Unknown = i.operations.Counts()
--- a/platform/platform.go
+++ b/logservice/platform.go
@@ -1,4 +1,4 @@
-package platform
+package logservice
 
 import (
 	"context"
--- a/platform/standin/list.go
+++ b/logservice/standin/list.go
@@ -8,20 +8,20 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // listChange is one entry put, or removed if gone, at a time.
 type listChange struct {
 	at    time.Time
-	entry platform.Listed
+	entry logservice.Listed
 	gone  bool
 }
 
 // list is the instance list as a history of changes, so that it can be seen
 // late.
 type list struct {
-	seen    map[fleet.InstanceID]platform.Listed
+	seen    map[fleet.InstanceID]logservice.Listed
 	pending []listChange
 }
 
@@ -30,7 +30,7 @@
 // advance makes the changes seen that are at least lag old.
 func (l *list) advance(now time.Time, lag time.Duration) {
 	if l.seen == nil {
-		l.seen = make(map[fleet.InstanceID]platform.Listed)
+		l.seen = make(map[fleet.InstanceID]logservice.Listed)
 	}
 	n := 0
 	for ; n < len(l.pending) && now.Sub(l.pending[n].at) >= lag; n++ {
@@ -44,17 +44,17 @@
 	l.pending = l.pending[n:]
 }
 
-func (l *list) entries() []platform.Listed {
-	out := make([]platform.Listed, 0, len(l.seen))
+func (l *list) entries() []logservice.Listed {
+	out := make([]logservice.Listed, 0, len(l.seen))
 	for _, e := range l.seen {
 		out = append(out, e)
 	}
-	slices.SortFunc(out, func(a, b platform.Listed) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(out, func(a, b logservice.Listed) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
 
 // Put adds or replaces an entry of the instance list.
-func (s *Server) Put(e platform.Listed) {
+func (s *Server) Put(e logservice.Listed) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list.add(listChange{at: s.opts.Now(), entry: e})
@@ -64,11 +64,11 @@
 func (s *Server) Remove(id fleet.InstanceID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list.add(listChange{at: s.opts.Now(), entry: platform.Listed{ID: id}, gone: true})
+	s.list.add(listChange{at: s.opts.Now(), entry: logservice.Listed{ID: id}, gone: true})
 }
 
 // Instances returns the list as it is seen now.
-func (s *Server) Instances() []platform.Listed {
+func (s *Server) Instances() []logservice.Listed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.list.advance(s.opts.Now(), s.faults.ListLag.D())
@@ -80,7 +80,7 @@
 }
 
 func (s *Server) servePut(w http.ResponseWriter, r *http.Request) {
-	var e platform.Listed
+	var e logservice.Listed
 	dec := json.NewDecoder(r.Body)
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&e); err != nil {
@@ -89,9 +89,9 @@
 	}
 	e.ID = fleet.InstanceID(r.PathValue("id"))
 	if e.State == "" {
-		e.State = platform.Live
+		e.State = logservice.Live
 	}
-	if e.Addr == "" || (e.State != platform.Live && e.State != platform.Leaving) {
+	if e.Addr == "" || (e.State != logservice.Live && e.State != logservice.Leaving) {
 		http.Error(w, `want addr, and state "live" or "leaving"`, http.StatusBadRequest)
 		return
 	}
--- a/platform/standin/log.go
+++ b/logservice/standin/log.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // maxBatch bounds the records of one read.
@@ -30,12 +30,12 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusCreated, platform.AppendReply{Offset: offset})
+	writeJSON(w, http.StatusCreated, logservice.AppendReply{Offset: offset})
 }
 
 // append adds a record unless the rate limit refuses it. Lose tells that the
 // reply must get lost.
-func (s *Server) append(name string, data []byte) (offset platform.Offset, ok, lose bool) {
+func (s *Server) append(name string, data []byte) (offset logservice.Offset, ok, lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.opts.Now()
@@ -59,14 +59,14 @@
 	return true
 }
 
-func (s *stream) add(offset platform.Offset, now time.Time, data []byte) {
-	s.records = append(s.records, platform.WireRecord{Offset: offset, Time: now.UTC(), Data: data})
+func (s *stream) add(offset logservice.Offset, now time.Time, data []byte) {
+	s.records = append(s.records, logservice.WireRecord{Offset: offset, Time: now.UTC(), Data: data})
 	close(s.grown)
 	s.grown = make(chan struct{})
 }
 
 // Append adds a record, past the rate limit and all faults.
-func (s *Server) Append(name string, data []byte) platform.Offset {
+func (s *Server) Append(name string, data []byte) logservice.Offset {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
@@ -88,7 +88,7 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		reply, expired, grown := s.read(r.PathValue("stream"), platform.Offset(from), min(limit, maxBatch))
+		reply, expired, grown := s.read(r.PathValue("stream"), logservice.Offset(from), min(limit, maxBatch))
 		if expired {
 			writeJSON(w, http.StatusGone, reply)
 			return
@@ -113,12 +113,12 @@
 	}
 }
 
-func (s *Server) read(name string, from platform.Offset, limit int) (reply platform.ReadReply, expired bool, grown <-chan struct{}) {
+func (s *Server) read(name string, from logservice.Offset, limit int) (reply logservice.ReadReply, expired bool, grown <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	st.expire(s.faults, s.opts.Now())
-	reply = platform.ReadReply{First: st.first, Next: st.next(), Records: []platform.WireRecord{}}
+	reply = logservice.ReadReply{First: st.first, Next: st.next(), Records: []logservice.WireRecord{}}
 	if from < st.first {
 		return reply, true, nil
 	}
@@ -141,15 +141,15 @@
 		}
 	}
 	s.records = s.records[n:]
-	s.first += platform.Offset(n)
+	s.first += logservice.Offset(n)
 }
 
 // Expire forgets the oldest records of a stream up to an offset.
-func (s *Server) Expire(name string, before platform.Offset) {
+func (s *Server) Expire(name string, before logservice.Offset) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stream(name)
-	n := min(max(before-st.first, 0), platform.Offset(len(st.records)))
+	n := min(max(before-st.first, 0), logservice.Offset(len(st.records)))
 	st.records = st.records[n:]
 	st.first += n
 }
--- a/platform/standin/standin.go
+++ b/logservice/standin/standin.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // Defaults of Options.
@@ -49,13 +49,13 @@
 // stream holds the kept records of one stream. The first of them has offset
 // first.
 type stream struct {
-	first   platform.Offset
-	records []platform.WireRecord
+	first   logservice.Offset
+	records []logservice.WireRecord
 	// grown is closed when a record is added.
 	grown chan struct{}
 }
 
-func (s *stream) next() platform.Offset { return s.first + platform.Offset(len(s.records)) }
+func (s *stream) next() logservice.Offset { return s.first + logservice.Offset(len(s.records)) }
 
 // New returns a server without records or instances.
 func New(o Options) *Server {
--- a/platform/standin/standin_test.go
+++ b/logservice/standin/standin_test.go
@@ -12,30 +12,30 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementinereel/clementinereel/contract"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
-func start(t *testing.T, o Options) (*Server, *platform.Client, string) {
+func start(t *testing.T, o Options) (*Server, *logservice.Client, string) {
 	s := New(o)
 	ts := httptest.NewServer(s.Handler())
 	t.Cleanup(ts.Close)
-	return s, platform.NewClient(ts.URL, time.Minute), ts.URL
+	return s, logservice.NewClient(ts.URL, time.Minute), ts.URL
 }
 
 func TestAppendAndRead(t *testing.T) {
 	ctx := context.Background()
 	_, c, _ := start(t, Options{})
-	got := make(chan platform.Batch, 1)
+	got := make(chan logservice.Batch, 1)
 	go func() {
 		b, _ := c.Read(ctx, "s", 0, 10, time.Minute)
 		got <- b
 	}()
 	off, err := c.Append(ctx, "s", []byte("one"))
 	assert.NilError(t, err)
-	assert.Equal(t, off, platform.Offset(0))
+	assert.Equal(t, off, logservice.Offset(0))
 	b := <-got
 	assert.Equal(t, string(b.Records[0].Data), "one")
-	assert.Equal(t, b.Next, platform.Offset(1))
+	assert.Equal(t, b.Next, logservice.Offset(1))
 	b, err = c.Read(ctx, "s", 1, 10, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(b.Records), 0)
@@ -46,10 +46,10 @@
 	s, c, _ := start(t, Options{})
 	s.SetFaults(Faults{LoseReplies: 1})
 	_, err := c.Append(ctx, "s", []byte("one"))
-	assert.Assert(t, err != nil && !errors.Is(err, platform.ErrRefused))
+	assert.Assert(t, err != nil && !errors.Is(err, logservice.ErrRefused))
 	off, err := c.Append(ctx, "s", []byte("two"))
 	assert.NilError(t, err)
-	assert.Equal(t, off, platform.Offset(1))
+	assert.Equal(t, off, logservice.Offset(1))
 }
 
 func TestLateAppendTakesEffectLater(t *testing.T) {
@@ -57,7 +57,7 @@
 	s, c, _ := start(t, Options{})
 	s.SetFaults(Faults{LateAppends: 1, LateBy: contract.Duration(20 * time.Millisecond)})
 	_, err := c.Append(ctx, "s", []byte("late"))
-	assert.Assert(t, err != nil && !errors.Is(err, platform.ErrRefused))
+	assert.Assert(t, err != nil && !errors.Is(err, logservice.ErrRefused))
 	b, err := c.Read(ctx, "s", 0, 1, 30*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, string(b.Records[0].Data), "late")
@@ -99,7 +99,7 @@
 	assert.Assert(t, <-done != nil)
 	b, err := c.Read(ctx, "s", 0, 1, 0)
 	assert.NilError(t, err)
-	assert.Equal(t, b.Next, platform.Offset(0))
+	assert.Equal(t, b.Next, logservice.Offset(0))
 }
 
 func TestExpiry(t *testing.T) {
@@ -111,12 +111,12 @@
 	}
 	s.SetFaults(Faults{KeepRecords: 2})
 	b, err := c.Read(ctx, "s", 0, 10, 0)
-	assert.Assert(t, errors.Is(err, platform.ErrExpired))
-	assert.Equal(t, b.First, platform.Offset(3))
+	assert.Assert(t, errors.Is(err, logservice.ErrExpired))
+	assert.Equal(t, b.First, logservice.Offset(3))
 	s.SetFaults(Faults{KeepFor: contract.Duration(time.Second)})
 	now = now.Add(2 * time.Second)
 	b, err = c.Read(ctx, "s", 3, 10, 0)
-	assert.Assert(t, errors.Is(err, platform.ErrExpired))
+	assert.Assert(t, errors.Is(err, logservice.ErrExpired))
 	assert.Equal(t, b.First, b.Next)
 }
 
@@ -129,7 +129,7 @@
 		assert.NilError(t, err)
 	}
 	_, err := c.Append(ctx, "s", nil)
-	assert.Assert(t, errors.Is(err, platform.ErrRefused))
+	assert.Assert(t, errors.Is(err, logservice.ErrRefused))
 }
 
 func TestListLags(t *testing.T) {
@@ -147,7 +147,7 @@
 	now = now.Add(time.Second)
 	list, err = c.Instances(ctx)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, list, []platform.Listed{{ID: "i1", Addr: "127.0.0.1:1", Zone: "a", State: platform.Live}})
+	assert.DeepEqual(t, list, []logservice.Listed{{ID: "i1", Addr: "127.0.0.1:1", Zone: "a", State: logservice.Live}})
 	s.Remove("i1")
 	assert.Equal(t, len(s.Instances()), 1)
 	now = now.Add(time.Second)
--- a/operate/config.go
+++ b/operate/config.go
@@ -10,9 +10,9 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/ticket"
 )
 
@@ -166,7 +166,7 @@
 	// Self is this process.
 	Self fleet.Holder
 	// Log is the platform's log.
-	Log platform.Log
+	Log logservice.Log
 	// Peers reaches the instance i at "http://i.peer", by relay if need be.
 	Peers *http.Client
 	// Members returns every process that may run, this one included: those
--- a/operate/fake_test.go
+++ b/operate/fake_test.go
@@ -18,8 +18,8 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 var errFault = errors.New("injected fault")
@@ -27,8 +27,8 @@
 // memLog is a log in memory with faults.
 type memLog struct {
 	mu        sync.Mutex
-	streams   map[string][]platform.Record
-	first     map[string]platform.Offset
+	streams   map[string][]logservice.Record
+	first     map[string]logservice.Offset
 	grown     chan struct{}
 	down      bool
 	loseReply bool
@@ -38,7 +38,7 @@
 
 func newMemLog() *memLog {
 	return &memLog{
-		streams: map[string][]platform.Record{}, first: map[string]platform.Offset{},
+		streams: map[string][]logservice.Record{}, first: map[string]logservice.Offset{},
 		grown: make(chan struct{}),
 	}
 }
@@ -51,7 +51,7 @@
 	l.grown = make(chan struct{})
 }
 
-func (l *memLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (l *memLog) Append(ctx context.Context, stream string, data []byte) (logservice.Offset, error) {
 	l.mu.Lock()
 	latency, down := l.latency, l.down
 	l.mu.Unlock()
@@ -61,12 +61,12 @@
 	if down {
 		return 0, errFault
 	}
-	var o platform.Offset
+	var o logservice.Offset
 	lost := false
 	l.set(func(l *memLog) {
 		l.appends++
-		o = platform.Offset(len(l.streams[stream]))
-		l.streams[stream] = append(l.streams[stream], platform.Record{Offset: o, Time: time.Now(), Data: data})
+		o = logservice.Offset(len(l.streams[stream]))
+		l.streams[stream] = append(l.streams[stream], logservice.Record{Offset: o, Time: time.Now(), Data: data})
 		lost = l.loseReply
 	})
 	if lost {
@@ -75,19 +75,19 @@
 	return o, nil
 }
 
-func (l *memLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *memLog) Read(ctx context.Context, stream string, from logservice.Offset, limit int, wait time.Duration) (logservice.Batch, error) {
 	timeout := time.After(wait)
 	for {
 		l.mu.Lock()
 		list := l.streams[stream]
-		b := platform.Batch{First: l.first[stream], Next: platform.Offset(len(list))}
+		b := logservice.Batch{First: l.first[stream], Next: logservice.Offset(len(list))}
 		down, grown, latency := l.down, l.grown, l.latency
 		l.mu.Unlock()
 		switch {
 		case down:
-			return platform.Batch{}, errFault
+			return logservice.Batch{}, errFault
 		case from < b.First:
-			return b, platform.ErrExpired
+			return b, logservice.ErrExpired
 		case int(from) < len(list):
 			b.Records = slices.Clone(list[from:min(len(list), int(from)+limit)])
 			sleep(ctx, latency)
@@ -98,7 +98,7 @@
 		case <-timeout:
 			return b, nil
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return logservice.Batch{}, ctx.Err()
 		}
 	}
 }
--- a/operate/keyed_test.go
+++ b/operate/keyed_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 func TestSameKeyAtOnceRunsOnce(t *testing.T) {
@@ -34,9 +34,9 @@
 }
 
 // hangingLog is a log that one instance cannot reach: its calls hang.
-type hangingLog struct{ platform.Log }
+type hangingLog struct{ logservice.Log }
 
-func (hangingLog) Append(ctx context.Context, _ string, _ []byte) (platform.Offset, error) {
+func (hangingLog) Append(ctx context.Context, _ string, _ []byte) (logservice.Offset, error) {
 	<-ctx.Done()
 	return 0, ctx.Err()
 }
@@ -58,12 +58,12 @@
 
 // firstWaits notes how long the first read of each stream may wait.
 type firstWaits struct {
-	platform.Log
+	logservice.Log
 	mu    sync.Mutex
 	waits map[string]time.Duration
 }
 
-func (l *firstWaits) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *firstWaits) Read(ctx context.Context, stream string, from logservice.Offset, limit int, wait time.Duration) (logservice.Batch, error) {
 	l.mu.Lock()
 	if _, ok := l.waits[stream]; !ok {
 		l.waits[stream] = wait
@@ -268,7 +268,7 @@
 	c.wantOutcome(c.send(0, keyed("k", "b")), fleet.Completed)
 	c.eventually("recorded", func() bool { return c.at(0).unrecorded() == 0 })
 	stream := claim.StreamName(operation.Key{Customer: "daugava", Name: "k"}.Partition(2))
-	var upto platform.Offset
+	var upto logservice.Offset
 	c.eventually("checkpoint", func() bool {
 		c.log.mu.Lock()
 		defer c.log.mu.Unlock()
--- a/operate/partition.go
+++ b/operate/partition.go
@@ -10,8 +10,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/claim"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 const (
@@ -107,7 +107,7 @@
 }
 
 // record appends an entry, with others, and waits until it is read back.
-func (p *partition) record(ctx context.Context, e claim.Entry) (claim.Reply, platform.Offset, error) {
+func (p *partition) record(ctx context.Context, e claim.Entry) (claim.Reply, logservice.Offset, error) {
 	p.mu.Lock()
 	if rep, ok := p.rec.Known(e); ok && p.read {
 		defer p.mu.Unlock()
@@ -144,7 +144,7 @@
 	}
 }
 
-func (p *partition) end() platform.Offset {
+func (p *partition) end() logservice.Offset {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.rec.End()
@@ -220,7 +220,7 @@
 		began := p.s.now()
 		b, err := p.s.cfg.Log.Read(ctx, p.stream, p.end(), readLimit, p.patience())
 		switch {
-		case errors.Is(err, platform.ErrExpired):
+		case errors.Is(err, logservice.ErrExpired):
 			p.restart(b.First)
 		case err != nil:
 			logFailure("read failed", err, "stream", p.stream)
@@ -243,7 +243,7 @@
 }
 
 // restart begins anew where the log now begins.
-func (p *partition) restart(first platform.Offset) {
+func (p *partition) restart(first logservice.Offset) {
 	klog.InfoS("claims expired before they were read", "stream", p.stream, "first", first)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -252,7 +252,7 @@
 }
 
 // take applies a batch and answers those who waited for its entries.
-func (p *partition) take(b platform.Batch, began time.Time) {
+func (p *partition) take(b logservice.Batch, began time.Time) {
 	p.mu.Lock()
 	for _, r := range b.Records {
 		rec, err := claim.Decode(r)
@@ -350,7 +350,7 @@
 	})
 }
 
-func offset(n int64) platform.Offset { return platform.Offset(n) }
+func offset(n int64) logservice.Offset { return logservice.Offset(n) }
 
 // ownEnds takes over how far this instance has read its partitions.
 func (s *Service) ownEnds() {
--- a/operate/service.go
+++ b/operate/service.go
@@ -14,11 +14,11 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/rendezvous"
 	"github.com/clementinereel/clementinereel/ticket"
 )
@@ -61,7 +61,7 @@
 	tickets    *ticket.Table
 	homed      map[ticket.ID]chan struct{}
 	partitions map[int]*partition
-	ends       []platform.Offset
+	ends       []logservice.Offset
 	kept       keptAnswers
 	refreshed  time.Time
 	endsAsked  time.Time
@@ -96,7 +96,7 @@
 		flights: map[*claim.Attempt]*flight{},
 		tickets: ticket.NewTable(cfg.Tickets, cfg.Self),
 		homed:   map[ticket.ID]chan struct{}{}, partitions: map[int]*partition{},
-		ends: make([]platform.Offset, cfg.Partitions),
+		ends: make([]logservice.Offset, cfg.Partitions),
 		kept: keptAnswers{max: cfg.MaxKeptAnswers, answers: map[claim.ID]operation.Answer{}},
 	}
 	s.receipt = newReceipts(s)
@@ -237,12 +237,12 @@
 
 // end returns how far the stream of a partition is known, at the arrival of a
 // request. The caller holds the lock.
-func (s *Service) end(p int) platform.Offset {
+func (s *Service) end(p int) logservice.Offset {
 	return s.ends[p]
 }
 
 // learnEnd notes how far a stream reaches.
-func (s *Service) learnEnd(p int, end platform.Offset) {
+func (s *Service) learnEnd(p int, end logservice.Offset) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ends[p] = max(s.ends[p], end)
--- a/operatecmd/cmd.go
+++ b/operatecmd/cmd.go
@@ -12,8 +12,8 @@
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/reelctl"
 )
 
@@ -33,12 +33,12 @@
 	Partitions int           `default:"16" help:"The instances' setting operations.partitions."`
 }
 
-func (r remote) connect(a *reelctl.App) (context.Context, context.CancelFunc, platform.Log) {
+func (r remote) connect(a *reelctl.App) (context.Context, context.CancelFunc, logservice.Log) {
 	ctx, cancel := context.WithTimeout(a.Context, r.Timeout)
 	if a.Log != nil {
 		return ctx, cancel, a.Log
 	}
-	return ctx, cancel, platform.NewClient(r.Platform, 0)
+	return ctx, cancel, logservice.NewClient(r.Platform, 0)
 }
 
 // output is how a command prints its result.
--- a/operatecmd/operatecmd_test.go
+++ b/operatecmd/operatecmd_test.go
@@ -15,9 +15,9 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform/standin"
 	"github.com/clementinereel/clementinereel/reelctl"
 )
 
--- a/operatecmd/settle.go
+++ b/operatecmd/settle.go
@@ -9,8 +9,8 @@
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/reelctl"
 )
 
@@ -23,11 +23,11 @@
 )
 
 // readFold reads what the log keeps of a partition.
-func readFold(ctx context.Context, log platform.Log, partition int) (*claim.Fold, error) {
+func readFold(ctx context.Context, log logservice.Log, partition int) (*claim.Fold, error) {
 	fold := claim.NewFold(0)
 	for {
 		b, err := log.Read(ctx, claim.StreamName(partition), fold.Next(), readLimit, 0)
-		if errors.Is(err, platform.ErrExpired) {
+		if errors.Is(err, logservice.ErrExpired) {
 			fold = claim.NewFold(b.First)
 			continue
 		}
@@ -48,7 +48,7 @@
 }
 
 // find reads what is on record of a key.
-func find(ctx context.Context, log platform.Log, key operation.Key, partitions int) (int, claim.Op, bool, error) {
+func find(ctx context.Context, log logservice.Log, key operation.Key, partitions int) (int, claim.Op, bool, error) {
 	p := key.Partition(partitions)
 	fold, err := readFold(ctx, log, p)
 	if err != nil {
@@ -112,13 +112,13 @@
 
 // confirm reads the settlement back. The append's own reply proves nothing:
 // it can be lost, and another operator can have come first.
-func (c *SettleCmd) confirm(ctx context.Context, a *reelctl.App, log platform.Log, e claim.Entry, appendErr error) error {
+func (c *SettleCmd) confirm(ctx context.Context, a *reelctl.App, log logservice.Log, e claim.Entry, appendErr error) error {
 	for {
 		_, op, ok, err := find(ctx, log, e.Key, c.Partitions)
 		switch {
 		case err == nil && ok && op.Claim == e.Claim && op.State != operation.Unknown:
 			return c.report(a, op)
-		case errors.Is(appendErr, platform.ErrRefused):
+		case errors.Is(appendErr, logservice.ErrRefused):
 			return notKnown(errors.Wrap(appendErr, "the log refused the settlement; nothing changed"))
 		}
 		select {
--- a/operatecmd/tickets.go
+++ b/operatecmd/tickets.go
@@ -11,9 +11,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operate"
 	"github.com/clementinereel/clementinereel/operation"
-	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/reelctl"
 )
 
@@ -41,12 +41,12 @@
 
 // readReceipts returns the last receipt of each ticket, in the order of the
 // first ones. Receipts that the log no longer keeps are left out.
-func readReceipts(ctx context.Context, log platform.Log) ([]operate.Receipt, error) {
+func readReceipts(ctx context.Context, log logservice.Log) ([]operate.Receipt, error) {
 	list := []operate.Receipt{}
 	at := map[string]int{}
-	for from := platform.Offset(0); ; {
+	for from := logservice.Offset(0); ; {
 		b, err := log.Read(ctx, operate.ReceiptStream, from, readLimit, 0)
-		if errors.Is(err, platform.ErrExpired) {
+		if errors.Is(err, logservice.ErrExpired) {
 			from = b.First
 			continue
 		}
--- a/peer/cluster_test.go
+++ b/peer/cluster_test.go
@@ -11,8 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 // patience bounds every wait for a condition.
@@ -71,16 +71,16 @@
 // fakeList serves as the platform's list.
 type fakeList struct {
 	mu     sync.Mutex
-	listed []platform.Listed
+	listed []logservice.Listed
 }
 
 func (l *fakeList) add(m membership.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.listed = append(l.listed, platform.Listed{ID: m.ID, Addr: m.Addr, Zone: m.Zone, State: platform.Live})
+	l.listed = append(l.listed, logservice.Listed{ID: m.ID, Addr: m.Addr, Zone: m.Zone, State: logservice.Live})
 }
 
-func (l *fakeList) Instances(context.Context) ([]platform.Listed, error) {
+func (l *fakeList) Instances(context.Context) ([]logservice.Listed, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.listed, nil
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/membership"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
-	"github.com/clementinereel/clementinereel/platform"
 )
 
 const (
@@ -38,7 +38,7 @@
 	Settings  membership.Settings
 	Transport *Transport
 	// List proposes peers. It may fail.
-	List platform.List
+	List logservice.List
 	// ListInterval is the time between two reads of the list. Zero means
 	// DefaultListInterval.
 	ListInterval time.Duration
@@ -51,7 +51,7 @@
 	sends chan struct{}
 	wg    sync.WaitGroup
 	// listed is the last list that the platform gave.
-	listed atomic.Pointer[[]platform.Listed]
+	listed atomic.Pointer[[]logservice.Listed]
 
 	mu      sync.Mutex
 	node    *membership.Node
@@ -146,7 +146,7 @@
 
 // Listed is the platform's list of instances when it last answered, nil if it
 // never did. It must not be changed.
-func (g *Gossip) Listed() []platform.Listed {
+func (g *Gossip) Listed() []logservice.Listed {
 	if l := g.listed.Load(); l != nil {
 		return *l
 	}
@@ -179,10 +179,10 @@
 	return max(g.opts.ListInterval, time.Duration(len(g.View().Members))*listPerMember)
 }
 
-func seeds(listed []platform.Listed) []membership.Seed {
+func seeds(listed []logservice.Listed) []membership.Seed {
 	var out []membership.Seed
 	for _, l := range listed {
-		if l.State == platform.Live {
+		if l.State == logservice.Live {
 			out = append(out, membership.Seed{ID: l.ID, Addr: l.Addr})
 		}
 	}
--- a/publication/checkpoint.go
+++ b/publication/checkpoint.go
@@ -16,7 +16,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // PartSize bounds the state data in one checkpoint record, in bytes; base64
@@ -29,7 +29,7 @@
 // Part is one part of a checkpoint: the packed state up to and without
 // offset Next.
 type Part struct {
-	Next platform.Offset `json:"next"`
+	Next logservice.Offset `json:"next"`
 	// Digest is the xxhash of the whole packed state.
 	Digest uint64 `json:"digest"`
 	// Index counts the parts from 0; Count is how many there are.
@@ -41,11 +41,11 @@
 // CheckpointMark tells of the newest checkpoint in the stream.
 type CheckpointMark struct {
 	// Next is the offset up to which the checkpoint holds the state.
-	Next platform.Offset `json:"next"`
+	Next logservice.Offset `json:"next"`
 	// Offset and Time are those of its last record; Time is zero if the
 	// stream has had no checkpoint.
-	Offset platform.Offset `json:"offset"`
-	Time   time.Time       `json:"time"`
+	Offset logservice.Offset `json:"offset"`
+	Time   time.Time         `json:"time"`
 }
 
 // Checkpoint returns the newest checkpoint in the stream.
@@ -53,7 +53,7 @@
 
 // applyCheckpoint notes a checkpoint when its last part comes. Parts are
 // appended in order, and the next only after the one before.
-func (s *State) applyCheckpoint(r platform.Record, e Envelope) Decision {
+func (s *State) applyCheckpoint(r logservice.Record, e Envelope) Decision {
 	p := e.Checkpoint
 	if p.Index == p.Count-1 && p.Next > s.checkpoint.Next && p.Next <= r.Offset {
 		s.checkpoint = CheckpointMark{Next: p.Next, Offset: r.Offset, Time: r.Time}
@@ -81,7 +81,7 @@
 // the contracts and the targets, each in the order of their revisions. It is
 // written and read piece by piece, so that packing takes little memory.
 type head struct {
-	Next platform.Offset `json:"next"`
+	Next logservice.Offset `json:"next"`
 	// Checkpoint is the newest checkpoint in the stream.
 	Checkpoint CheckpointMark `json:"checkpoint"`
 	// Refused are the refusals, oldest first.
@@ -92,16 +92,16 @@
 }
 
 type packedContract struct {
-	Revision      platform.Offset    `json:"revision"`
+	Revision      logservice.Offset  `json:"revision"`
 	PublicationID string             `json:"id"`
 	Time          time.Time          `json:"time"`
 	Contract      *contract.Contract `json:"contract"`
 }
 
 type packedTarget struct {
-	Revision      platform.Offset `json:"revision"`
-	PublicationID string          `json:"id"`
-	Target        fleet.Target    `json:"target"`
+	Revision      logservice.Offset `json:"revision"`
+	PublicationID string            `json:"id"`
+	Target        fleet.Target      `json:"target"`
 }
 
 // Snapshot packs the state. Equal states give equal bytes.
@@ -248,14 +248,14 @@
 }
 
 type partKey struct {
-	next   platform.Offset
+	next   logservice.Offset
 	digest uint64
 	count  int
 }
 
 // Add takes up a record of the stream; records of other kinds are ignored. It
 // returns an error for a checkpoint that is whole but broken.
-func (c *Collector) Add(r platform.Record) error {
+func (c *Collector) Add(r logservice.Record) error {
 	if !strings.Contains(string(r.Data[:min(len(r.Data), 64)]), string(KindCheckpoint)) {
 		return nil
 	}
--- a/publication/decision.go
+++ b/publication/decision.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // Verdict is what the fold made of a record.
@@ -38,8 +38,8 @@
 
 // Decision is what the fold made of one record, and why.
 type Decision struct {
-	Offset  platform.Offset `json:"offset"`
-	Verdict Verdict         `json:"verdict"`
+	Offset  logservice.Offset `json:"offset"`
+	Verdict Verdict           `json:"verdict"`
 	// Kind and ID are those of the record; empty if Malformed.
 	Kind Kind   `json:"kind,omitempty"`
 	ID   string `json:"id,omitempty"`
@@ -49,8 +49,8 @@
 	Target fleet.TargetID `json:"target,omitempty"`
 	// Current is the revision in force at the decision, or NoRevision, and
 	// CurrentID its publication.
-	Current   platform.Offset `json:"current"`
-	CurrentID string          `json:"current_id,omitempty"`
+	Current   logservice.Offset `json:"current"`
+	CurrentID string            `json:"current_id,omitempty"`
 	// Message says what was wrong, for a person.
 	Message string `json:"message,omitempty"`
 }
--- a/publication/record.go
+++ b/publication/record.go
@@ -9,14 +9,14 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // Stream is the name of the log's configuration stream.
 const Stream = "config"
 
 // NoRevision is the base of a record that replaces nothing.
-const NoRevision platform.Offset = -1
+const NoRevision logservice.Offset = -1
 
 // MaxRecord bounds the data of one record, in bytes.
 const MaxRecord = 512 << 10
@@ -42,7 +42,7 @@
 	// ID names the publication; the operator's command chooses it.
 	ID string `json:"id,omitempty"`
 	// Base is the revision that the record replaces.
-	Base platform.Offset `json:"base"`
+	Base logservice.Offset `json:"base"`
 	// Contract is set for KindContract.
 	Contract json.RawMessage `json:"contract,omitempty"`
 	// Target is set for KindTarget.
@@ -62,7 +62,7 @@
 
 // EncodeContract returns the record that publishes a contract. Base is the
 // revision it replaces, or NoRevision for a customer's first contract.
-func EncodeContract(pubID string, base platform.Offset, c *contract.Contract) ([]byte, error) {
+func EncodeContract(pubID string, base logservice.Offset, c *contract.Contract) ([]byte, error) {
 	doc, err := json.Marshal(c)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -72,7 +72,7 @@
 
 // EncodeTarget returns the record that announces a target to join, leave or
 // stop. Base is the revision of its last announcement, or NoRevision.
-func EncodeTarget(pubID string, base platform.Offset, a Announcement) ([]byte, error) {
+func EncodeTarget(pubID string, base logservice.Offset, a Announcement) ([]byte, error) {
 	return encode(Envelope{Kind: KindTarget, ID: pubID, Base: base, Target: &a})
 }
 
--- a/publication/refusal.go
+++ b/publication/refusal.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // maxRefusals bounds the refused publications that a state remembers.
@@ -13,8 +13,8 @@
 
 // refusal is a publication that was refused though its base was current.
 type refusal struct {
-	ID     string          `json:"id"`
-	Offset platform.Offset `json:"offset"`
+	ID     string            `json:"id"`
+	Offset logservice.Offset `json:"offset"`
 }
 
 // refusals are the newest refused publications. The operator may have appended
@@ -24,12 +24,12 @@
 // base that is no longer current never becomes so again.
 type refusals struct {
 	order []refusal
-	byID  map[string]platform.Offset
+	byID  map[string]logservice.Offset
 }
 
 func (r *refusals) add(n refusal) {
 	if r.byID == nil {
-		r.byID = make(map[string]platform.Offset)
+		r.byID = make(map[string]logservice.Offset)
 	}
 	if len(r.order) == maxRefusals {
 		delete(r.byID, r.order[0].ID)
--- a/publication/replica.go
+++ b/publication/replica.go
@@ -6,7 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // Bounds of what a Replica keeps for its peers.
@@ -29,7 +29,7 @@
 type Replica struct {
 	state *State
 	// held are the records before state.Next, without gaps.
-	held      []platform.Record
+	held      []logservice.Record
 	heldBytes int
 }
 
@@ -37,14 +37,14 @@
 func NewReplica() *Replica { return &Replica{state: NewState()} }
 
 // Next is the offset of the first record that was not applied yet.
-func (r *Replica) Next() platform.Offset { return r.state.next }
+func (r *Replica) Next() logservice.Offset { return r.state.next }
 
 // View returns the state in force.
 func (r *Replica) View() *View { return r.state.View() }
 
 // Apply folds records in order, skips those that were applied before and stops
 // before a gap. It returns the decisions on the records applied.
-func (r *Replica) Apply(records []platform.Record) []Decision {
+func (r *Replica) Apply(records []logservice.Record) []Decision {
 	var decisions []Decision
 	for _, rec := range records {
 		d := r.state.Apply(rec)
@@ -59,13 +59,13 @@
 	return decisions
 }
 
-func (r *Replica) hold(rec platform.Record) {
+func (r *Replica) hold(rec logservice.Record) {
 	r.held = append(r.held, rec)
 	r.heldBytes += len(rec.Data)
 	n := 0
 	for len(r.held)-n > MaxHeld || (r.heldBytes > MaxHeldBytes && len(r.held)-n > 1) {
 		r.heldBytes -= len(r.held[n].Data)
-		r.held[n] = platform.Record{}
+		r.held[n] = logservice.Record{}
 		n++
 	}
 	r.held = r.held[n:]
@@ -94,11 +94,11 @@
 
 // Since returns records from an offset on for a peer. Ok is false if the
 // replica no longer holds them all; the peer then needs a Snapshot.
-func (r *Replica) Since(from platform.Offset) (records []platform.Record, ok bool) {
+func (r *Replica) Since(from logservice.Offset) (records []logservice.Record, ok bool) {
 	if from >= r.state.next {
 		return nil, true
 	}
-	first := r.state.next - platform.Offset(len(r.held))
+	first := r.state.next - logservice.Offset(len(r.held))
 	if from < first {
 		return nil, false
 	}
@@ -119,7 +119,7 @@
 func (r *Replica) Checkpoint() CheckpointMark { return r.state.Checkpoint() }
 
 // Revision returns the revision of a customer's contract, or NoRevision.
-func (s *State) Revision(id fleet.CustomerID) platform.Offset {
+func (s *State) Revision(id fleet.CustomerID) logservice.Offset {
 	if p := s.contracts[id]; p != nil {
 		return p.Revision
 	}
@@ -128,7 +128,7 @@
 
 // TargetRevision returns the revision of a target's last announcement, or
 // NoRevision if it was never announced or stopped long ago.
-func (s *State) TargetRevision(service fleet.ServiceID, id fleet.TargetID) platform.Offset {
+func (s *State) TargetRevision(service fleet.ServiceID, id fleet.TargetID) logservice.Offset {
 	if a := s.targets[service][id]; a != nil {
 		return a.Revision
 	}
--- a/publication/replica_test.go
+++ b/publication/replica_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // drawRecord adds a record to the stream: a revision, an announcement, a
@@ -18,7 +18,7 @@
 func drawRecord(t *rapid.T, l *stream, c *contract.Contract, folded *State) {
 	n := len(l.records)
 	id := fmt.Sprintf("p%d", rapid.IntRange(0, n).Draw(t, "id"))
-	back := rapid.SampledFrom([]platform.Offset{0, 0, 0, 1, 7}).Draw(t, "back")
+	back := rapid.SampledFrom([]logservice.Offset{0, 0, 0, 1, 7}).Draw(t, "back")
 	switch rapid.SampledFrom([]string{"contract", "other", "target", "target", "checkpoint", "rubbish"}).Draw(t, "kind") {
 	case "contract":
 		l.add(EncodeContract(id, folded.Revision(c.Customer)-back, c))
@@ -134,7 +134,7 @@
 func TestHeldRecordsAreBounded(t *testing.T) {
 	r := NewReplica()
 	for i := range MaxHeld + 10 {
-		r.Apply([]platform.Record{{Offset: platform.Offset(i), Time: epoch, Data: []byte("x")}})
+		r.Apply([]logservice.Record{{Offset: logservice.Offset(i), Time: epoch, Data: []byte("x")}})
 	}
 	assert.Equal(t, len(r.held), MaxHeld)
 	_, ok := r.Since(0)
--- a/publication/scale_test.go
+++ b/publication/scale_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // The size that the design is for. A contract has at least one route and one
@@ -40,7 +40,7 @@
 }
 
 // bigStream returns the records of a fleet of the size that the design is for.
-func bigStream(t testing.TB) []platform.Record {
+func bigStream(t testing.TB) []logservice.Record {
 	l := &stream{t: t}
 	for n := range customers {
 		l.add(EncodeContract(fmt.Sprintf("9d3c0a52-7f1e-4f0b-8a55-%012d", n), NoRevision, smallContract(t, n)))
@@ -101,7 +101,7 @@
 	data, err := EncodeContract("next", s.Revision("customer-7"), smallContract(b, 7))
 	assert.NilError(b, err)
 	began := time.Now()
-	d := s.Apply(platform.Record{Offset: s.Next(), Time: epoch, Data: data})
+	d := s.Apply(logservice.Record{Offset: s.Next(), Time: epoch, Data: data})
 	assert.Equal(b, d.Verdict, Accepted)
 	s.View()
 	b.ReportMetric(float64(time.Since(began).Microseconds()), "us/change+view")
@@ -112,7 +112,7 @@
 	assert.NilError(b, err)
 	b.ReportAllocs()
 	for b.Loop() {
-		NewState().Apply(platform.Record{Time: epoch, Data: data})
+		NewState().Apply(logservice.Record{Time: epoch, Data: data})
 	}
 }
 
@@ -122,11 +122,11 @@
 	data, err := EncodeTarget("b", NoRevision, smallTarget(0))
 	assert.NilError(b, err)
 	s := NewState()
-	s.Apply(platform.Record{Time: epoch, Data: contract})
+	s.Apply(logservice.Record{Time: epoch, Data: contract})
 	b.ReportAllocs()
 	for b.Loop() {
 		c := *s
 		c.targets = map[fleet.ServiceID]map[fleet.TargetID]*announced{}
-		c.Apply(platform.Record{Offset: 1, Time: epoch, Data: data})
+		c.Apply(logservice.Record{Offset: 1, Time: epoch, Data: data})
 	}
 }
--- a/publication/state.go
+++ b/publication/state.go
@@ -9,7 +9,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // TombstoneAge is how long a stopped target is remembered, by the log's
@@ -21,7 +21,7 @@
 type Published struct {
 	Contract contract.Contract
 	// Revision is the offset of the record that published it.
-	Revision platform.Offset
+	Revision logservice.Offset
 	// PublicationID is the id that its operator's command chose.
 	PublicationID string
 	// Time is when the log accepted it, by the log's clock.
@@ -31,7 +31,7 @@
 // announced is the last announcement of one target.
 type announced struct {
 	Target        fleet.Target
-	Revision      platform.Offset
+	Revision      logservice.Offset
 	PublicationID string
 }
 
@@ -43,7 +43,7 @@
 // State is the fold of the stream up to an offset. It is not safe for
 // concurrent use; View gives what others may read.
 type State struct {
-	next      platform.Offset
+	next      logservice.Offset
 	contracts map[fleet.CustomerID]*Published
 	hosts     map[string]fleet.CustomerID
 	targets   map[fleet.ServiceID]map[fleet.TargetID]*announced
@@ -67,10 +67,10 @@
 }
 
 // Next is the offset of the first record that was not applied yet.
-func (s *State) Next() platform.Offset { return s.next }
+func (s *State) Next() logservice.Offset { return s.next }
 
 // Apply folds the record at offset Next. Other offsets change nothing.
-func (s *State) Apply(r platform.Record) Decision {
+func (s *State) Apply(r logservice.Record) Decision {
 	switch {
 	case r.Offset < s.next:
 		return Decision{Offset: r.Offset, Verdict: Stale, Current: NoRevision}
@@ -86,7 +86,7 @@
 	return d
 }
 
-func (s *State) decide(r platform.Record) Decision {
+func (s *State) decide(r logservice.Record) Decision {
 	e, err := DecodeRecord(r.Data)
 	if err != nil {
 		return Decision{Verdict: Malformed, Current: NoRevision, Message: err.Error()}
@@ -105,7 +105,7 @@
 	return d
 }
 
-func (s *State) applyContract(r platform.Record, e Envelope) Decision {
+func (s *State) applyContract(r logservice.Record, e Envelope) Decision {
 	c, err := contract.Decode(e.Contract)
 	if err != nil {
 		return Decision{Verdict: Invalid, Current: NoRevision, Message: err.Error()}
@@ -167,7 +167,7 @@
 	s.changed.contract(id)
 }
 
-func (s *State) applyTarget(r platform.Record, e Envelope) Decision {
+func (s *State) applyTarget(r logservice.Record, e Envelope) Decision {
 	a := e.Target
 	d := Decision{Customer: customerOf(a.Service), Target: a.ID, Current: NoRevision}
 	old := s.targets[a.Service][a.ID]
--- a/publication/state_test.go
+++ b/publication/state_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 var epoch = time.Unix(1_800_000_000, 0).UTC()
@@ -31,13 +31,13 @@
 // stream is a log stream in memory.
 type stream struct {
 	t       testing.TB
-	records []platform.Record
+	records []logservice.Record
 }
 
-func (l *stream) add(data []byte, err error) platform.Record {
+func (l *stream) add(data []byte, err error) logservice.Record {
 	assert.NilError(l.t, err)
 	n := len(l.records)
-	r := platform.Record{Offset: platform.Offset(n), Time: epoch.Add(time.Duration(n) * time.Second), Data: data}
+	r := logservice.Record{Offset: logservice.Offset(n), Time: epoch.Add(time.Duration(n) * time.Second), Data: data}
 	l.records = append(l.records, r)
 	return r
 }
@@ -53,7 +53,7 @@
 	d = s.Apply(l.add(EncodeContract("b", NoRevision, c)))
 	assert.Equal(t, d.Verdict, Conflict)
 	assert.Equal(t, d.CurrentID, "a")
-	assert.Equal(t, d.Current, platform.Offset(0))
+	assert.Equal(t, d.Current, logservice.Offset(0))
 	d = s.Apply(l.add(EncodeContract("c", 0, c)))
 	assert.Equal(t, d.Verdict, Accepted)
 	d = s.Apply(l.add(EncodeContract("d", 0, c)))
@@ -107,7 +107,7 @@
 	unknown := announce("t1", "10.0.0.1:80", fleet.Joined)
 	unknown.Service = "daugava/none"
 	steps := []struct {
-		base  platform.Offset
+		base  logservice.Offset
 		a     Announcement
 		want  Verdict
 		count int
@@ -153,16 +153,16 @@
 		assert.Assert(t, d.Skipped() && d.Applied() && !d.Changed())
 	}
 	assert.Equal(t, s.Apply(l.add([]byte(`{"kind":"contract","id":"a","base":-1,"contract":{}}`), nil)).Verdict, Invalid)
-	assert.Equal(t, s.Next(), platform.Offset(len(l.records)))
+	assert.Equal(t, s.Next(), logservice.Offset(len(l.records)))
 }
 
 func TestOffsetsOnlyGoUp(t *testing.T) {
 	l, s := &stream{t: t}, NewState()
 	r := l.add(EncodeContract("a", NoRevision, example(t)))
-	assert.Equal(t, s.Apply(platform.Record{Offset: 1, Data: r.Data}).Verdict, Gap)
+	assert.Equal(t, s.Apply(logservice.Record{Offset: 1, Data: r.Data}).Verdict, Gap)
 	s.Apply(r)
 	assert.Equal(t, s.Apply(r).Verdict, Stale)
-	assert.Equal(t, s.Next(), platform.Offset(1))
+	assert.Equal(t, s.Next(), logservice.Offset(1))
 }
 
 func TestViewIsUnchangedByLaterRecords(t *testing.T) {
@@ -211,7 +211,7 @@
 	for i, p := range bad {
 		data, err := encode(Envelope{Kind: KindCheckpoint, Checkpoint: &p})
 		assert.NilError(t, err)
-		_ = c.Add(platform.Record{Offset: platform.Offset(i), Data: data})
+		_ = c.Add(logservice.Record{Offset: logservice.Offset(i), Data: data})
 		assert.Assert(t, c.Newest() == nil)
 	}
 	_, err := Restore([]byte("nothing"))
@@ -234,7 +234,7 @@
 	join, err := EncodeTarget("b", NoRevision, announce("t", "10.0.0.1:80", fleet.Joined))
 	assert.NilError(f, err)
 	s := NewState()
-	s.Apply(platform.Record{Data: doc, Time: epoch})
+	s.Apply(logservice.Record{Data: doc, Time: epoch})
 	parts, err := s.EncodeCheckpoint()
 	assert.NilError(f, err)
 	for _, data := range [][]byte{doc, join, parts[0]} {
@@ -244,7 +244,7 @@
 		s := NewState()
 		var c Collector
 		for i, data := range [][]byte{doc, first, second} {
-			r := platform.Record{Offset: platform.Offset(i), Time: epoch, Data: data}
+			r := logservice.Record{Offset: logservice.Offset(i), Time: epoch, Data: data}
 			d := s.Apply(r)
 			assert.Assert(t, d.Applied())
 			_ = c.Add(r)
@@ -273,7 +273,7 @@
 			return
 		}
 		for range 2 {
-			s.Apply(platform.Record{Offset: s.Next(), Time: epoch.Add(2 * TombstoneAge), Data: []byte("rubbish")})
+			s.Apply(logservice.Record{Offset: s.Next(), Time: epoch.Add(2 * TombstoneAge), Data: []byte("rubbish")})
 		}
 		again, err := readState(json.NewDecoder(strings.NewReader(canonical(t, s))))
 		assert.NilError(t, err)
--- a/publication/view.go
+++ b/publication/view.go
@@ -6,17 +6,17 @@
 	"strings"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // View is the state in force at an offset. It is immutable and shares what
 // did not change with the views before it.
 type View struct {
 	// Next is the offset after the last record that the view reflects.
-	Next platform.Offset
+	Next logservice.Offset
 	// Since is Next of the view before, and Changed the customers whose
 	// contracts changed from that view to this one.
-	Since   platform.Offset
+	Since   logservice.Offset
 	Changed []fleet.CustomerID
 	// Contracts are the contracts in force.
 	Contracts map[fleet.CustomerID]*Published
--- a/reelctl/app.go
+++ b/reelctl/app.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // Exit codes of all commands.
@@ -78,7 +78,7 @@
 	Context context.Context
 	Out     io.Writer
 	// Log, if set, is used in place of the platform's URL.
-	Log platform.Log
+	Log logservice.Log
 }
 
 // Output is how a command prints its result.
@@ -104,12 +104,12 @@
 }
 
 // connect returns the log and a context that ends at the timeout.
-func (r Remote) connect(a *App) (context.Context, context.CancelFunc, platform.Log) {
+func (r Remote) connect(a *App) (context.Context, context.CancelFunc, logservice.Log) {
 	ctx, cancel := context.WithTimeout(a.Context, r.Timeout)
 	if a.Log != nil {
 		return ctx, cancel, a.Log
 	}
-	return ctx, cancel, platform.NewClient(r.Platform, 0)
+	return ctx, cancel, logservice.NewClient(r.Platform, 0)
 }
 
 // Commands are the commands on contracts and targets.
--- a/reelctl/contracts.go
+++ b/reelctl/contracts.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/contract"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -70,7 +70,7 @@
 	if c.File == "" {
 		return c.ask(a)
 	}
-	return publish(a, c.Remote, c.Output, c.File, c.ID, func(*publication.State, *contract.Contract) platform.Offset {
+	return publish(a, c.Remote, c.Output, c.File, c.ID, func(*publication.State, *contract.Contract) logservice.Offset {
 		return publication.NoRevision
 	})
 }
@@ -107,16 +107,16 @@
 	if c.Base != "current" && err != nil {
 		return exit(ExitUsage, "revise: --base %q: want a revision number or \"current\"", c.Base)
 	}
-	return publish(a, c.Remote, c.Output, c.File, c.ID, func(s *publication.State, doc *contract.Contract) platform.Offset {
+	return publish(a, c.Remote, c.Output, c.File, c.ID, func(s *publication.State, doc *contract.Contract) logservice.Offset {
 		if c.Base == "current" {
 			return s.Revision(doc.Customer)
 		}
-		return platform.Offset(base)
+		return logservice.Offset(base)
 	})
 }
 
 // publish submits a contract with the base that choose gives.
-func publish(a *App, r Remote, o Output, file, id string, choose func(*publication.State, *contract.Contract) platform.Offset) error {
+func publish(a *App, r Remote, o Output, file, id string, choose func(*publication.State, *contract.Contract) logservice.Offset) error {
 	doc, err := readContract(file)
 	if err != nil {
 		return &ExitError{Code: ExitRefused, Err: err}
@@ -154,7 +154,7 @@
 
 // shown is a contract in force as show prints it.
 type shown struct {
-	Revision platform.Offset    `json:"revision"`
+	Revision logservice.Offset  `json:"revision"`
 	ID       string             `json:"id"`
 	Time     string             `json:"time"`
 	Contract *contract.Contract `json:"contract"`
--- a/reelctl/reelctl_test.go
+++ b/reelctl/reelctl_test.go
@@ -20,8 +20,8 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/status"
 )
@@ -92,13 +92,13 @@
 	x := newFixture(t)
 	r, code := x.change("publish", x.plain())
 	assert.Equal(t, code, ExitOK, r.Message)
-	assert.Equal(t, r.Revision, platform.Offset(0))
+	assert.Equal(t, r.Revision, logservice.Offset(0))
 	r, code = x.change("publish", x.plain())
 	assert.Equal(t, code, ExitConflict, r.Message)
 	faster := x.contract(`"deadline": "2s"`, `"deadline": "3s"`)
 	r, code = x.change("revise", faster, "--base", "0")
 	assert.Equal(t, code, ExitOK, r.Message)
-	assert.Equal(t, r.Revision, platform.Offset(1))
+	assert.Equal(t, r.Revision, logservice.Offset(1))
 	r, code = x.change("revise", x.plain(), "--base", "0")
 	assert.Equal(t, code, ExitConflict)
 	assert.DeepEqual(t, r.Differences, []contract.Difference{{Path: "routes[prices].deadline", Old: `"3s"`, New: `"2s"`}})
@@ -144,7 +144,7 @@
 	x.server.SetFaults(standin.Faults{LateAppends: 1, LateBy: contract.Duration(50 * time.Millisecond)})
 	r, code = x.change("revise", x.plain(), "--base", "0")
 	assert.Equal(t, code, ExitOK, r.Message)
-	assert.Equal(t, r.Revision, platform.Offset(1))
+	assert.Equal(t, r.Revision, logservice.Offset(1))
 }
 
 func TestNotKnownYetIsSettledByAskingAgain(t *testing.T) {
@@ -162,14 +162,14 @@
 	assert.Equal(t, code, ExitOK, r.Message)
 	r, code = x.change("publish", "--id", "mine")
 	assert.Equal(t, code, ExitOK, r.Message)
-	assert.Equal(t, r.Revision, platform.Offset(1))
+	assert.Equal(t, r.Revision, logservice.Offset(1))
 	x.server.Append(publication.Stream, x.record(revise[1], "mine", 0))
 	r, code = x.change("publish", "--id", "mine")
 	assert.Equal(t, code, ExitOK, r.Message)
 }
 
 // record returns the record of a contract file.
-func (x *fixture) record(file, id string, base platform.Offset) []byte {
+func (x *fixture) record(file, id string, base logservice.Offset) []byte {
 	doc, err := readContract(file)
 	assert.NilError(x.t, err)
 	data, err := publication.EncodeContract(id, base, doc)
@@ -226,7 +226,7 @@
 func TestExpiredRecordsWithCheckpoint(t *testing.T) {
 	x := newFixture(t)
 	x.change("publish", x.plain())
-	s, err := readStream(context.Background(), platform.NewClient(x.url, 0))
+	s, err := readStream(context.Background(), logservice.NewClient(x.url, 0))
 	assert.NilError(t, err)
 	parts, err := s.state.EncodeCheckpoint()
 	assert.NilError(t, err)
@@ -242,8 +242,8 @@
 func TestStatus(t *testing.T) {
 	x := newFixture(t)
 	reports := []status.Report{
-		{Instance: "i1", Ready: true, Revisions: map[fleet.CustomerID]platform.Offset{"daugava": 7}},
-		{Instance: "i2", Revisions: map[fleet.CustomerID]platform.Offset{"daugava": 3},
+		{Instance: "i1", Ready: true, Revisions: map[fleet.CustomerID]logservice.Offset{"daugava": 7}},
+		{Instance: "i2", Revisions: map[fleet.CustomerID]logservice.Offset{"daugava": 3},
 			Ejected: []status.Ejection{{Target: "t9", Service: "daugava/plan-uploads", Scope: "fleet", Reason: "timeouts"}}},
 	}
 	args := []string{"status", "--admin", "127.0.0.1:1"}
--- a/reelctl/status.go
+++ b/reelctl/status.go
@@ -16,7 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/status"
 )
 
@@ -70,7 +70,7 @@
 	if c.Platform == "" {
 		return nil, exit(ExitUsage, "status: name instances by --admin, or the platform by --platform")
 	}
-	list, err := platform.NewClient(c.Platform, c.Timeout).Instances(ctx)
+	list, err := logservice.NewClient(c.Platform, c.Timeout).Instances(ctx)
 	if err != nil {
 		return nil, exit(ExitNotKnown, "the instance list did not answer: %v", err)
 	}
@@ -148,8 +148,8 @@
 
 // newestRevisions returns the newest revision of each customer that any
 // instance has in force.
-func newestRevisions(all []reported) map[fleet.CustomerID]platform.Offset {
-	newest := make(map[fleet.CustomerID]platform.Offset)
+func newestRevisions(all []reported) map[fleet.CustomerID]logservice.Offset {
+	newest := make(map[fleet.CustomerID]logservice.Offset)
 	for _, r := range all {
 		if r.Report == nil {
 			continue
@@ -164,7 +164,7 @@
 }
 
 // behind counts the customers of which an instance has not the newest revision.
-func behind(p *status.Report, newest map[fleet.CustomerID]platform.Offset) int {
+func behind(p *status.Report, newest map[fleet.CustomerID]logservice.Offset) int {
 	n := 0
 	for c, rev := range newest {
 		if own, ok := p.Revisions[c]; !ok || own != rev {
--- a/reelctl/stream.go
+++ b/reelctl/stream.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -28,16 +28,16 @@
 
 // stream is the configuration stream as far as it was read.
 type stream struct {
-	log     platform.Log
+	log     logservice.Log
 	state   *publication.State
 	entries []entry
 }
 
 // readStream folds what the log keeps of the stream.
-func readStream(ctx context.Context, log platform.Log) (*stream, error) {
+func readStream(ctx context.Context, log logservice.Log) (*stream, error) {
 	s := &stream{log: log, state: publication.NewState()}
 	batch, err := log.Read(ctx, publication.Stream, 0, readLimit, 0)
-	if errors.Is(err, platform.ErrExpired) {
+	if errors.Is(err, logservice.ErrExpired) {
 		return s, s.readExpired(ctx, batch.First)
 	}
 	if err != nil {
@@ -57,10 +57,10 @@
 
 // readExpired folds a stream whose first records expired: from its oldest
 // usable checkpoint on.
-func (s *stream) readExpired(ctx context.Context, first platform.Offset) error {
+func (s *stream) readExpired(ctx context.Context, first logservice.Offset) error {
 	var c publication.Collector
 	var checkpoint *publication.State
-	var records []platform.Record
+	var records []logservice.Record
 	for from := first; ; {
 		batch, err := s.log.Read(ctx, publication.Stream, from, readLimit, 0)
 		if err != nil {
@@ -88,7 +88,7 @@
 }
 
 // apply folds the records that were not folded before.
-func (s *stream) apply(records []platform.Record) {
+func (s *stream) apply(records []logservice.Record) {
 	for _, r := range records {
 		if d := s.state.Apply(r); d.Applied() {
 			s.entries = append(s.entries, entry{Time: r.Time, Decision: d, data: r.Data})
--- a/reelctl/submit.go
+++ b/reelctl/submit.go
@@ -11,7 +11,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -32,11 +32,11 @@
 	Customer fleet.CustomerID `json:"customer,omitempty"`
 	Target   fleet.TargetID   `json:"target,omitempty"`
 	// Revision is the new revision of an accepted change.
-	Revision platform.Offset `json:"revision"`
+	Revision logservice.Offset `json:"revision"`
 	// Current is the revision that was in force when the change was judged,
 	// and CurrentID its publication; Revision -1 means none.
-	Current   platform.Offset `json:"current"`
-	CurrentID string          `json:"current_id,omitempty"`
+	Current   logservice.Offset `json:"current"`
+	CurrentID string            `json:"current_id,omitempty"`
 	// Differences are those between the contract in force and the refused one.
 	Differences []contract.Difference `json:"differences,omitempty"`
 	Message     string                `json:"message,omitempty"`
@@ -130,7 +130,7 @@
 
 // submit appends a record if it would be accepted, and finds out what became
 // of it.
-func submit(ctx context.Context, log platform.Log, c change) (Result, *stream, error) {
+func submit(ctx context.Context, log logservice.Log, c change) (Result, *stream, error) {
 	s, err := readStream(ctx, log)
 	if err != nil {
 		return c.unread(err), nil, nil
@@ -142,7 +142,7 @@
 	if err != nil {
 		return Result{}, nil, &ExitError{Code: ExitRefused, Err: err}
 	}
-	trial := s.state.Clone().Apply(platform.Record{Offset: s.state.Next(), Time: time.Now(), Data: data})
+	trial := s.state.Clone().Apply(logservice.Record{Offset: s.state.Next(), Time: time.Now(), Data: data})
 	if trial.Verdict != publication.Accepted {
 		return newResult(trial), s, nil
 	}
@@ -166,10 +166,10 @@
 // append appends a record and reads the stream back.
 func (s *stream) append(ctx context.Context, c change, data []byte) Result {
 	err := s.appendUnlessRefused(ctx, data)
-	if errors.Is(err, platform.ErrRefused) && !c.earlier {
+	if errors.Is(err, logservice.ErrRefused) && !c.earlier {
 		return c.unsettled(NotAppended, "the log refused the append, nothing changed: "+err.Error())
 	}
-	if errors.Is(err, platform.ErrRefused) {
+	if errors.Is(err, logservice.ErrRefused) {
 		return c.unsettled(NotKnown, "the log refused the append; an earlier one may yet take effect: "+err.Error())
 	}
 	d, err := s.await(ctx, c.id)
@@ -184,7 +184,7 @@
 func (s *stream) appendUnlessRefused(ctx context.Context, data []byte) error {
 	for {
 		_, err := s.log.Append(ctx, publication.Stream, data)
-		if !errors.Is(err, platform.ErrRefused) {
+		if !errors.Is(err, logservice.ErrRefused) {
 			return err
 		}
 		select {
--- a/reelctl/truth_test.go
+++ b/reelctl/truth_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/clementinereel/clementinereel/contract"
-	"github.com/clementinereel/clementinereel/platform"
-	"github.com/clementinereel/clementinereel/platform/standin"
+	"github.com/clementinereel/clementinereel/logservice"
+	"github.com/clementinereel/clementinereel/logservice/standin"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -79,13 +79,13 @@
 	var s *stream
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		var err error
-		s, err = readStream(context.Background(), platform.NewClient(x.url, 0))
+		s, err = readStream(context.Background(), logservice.NewClient(x.url, 0))
 		if err != nil {
 			return poll.Continue("%v", err)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(time.Minute))
-	accepted := map[string]platform.Offset{}
+	accepted := map[string]logservice.Offset{}
 	for _, e := range s.entries {
 		if e.Verdict == publication.Accepted {
 			_, twice := accepted[e.ID]
--- a/route/table.go
+++ b/route/table.go
@@ -8,7 +8,7 @@
 
 	"github.com/clementinereel/clementinereel/contract"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
 )
 
@@ -53,7 +53,7 @@
 func (e *Entry) Customer() fleet.CustomerID { return e.Published.Contract.Customer }
 
 // Revision returns the revision of the contract that the entry belongs to.
-func (e *Entry) Revision() platform.Offset { return e.Published.Revision }
+func (e *Entry) Revision() logservice.Offset { return e.Published.Revision }
 
 // customer is the routes of one contract.
 type customer struct {
@@ -67,7 +67,7 @@
 // Table maps requests to routes.
 type Table struct {
 	// next is that of the view.
-	next      platform.Offset
+	next      logservice.Offset
 	customers map[fleet.CustomerID]*customer
 	hosts     map[string]*customer
 }
--- a/status/status.go
+++ b/status/status.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/platform"
+	"github.com/clementinereel/clementinereel/logservice"
 )
 
 // Path is where an instance serves its Report. The query parameter
@@ -21,7 +21,7 @@
 	// Config says how far the instance follows the configuration stream.
 	Config Config `json:"config"`
 	// Revisions is the contract revision in force for each customer.
-	Revisions map[fleet.CustomerID]platform.Offset `json:"revisions"`
+	Revisions map[fleet.CustomerID]logservice.Offset `json:"revisions"`
 	// Ejected lists the targets that the instance gives no work at present.
 	Ejected []Ejection `json:"ejected"`
 	// Operations counts those whose outcome is not settled.
@@ -31,7 +31,7 @@
 // Config says how far an instance follows the configuration stream.
 type Config struct {
 	// Next is the offset after the last record applied.
-	Next platform.Offset `json:"next"`
+	Next logservice.Offset `json:"next"`
 	// Contact is when the log or a peer last answered.
 	Contact time.Time `json:"contact"`
 }
