--- a/cmd/clementinereel/main.go
+++ b/cmd/clementinereel/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/clementinereel/clementinereel/dev"
 	"github.com/clementinereel/clementinereel/instance"
+	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/settings"
 )
 
@@ -35,8 +36,9 @@
 type cli struct {
 	Verbosity int `short:"v" name:"v" default:"0" help:"Log level: 2 adds a line for each answered request."`
 
-	Serve serveCmd `cmd:"" help:"Run one instance until TERM or INT; then stop without cutting a request."`
-	Dev   dev.Cmd  `cmd:"" help:"Run two instances, a platform stand-in and targets in one process on loopback, with an example contract."`
+	Edge  platform.Cmd `cmd:"" help:"Run one gateway on a host that names its settings file in the environment (docs/DEPLOYMENT.md)."`
+	Serve serveCmd     `cmd:"" help:"Run one instance until TERM or INT; then stop without cutting a request."`
+	Dev   dev.Cmd      `cmd:"" help:"Run two instances, a platform stand-in and targets in one process on loopback, with an example contract."`
 }
 
 type serveCmd struct {
--- /dev/null
+++ b/document/document.go
@@ -0,0 +1,139 @@
+package document
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// Version orders documents. Higher is newer; steps are uneven.
+type Version int64
+
+// ServiceName names a service of a document.
+type ServiceName string
+
+// Document is a whole configuration.
+type Document struct {
+	Version  Version
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Route says where requests with a host and a path prefix go, and how.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Class  fleet.Class
+	// Timeout is the longest time that a caller is kept waiting; 0 means that
+	// only the caller's own deadline holds.
+	Timeout time.Duration
+	// Objective is the time within which an answer is worth most; 0 if none.
+	Objective time.Duration
+	// Priority is the rank of the route's requests; 0 is the most urgent.
+	Priority int
+	// MaxAttempts is to how many targets one request may be sent. At least 1.
+	MaxAttempts int
+	// Backends are the services that share the requests by weight.
+	Backends []Backend
+}
+
+// Backend is a service's part of a route.
+type Backend struct {
+	Service ServiceName
+	Weight  int
+}
+
+// Service is a group of targets that do the same work.
+type Service struct {
+	Name ServiceName
+	// MaxConnections is how many connections one target accepts from all
+	// callers together.
+	MaxConnections int
+}
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	// IdleTimeout is how long a caller's connection may stay without a request.
+	IdleTimeout time.Duration
+}
+
+// Check returns an error that names the first field that is wrong.
+func (d *Document) Check() error {
+	if d.Version <= 0 {
+		return errors.Errorf("version: %d is not positive", d.Version)
+	}
+	services := make(map[ServiceName]bool, len(d.Services))
+	for i, s := range d.Services {
+		if s.Name == "" {
+			return errors.Errorf("services[%d].name: empty", i)
+		}
+		services[s.Name] = true
+	}
+	places := make(map[[2]string]bool, len(d.Routes))
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.check(services); err != nil {
+			return errors.Wrapf(err, "routes[%d] %q", i, r.Name)
+		}
+		place := [2]string{r.Host, r.Prefix}
+		if places[place] {
+			return errors.Errorf("routes[%d] %q: host and prefix stand twice", i, r.Name)
+		}
+		places[place] = true
+	}
+	return d.Limits.check()
+}
+
+func (r *Route) check(services map[ServiceName]bool) error {
+	switch {
+	case r.Host == "":
+		return errors.New("host: empty")
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return errors.Errorf("prefix: %q does not begin and end with a slash", r.Prefix)
+	case r.Class == 0:
+		return errors.New("class: missing")
+	case r.MaxAttempts < 1:
+		return errors.Errorf("max attempts: %d is below 1", r.MaxAttempts)
+	case r.Timeout < 0:
+		return errors.Errorf("timeout: %v is negative", r.Timeout)
+	case len(r.Backends) == 0:
+		return errors.New("backends: none")
+	}
+	total := 0
+	for _, b := range r.Backends {
+		if !services[b.Service] {
+			return errors.Errorf("backends: service %q is unknown", b.Service)
+		}
+		if b.Weight < 0 {
+			return errors.Errorf("backends: weight %d of %q is negative", b.Weight, b.Service)
+		}
+		total += b.Weight
+	}
+	if total == 0 {
+		return errors.New("backends: all weights are 0")
+	}
+	return nil
+}
+
+func (l *Limits) check() error {
+	switch {
+	case l.HeaderBytes <= 0:
+		return errors.Errorf("limits.header bytes: %d is not positive", l.HeaderBytes)
+	case l.BodyBytes <= 0:
+		return errors.Errorf("limits.body bytes: %d is not positive", l.BodyBytes)
+	case l.HeaderTimeout <= 0:
+		return errors.Errorf("limits.header timeout: %v is not positive", l.HeaderTimeout)
+	case l.IdleTimeout <= 0:
+		return errors.Errorf("limits.idle timeout: %v is not positive", l.IdleTimeout)
+	}
+	return nil
+}
--- /dev/null
+++ b/eventlog/event.go
@@ -0,0 +1,49 @@
+package eventlog
+
+// Event names what a line tells.
+type Event string
+
+// Events of the process and what it depends on.
+const (
+	Started          Event = "started"
+	Stopping         Event = "stopping"
+	Stopped          Event = "stopped"
+	SettingsReloaded Event = "settings-reloaded"
+	SettingsRefused  Event = "settings-refused"
+	StoreLost        Event = "store-lost"
+	StoreBack        Event = "store-back"
+	ReaderRole       Event = "reader-role"
+	PeerFound        Event = "peer-found"
+	PeerLost         Event = "peer-lost"
+	PullFailed       Event = "pull-failed"
+	ReadyChanged     Event = "ready-changed"
+	LinesDropped     Event = "lines-dropped"
+	PacketRefused    Event = "packet-refused"
+	ServerError      Event = "server-error"
+)
+
+// Events that change what the instance believes.
+const (
+	DocumentApplied Event = "document-applied"
+	DocumentRefused Event = "document-refused"
+	TargetAdded     Event = "target-added"
+	TargetLeaving   Event = "target-leaving"
+	TargetGone      Event = "target-gone"
+	TargetHeld      Event = "target-held"
+	EntryRefused    Event = "entry-refused"
+	TargetSuspected Event = "target-suspected"
+	TargetCleared   Event = "target-cleared"
+	PathCut         Event = "path-cut"
+)
+
+// Events of requests.
+const (
+	AttemptFailed  Event = "attempt-failed"
+	AttemptAdded   Event = "attempt-added"
+	AttemptRefused Event = "attempt-not-added"
+	RequestRefused Event = "request-refused"
+	RequestFailed  Event = "request-failed"
+	RequestLate    Event = "request-late"
+	RequestServed  Event = "request-served"
+	CallerLeft     Event = "caller-left"
+)
--- /dev/null
+++ b/exchange/cache.go
@@ -0,0 +1,183 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// conn is a connection to a target.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// served counts the exchanges that ended well on the connection.
+	served int
+	// idleSince is when the last exchange ended.
+	idleSince time.Time
+	// keep is how long the target keeps the connection open while it is idle.
+	keep time.Duration
+}
+
+// Bounds of the cache.
+const (
+	// defaultKeep is how long a connection is kept if the target names no time.
+	defaultKeep = 4 * time.Second
+	// keepMargin is left of the time that the target names, for requests on
+	// their way.
+	keepMargin = 700 * time.Millisecond
+	// maxIdle bounds the idle connections to one target.
+	maxIdle = 4
+	// readBuffer is the size of a connection's read buffer in bytes.
+	readBuffer = 4 << 10
+)
+
+// Cache keeps idle connections to targets. It is safe for concurrent use.
+type Cache struct {
+	dialer net.Dialer
+	mu     sync.Mutex
+	idle   map[fleet.TargetID][]*conn
+	// Opened counts the connections that were opened.
+	opened int64
+}
+
+// NewCache returns an empty cache whose connections take at most dialTimeout to
+// open.
+func NewCache(dialTimeout time.Duration) *Cache {
+	return &Cache{
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		idle:   make(map[fleet.TargetID][]*conn),
+	}
+}
+
+// Idle tells whether a connection to the target can be used again.
+func (c *Cache) Idle(id fleet.TargetID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.idle[id]
+	if len(conns) == 0 {
+		return false
+	}
+	last := conns[len(conns)-1]
+	return time.Since(last.idleSince) < last.keep
+}
+
+// Opened is how many connections were opened so far.
+func (c *Cache) Opened() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opened
+}
+
+// take returns an idle connection on which nothing has arrived, or nil.
+func (c *Cache) take(id fleet.TargetID, now time.Time) *conn {
+	for {
+		cn := c.pop(id)
+		if cn == nil {
+			return nil
+		}
+		if now.Sub(cn.idleSince) < cn.keep && cn.quiet() {
+			return cn
+		}
+		_ = cn.Close()
+	}
+}
+
+func (c *Cache) pop(id fleet.TargetID) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.idle[id]
+	if len(conns) == 0 {
+		return nil
+	}
+	last := len(conns) - 1
+	cn := conns[last]
+	conns[last] = nil
+	c.idle[id] = conns[:last]
+	return cn
+}
+
+// put keeps a connection for the next request.
+func (c *Cache) put(id fleet.TargetID, cn *conn, now time.Time) {
+	cn.idleSince = now
+	cn.served++
+	c.mu.Lock()
+	conns := c.idle[id]
+	if len(conns) < maxIdle {
+		c.idle[id] = append(conns, cn)
+		cn = nil
+	}
+	c.mu.Unlock()
+	if cn != nil {
+		_ = cn.Close()
+	}
+}
+
+// Sweep closes the connections that were idle for too long and those of targets
+// that are not in use.
+func (c *Cache) Sweep(now time.Time, inUse func(fleet.TargetID) bool) {
+	var closing []*conn
+	c.mu.Lock()
+	for id, conns := range c.idle {
+		used := inUse(id)
+		kept := conns[:0]
+		for _, cn := range conns {
+			if used && now.Sub(cn.idleSince) < cn.keep {
+				kept = append(kept, cn)
+				continue
+			}
+			closing = append(closing, cn)
+		}
+		clear(conns[len(kept):])
+		if len(kept) == 0 {
+			delete(c.idle, id)
+			continue
+		}
+		c.idle[id] = kept
+	}
+	c.mu.Unlock()
+	for _, cn := range closing {
+		_ = cn.Close()
+	}
+}
+
+// dial opens a connection.
+func (c *Cache) dial(ctx context.Context, addr string) (*conn, error) {
+	nc, err := c.dialer.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.opened++
+	c.mu.Unlock()
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), keep: defaultKeep}, nil
+}
+
+// quiet tells whether the idle connection is open and nothing has arrived on it.
+// It reads without waiting: whatever comes while no request is under way
+// belongs to none, so the connection is closed then anyway.
+func (cn *conn) quiet() bool {
+	if cn.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := cn.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,317 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/placement"
+	"github.com/clementinereel/clementinereel/suspicion"
+)
+
+// outcomeKind tells how a request ended.
+type outcomeKind string
+
+const (
+	// answered: a target's whole answer is there.
+	answered outcomeKind = "answered"
+	// notRun: no target has run the request, and none will.
+	notRun outcomeKind = "not-run"
+	// unknown: a target may have run the request.
+	unknown outcomeKind = "unknown"
+	// late: the time ran out and a target may have run the request.
+	late outcomeKind = "late"
+)
+
+// outcome is how all attempts together ended.
+type outcome struct {
+	kind     outcomeKind
+	answer   *exchange.Answer
+	target   fleet.TargetID
+	attempts int
+	why      string
+}
+
+// Bounds of one request's attempts.
+const (
+	// maxTries bounds the targets of one request, those included that refused it
+	// or were not reached.
+	maxTries = 6
+	// maxRefusals bounds the targets that refuse one request.
+	maxRefusals = 3
+	// leastTime is the time below which no further attempt is begun.
+	leastTime = 60 * time.Millisecond
+	// staleIdle is the idle time of a connection from which its break may be the
+	// target's closing of it.
+	staleIdle = 2 * time.Second
+)
+
+// race is the attempts of one request.
+type race struct {
+	c       *call
+	ctx     context.Context
+	results chan ended
+	tried   []fleet.TargetID
+	running int
+	// sent counts the attempts that may have run, refused those that did not.
+	sent, refused int
+	// fallback is the best outcome so far, for when no attempt succeeds.
+	fallback outcome
+	hedged   bool
+}
+
+// ended is the end of one attempt.
+type ended struct {
+	placed Placed
+	result exchange.Result
+}
+
+// attempts runs the request's attempts and returns how they ended.
+func (c *call) attempts() outcome {
+	ctx, cancel, untie := c.context()
+	r := &race{c: c, ctx: ctx, results: make(chan ended, maxTries), fallback: outcome{kind: notRun, why: "no target is known"}}
+	defer r.end(cancel)
+	defer untie()
+	if !r.begin() {
+		return r.fallback
+	}
+	return r.run()
+}
+
+// end lets attempts that still run end by themselves: breaking them off would
+// waste the target's work. If the caller has left, their context has ended already.
+func (r *race) end(cancel context.CancelFunc) {
+	if r.running == 0 {
+		cancel()
+		return
+	}
+	running := r.running
+	go func() {
+		defer cancel()
+		for range running {
+			e := <-r.results
+			r.c.learn(e)
+		}
+	}()
+}
+
+func (r *race) run() outcome {
+	slow, median := r.c.h.Knowledge.Slow(r.c.service)
+	hedge := time.NewTimer(slow)
+	defer hedge.Stop()
+	end := time.NewTimer(time.Until(r.c.deadline))
+	defer end.Stop()
+	for {
+		select {
+		case e := <-r.results:
+			r.running--
+			r.c.learn(e)
+			if o, done := r.settle(e); done {
+				return o
+			}
+		case <-hedge.C:
+			r.hedge(median)
+		case <-end.C:
+			return r.overdue()
+		case <-r.ctx.Done():
+			return outcome{kind: unknown, why: "the caller left"}
+		}
+	}
+}
+
+func (r *race) overdue() outcome {
+	if r.fallback.answer != nil {
+		return r.fallback
+	}
+	return outcome{kind: late, why: "no answer in time", attempts: len(r.tried)}
+}
+
+// settle takes in an attempt's end. It returns the outcome if that is final.
+func (r *race) settle(e ended) (outcome, bool) {
+	res := e.result
+	o := outcome{target: e.placed.ID, attempts: len(r.tried)}
+	switch res.Kind {
+	case exchange.Answered:
+		r.sent++
+		o.kind, o.answer = answered, res.Answer
+		if passable(res.Answer) {
+			if res.Answer.Status < http.StatusInternalServerError {
+				return o, true
+			}
+		} else {
+			o.kind, o.answer, o.why = unknown, nil, "the target's answer bears no proof"
+		}
+	case exchange.Refused:
+		r.refused++
+		o.kind, o.why = notRun, "targets refused it"
+	case exchange.Unsent:
+		o.kind, o.why = notRun, "targets were out of reach"
+	default:
+		r.sent++
+		o.kind, o.why = unknown, "the answer was lost"
+	}
+	r.keep(o)
+	r.log(e, o)
+	if r.running > 0 {
+		return outcome{}, false
+	}
+	if r.again(e) {
+		return outcome{}, false
+	}
+	return r.fallback, true
+}
+
+// passable tells whether the answer may reach the caller as it is: a success
+// needs its seal, and a status that promises that nothing ran needs its proof.
+func passable(a *exchange.Answer) bool {
+	switch a.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return false
+	}
+	return a.Sealed || a.Status/100 != 2
+}
+
+// keep remembers the outcome that tells the caller most truthfully what is known:
+// an answer before a doubt, and a doubt before a refusal.
+func (r *race) keep(o outcome) {
+	rank := map[outcomeKind]int{notRun: 1, unknown: 2, answered: 3}
+	if rank[o.kind] >= rank[r.fallback.kind] {
+		r.fallback = o
+	}
+}
+
+// again begins a further attempt after one that failed, if that is allowed.
+func (r *race) again(e ended) bool {
+	unrun := e.result.Kind == exchange.Refused || e.result.Kind == exchange.Unsent
+	why := ""
+	switch {
+	case !unrun && !r.c.repeatable():
+		why = "must not run twice"
+	case r.sent >= r.c.route.MaxAttempts:
+		why = "route's attempts are used up"
+	case r.refused >= maxRefusals || len(r.tried) >= maxTries:
+		why = "too many targets tried"
+	case time.Until(r.c.deadline) < leastTime || time.Until(r.c.targetDeadline) < leastTime:
+		why = "no time left"
+	case e.result.Kind != exchange.Unsent && !r.spend("again"):
+		return false
+	}
+	if why == "" && r.begin() {
+		return true
+	}
+	if why == "" {
+		why = "no other target"
+	}
+	eventlog.Info(eventlog.AttemptRefused, "request", r.c.id, "service", r.c.service, "why", why, "attempts", len(r.tried))
+	return false
+}
+
+// hedge begins a further attempt beside one that is slow.
+func (r *race) hedge(median time.Duration) {
+	if r.hedged || r.running != 1 || !r.c.repeatable() || r.sent+r.running >= r.c.route.MaxAttempts {
+		return
+	}
+	if time.Until(r.c.targetDeadline) < median/2 {
+		return
+	}
+	r.hedged = true
+	if r.spend("hedge") {
+		r.begin()
+	}
+}
+
+// spend takes a further attempt out of the budget.
+func (r *race) spend(why string) bool {
+	left, ok := r.c.h.Knowledge.Spend(time.Now(), r.c.service, r.c.h.Peers(), r.c.route.Priority <= urgentPriority)
+	event := eventlog.AttemptAdded
+	if !ok {
+		event = eventlog.AttemptRefused
+		r.c.h.Metrics.BudgetRefused.Inc(1)
+	}
+	eventlog.Info(event, "request", r.c.id, "service", r.c.service, "why", why, "budget_left", int(left), "attempts", len(r.tried))
+	return ok
+}
+
+// urgentPriority is the rank up to which a route may use the whole budget.
+const urgentPriority = 1
+
+// begin starts an attempt at the target that is expected to cost least.
+func (r *race) begin() bool {
+	c := r.c
+	now := time.Now()
+	targets := c.h.State.Targets().Services[c.service]
+	w := placement.Work{Repeatable: c.repeatable(), KB: float64(len(c.request.Body)) / 1024}
+	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, c.h.Client.Cache.Idle)
+	if !ok {
+		return false
+	}
+	r.tried = append(r.tried, p.ID)
+	r.running++
+	if p.Doubtful {
+		c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
+	}
+	go r.attempt(p)
+	return true
+}
+
+// attempt sends the request to one target.
+func (r *race) attempt(p Placed) {
+	c := r.c
+	slow, _ := c.h.Knowledge.Slow(c.service)
+	began := time.Now()
+	watch := time.AfterFunc(slow, func() { c.observe(p, suspicion.Slow, began, 0) })
+	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, !c.repeatable())
+	watch.Stop()
+	c.h.Knowledge.Ended(p.ID)
+	r.results <- ended{p, res}
+}
+
+// learn takes in what an attempt's end says of its target.
+func (c *call) learn(e ended) {
+	began := time.Now().Add(-e.result.Took)
+	c.h.Metrics.Attempt(c.service, e.result.Kind)
+	switch res := e.result; res.Kind {
+	case exchange.Answered:
+		if res.Answer.Status >= http.StatusInternalServerError || !passable(res.Answer) {
+			c.observe(e.placed, suspicion.Bad, began, 0)
+			return
+		}
+		c.h.Knowledge.Answered(c.service, len(res.Answer.Body))
+		c.observe(e.placed, suspicion.Good, began, res.Took)
+	case exchange.Unsent:
+		c.observe(e.placed, suspicion.Unreachable, began, 0)
+	case exchange.Broken:
+		if res.Reused && res.IdleFor > staleIdle {
+			c.observe(e.placed, suspicion.Stale, began, 0)
+			return
+		}
+		c.observe(e.placed, suspicion.Bad, began, 0)
+	case exchange.Overdue:
+		c.observe(e.placed, suspicion.Slow, began, 0)
+	}
+}
+
+// observe records an observation, and tells the others at once what may keep
+// them from a sick target or bring one back.
+func (c *call) observe(p Placed, o suspicion.Observation, began time.Time, took time.Duration) {
+	now := time.Now()
+	c.h.Knowledge.Observe(now, c.service, p.ID, o, began, took)
+	if o != suspicion.Good || p.Doubtful {
+		c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
+	}
+}
+
+// log writes the line of an attempt that brought no answer to pass on.
+func (r *race) log(e ended, o outcome) {
+	status := 0
+	if e.result.Answer != nil {
+		status = e.result.Answer.Status
+	}
+	eventlog.Info(eventlog.AttemptFailed, "request", r.c.id, "route", r.c.route.Name, "class", r.c.route.Class, "service", r.c.service,
+		"target", e.placed.ID, "addr", e.placed.Addr, "zone", e.placed.Zone, "kind", e.result.Kind, "status", status, "err", e.result.Err,
+		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
+		"fails", e.placed.Fails, "cost", e.placed.Cost, "in_flight", e.placed.InFlight, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/placement"
+	"github.com/clementinereel/clementinereel/statesync"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a target. A path that
+	// works takes a few milliseconds; one lost packet is sent again after 200.
+	dialTimeout = 350 * time.Millisecond
+	// reuseIdle is how long a connection may have been idle to carry work that
+	// must not be repeated: a target may close it at the same moment.
+	reuseIdle = 6 * time.Second
+	// tick is how often tables are looked through for what is over.
+	tick = 250 * time.Millisecond
+	// bodiesShare is the part of the memory for bodies of requests.
+	bodiesShare = 0.35
+	// gcPercent trades processor time, which is plentiful, for memory.
+	gcPercent = 50
+	// memoryShare is the part of the memory from which the collector runs
+	// harder.
+	memoryShare = 0.7
+)
+
+// Gateway is one instance.
+type Gateway struct {
+	settings  Settings
+	booted    time.Time
+	state     *statesync.State
+	follower  *statesync.Follower
+	node      *mesh.Node
+	knowledge *Knowledge
+	client    *exchange.Client
+	handler   *Handler
+	metrics   *Metrics
+	front     *front
+	readyLn   net.Listener
+	peerLn    net.Listener
+	leaving   atomic.Bool
+	ready     atomic.Bool
+}
+
+// New opens the instance's sockets. The settings are complete.
+func New(s Settings, store statesync.Store) (*Gateway, error) {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	g := &Gateway{settings: s, booted: time.Now(), metrics: NewMetrics()}
+	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone}, s.Retry)
+	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
+	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer, MaxReuseIdle: reuseIdle}
+	if err := g.listen(); err != nil {
+		return nil, err
+	}
+	g.follower = statesync.NewFollower(statesync.Options{
+		State: g.state, Store: store, Peers: g.node.View, Self: g.node.Addr(), Zone: s.Zone, Know: g.node.Know,
+	})
+	return g, nil
+}
+
+func (g *Gateway) listen() (err error) {
+	s := &g.settings
+	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds}, g.fill, g.take)
+	if err != nil {
+		return err
+	}
+	if g.peerLn, err = net.Listen("tcp4", g.node.Addr()); err != nil {
+		return errors.WithStack(err)
+	}
+	if g.readyLn, err = net.Listen("tcp4", s.ReadyListen); err != nil {
+		return errors.WithStack(err)
+	}
+	g.handler = &Handler{
+		State: g.state, Knowledge: g.knowledge, Client: g.client, Peers: g.node.View, Tell: g.tell, Metrics: g.metrics,
+		Bodies: &Bodies{Bound: int64(bodiesShare * float64(s.MemoryBytes))},
+	}
+	g.front, err = listenFront(s.Listen, g.handler)
+	return err
+}
+
+// fill completes a heartbeat.
+func (g *Gateway) fill(now time.Time, p *mesh.Packet) {
+	g.versions(p)
+	g.knowledge.Fill(now, p)
+}
+
+func (g *Gateway) versions(p *mesh.Packet) {
+	p.Document, p.Registry = g.state.Versions()
+	if g.follower != nil {
+		p.Log = g.follower.Log()
+	}
+}
+
+// tell sends news at once.
+func (g *Gateway) tell(p mesh.Packet) {
+	g.versions(&p)
+	g.node.Tell(p)
+}
+
+// announce tells the others that this instance's state has moved on.
+func (g *Gateway) announce() {
+	var p mesh.Packet
+	g.tell(p)
+}
+
+// take takes in a packet.
+func (g *Gateway) take(now time.Time, p *mesh.Packet, _ bool) {
+	g.knowledge.Take(now, p)
+	version, offset := g.state.Versions()
+	if p.Document > version || p.Registry > offset {
+		g.follower.Ahead()
+	}
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (g *Gateway) Run(ctx context.Context) error {
+	s := &g.settings
+	eventlog.Info(eventlog.Started, "instance", s.Instance, "zone", s.Zone, "listen", s.Listen, "peer", g.node.Addr(), "seeds", len(s.Seeds))
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go g.node.Run(background)
+	go g.follower.Run(background)
+	go g.tick(background)
+	failed := make(chan error, 3)
+	go g.serve(failed, g.front.listener, g.front.server)
+	go g.serve(failed, g.readyLn, &http.Server{Handler: g.operatorRoutes(), ReadHeaderTimeout: headerTimeout})
+	go g.serve(failed, g.peerLn, &http.Server{Handler: g.peerRoutes(), ReadHeaderTimeout: headerTimeout})
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	g.stop()
+	return nil
+}
+
+func (g *Gateway) serve(failed chan<- error, ln net.Listener, s *http.Server) {
+	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		failed <- errors.WithStack(err)
+	}
+}
+
+// operatorRoutes answers the balancer's checks and serves metrics.
+func (g *Gateway) operatorRoutes() http.Handler {
+	e := echo.New()
+	e.GET(g.settings.ReadyPath, func(c echo.Context) error {
+		if !g.ready.Load() || g.leaving.Load() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	e.GET("/metrics", func(c echo.Context) error {
+		g.metrics.set(g)
+		g.metrics.Registry.ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
+	return e
+}
+
+// peerRoutes answers other instances.
+func (g *Gateway) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(statesync.Path, g.state)
+	return mux
+}
+
+// tick drops what is over, again and again.
+func (g *Gateway) tick(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			g.tickOnce(now)
+		}
+	}
+}
+
+func (g *Gateway) tickOnce(now time.Time) {
+	view := g.node.View()
+	g.state.Tick(now, g.follower.Away(view))
+	targets := g.state.Targets()
+	inUse := func(id fleet.TargetID) bool { return targets.Target(id) != nil }
+	g.knowledge.Tick(now, inUse)
+	g.client.Cache.Sweep(now, inUse)
+	if t := g.state.Table(); t != nil && !g.leaving.Load() {
+		g.front.closeIdle(t.Document.Limits.IdleTimeout)
+	}
+	g.setReady()
+}
+
+// setReady tells the balancer to send callers once there is a configuration and a
+// target.
+func (g *Gateway) setReady() {
+	ready := g.state.Table() != nil && g.state.Targets().Len() > 0
+	if g.ready.Swap(ready) != ready {
+		version, offset := g.state.Versions()
+		eventlog.Info(eventlog.ReadyChanged, "ready", ready, "document", version, "registry", offset,
+			"targets", g.state.Targets().Len(), "after_ms", time.Since(g.booted).Milliseconds())
+	}
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,292 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/problem"
+	"github.com/clementinereel/clementinereel/statesync"
+)
+
+const (
+	// fallbackWait bounds a request that names no deadline on a route without a
+	// timeout.
+	fallbackWait = 30 * time.Second
+	// answerMargin is left of a caller's deadline for the way back.
+	answerMargin = 30 * time.Millisecond
+	// timeoutGrace is how long past a route's timeout the target's own answer to
+	// its deadline is still waited for.
+	timeoutGrace = 120 * time.Millisecond
+	// comeBack is when a refused caller may try again: by then a slot has
+	// come free or a peer has told what was missing.
+	comeBack = 300 * time.Millisecond
+	// writeTimeout bounds the writing of an answer to a caller that reads
+	// slowly.
+	writeTimeout = 10 * time.Second
+	// maxAnswer bounds an answer's body in bytes.
+	maxAnswer = 16 << 20
+	// maxDiscard bounds the part of a refused request's body that is read, in
+	// bytes.
+	maxDiscard = 1 << 20
+)
+
+// Handler serves callers' requests.
+type Handler struct {
+	State     *statesync.State
+	Knowledge *Knowledge
+	Client    *exchange.Client
+	Peers     func() mesh.View
+	Tell      func(mesh.Packet)
+	Metrics   *Metrics
+	// Bodies bounds the bytes of all requests' bodies that are held.
+	Bodies *Bodies
+	// leaving tells callers to go elsewhere after their answer.
+	leaving atomic.Bool
+	// refusing tells that the process is about to end.
+	refusing atomic.Bool
+}
+
+// Leave makes every answer the last on its connection.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// Refuse answers further requests with a refusal.
+func (h *Handler) Refuse() { h.refusing.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Client.Headers.RequestID)}
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	status := c.serve()
+	h.Metrics.Request(c, status, time.Since(c.start))
+}
+
+// call is one caller's request.
+type call struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	start   time.Time
+	id      string
+	version document.Version
+	route   *document.Entry
+	service document.ServiceName
+	request *exchange.Request
+	// deadline is when the answer must be on its way, and targetDeadline what
+	// targets are told.
+	deadline, targetDeadline time.Time
+}
+
+// serve answers the request and returns the answer's status; 0 if the caller
+// left.
+func (c *call) serve() int {
+	if c.h.refusing.Load() {
+		return c.refuse(problem.Overloaded, "the instance is stopping")
+	}
+	table := c.h.State.Table()
+	if table == nil {
+		return c.refuse(problem.Overloaded, "no configuration is known yet")
+	}
+	c.version = table.Document.Version
+	uri := requestURI(c.r)
+	path, _, _ := strings.Cut(uri, "?")
+	c.route = table.Match(c.r.Host, path)
+	if c.route == nil {
+		return c.fail(http.StatusNotFound, problem.NoRoute, "no route for host and path")
+	}
+	if err := c.setDeadline(); err != nil {
+		return c.fail(http.StatusBadRequest, problem.BadRequest, err.Error())
+	}
+	body, status := c.readBody(&table.Document.Limits)
+	if status != 0 {
+		return status
+	}
+	defer c.h.Bodies.Release(int64(len(body)))
+	c.request = &exchange.Request{
+		ID: c.id, Method: c.r.Method, URI: uri, Host: c.r.Host, Header: header.Forwarded(c.r.Header),
+		Body: body, HasBody: c.r.ContentLength != 0,
+	}
+	c.service = c.route.Backend()
+	c.h.Knowledge.Request(time.Now(), c.service)
+	return c.answer(c.attempts())
+}
+
+// requestURI is the path and query as they were sent.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func (c *call) setDeadline() error {
+	wait := fallbackWait
+	if v := c.r.Header.Get(c.h.Client.Headers.Deadline); v != "" {
+		ms, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || ms < 0 {
+			return errors.Errorf("%s: %q is not a number of milliseconds", c.h.Client.Headers.Deadline, v)
+		}
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	c.targetDeadline = c.start.Add(wait)
+	c.deadline = c.targetDeadline.Add(-answerMargin)
+	if t := c.route.Timeout; t > 0 && c.start.Add(t).Before(c.targetDeadline) {
+		c.targetDeadline = c.start.Add(t)
+		if end := c.targetDeadline.Add(timeoutGrace); end.Before(c.deadline) {
+			c.deadline = end
+		}
+	}
+	return nil
+}
+
+// readBody reads the whole body, so that it can go to a further target. It
+// returns the status of the answer that was given instead, if one was.
+func (c *call) readBody(limits *document.Limits) ([]byte, int) {
+	if c.r.ContentLength == 0 {
+		return nil, 0
+	}
+	if c.r.ContentLength > limits.BodyBytes {
+		return nil, c.fail(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is above the limit")
+	}
+	body, err := c.h.Bodies.Read(c.r.Body, c.r.ContentLength, limits.BodyBytes)
+	switch {
+	case err == nil:
+		return body, 0
+	case errors.Is(err, errBodyTooLarge):
+		return nil, c.fail(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is above the limit")
+	case errors.Is(err, errBodiesFull):
+		return nil, c.refuse(problem.Overloaded, "too many bodies are held")
+	case errors.Is(err, io.ErrUnexpectedEOF), c.r.Context().Err() != nil:
+		eventlog.Info(eventlog.CallerLeft, "request", c.id, "route", c.route.Name, "during", "body")
+		return nil, c.fail(http.StatusBadRequest, problem.BadRequest, "the body broke off")
+	}
+	return nil, c.fail(http.StatusBadRequest, problem.BadRequest, "the body is malformed")
+}
+
+// answer passes on the outcome of the attempts.
+func (c *call) answer(o outcome) int {
+	if c.r.Context().Err() != nil {
+		eventlog.Info(eventlog.CallerLeft, "request", c.id, "route", c.route.Name, "outcome", o.kind,
+			"after_ms", time.Since(c.start).Milliseconds())
+		return 0
+	}
+	if o.answer != nil {
+		return c.pass(o)
+	}
+	switch o.kind {
+	case notRun:
+		return c.refuse(problem.Overloaded, o.why)
+	case late:
+		return c.fail(http.StatusGatewayTimeout, problem.TargetTimeout, o.why)
+	}
+	return c.fail(http.StatusBadGateway, problem.TargetFailed, o.why)
+}
+
+// pass sends a target's answer to the caller.
+func (c *call) pass(o outcome) int {
+	if o.answer.Status/100 != 2 {
+		eventlog.Info(eventlog.RequestFailed, "request", c.id, "route", c.route.Name, "service", c.service, "status", o.answer.Status,
+			"by", "target", "target", o.target, "attempts", o.attempts, "document", c.version, "after_ms", time.Since(c.start).Milliseconds())
+	}
+	out := c.w.Header()
+	for name, values := range header.Strip(o.answer.Header) {
+		out[name] = values
+	}
+	if _, ok := out["Content-Type"]; !ok {
+		out["Content-Type"] = nil // none, rather than a guess
+	}
+	if c.h.leaving.Load() {
+		out.Set("Connection", "close")
+	}
+	if bodyAllowed(c.r.Method, o.answer.Status) {
+		out.Set("Content-Length", strconv.Itoa(len(o.answer.Body)))
+	}
+	c.write(o.answer.Status, o.answer.Body)
+	return o.answer.Status
+}
+
+func bodyAllowed(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func (c *call) write(status int, body []byte) {
+	rc := http.NewResponseController(c.w)
+	// A connection without deadlines is bounded by the callers' own.
+	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	c.w.WriteHeader(status)
+	// A caller that has gone by now has its answer lost on its own side.
+	_, _ = c.w.Write(body)
+}
+
+// refuse tells the caller that the request was not run, and when to come back.
+func (c *call) refuse(t problem.Type, why string) int {
+	eventlog.Info(eventlog.RequestRefused, "request", c.id, "route", c.routeName(), "service", c.service, "why", why,
+		"document", c.version, "after_ms", time.Since(c.start).Milliseconds(), "come_back_ms", comeBack.Milliseconds())
+	seconds := strconv.FormatFloat(comeBack.Seconds(), 'f', -1, 64)
+	c.w.Header().Set(header.RetryAfter, seconds)
+	return c.own(problem.New(http.StatusServiceUnavailable, t, why))
+}
+
+// fail tells the caller that the request failed or may have run.
+func (c *call) fail(status int, t problem.Type, why string) int {
+	eventlog.Info(eventlog.RequestFailed, "request", c.id, "route", c.routeName(), "service", c.service, "status", status,
+		"by", "self", "why", why, "document", c.version, "after_ms", time.Since(c.start).Milliseconds())
+	return c.own(problem.New(status, t, why))
+}
+
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
+func (c *call) own(p *problem.Problem) int {
+	// What is left of the body is read, or closing the connection would reset it
+	// before the caller has the answer.
+	_, _ = io.CopyN(io.Discard, c.r.Body, maxDiscard)
+	body := p.Body(c.id)
+	out := c.w.Header()
+	out.Set("Content-Type", problem.ContentType)
+	out.Set("Content-Length", strconv.Itoa(len(body)))
+	if c.id != "" {
+		out.Set(c.h.Client.Headers.RequestID, c.id)
+	}
+	c.write(p.Status, body)
+	return p.Status
+}
+
+// class returns the route's class, 0 if no route was found.
+func (c *call) class() fleet.Class {
+	if c.route == nil {
+		return 0
+	}
+	return c.route.Class
+}
+
+// repeatable tells whether the request may run more than once.
+func (c *call) repeatable() bool { return c.route.Class == fleet.Lookup }
+
+// context returns the context of the attempts, and what ends its tie to the caller:
+// work that may be repeated ends when the caller leaves, other work goes on.
+func (c *call) context() (ctx context.Context, cancel context.CancelFunc, untie func() bool) {
+	ctx, cancel = context.WithCancel(context.WithoutCancel(c.r.Context()))
+	if !c.repeatable() {
+		return ctx, cancel, func() bool { return true }
+	}
+	return ctx, cancel, context.AfterFunc(c.r.Context(), cancel)
+}
--- /dev/null
+++ b/gateway/knowledge.go
@@ -0,0 +1,390 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/placement"
+	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/retry/pooled"
+	"github.com/clementinereel/clementinereel/suspicion"
+)
+
+const (
+	// peerLoadFor is how long a silent peer's load is counted.
+	peerLoadFor = 3 * time.Second
+	// cutFirst and cutMost bound how long a path is avoided after a connection
+	// did not come about; the time doubles with each failure in a row.
+	cutFirst = 2 * time.Second
+	cutMost  = 8 * time.Second
+	// evidenceMost bounds the observations that wait for the next heartbeat.
+	evidenceMost = 40
+)
+
+// Knowledge is what one instance knows of targets and budgets, from its own
+// attempts and from what others told. It is safe for concurrent use.
+type Knowledge struct {
+	chooser *placement.Chooser
+	retry   pooled.Config
+
+	mu       sync.Mutex
+	services map[document.ServiceName]*service
+	targets  map[fleet.TargetID]*target
+	peers    map[string]*peer
+	pending  []gathered
+	most     pastMost
+}
+
+// service is what is known of a service.
+type service struct {
+	estimator *suspicion.Estimator
+	budget    *pooled.Budget
+	latency   latency
+	answerKB  float64 // running mean
+}
+
+// target is what is known of a target beside its estimate.
+type target struct {
+	own, others int // in flight
+	lastUse     time.Time
+	cutUntil    time.Time
+	cutFor      time.Duration
+}
+
+// peer is what another instance told.
+type peer struct {
+	boot  int64
+	heard time.Time
+	load  map[fleet.TargetID]int
+	usage map[document.ServiceName]pooled.Usage
+}
+
+// gathered is an observation that was not told yet.
+type gathered struct {
+	mesh.Evidence
+	began time.Time
+}
+
+// NewKnowledge returns the knowledge of an instance that has seen nothing.
+func NewKnowledge(c *placement.Chooser, retry pooled.Config) *Knowledge {
+	return &Knowledge{
+		chooser:  c,
+		retry:    retry,
+		services: make(map[document.ServiceName]*service),
+		targets:  make(map[fleet.TargetID]*target),
+		peers:    make(map[string]*peer),
+	}
+}
+
+func (k *Knowledge) service(name document.ServiceName) *service {
+	s := k.services[name]
+	if s == nil {
+		s = &service{estimator: suspicion.New(), budget: pooled.New(k.retry)}
+		k.services[name] = s
+	}
+	return s
+}
+
+func (k *Knowledge) target(id fleet.TargetID) *target {
+	t := k.targets[id]
+	if t == nil {
+		t = new(target)
+		k.targets[id] = t
+	}
+	return t
+}
+
+// Request records a request for a service, for its retry budget.
+func (k *Knowledge) Request(now time.Time, name document.ServiceName) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.service(name).budget.Request(now)
+}
+
+// Placed is a target that was chosen and why.
+type Placed struct {
+	*registry.Target
+	// Cost is the expected cost, Fails its part for failure.
+	Cost, Fails float64
+	// InFlight is what all instances had there, this attempt left out.
+	InFlight int
+	// Doubtful tells that the others are to hear of the attempt at once.
+	Doubtful bool
+}
+
+// doubtful is the probability of failure from which an attempt counts as a trial.
+const doubtful = 0.2
+
+// Place chooses a target among those given, the excluded left out, and counts the
+// attempt in. It returns false if there is none.
+func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, excluded []fleet.TargetID, w placement.Work, warm func(fleet.TargetID) bool) (Placed, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.service(name)
+	w.KB += s.answerKB
+	candidates := make([]placement.Candidate, 0, len(ts))
+	from := make([]*registry.Target, 0, len(ts))
+	for _, t := range ts {
+		if !contains(excluded, t.ID) {
+			candidates = append(candidates, k.candidate(now, s, t, warm(t.ID)))
+			from = append(from, t)
+		}
+	}
+	i, cost := k.chooser.Choose(w, candidates)
+	if i < 0 {
+		return Placed{}, false
+	}
+	c := &candidates[i]
+	t := k.target(c.ID)
+	t.own++
+	t.lastUse = now
+	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= doubtful}, true
+}
+
+func contains(ids []fleet.TargetID, id fleet.TargetID) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Knowledge) candidate(now time.Time, s *service, rt *registry.Target, warm bool) placement.Candidate {
+	t := k.target(rt.ID)
+	return placement.Candidate{
+		ID:       rt.ID,
+		Zone:     rt.Zone,
+		Slots:    rt.Slots,
+		Fails:    s.estimator.Fails(now, rt.ID),
+		InFlight: t.own + t.others,
+		Warm:     warm,
+		Cut:      now.Before(t.cutUntil),
+		Warming:  now.Before(rt.WarmAt),
+		SinceUse: now.Sub(t.lastUse),
+	}
+}
+
+// Ended counts an attempt out.
+func (k *Knowledge) Ended(id fleet.TargetID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.target(id).own--
+}
+
+// Answered records the length of an answer, which placement weighs.
+func (k *Knowledge) Answered(name document.ServiceName, bytes int) {
+	const weight = 0.05
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.service(name)
+	s.answerKB += weight * (float64(bytes)/1024 - s.answerKB)
+}
+
+// Observe takes in what an attempt of this instance said of its target.
+func (k *Knowledge) Observe(now time.Time, name document.ServiceName, id fleet.TargetID, o suspicion.Observation, began time.Time, took time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e := mesh.Evidence{Service: name, Target: id, What: o, TookMillis: took.Milliseconds()}
+	k.observe(now, e, began, "self")
+	if o == suspicion.Unreachable {
+		k.cut(now, id)
+	}
+	if o == suspicion.Good {
+		k.target(id).cutFor = 0
+	}
+	if len(k.pending) < evidenceMost {
+		k.pending = append(k.pending, gathered{e, began})
+	}
+}
+
+func (k *Knowledge) cut(now time.Time, id fleet.TargetID) {
+	t := k.target(id)
+	t.cutFor = min(max(2*t.cutFor, cutFirst), cutMost)
+	t.cutUntil = now.Add(t.cutFor)
+	eventlog.Info(eventlog.PathCut, "target", id, "avoid_ms", t.cutFor.Milliseconds())
+}
+
+func (k *Knowledge) observe(now time.Time, e mesh.Evidence, began time.Time, from string) {
+	s := k.service(e.Service)
+	before, after, change := s.estimator.Observe(now, e.Target, e.What, began)
+	t := k.target(e.Target)
+	if now.After(t.lastUse) {
+		t.lastUse = now
+	}
+	if e.What == suspicion.Good {
+		s.latency.add(time.Duration(e.TookMillis) * time.Millisecond)
+	}
+	switch change {
+	case suspicion.NowSuspected:
+		r := s.estimator.Rates()
+		eventlog.Info(eventlog.TargetSuspected, "target", e.Target, "service", e.Service, "by", from, "evidence", e.What,
+			"age_ms", now.Sub(began).Milliseconds(), "sick_before", before, "sick", after, "sound_fails", r.SoundFails, "bout_ms", r.Bout.Milliseconds())
+	case suspicion.NowCleared:
+		eventlog.Info(eventlog.TargetCleared, "target", e.Target, "service", e.Service, "by", from, "evidence", e.What,
+			"age_ms", now.Sub(began).Milliseconds(), "sick_before", before, "sick", after)
+	}
+}
+
+// Take takes in a packet of another instance.
+func (k *Knowledge) Take(now time.Time, p *mesh.Packet) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, e := range p.Evidence {
+		k.observe(now, e, now.Add(-time.Duration(e.AgeMillis)*time.Millisecond), p.Addr)
+	}
+	pr := k.peers[p.Addr]
+	if pr == nil || pr.boot != p.Boot {
+		k.dropLoad(pr)
+		pr = &peer{boot: p.Boot, load: make(map[fleet.TargetID]int), usage: make(map[document.ServiceName]pooled.Usage)}
+		k.peers[p.Addr] = pr
+	}
+	pr.heard = now
+	if p.Heartbeat {
+		k.dropLoad(pr)
+		clear(pr.usage)
+	}
+	for _, l := range p.Load {
+		t := k.target(l.Target)
+		t.others += l.InFlight - pr.load[l.Target]
+		pr.load[l.Target] = l.InFlight
+		if l.InFlight > 0 {
+			t.lastUse = now
+		}
+	}
+	for _, u := range p.Usage {
+		pr.usage[u.Service] = pooled.Usage{Requests: u.Requests, Added: u.Added}
+	}
+}
+
+func (k *Knowledge) dropLoad(p *peer) {
+	if p == nil {
+		return
+	}
+	for id, n := range p.load {
+		k.target(id).others -= n
+	}
+	clear(p.load)
+}
+
+// Fill completes a heartbeat.
+func (k *Knowledge) Fill(now time.Time, p *mesh.Packet) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, t := range k.targets {
+		if t.own > 0 {
+			p.Load = append(p.Load, mesh.Load{Target: id, InFlight: t.own})
+		}
+	}
+	for name, s := range k.services {
+		if u := s.budget.Usage(now); u != (pooled.Usage{}) {
+			p.Usage = append(p.Usage, mesh.Usage{Service: name, Requests: u.Requests, Added: u.Added})
+		}
+	}
+	p.Evidence = k.takePending(now)
+}
+
+// News returns what cannot wait for the next heartbeat.
+func (k *Knowledge) News(now time.Time, name document.ServiceName, id fleet.TargetID) mesh.Packet {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	u := k.service(name).budget.Usage(now)
+	return mesh.Packet{
+		Evidence: k.takePending(now),
+		Load:     []mesh.Load{{Target: id, InFlight: k.target(id).own}},
+		Usage:    []mesh.Usage{{Service: name, Requests: u.Requests, Added: u.Added}},
+	}
+}
+
+func (k *Knowledge) takePending(now time.Time) []mesh.Evidence {
+	told := make([]mesh.Evidence, 0, len(k.pending))
+	for _, g := range k.pending {
+		g.AgeMillis = now.Sub(g.began).Milliseconds()
+		told = append(told, g.Evidence)
+	}
+	k.pending = k.pending[:0]
+	return told
+}
+
+// Spend takes an attempt out of the service's retry budget, if there is one.
+func (k *Knowledge) Spend(now time.Time, name document.ServiceName, v mesh.View, urgent bool) (left float64, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := k.fleet(now, name, v)
+	b := k.service(name).budget
+	left = b.Left(now, f)
+	return left, b.Spend(now, f, urgent)
+}
+
+func (k *Knowledge) fleet(now time.Time, name document.ServiceName, v mesh.View) pooled.Fleet {
+	f := pooled.Fleet{Instances: k.most.note(now, len(v.Members)+1), Complete: v.Complete()}
+	for i := range v.Members {
+		if p := k.peers[v.Members[i].Addr]; p != nil {
+			f.Add(k.retry, p.usage[name])
+		}
+	}
+	return f
+}
+
+// Slow is the age from which an attempt at the service counts as slow, and the
+// time that half of the attempts take.
+func (k *Knowledge) Slow(name document.ServiceName) (slow, median time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service(name).latency.bounds()
+}
+
+// Tick drops what is old.
+func (k *Knowledge) Tick(now time.Time, inUse func(fleet.TargetID) bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for addr, p := range k.peers {
+		if now.Sub(p.heard) > peerLoadFor {
+			k.dropLoad(p)
+		}
+		if now.Sub(p.heard) > 2*k.retry.Window {
+			delete(k.peers, addr)
+		}
+	}
+	for id, t := range k.targets {
+		if !inUse(id) && t.own == 0 && t.others == 0 {
+			delete(k.targets, id)
+		}
+	}
+	for _, s := range k.services {
+		s.estimator.Forget(inUse)
+	}
+}
+
+// Suspects is how many targets of each service count as sick.
+func (k *Knowledge) Suspects() map[document.ServiceName]int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := make(map[document.ServiceName]int, len(k.services))
+	for name, s := range k.services {
+		n[name] = s.estimator.Suspects()
+	}
+	return n
+}
+
+// pastMost remembers the largest number of instances of the last while: those
+// that are silent may still be spending.
+type pastMost struct {
+	now, before int
+	since       time.Time
+}
+
+// mostWindow is half of the time for which a number is remembered.
+const mostWindow = 15 * time.Second
+
+func (m *pastMost) note(now time.Time, n int) int {
+	if now.Sub(m.since) > mostWindow {
+		m.before, m.now, m.since = m.now, 0, now
+	}
+	m.now = max(m.now, n)
+	return max(m.now, m.before)
+}
--- /dev/null
+++ b/gateway/latency.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// latencySamples is how many of the last good attempts are looked at.
+	latencySamples = 256
+	// latencyEvery is after how many samples the bounds are worked out anew.
+	latencyEvery = 16
+	// slowShare is the part of good attempts that are below the slow bound.
+	slowShare = 0.97
+	// slowDefault and medianDefault hold until enough samples came.
+	slowDefault   = 900 * time.Millisecond
+	medianDefault = 300 * time.Millisecond
+	// slowTimes is the least slow bound, in medians.
+	slowTimes = 1.8
+)
+
+// latency keeps the last durations of good attempts of a service.
+type latency struct {
+	ring         [latencySamples]time.Duration
+	count        int
+	slow, median time.Duration
+}
+
+func (l *latency) add(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	l.ring[l.count%latencySamples] = d
+	l.count++
+	if l.count >= 2*latencyEvery && l.count%latencyEvery == 0 {
+		l.work()
+	}
+}
+
+func (l *latency) work() {
+	sorted := slices.Clone(l.ring[:min(l.count, latencySamples)])
+	slices.Sort(sorted)
+	l.median = sorted[len(sorted)/2]
+	l.slow = max(sorted[int(float64(len(sorted)-1)*slowShare)], time.Duration(slowTimes*float64(l.median)))
+}
+
+func (l *latency) bounds() (slow, median time.Duration) {
+	if l.slow == 0 {
+		return slowDefault, medianDefault
+	}
+	return l.slow, l.median
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/telemetry"
+)
+
+// Metrics counts what the gateway does.
+type Metrics struct {
+	Registry *telemetry.Registry
+	// BudgetRefused counts attempts that the retry budget did not allow.
+	BudgetRefused metrics.Counter
+}
+
+// NewMetrics returns metrics that have counted nothing.
+func NewMetrics() *Metrics {
+	r := telemetry.NewRegistry()
+	return &Metrics{Registry: r, BudgetRefused: r.Counter("gateway.budget.refused")}
+}
+
+// Request records an answered request; status 0 is a caller that left.
+func (m *Metrics) Request(c *call, status int, took time.Duration) {
+	m.Registry.Request("", c.class(), status, took)
+	m.Registry.Counter("gateway.requests", telemetry.Label{Key: "service", Value: string(c.service)},
+		telemetry.Label{Key: "class", Value: c.class().String()}, telemetry.Label{Key: "status", Value: strconv.Itoa(status)}).Inc(1)
+}
+
+// Attempt counts an attempt's end.
+func (m *Metrics) Attempt(s document.ServiceName, k exchange.Kind) {
+	m.Registry.Counter("gateway.attempts", telemetry.Label{Key: "service", Value: string(s)},
+		telemetry.Label{Key: "kind", Value: k.String()}).Inc(1)
+}
+
+// set brings the gauges up to date.
+func (m *Metrics) set(g *Gateway) {
+	version, offset := g.state.Versions()
+	gauge := func(name string, v int64) { m.Registry.Gauge(name).Update(v) }
+	gauge("gateway.document.version", int64(version))
+	gauge("gateway.registry.offset", int64(offset))
+	gauge("gateway.targets", int64(g.state.Targets().Len()))
+	gauge("gateway.peers", int64(len(g.node.View().Members)))
+	gauge("gateway.store.calls", g.follower.Calls())
+	gauge("gateway.store.state", int64(g.follower.Log()))
+	gauge("gateway.connections.opened", g.client.Cache.Opened())
+	gauge("gateway.log.dropped", eventlog.Dropped())
+	stats := g.node.Stats()
+	gauge("gateway.mesh.sent", stats.Sent)
+	gauge("gateway.mesh.received", stats.Received)
+	gauge("gateway.mesh.bytes", stats.Bytes)
+	for name, n := range g.knowledge.Suspects() {
+		m.Registry.Gauge("gateway.targets.suspected", telemetry.Label{Key: "service", Value: string(name)}).Update(int64(n))
+	}
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/placement"
+	"github.com/clementinereel/clementinereel/retry/pooled"
+)
+
+// Settings are what differs between deployments of the gateway.
+type Settings struct {
+	// Instance is the instance's name in logs. Required.
+	Instance string
+	// Zone is the availability zone that it runs in. Required.
+	Zone fleet.Zone
+	// Listen is the IP address and port for callers. Required.
+	Listen string
+	// ReadyListen is the IP address and port for the balancer's readiness checks
+	// and for metrics. Required.
+	ReadyListen string
+	// ReadyPath is the path of readiness checks. Required.
+	ReadyPath string
+	// PeerListen is the IP address and port for other instances, by TCP and UDP.
+	// Required.
+	PeerListen string
+	// Seeds are peer addresses of instances that may run. Default: none.
+	Seeds []string
+	// Headers names the header fields. All are required.
+	Headers exchange.Headers
+	// Retry bounds the attempts that the fleet adds to its requests.
+	Retry pooled.Config
+	// Grace is the time from the request to stop until the process is ended.
+	// Default 6 s.
+	Grace time.Duration
+	// MemoryBytes is what the process may use. Default 256 MiB.
+	MemoryBytes int64
+	// Weights are the costs that placement weighs. Default:
+	// placement.DefaultWeights.
+	Weights placement.Weights
+}
+
+// Defaults of Settings.
+const (
+	DefaultGrace       = 6 * time.Second
+	DefaultMemoryBytes = 256 << 20
+)
+
+// Complete fills in defaults and returns an error that names the first field that
+// is wrong.
+func (s *Settings) Complete() error {
+	if s.Grace == 0 {
+		s.Grace = DefaultGrace
+	}
+	if s.MemoryBytes == 0 {
+		s.MemoryBytes = DefaultMemoryBytes
+	}
+	if s.Weights == (placement.Weights{}) {
+		s.Weights = placement.DefaultWeights()
+	}
+	return s.check()
+}
+
+func (s *Settings) check() error {
+	for _, f := range []struct{ name, value string }{
+		{"instance", s.Instance},
+		{"zone", string(s.Zone)},
+		{"ready path", s.ReadyPath},
+		{"headers.request id", s.Headers.RequestID},
+		{"headers.deadline", s.Headers.Deadline},
+		{"headers.seal", s.Headers.Seal},
+		{"headers.target", s.Headers.Target},
+		{"headers.not run", s.Headers.NotRun},
+	} {
+		if f.value == "" {
+			return errors.Errorf("%s: empty", f.name)
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"listen", s.Listen}, {"ready listen", s.ReadyListen}, {"peer listen", s.PeerListen},
+	} {
+		if _, err := netip.ParseAddrPort(f.value); err != nil {
+			return errors.Errorf("%s: %q is not an IP address and port", f.name, f.value)
+		}
+	}
+	return s.checkBounds()
+}
+
+func (s *Settings) checkBounds() error {
+	switch {
+	case s.Retry.Ratio < 0:
+		return errors.Errorf("retry.ratio: %v is negative", s.Retry.Ratio)
+	case s.Retry.Slack < 0:
+		return errors.Errorf("retry.slack: %v is negative", s.Retry.Slack)
+	case s.Retry.Window <= 0:
+		return errors.Errorf("retry.window: %v is not positive", s.Retry.Window)
+	case s.Grace <= 0:
+		return errors.Errorf("grace: %v is not positive", s.Grace)
+	case s.MemoryBytes < minMemory:
+		return errors.Errorf("memory bytes: %d is below %d", s.MemoryBytes, minMemory)
+	}
+	return nil
+}
+
+// minMemory is what the program needs beside its load, with room for bodies.
+const minMemory = 64 << 20
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,238 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+const (
+	// minInterval is the time between heartbeats in a small fleet.
+	minInterval = 300 * time.Millisecond
+	// perMember stretches the interval, so that an instance sends at most
+	// about 1/perMember datagrams a second.
+	perMember = 5 * time.Millisecond
+)
+
+// Config says who the instance is.
+type Config struct {
+	// Addr is the IP address and port to listen at, which others know it by.
+	Addr string
+	Zone fleet.Zone
+	// Boot is when the process started.
+	Boot time.Time
+	// Seeds are addresses of instances that may run.
+	Seeds []string
+}
+
+// Handler takes in a packet of another instance. First tells that the sender was
+// not known, or has started anew.
+type Handler func(now time.Time, p *Packet, first bool)
+
+// Node is the instance's end of the mesh. It is safe for concurrent use.
+type Node struct {
+	cfg     Config
+	conn    *net.UDPConn
+	fill    func(now time.Time, p *Packet)
+	handle  Handler
+	mu      sync.Mutex
+	members *members
+	leaving bool
+	stats   Stats
+}
+
+// Stats count datagrams since the start.
+type Stats struct {
+	Sent, Received, Malformed, Bytes int64
+}
+
+// Listen opens the socket. Fill completes each heartbeat; handle gets each packet
+// that arrives.
+func Listen(cfg Config, fill func(now time.Time, p *Packet), handle Handler) (*Node, error) {
+	addr, err := net.ResolveUDPAddr("udp4", cfg.Addr)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if addr.Port == 0 {
+		cfg.Addr = conn.LocalAddr().String()
+	}
+	n := &Node{cfg: cfg, conn: conn, fill: fill, handle: handle, members: newMembers(cfg.Addr)}
+	n.Know(cfg.Seeds)
+	return n, nil
+}
+
+// Addr is the address that others know the instance by.
+func (n *Node) Addr() string { return n.cfg.Addr }
+
+// Know makes addresses known.
+func (n *Node) Know(addrs []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	for _, a := range addrs {
+		n.members.add(now, a)
+	}
+}
+
+// Leave makes the instance say that it is stopping.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.Beat()
+}
+
+// View returns the other instances.
+func (n *Node) View() View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.view(time.Now())
+}
+
+// Stats returns the counts so far.
+func (n *Node) Stats() Stats {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stats
+}
+
+// Run sends heartbeats and takes in packets until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	go n.receive()
+	defer n.conn.Close()
+	for {
+		n.Beat()
+		n.expire()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(n.interval()):
+		}
+	}
+}
+
+func (n *Node) interval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(minInterval, time.Duration(len(n.members.table))*perMember)
+}
+
+// Beat sends a heartbeat now.
+func (n *Node) Beat() {
+	now := time.Now()
+	p := n.packet()
+	p.Heartbeat = true
+	n.fill(now, p)
+	n.mu.Lock()
+	p.Known = n.members.sample(now)
+	to := n.members.due(now)
+	n.mu.Unlock()
+	n.send(p, to)
+}
+
+// Tell sends a packet with the given evidence, load and usage now.
+func (n *Node) Tell(p Packet) {
+	q := n.packet()
+	q.Document, q.Registry, q.Log = p.Document, p.Registry, p.Log
+	q.Evidence, q.Load, q.Usage = p.Evidence, p.Load, p.Usage
+	n.mu.Lock()
+	to := n.members.present(time.Now())
+	n.mu.Unlock()
+	n.send(q, to)
+}
+
+func (n *Node) packet() *Packet {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &Packet{Addr: n.cfg.Addr, Zone: n.cfg.Zone, Boot: n.cfg.Boot.UnixMilli(), Leaving: n.leaving}
+}
+
+// send sends the packet in as many datagrams as its evidence needs.
+func (n *Node) send(p *Packet, to []netip.AddrPort) {
+	b, err := encode(p)
+	if err != nil {
+		eventlog.Error(eventlog.PacketRefused, err)
+		return
+	}
+	if len(b) > maxPacket && len(p.Evidence) > 1 {
+		half := len(p.Evidence) / 2
+		first, rest := *p, Packet{Addr: p.Addr, Zone: p.Zone, Boot: p.Boot, Leaving: p.Leaving, Document: p.Document, Registry: p.Registry, Log: p.Log}
+		first.Evidence, rest.Evidence = p.Evidence[:half], p.Evidence[half:]
+		n.send(&first, to)
+		n.send(&rest, to)
+		return
+	}
+	for _, a := range to {
+		// A datagram that cannot be sent is a lost one.
+		_, _ = n.conn.WriteToUDPAddrPort(b, a)
+	}
+	n.mu.Lock()
+	n.stats.Sent += int64(len(to))
+	n.stats.Bytes += int64(len(to) * len(b))
+	n.mu.Unlock()
+}
+
+// readBuffer holds the largest datagram that UDP carries.
+const readBuffer = 64 << 10
+
+func (n *Node) receive() {
+	buf := make([]byte, readBuffer)
+	for {
+		size, _, err := n.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// As when an earlier datagram met a closed port.
+			continue
+		}
+		n.take(buf[:size])
+	}
+}
+
+func (n *Node) take(b []byte) {
+	p, err := decode(b)
+	if err != nil {
+		n.mu.Lock()
+		n.stats.Malformed++
+		n.mu.Unlock()
+		eventlog.Error(eventlog.PacketRefused, err)
+		return
+	}
+	now := time.Now()
+	n.mu.Lock()
+	n.stats.Received++
+	n.stats.Bytes += int64(len(b))
+	m, s := n.members.heard(now, p)
+	for _, a := range p.Known {
+		n.members.add(now, a)
+	}
+	n.mu.Unlock()
+	if s == outdated {
+		return
+	}
+	if s != heardBefore {
+		eventlog.Info(eventlog.PeerFound, "peer", m.Addr, "zone", p.Zone, "boot", p.Boot, "again", s == heardAgain)
+	}
+	n.handle(now, p, s == heardFirst)
+}
+
+func (n *Node) expire() {
+	n.mu.Lock()
+	lost := n.members.expire(time.Now())
+	n.mu.Unlock()
+	for _, addr := range lost {
+		eventlog.Info(eventlog.PeerLost, "peer", addr, "silent_ms", silentAfter.Milliseconds())
+	}
+}
--- /dev/null
+++ b/mesh/packet.go
@@ -0,0 +1,97 @@
+package mesh
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/suspicion"
+)
+
+// Packet is one datagram.
+type Packet struct {
+	// Addr is where the sender is reached; it also names the sender.
+	Addr string `cbor:"1,keyasint"`
+	// Zone is the sender's availability zone.
+	Zone fleet.Zone `cbor:"2,keyasint"`
+	// Boot is when the sender's process started, in milliseconds since the Unix
+	// epoch. A higher one is a later process at the address.
+	Boot int64 `cbor:"3,keyasint"`
+	// Leaving tells that the sender is stopping.
+	Leaving bool `cbor:"4,keyasint,omitempty"`
+	// Document and Registry are the sender's versions.
+	Document document.Version `cbor:"5,keyasint,omitempty"`
+	Registry registry.Offset  `cbor:"6,keyasint,omitempty"`
+	// Log tells what the sender knows of the store's log.
+	Log LogState `cbor:"7,keyasint,omitempty"`
+	// Heartbeat tells that Load and Usage are complete.
+	Heartbeat bool `cbor:"8,keyasint,omitempty"`
+	// Known are addresses of some instances that the sender heard.
+	Known []string `cbor:"9,keyasint,omitempty"`
+	// Load is what the sender has in flight.
+	Load []Load `cbor:"10,keyasint,omitempty"`
+	// Usage is what the sender added to its requests.
+	Usage []Usage `cbor:"11,keyasint,omitempty"`
+	// Evidence is what attempts said of targets.
+	Evidence []Evidence `cbor:"12,keyasint,omitempty"`
+}
+
+// LogState is what an instance knows of the store's log.
+type LogState uint8
+
+const (
+	// LogUnread means that the instance leaves the reading to others.
+	LogUnread LogState = iota
+	// LogAnswers means that the log answered its last call.
+	LogAnswers
+	// LogAway means that the log did not.
+	LogAway
+)
+
+// Load is how many requests an instance has at a target.
+type Load struct {
+	_        struct{} `cbor:",toarray"`
+	Target   fleet.TargetID
+	InFlight int
+}
+
+// Usage is an instance's part of a service's retry budget.
+type Usage struct {
+	_        struct{} `cbor:",toarray"`
+	Service  document.ServiceName
+	Requests int
+	Added    int
+}
+
+// Evidence is one observation of a target.
+type Evidence struct {
+	_       struct{} `cbor:",toarray"`
+	Service document.ServiceName
+	Target  fleet.TargetID
+	What    suspicion.Observation
+	// AgeMillis is how long before the datagram the attempt began.
+	AgeMillis int64
+	// TookMillis is how long a good attempt took.
+	TookMillis int64
+}
+
+// maxPacket bounds a datagram, in bytes. Larger ones would be sent in fragments.
+const maxPacket = 1400
+
+func encode(p *Packet) ([]byte, error) {
+	b, err := cbor.Marshal(p)
+	return b, errors.WithStack(err)
+}
+
+func decode(b []byte) (*Packet, error) {
+	p := new(Packet)
+	if err := cbor.Unmarshal(b, p); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if p.Addr == "" {
+		return nil, errors.New("packet without an address")
+	}
+	return p, nil
+}
--- /dev/null
+++ b/placement/cost.go
@@ -0,0 +1,163 @@
+package placement
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// Weights turn what is known into parts of a request's worth.
+type Weights struct {
+	// ZonePerKB is the cost of a kilobyte that crosses zones.
+	ZonePerKB float64 `json:"zone_per_kb"`
+	// Connection is the cost of opening a connection.
+	Connection float64 `json:"connection"`
+	// Preference is the span of the instance's own order of targets.
+	Preference float64 `json:"preference"`
+	// Load is the cost at a target whose slots are all taken; below, it grows
+	// with the square of the part that is taken.
+	Load float64 `json:"load"`
+	// Queue is the cost of each request, in parts of the slots, that waits
+	// for one.
+	Queue float64 `json:"queue"`
+	// CutPath is the cost of a path that was found cut.
+	CutPath float64 `json:"cut_path"`
+	// Crowd is the cost of a doubtful target that others are trying.
+	Crowd float64 `json:"crowd"`
+	// Warmup is the cost of a target that is still slow after its start.
+	Warmup float64 `json:"warmup"`
+	// Unused is the gain of a target that nobody used lately.
+	Unused float64 `json:"unused"`
+	// RepeatableFailure is the cost of a failure that can be repeated
+	// elsewhere; one that cannot costs 1.
+	RepeatableFailure float64 `json:"repeatable_failure"`
+}
+
+// DefaultWeights come from the users' prices: a request is worth 1 to 2 units,
+// a kilobyte between zones 0.006 to 0.038, a new connection 0.017 to 0.08.
+func DefaultWeights() Weights {
+	return Weights{
+		ZonePerKB:         0.012,
+		Connection:        0.02,
+		Preference:        0.03,
+		Load:              0.06,
+		Queue:             0.3,
+		CutPath:           0.8,
+		Crowd:             0.5,
+		Warmup:            0.04,
+		Unused:            0.06,
+		RepeatableFailure: 0.25,
+	}
+}
+
+// Bounds of what counts as doubtful and as unused.
+const (
+	// doubtful is the probability of failure from which only one attempt at
+	// a time is made.
+	doubtful = 0.2
+	// unusedAfter is half of the time in which every sound target should see
+	// some work.
+	unusedAfter = time.Second
+)
+
+// Candidate is what is known of one target.
+type Candidate struct {
+	ID    fleet.TargetID
+	Zone  fleet.Zone
+	Slots int
+	// Fails is the probability that an attempt fails.
+	Fails float64
+	// InFlight is how many requests all instances have there.
+	InFlight int
+	// Warm tells that an open connection is at hand.
+	Warm bool
+	// Cut tells that the path from this instance was found cut.
+	Cut bool
+	// Warming tells that the target is still slow after its start.
+	Warming bool
+	// SinceUse is the time since any instance sent it work.
+	SinceUse time.Duration
+}
+
+// Work is what is to be placed.
+type Work struct {
+	// Repeatable tells that a failure can be repeated elsewhere.
+	Repeatable bool
+	// KB is the size of request and answer, in kilobytes.
+	KB float64
+}
+
+// Chooser chooses for one instance.
+type Chooser struct {
+	Weights Weights
+	Self    fleet.InstanceID
+	Zone    fleet.Zone
+}
+
+// Cost is the expected cost of sending the work to the candidate.
+func (c *Chooser) Cost(w Work, t *Candidate) float64 {
+	k := &c.Weights
+	cost := c.failure(w, t) + c.load(t) + k.Preference*preference(c.Self, t.ID)
+	if t.Zone != c.Zone {
+		cost += k.ZonePerKB * w.KB
+	}
+	if !t.Warm {
+		cost += k.Connection
+	}
+	if t.Cut {
+		cost += k.CutPath
+	}
+	if t.Warming {
+		cost += k.Warmup
+	}
+	return cost
+}
+
+func (c *Chooser) failure(w Work, t *Candidate) float64 {
+	cost := t.Fails
+	if w.Repeatable {
+		cost *= c.Weights.RepeatableFailure
+	}
+	switch {
+	case t.Fails >= doubtful && t.InFlight > 0:
+		cost += c.Weights.Crowd
+	case t.Fails < doubtful && t.InFlight == 0 && t.SinceUse > unusedAfter:
+		cost -= c.Weights.Unused
+	}
+	return cost
+}
+
+func (c *Chooser) load(t *Candidate) float64 {
+	u := float64(t.InFlight) / float64(max(t.Slots, 1))
+	if u < 1 {
+		return c.Weights.Load * u * u
+	}
+	return c.Weights.Load + c.Weights.Queue*(u-1+1/float64(max(t.Slots, 1)))
+}
+
+// Choose returns the index of the cheapest candidate and its cost; -1 if there
+// is none.
+func (c *Chooser) Choose(w Work, ts []Candidate) (int, float64) {
+	best, least := -1, 0.0
+	for i := range ts {
+		if cost := c.Cost(w, &ts[i]); best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best, least
+}
+
+// preference is a number from 0 to 1 that differs for each pair of instance and
+// target, evenly spread.
+func preference(self fleet.InstanceID, id fleet.TargetID) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(self)) // a hash takes every write
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(id))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
--- /dev/null
+++ b/placement/cost_test.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+func chooser(self fleet.InstanceID) *Chooser {
+	return &Chooser{Weights: DefaultWeights(), Self: self, Zone: "a"}
+}
+
+func candidates(n int) []Candidate {
+	ts := make([]Candidate, n)
+	for i := range ts {
+		ts[i] = Candidate{ID: fleet.TargetID(fmt.Sprint("t", i)), Zone: "a", Slots: 4, Fails: 0.02, Warm: true, SinceUse: time.Millisecond}
+	}
+	return ts
+}
+
+func TestWhatSpeaksAgainstATarget(t *testing.T) {
+	for name, change := range map[string]func(*Candidate){
+		"it fails":           func(c *Candidate) { c.Fails = 0.2 },
+		"its slots are full": func(c *Candidate) { c.InFlight = 4 },
+		"its path is cut":    func(c *Candidate) { c.Cut = true },
+		"it warms up":        func(c *Candidate) { c.Warming = true },
+	} {
+		ts := candidates(2)
+		best, _ := chooser("i").Choose(Work{}, ts)
+		change(&ts[best])
+		other, _ := chooser("i").Choose(Work{}, ts)
+		assert.Assert(t, other != best, name)
+	}
+}
+
+func TestLargeBodiesStayInTheZoneUnlessItIsSick(t *testing.T) {
+	ts := candidates(2)
+	ts[0].Zone = "b"
+	upload := Work{KB: 60}
+	best, _ := chooser("i").Choose(upload, ts)
+	assert.Equal(t, best, 1)
+	ts[1].Fails = 0.9
+	best, _ = chooser("i").Choose(upload, ts)
+	assert.Equal(t, best, 0)
+}
+
+func TestSomeoneIsChosenThoughAllAreSick(t *testing.T) {
+	ts := candidates(3)
+	for i := range ts {
+		ts[i].Fails = 0.95
+	}
+	best, _ := chooser("i").Choose(Work{}, ts)
+	assert.Assert(t, best >= 0)
+	best, _ = chooser("i").Choose(Work{}, nil)
+	assert.Equal(t, best, -1)
+}
+
+func TestADoubtfulTargetIsTriedByOneAtATime(t *testing.T) {
+	ts := candidates(2)
+	for i := range ts {
+		ts[i].Fails = 0.4
+	}
+	best, _ := chooser("i").Choose(Work{}, ts)
+	ts[best].InFlight = 1
+	other, _ := chooser("i").Choose(Work{}, ts)
+	assert.Assert(t, other != best)
+}
+
+// Instances with the same knowledge must not all choose the same target.
+func TestInstancesSpread(t *testing.T) {
+	ts := candidates(10)
+	used := map[int]int{}
+	for i := range 100 {
+		best, _ := chooser(fleet.InstanceID(fmt.Sprint("i", i))).Choose(Work{}, ts)
+		used[best]++
+	}
+	assert.Assert(t, len(used) >= 9, used)
+	for i, n := range used {
+		assert.Assert(t, n < 25, "target %d: %d of 100", i, n)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	c := chooser("i")
+	ts := candidates(30)
+	for b.Loop() {
+		c.Choose(Work{KB: 1}, ts)
+	}
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -74,13 +74,19 @@
 	return p
 }
 
-// Write sends the problem as the answer to a request.
-func (p *Problem) Write(w http.ResponseWriter, requestID string) {
+// Body returns the problem as JSON, for an answer to the request.
+func (p *Problem) Body(requestID string) []byte {
 	p.RequestID = requestID
 	body, err := json.Marshal(p)
 	if err != nil {
 		panic(err) // a Problem holds strings and numbers only
 	}
+	return body
+}
+
+// Write sends the problem as the answer to a request.
+func (p *Problem) Write(w http.ResponseWriter, requestID string) {
+	body := p.Body(requestID)
 	h := w.Header()
 	h.Set("Content-Type", ContentType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
--- /dev/null
+++ b/registry/doc.go
@@ -0,0 +1,11 @@
+// Package registry keeps the targets that register themselves in a keyed log.
+//
+// Entries lapse when a target stops renewing them, and also when the log itself
+// was away. A target whose entry vanished without having announced that it
+// leaves therefore stays in use for a short hold; if its entry is back by then,
+// nothing was lost. A target that announced that it leaves gets no new work from
+// that moment on.
+//
+// Changes carry the log's offsets and are applied in order, whoever tells them.
+// The package reads no clock and does no I/O.
+package registry
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,287 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// Offset counts the changes of the log: a registry at offset n has applied all
+// changes before n.
+type Offset int64
+
+// Entry is what a target registered.
+type Entry struct {
+	ID      fleet.TargetID
+	Service document.ServiceName
+	Addr    string
+	Zone    fleet.Zone
+	// Slots is how many requests the target works on at once.
+	Slots int
+	// Leaving targets finish what they have and get no new work.
+	Leaving bool
+	// Sequence grows with each renewal by one target.
+	Sequence int64
+	// Warmup is how long the target stays slow after its start, counted from
+	// the renewal.
+	Warmup time.Duration
+}
+
+// Change is one record of the log. Entry is nil if the entry was removed.
+type Change struct {
+	Offset Offset
+	ID     fleet.TargetID
+	Entry  *Entry
+}
+
+// Target is a registered target in use.
+type Target struct {
+	Entry
+	// Since is when this instance first knew of the target.
+	Since time.Time
+	// WarmAt is when the target is expected to be at full speed.
+	WarmAt time.Time
+}
+
+// View is an immutable snapshot.
+type View struct {
+	Next     Offset
+	Services map[document.ServiceName][]*Target
+	byID     map[fleet.TargetID]*Target
+}
+
+// Target returns the target in use of an ID, or nil.
+func (v *View) Target(id fleet.TargetID) *Target { return v.byID[id] }
+
+// Each calls f with every target in use.
+func (v *View) Each(f func(*Target)) {
+	for _, t := range v.byID {
+		f(t)
+	}
+}
+
+// Len is how many targets are in use.
+func (v *View) Len() int { return len(v.byID) }
+
+// Holds for an entry that vanished without a notice.
+const (
+	// CalmHold covers a renewal that was late. It is below the bound for work
+	// at targets that are gone, 2 s, with room for the news to travel.
+	CalmHold = 1200 * time.Millisecond
+	// OutageHold counts from the return of the log: live targets register anew
+	// within about 2 s of it.
+	OutageHold = 2300 * time.Millisecond
+	// OutageMemory is for how long after the log's return a vanished entry
+	// is put down to the outage.
+	OutageMemory = 2 * time.Second
+	// sequenceMemory bounds for how many removed targets the last sequence is
+	// remembered.
+	sequenceMemory = 4096
+)
+
+// Registry is the state of one instance. It belongs to one goroutine.
+type Registry struct {
+	next    Offset
+	entries map[fleet.TargetID]*Target
+	held    map[fleet.TargetID]held
+	// removed holds the last sequence of targets that are gone, so that a late
+	// write of an old renewal does not bring them back.
+	removed  map[fleet.TargetID]int64
+	awayFrom time.Time // zero while the log answers
+	backAt   time.Time
+	changed  bool
+	view     *View
+}
+
+// held is an entry that vanished and is in use until a time.
+type held struct {
+	target *Target
+	until  time.Time
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	r := &Registry{
+		entries: make(map[fleet.TargetID]*Target),
+		held:    make(map[fleet.TargetID]held),
+		removed: make(map[fleet.TargetID]int64),
+		changed: true,
+	}
+	r.View()
+	return r
+}
+
+// Next is the offset of the first change that was not applied yet.
+func (r *Registry) Next() Offset { return r.next }
+
+// Apply takes in the next change. It tells false, and does nothing, if changes
+// before it are missing; a change that was applied before is passed over.
+func (r *Registry) Apply(now time.Time, c Change) bool {
+	if c.Offset > r.next {
+		return false
+	}
+	if c.Offset < r.next {
+		return true
+	}
+	r.next++
+	if c.Entry == nil {
+		r.remove(now, c.ID)
+		return true
+	}
+	r.put(now, *c.Entry)
+	return true
+}
+
+// Skip passes over a change that could not be decoded; what is known of its target
+// stays in force. It tells false if changes before it are missing.
+func (r *Registry) Skip(o Offset) bool {
+	if o == r.next {
+		r.next++
+	}
+	return o < r.next
+}
+
+// Replace takes in the whole state of the log before offset next, if that is
+// ahead of what was applied.
+func (r *Registry) Replace(now time.Time, next Offset, entries []Entry) bool {
+	if next <= r.next {
+		return false
+	}
+	r.next = next
+	listed := make(map[fleet.TargetID]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		r.put(now, e)
+	}
+	for id := range r.entries {
+		if !listed[id] {
+			r.remove(now, id)
+		}
+	}
+	return true
+}
+
+func (r *Registry) put(now time.Time, e Entry) {
+	if last, ok := r.removed[e.ID]; ok && e.Sequence <= last && last > 0 && e.Sequence > 0 {
+		return
+	}
+	old := r.entries[e.ID]
+	if old != nil && e.Sequence < old.Sequence {
+		return
+	}
+	t := &Target{Entry: e, Since: now, WarmAt: now.Add(e.Warmup)}
+	if h, ok := r.held[e.ID]; ok {
+		old = h.target
+		delete(r.held, e.ID)
+	}
+	if old != nil {
+		t.Since = old.Since
+	}
+	r.entries[e.ID] = t
+	r.changed = true
+}
+
+func (r *Registry) remove(now time.Time, id fleet.TargetID) {
+	t := r.entries[id]
+	if t == nil {
+		return
+	}
+	delete(r.entries, id)
+	r.remember(t)
+	r.changed = true
+	if t.Leaving {
+		return
+	}
+	r.held[id] = held{t, r.holdUntil(now)}
+}
+
+func (r *Registry) holdUntil(now time.Time) time.Time {
+	until := now.Add(CalmHold)
+	if !r.awayFrom.IsZero() {
+		return now.Add(OutageHold)
+	}
+	if back := r.backAt.Add(OutageHold); now.Sub(r.backAt) < OutageMemory && back.After(until) {
+		return back
+	}
+	return until
+}
+
+func (r *Registry) remember(t *Target) {
+	if len(r.removed) >= sequenceMemory {
+		r.removed = make(map[fleet.TargetID]int64)
+	}
+	if t.Leaving {
+		r.removed[t.ID] = t.Sequence
+	}
+}
+
+// LogAway notes that the log does not answer.
+func (r *Registry) LogAway(now time.Time) {
+	if r.awayFrom.IsZero() {
+		r.awayFrom = now
+	}
+}
+
+// LogBack notes that the log answers.
+func (r *Registry) LogBack(now time.Time) {
+	if r.awayFrom.IsZero() {
+		return
+	}
+	r.awayFrom = time.Time{}
+	r.backAt = now
+	for id, h := range r.held {
+		h.until = now.Add(OutageHold)
+		r.held[id] = h
+	}
+}
+
+// Tick ends the holds that are over. While the log is away none ends.
+func (r *Registry) Tick(now time.Time) {
+	if !r.awayFrom.IsZero() {
+		return
+	}
+	for id, h := range r.held {
+		if now.After(h.until) {
+			delete(r.held, id)
+			r.changed = true
+		}
+	}
+}
+
+// Entries returns what the log holds, held entries left out.
+func (r *Registry) Entries() []Entry {
+	entries := make([]Entry, 0, len(r.entries))
+	for _, t := range r.entries {
+		entries = append(entries, t.Entry)
+	}
+	return entries
+}
+
+// View returns the targets that may get new work.
+func (r *Registry) View() *View {
+	if !r.changed && r.view.Next == r.next {
+		return r.view
+	}
+	r.changed = false
+	v := &View{
+		Next:     r.next,
+		Services: make(map[document.ServiceName][]*Target),
+		byID:     make(map[fleet.TargetID]*Target),
+	}
+	for _, t := range r.entries {
+		if !t.Leaving {
+			v.add(t)
+		}
+	}
+	for _, h := range r.held {
+		v.add(h.target)
+	}
+	r.view = v
+	return v
+}
+
+func (v *View) add(t *Target) {
+	v.Services[t.Service] = append(v.Services[t.Service], t)
+	v.byID[t.ID] = t
+}
--- /dev/null
+++ b/registry/registry_test.go
@@ -0,0 +1,95 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id fleet.TargetID, sequence int64) Entry {
+	return Entry{ID: id, Service: "s", Slots: 4, Sequence: sequence}
+}
+
+func put(t *testing.T, r *Registry, now time.Time, e Entry) {
+	t.Helper()
+	assert.Assert(t, r.Apply(now, Change{Offset: r.Next(), ID: e.ID, Entry: &e}))
+}
+
+func drop(t *testing.T, r *Registry, now time.Time, id fleet.TargetID) {
+	t.Helper()
+	assert.Assert(t, r.Apply(now, Change{Offset: r.Next(), ID: id}))
+}
+
+func inUse(r *Registry, now time.Time, id fleet.TargetID) bool {
+	r.Tick(now)
+	return r.View().Target(id) != nil
+}
+
+func TestLeavingTargetGetsNoNewWorkAtOnce(t *testing.T) {
+	r := New()
+	put(t, r, start, entry("a", 1))
+	assert.Assert(t, inUse(r, start, "a"))
+	leaving := entry("a", 2)
+	leaving.Leaving = true
+	put(t, r, start, leaving)
+	assert.Assert(t, !inUse(r, start, "a"))
+	drop(t, r, start, "a")
+	assert.Assert(t, !inUse(r, start, "a"))
+	put(t, r, start, entry("a", 1))
+	assert.Assert(t, !inUse(r, start, "a"), "a late write of an old renewal brought it back")
+}
+
+func TestVanishedEntryIsHeldForAWhile(t *testing.T) {
+	r := New()
+	put(t, r, start, entry("a", 1))
+	drop(t, r, start, "a")
+	assert.Assert(t, inUse(r, start.Add(CalmHold-time.Millisecond), "a"))
+	assert.Assert(t, !inUse(r, start.Add(CalmHold+time.Millisecond), "a"))
+	assert.Assert(t, CalmHold < 2*time.Second)
+}
+
+func TestEntriesThatLapsedInAnOutageStayUntilTheyCanBeBack(t *testing.T) {
+	r := New()
+	put(t, r, start, entry("a", 1))
+	put(t, r, start, entry("b", 1))
+	r.LogAway(start)
+	drop(t, r, start, "a")
+	assert.Assert(t, inUse(r, start.Add(time.Minute), "a"), "the log is away")
+	back := start.Add(time.Minute)
+	r.LogBack(back)
+	drop(t, r, back.Add(time.Second), "b")
+	for _, id := range []fleet.TargetID{"a", "b"} {
+		assert.Assert(t, inUse(r, back.Add(2*time.Second), id), id)
+	}
+	put(t, r, back.Add(2*time.Second), entry("a", 5))
+	assert.Assert(t, inUse(r, back.Add(time.Minute), "a"))
+	assert.Assert(t, !inUse(r, back.Add(time.Minute), "b"), "still missing, so it is gone")
+}
+
+func TestChangesAreAppliedInOrderAndOnce(t *testing.T) {
+	r := New()
+	e := entry("a", 1)
+	assert.Assert(t, !r.Apply(start, Change{Offset: 1, ID: "a", Entry: &e}), "a gap")
+	put(t, r, start, entry("a", 2))
+	assert.Assert(t, r.Apply(start, Change{Offset: 0, ID: "a"}), "applied before")
+	assert.Assert(t, inUse(r, start, "a"))
+	assert.Assert(t, !r.Replace(start, 1, nil), "not ahead")
+	assert.Assert(t, r.Replace(start, 9, []Entry{entry("b", 1)}))
+	assert.Equal(t, r.Next(), Offset(9))
+	assert.Assert(t, inUse(r, start, "b"))
+	assert.Assert(t, !inUse(r, start.Add(time.Minute), "a"))
+}
+
+func TestAnOlderRenewalDoesNotUndoALaterOne(t *testing.T) {
+	r := New()
+	leaving := entry("a", 7)
+	leaving.Leaving = true
+	put(t, r, start, leaving)
+	put(t, r, start, entry("a", 6))
+	assert.Assert(t, !inUse(r, start, "a"))
+}
--- /dev/null
+++ b/statesync/follower.go
@@ -0,0 +1,389 @@
+package statesync
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
+)
+
+const (
+	// readersPerZone is how many instances of a zone read the store. Three
+	// survive the loss of two; each call has its price.
+	readersPerZone = 3
+	// readWait is how long a read waits for a change. It bounds how long a
+	// read may hang on a connection that the store has forgotten.
+	readWait = 4 * time.Second
+	// probeWait is the same while the store is away, so that its return is
+	// noticed soon.
+	probeWait = 250 * time.Millisecond
+	// callSlack is what a call may take beyond its wait. A slow store takes
+	// some hundred milliseconds an answer.
+	callSlack = 1200 * time.Millisecond
+	// settle is the time between two reads when changes come quickly: several
+	// are taken by one call.
+	settle = 250 * time.Millisecond
+	// backOffMin and backOffMax bound the pause after an error.
+	backOffMin = 100 * time.Millisecond
+	backOffMax = 700 * time.Millisecond
+	// roleEvery is how often an instance looks whether it is a reader.
+	roleEvery = 200 * time.Millisecond
+	// pullJitter spreads the pulls of all instances after a change.
+	pullJitter = 30 * time.Millisecond
+)
+
+// Options are what a Follower works with.
+type Options struct {
+	State *State
+	Store Store
+	// Peers returns the other instances.
+	Peers func() mesh.View
+	Self  string
+	Zone  fleet.Zone
+	// Know is called with addresses of instances that the store named.
+	Know func([]string)
+}
+
+// Follower keeps a State up to date.
+type Follower struct {
+	o       Options
+	puller  *puller
+	started time.Time
+	ahead   chan struct{}
+
+	mu    sync.Mutex
+	log   [streams]mesh.LogState
+	read  [streams]bool
+	lost  bool
+	role  bool
+	calls int64
+}
+
+// NewFollower returns a follower that does nothing yet.
+func NewFollower(o Options) *Follower {
+	return &Follower{o: o, puller: newPuller(), ahead: make(chan struct{}, 1), started: time.Now()}
+}
+
+// Run follows store and peers until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for s := range streams {
+		wg.Go(func() { f.follow(ctx, s) })
+	}
+	wg.Go(func() { f.introduce(ctx) })
+	wg.Go(func() { f.pull(ctx) })
+	wg.Wait()
+}
+
+// Log tells what this instance knows of the store's log.
+func (f *Follower) Log() mesh.LogState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.role {
+		return mesh.LogUnread
+	}
+	return max(f.log[Documents], f.log[Targets])
+}
+
+// Calls is how many calls were made to the store.
+func (f *Follower) Calls() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// Away tells whether the store's log answers nobody, as far as known.
+func (f *Follower) Away(v mesh.View) bool {
+	own := f.Log()
+	if own == mesh.LogAnswers {
+		return false
+	}
+	away := own == mesh.LogAway
+	for i := range v.Members {
+		m := &v.Members[i]
+		if !m.Fresh(v.At) {
+			continue
+		}
+		switch m.Log {
+		case mesh.LogAnswers:
+			return false
+		case mesh.LogAway:
+			away = true
+		}
+	}
+	return away
+}
+
+// Ahead tells the follower that a peer has something newer.
+func (f *Follower) Ahead() {
+	select {
+	case f.ahead <- struct{}{}:
+	default:
+	}
+}
+
+// reads tells whether this instance reads the store at present.
+func (f *Follower) reads() bool {
+	v := f.o.Peers()
+	role := f.o.ranked(v) || !served(v)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if role != f.role {
+		eventlog.Info(eventlog.ReaderRole, "reads", role, "peers", len(v.Members))
+		f.role = role
+	}
+	return role
+}
+
+// ranked tells whether the instance is among the first of its zone.
+func (o *Options) ranked(v mesh.View) bool {
+	own := rank(o.Self)
+	before := 0
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.Zone == o.Zone && !m.Leaving && m.Fresh(v.At) && rank(m.Addr) < own {
+			before++
+		}
+	}
+	return before < readersPerZone
+}
+
+func rank(addr string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(addr)) // a hash takes every write
+	x := h.Sum64()
+	x ^= x >> 33
+	return x * 0xff51afd7ed558ccd
+}
+
+// served tells whether some other instance reads the store with success.
+func served(v mesh.View) bool {
+	for i := range v.Members {
+		if v.Members[i].Log == mesh.LogAnswers && v.Members[i].Fresh(v.At) {
+			return true
+		}
+	}
+	return false
+}
+
+// follow reads one stream.
+func (f *Follower) follow(ctx context.Context, s Stream) {
+	pause := backOffMin
+	for ctx.Err() == nil {
+		if !f.reads() {
+			sleep(ctx, roleEvery)
+			continue
+		}
+		n, err := f.step(ctx, s)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(s, err)
+		switch {
+		case err != nil:
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(pause*2, backOffMax)
+		case n > 0:
+			pause = backOffMin
+			sleep(ctx, settle)
+		default:
+			pause = backOffMin
+		}
+	}
+}
+
+// step makes one call for the stream and returns how many changes it brought.
+func (f *Follower) step(ctx context.Context, s Stream) (int, error) {
+	next := f.o.State.next(s)
+	if next == 0 && !f.begun(s) {
+		return 0, f.snapshot(ctx, s)
+	}
+	wait := readWait
+	if f.away(s) {
+		wait = probeWait
+	}
+	f.count()
+	call, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	b, err := f.o.Store.Read(call, s, next, wait)
+	if errors.Is(err, ErrExpired) {
+		return 0, f.snapshot(ctx, s)
+	}
+	if err != nil {
+		return 0, err
+	}
+	f.o.State.applyBatch(s, b, "store")
+	return len(b.Records), nil
+}
+
+func (f *Follower) snapshot(ctx context.Context, s Stream) error {
+	f.count()
+	call, cancel := context.WithTimeout(ctx, 2*callSlack)
+	defer cancel()
+	b, err := f.o.Store.Snapshot(call, s)
+	if err != nil {
+		return err
+	}
+	f.o.State.applySnapshot(s, b, "store snapshot")
+	f.mu.Lock()
+	f.read[s] = true
+	f.mu.Unlock()
+	return nil
+}
+
+// begun tells whether the stream was read before; one that is empty is then read
+// from its first record on.
+func (f *Follower) begun(s Stream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.read[s]
+}
+
+func (f *Follower) count() {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
+}
+
+func (f *Follower) away(s Stream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.log[s] == mesh.LogAway
+}
+
+// note records whether the store answered.
+func (f *Follower) note(s Stream, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.log[s] = mesh.LogAnswers
+	if err != nil {
+		f.log[s] = mesh.LogAway
+	}
+	lost := f.log[Documents] == mesh.LogAway || f.log[Targets] == mesh.LogAway
+	switch {
+	case lost && !f.lost:
+		eventlog.Error(eventlog.StoreLost, err, "stream", s.String())
+	case !lost && f.lost:
+		eventlog.Info(eventlog.StoreBack, "stream", s.String())
+	}
+	f.lost = lost
+}
+
+// introduce makes the instance and its peers known to each other through the
+// store, where the seeds do not suffice.
+func (f *Follower) introduce(ctx context.Context) {
+	pause := backOffMin
+	for ctx.Err() == nil {
+		if err := f.introduceOnce(ctx); err == nil {
+			return
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(pause*2, 4*backOffMax)
+	}
+}
+
+func (f *Follower) introduceOnce(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, 2*callSlack)
+	defer cancel()
+	f.count()
+	addrs, err := f.o.Store.Addresses(call)
+	if err != nil {
+		return err
+	}
+	f.o.Know(addrs)
+	for _, a := range addrs {
+		if a == f.o.Self {
+			return nil
+		}
+	}
+	f.count()
+	return f.o.Store.Announce(call, f.o.Self)
+}
+
+// pull fetches the state of peers that are ahead.
+func (f *Follower) pull(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.ahead:
+		}
+		sleep(ctx, rand.N(pullJitter))
+		f.pullOnce(ctx)
+	}
+}
+
+func (f *Follower) pullOnce(ctx context.Context) {
+	version, offset := f.o.State.Versions()
+	best := f.best(f.o.Peers())
+	if best == nil || (best.Document <= version && best.Registry <= offset) {
+		return
+	}
+	w, err := f.puller.pull(ctx, best.Addr, version, offset)
+	if err != nil {
+		eventlog.Error(eventlog.PullFailed, err, "peer", best.Addr)
+		return
+	}
+	f.o.State.applyWhole(w, best.Addr)
+}
+
+// best is the peer that is furthest ahead: one of the own zone before others, and
+// any of the equals.
+func (f *Follower) best(v mesh.View) *mesh.Member {
+	var best *mesh.Member
+	ties := 1
+	for i := range v.Members {
+		m := &v.Members[i]
+		if !m.Fresh(v.At) {
+			continue
+		}
+		switch c := f.compare(m, best); {
+		case c > 0:
+			best, ties = m, 1
+		case c == 0:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = m
+			}
+		}
+	}
+	return best
+}
+
+func (f *Follower) compare(a, b *mesh.Member) int {
+	if b == nil {
+		return 1
+	}
+	switch {
+	case a.Document != b.Document:
+		return sign(a.Document > b.Document)
+	case a.Registry != b.Registry:
+		return sign(a.Registry > b.Registry)
+	case (a.Zone == f.o.Zone) != (b.Zone == f.o.Zone):
+		return sign(a.Zone == f.o.Zone)
+	}
+	return 0
+}
+
+func sign(more bool) int {
+	if more {
+		return 1
+	}
+	return -1
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/statesync/peer.go
@@ -0,0 +1,80 @@
+package statesync
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/registry"
+)
+
+// Path is where instances serve their state to peers.
+const Path = "/peer/state"
+
+const (
+	// pullTimeout bounds a pull from a peer.
+	pullTimeout = time.Second
+	// maxWhole bounds a peer's state in bytes: 22,000 routes and 13,000 targets
+	// take about 4 MB.
+	maxWhole = 32 << 20
+)
+
+// ServeHTTP answers a peer's pull with what is newer than it has.
+func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	version, err1 := strconv.ParseInt(r.FormValue("document"), 10, 64)
+	offset, err2 := strconv.ParseInt(r.FormValue("registry"), 10, 64)
+	if err1 != nil || err2 != nil {
+		http.Error(w, "document and registry are numbers", http.StatusBadRequest)
+		return
+	}
+	body, err := cbor.Marshal(s.whole(document.Version(version), registry.Offset(offset)))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	_, _ = w.Write(body) // a peer that has gone pulls again
+}
+
+// puller fetches the state of peers.
+type puller struct {
+	http *http.Client
+}
+
+func newPuller() *puller {
+	dialer := &net.Dialer{Timeout: pullTimeout / 2}
+	return &puller{&http.Client{
+		Timeout:   pullTimeout,
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true},
+	}}
+}
+
+func (p *puller) pull(ctx context.Context, addr string, v document.Version, o registry.Offset) (Whole, error) {
+	var w Whole
+	q := url.Values{"document": {strconv.FormatInt(int64(v), 10)}, "registry": {strconv.FormatInt(int64(o), 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+Path+"?"+q.Encode(), nil)
+	if err != nil {
+		return w, errors.WithStack(err)
+	}
+	resp, err := p.http.Do(req)
+	if err != nil {
+		return w, errors.WithStack(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
+	if err != nil {
+		return w, errors.WithStack(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return w, errors.Errorf("peer answered %d: %.80s", resp.StatusCode, body)
+	}
+	return w, errors.WithStack(cbor.Unmarshal(body, &w))
+}
--- /dev/null
+++ b/statesync/state.go
@@ -0,0 +1,229 @@
+package statesync
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/registry"
+)
+
+// State is the configuration and the targets in force. It is safe for concurrent
+// use; Table and Targets do not wait.
+type State struct {
+	seed     uint64
+	onChange func()
+	table    atomic.Pointer[document.Table]
+	targets  atomic.Pointer[registry.View]
+
+	mu       sync.Mutex
+	registry *registry.Registry
+	// next is the offset to read each stream from; that of Targets is the
+	// registry's.
+	nextDocument registry.Offset
+}
+
+// NewState returns an empty state. OnChange is called after each change.
+func NewState(seed uint64, onChange func()) *State {
+	s := &State{seed: seed, onChange: onChange, registry: registry.New()}
+	s.targets.Store(s.registry.View())
+	return s
+}
+
+// Table returns the document in force, or nil if none is known yet.
+func (s *State) Table() *document.Table { return s.table.Load() }
+
+// Targets returns the targets in use.
+func (s *State) Targets() *registry.View { return s.targets.Load() }
+
+// Versions returns the document's version and the registry's offset.
+func (s *State) Versions() (document.Version, registry.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version(), s.registry.Next()
+}
+
+func (s *State) version() document.Version {
+	if t := s.table.Load(); t != nil {
+		return t.Document.Version
+	}
+	return 0
+}
+
+// next is the offset from which the stream is to be read.
+func (s *State) next(stream Stream) registry.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stream == Targets {
+		return s.registry.Next()
+	}
+	return s.nextDocument
+}
+
+// applyDocument takes a document into force if it is newer. From names its
+// source in the log.
+func (s *State) applyDocument(d *document.Document, from string) bool {
+	if d.Version <= s.version() {
+		return false
+	}
+	if err := d.Check(); err != nil {
+		eventlog.Error(eventlog.DocumentRefused, err, "version", d.Version, "from", from, "in_force", s.version())
+		return false
+	}
+	eventlog.Info(eventlog.DocumentApplied, "version", d.Version, "before", s.version(), "from", from,
+		"routes", len(d.Routes), "idle_ms", d.Limits.IdleTimeout.Milliseconds())
+	s.table.Store(document.NewTable(d, s.seed))
+	return true
+}
+
+// applySnapshot takes in the store's whole state of a stream.
+func (s *State) applySnapshot(stream Stream, b Batch, from string) {
+	s.mu.Lock()
+	changed := false
+	switch stream {
+	case Documents:
+		for _, r := range b.Records {
+			changed = s.applyRecordDocument(r, from) || changed
+		}
+		s.nextDocument = max(s.nextDocument, b.Next)
+	case Targets:
+		changed = s.registry.Replace(time.Now(), b.Next, entriesOf(b.Records))
+		s.publish(from)
+	}
+	s.mu.Unlock()
+	s.changed(changed)
+}
+
+func entriesOf(records []Record) []registry.Entry {
+	var entries []registry.Entry
+	for _, r := range records {
+		if r.Err != nil {
+			eventlog.Error(eventlog.EntryRefused, r.Err, "offset", r.Offset, "target", r.ID)
+			continue
+		}
+		if r.Entry != nil {
+			entries = append(entries, *r.Entry)
+		}
+	}
+	return entries
+}
+
+// applyBatch takes in changes of a stream.
+func (s *State) applyBatch(stream Stream, b Batch, from string) {
+	s.mu.Lock()
+	changed := false
+	for _, r := range b.Records {
+		if stream == Documents {
+			changed = s.applyRecordDocument(r, from) || changed
+			continue
+		}
+		changed = s.applyRecordTarget(r) || changed
+	}
+	if stream == Documents {
+		s.nextDocument = max(s.nextDocument, b.Next)
+	}
+	s.publish(from)
+	s.mu.Unlock()
+	s.changed(changed)
+}
+
+func (s *State) applyRecordDocument(r Record, from string) bool {
+	if r.Err != nil {
+		eventlog.Error(eventlog.DocumentRefused, r.Err, "offset", r.Offset, "from", from, "in_force", s.version())
+		return false
+	}
+	return r.Document != nil && s.applyDocument(r.Document, from)
+}
+
+func (s *State) applyRecordTarget(r Record) bool {
+	if r.Err != nil {
+		eventlog.Error(eventlog.EntryRefused, r.Err, "offset", r.Offset, "target", r.ID)
+	}
+	c := registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry}
+	now := time.Now()
+	if r.Err != nil {
+		return s.registry.Skip(c.Offset)
+	}
+	return s.registry.Apply(now, c)
+}
+
+// Tick ends what is over by time. Away tells that the store's log answers nobody.
+func (s *State) Tick(now time.Time, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if away {
+		s.registry.LogAway(now)
+	} else {
+		s.registry.LogBack(now)
+	}
+	s.registry.Tick(now)
+	s.publish("tick")
+}
+
+// publish makes the registry's view the one in force and logs what changed.
+func (s *State) publish(from string) {
+	before, after := s.targets.Load(), s.registry.View()
+	if before == after {
+		return
+	}
+	s.targets.Store(after)
+	after.Each(func(t *registry.Target) {
+		if before.Target(t.ID) == nil {
+			eventlog.Info(eventlog.TargetAdded, "target", t.ID, "service", t.Service, "addr", t.Addr, "zone", t.Zone,
+				"slots", t.Slots, "warmup_ms", t.Warmup.Milliseconds(), "offset", after.Next, "from", from)
+		}
+	})
+	before.Each(func(t *registry.Target) {
+		if after.Target(t.ID) == nil {
+			eventlog.Info(eventlog.TargetGone, "target", t.ID, "service", t.Service, "offset", after.Next, "from", from)
+		}
+	})
+}
+
+func (s *State) changed(yes bool) {
+	if yes && s.onChange != nil {
+		s.onChange()
+	}
+}
+
+// Whole is an instance's whole state, as peers hand it to each other.
+type Whole struct {
+	Document     *document.Document `cbor:"1,keyasint,omitempty"`
+	NextDocument registry.Offset    `cbor:"2,keyasint"`
+	Registry     registry.Offset    `cbor:"3,keyasint"`
+	Entries      []registry.Entry   `cbor:"4,keyasint,omitempty"`
+}
+
+// whole returns what is newer than the given versions.
+func (s *State) whole(v document.Version, o registry.Offset) Whole {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := Whole{NextDocument: s.nextDocument, Registry: s.registry.Next()}
+	if t := s.table.Load(); t != nil && t.Document.Version > v {
+		w.Document = t.Document
+	}
+	if w.Registry > o {
+		w.Entries = s.registry.Entries()
+	}
+	return w
+}
+
+// applyWhole takes in a peer's state as far as it is newer.
+func (s *State) applyWhole(w Whole, from string) {
+	s.mu.Lock()
+	changed := false
+	if w.Document != nil {
+		changed = s.applyDocument(w.Document, from)
+	}
+	if w.Document == nil || s.version() >= w.Document.Version {
+		s.nextDocument = max(s.nextDocument, w.NextDocument)
+	}
+	if w.Registry > s.registry.Next() {
+		changed = s.registry.Replace(time.Now(), w.Registry, w.Entries) || changed
+		s.publish(from)
+	}
+	s.mu.Unlock()
+	s.changed(changed)
+}
--- /dev/null
+++ b/suspicion/estimator.go
@@ -0,0 +1,279 @@
+package suspicion
+
+import (
+	"math"
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// Observation is what one attempt said of its target.
+type Observation uint8
+
+const (
+	// Good is a success.
+	Good Observation = iota + 1
+	// Bad is an answer of failure, a reset or a cut or forged answer.
+	Bad
+	// Slow is an attempt that is open for longer than nearly all others.
+	Slow
+	// Unreachable is a connection that did not come about.
+	Unreachable
+	// Stale is a break on a connection that had been idle: the target may have
+	// closed it at that moment.
+	Stale
+)
+
+var observationNames = map[Observation]string{
+	Good: "good", Bad: "bad", Slow: "slow", Unreachable: "unreachable", Stale: "stale",
+}
+
+// String names the observation as logs write it.
+func (o Observation) String() string { return observationNames[o] }
+
+// Priors of the learned rates. The pseudo counts are small, so that some tens of
+// observations outweigh them.
+const (
+	priorSickFails   = 0.8
+	priorSickCount   = 20
+	priorSoundFails  = 0.015
+	priorSoundCount  = 200
+	priorBout        = 3 * time.Second
+	priorSoundSpell  = 18 * time.Second
+	priorSpellsCount = 4
+)
+
+// Likelihood ratios, sick to sound, of observations whose rates are not learned.
+const (
+	// slowRatio: a healthy target has about 3 in 100 attempts above the bound
+	// that makes an attempt slow, a sick one half of them.
+	slowRatio = 15
+	// unreachableRatio: single instances lose the path to healthy targets too.
+	unreachableRatio = 8
+	// staleRatio: an idle connection's break says little.
+	staleRatio = 2
+)
+
+// Thresholds of the learned lengths of bouts and spells, and of logs.
+const (
+	// Suspected is the probability from which a target counts as sick.
+	Suspected = 0.5
+	// Cleared is the probability under which it counts as sound again.
+	Cleared = 0.25
+	// ceiling and floor keep a long run of equal observations from making the
+	// estimate deaf to the next one.
+	ceiling = 0.98
+	floor   = 0.003
+)
+
+// target is the state of one target.
+type target struct {
+	sick      float64
+	at        time.Time
+	lastBad   time.Time
+	lastGood  time.Time
+	suspected bool
+	since     time.Time // of the present spell, sound or sick
+}
+
+// Estimator holds the estimates of one service's targets. It belongs to one
+// goroutine at a time.
+type Estimator struct {
+	targets map[fleet.TargetID]*target
+
+	sickFails, sickCount   float64
+	soundFails, soundCount float64
+	boutTime, bouts        float64 // seconds, number
+	spellTime, spells      float64
+}
+
+// New returns an estimator that has seen nothing.
+func New() *Estimator {
+	return &Estimator{
+		targets:    make(map[fleet.TargetID]*target),
+		sickFails:  priorSickFails * priorSickCount,
+		sickCount:  priorSickCount,
+		soundFails: priorSoundFails * priorSoundCount,
+		soundCount: priorSoundCount,
+		boutTime:   priorBout.Seconds() * priorSpellsCount,
+		bouts:      priorSpellsCount,
+		spellTime:  priorSoundSpell.Seconds() * priorSpellsCount,
+		spells:     priorSpellsCount,
+	}
+}
+
+// Rates are the learned parameters.
+type Rates struct {
+	// SickFails and SoundFails are the parts of work that fail.
+	SickFails, SoundFails float64
+	// Bout and Spell are the mean lengths of a sick and of a sound time.
+	Bout, Spell time.Duration
+}
+
+// Rates returns what was learned so far.
+func (e *Estimator) Rates() Rates {
+	return Rates{
+		SickFails:  e.sickFails / e.sickCount,
+		SoundFails: e.soundFails / e.soundCount,
+		Bout:       seconds(e.boutTime / e.bouts),
+		Spell:      seconds(e.spellTime / e.spells),
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Change tells how an observation changed what is believed of a target.
+type Change uint8
+
+const (
+	// None: no threshold was passed.
+	None Change = iota
+	// NowSuspected: the target counts as sick from now on.
+	NowSuspected
+	// NowCleared: the target counts as sound again.
+	NowCleared
+)
+
+// Observe takes in an observation of an attempt that began at the given time.
+// It returns the probability that the target is sick, before and after.
+func (e *Estimator) Observe(now time.Time, id fleet.TargetID, o Observation, began time.Time) (before, after float64, c Change) {
+	t := e.target(now, id)
+	e.drift(now, t)
+	before = t.sick
+	ratio := e.ratio(t, o, began)
+	odds := t.sick / (1 - t.sick) * ratio
+	t.sick = min(max(odds/(1+odds), floor), ceiling)
+	e.learnFailures(t, o)
+	e.note(now, t, o)
+	return before, t.sick, e.learnSpells(now, t)
+}
+
+func (e *Estimator) target(now time.Time, id fleet.TargetID) *target {
+	t := e.targets[id]
+	if t == nil {
+		t = &target{sick: e.longRun(), at: now, since: now}
+		e.targets[id] = t
+	}
+	return t
+}
+
+// ratio is the likelihood ratio of the observation, sick to sound.
+func (e *Estimator) ratio(t *target, o Observation, began time.Time) float64 {
+	r := e.Rates()
+	switch o {
+	case Good:
+		if began.Before(t.lastBad) {
+			// The work began before the latest failure and says nothing of
+			// the time since.
+			return 1
+		}
+		return (1 - r.SickFails) / (1 - r.SoundFails)
+	case Bad:
+		return r.SickFails / r.SoundFails
+	case Slow:
+		return slowRatio
+	case Unreachable:
+		return unreachableRatio
+	case Stale:
+		return staleRatio
+	}
+	return 1
+}
+
+func (e *Estimator) learnFailures(t *target, o Observation) {
+	if o != Good && o != Bad {
+		return
+	}
+	failed := 0.0
+	if o == Bad {
+		failed = 1
+	}
+	e.sickCount += t.sick
+	e.sickFails += t.sick * failed
+	e.soundCount += 1 - t.sick
+	e.soundFails += (1 - t.sick) * failed
+}
+
+func (e *Estimator) note(now time.Time, t *target, o Observation) {
+	if o == Good {
+		t.lastGood = now
+		return
+	}
+	t.lastBad = now
+}
+
+// learnSpells counts a bout or a spell when a threshold is passed.
+func (e *Estimator) learnSpells(now time.Time, t *target) Change {
+	length := now.Sub(t.since).Seconds()
+	switch {
+	case !t.suspected && t.sick >= Suspected:
+		t.suspected, t.since = true, now
+		e.spellTime += length
+		e.spells++
+		return NowSuspected
+	case t.suspected && t.sick < Cleared:
+		t.suspected, t.since = false, now
+		// The recovery was somewhere between the last failure and now.
+		e.boutTime += length - now.Sub(t.lastBad).Seconds()/2
+		e.bouts++
+		return NowCleared
+	}
+	return None
+}
+
+// longRun is the part of time for which a target is sick.
+func (e *Estimator) longRun() float64 {
+	bout, spell := e.boutTime/e.bouts, e.spellTime/e.spells
+	return bout / (bout + spell)
+}
+
+// drift moves the estimate by the time since the last one.
+func (e *Estimator) drift(now time.Time, t *target) {
+	dt := now.Sub(t.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	t.sick = e.drifted(t.sick, dt)
+	t.at = now
+}
+
+func (e *Estimator) drifted(sick, dt float64) float64 {
+	rate := e.bouts/e.boutTime + e.spells/e.spellTime
+	long := e.longRun()
+	return long + (sick-long)*math.Exp(-rate*dt)
+}
+
+// Sick is the probability that the target is sick.
+func (e *Estimator) Sick(now time.Time, id fleet.TargetID) float64 {
+	t := e.targets[id]
+	if t == nil {
+		return e.longRun()
+	}
+	return e.drifted(t.sick, max(now.Sub(t.at).Seconds(), 0))
+}
+
+// Fails is the probability that an attempt at the target fails.
+func (e *Estimator) Fails(now time.Time, id fleet.TargetID) float64 {
+	sick := e.Sick(now, id)
+	return sick*e.sickFails/e.sickCount + (1-sick)*e.soundFails/e.soundCount
+}
+
+// Suspects is how many targets count as sick.
+func (e *Estimator) Suspects() int {
+	n := 0
+	for _, t := range e.targets {
+		if t.suspected {
+			n++
+		}
+	}
+	return n
+}
+
+// Forget drops the targets for which keep is false.
+func (e *Estimator) Forget(keep func(fleet.TargetID) bool) {
+	for id := range e.targets {
+		if !keep(id) {
+			delete(e.targets, id)
+		}
+	}
+}
--- /dev/null
+++ b/suspicion/estimator_test.go
@@ -0,0 +1,81 @@
+package suspicion
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(seconds(s)) }
+
+func TestOneFailureAfterSilenceIsSuspicious(t *testing.T) {
+	e := New()
+	e.Observe(at(0), "a", Good, at(0))
+	_, after, c := e.Observe(at(10), "a", Bad, at(10))
+	assert.Assert(t, after > 0.8, after)
+	assert.Equal(t, c, NowSuspected)
+	assert.Assert(t, e.Sick(at(14), "a") < 0.45, "trust returns with time")
+}
+
+func TestAFailureAmongSuccessesWeighsLess(t *testing.T) {
+	e := New()
+	for n := range 20 {
+		e.Observe(at(float64(n)/10), "a", Good, at(float64(n)/10))
+	}
+	_, after, _ := e.Observe(at(2), "a", Bad, at(2))
+	assert.Assert(t, after < Suspected, after)
+	_, after, _ = e.Observe(at(2.1), "a", Bad, at(2.1))
+	assert.Assert(t, after > 0.9, after)
+}
+
+func TestWorkBegunBeforeAFailureClearsNothing(t *testing.T) {
+	e := New()
+	_, bad, _ := e.Observe(at(1), "a", Bad, at(0.9))
+	_, after, _ := e.Observe(at(1.2), "a", Good, at(0.8))
+	assert.Assert(t, bad-after < 0.1)
+	_, after, c := e.Observe(at(1.6), "a", Good, at(1.2))
+	assert.Assert(t, bad-after > 0.2)
+	_, _, second := e.Observe(at(1.9), "a", Good, at(1.6))
+	assert.Assert(t, c == NowCleared || second == NowCleared)
+}
+
+// Rates of other deployments must be found, whatever the priors say.
+func TestRatesAreLearned(t *testing.T) {
+	const bout, spell, sickFails, soundFails = 1.0, 40.0, 0.5, 0.03
+	rng := rand.New(rand.NewPCG(1, 2))
+	e := New()
+	ids := []fleet.TargetID{"a", "b", "c", "d", "e", "f", "g", "h"}
+	sick := map[fleet.TargetID]bool{}
+	now := 0.0
+	for range 60000 {
+		now += 0.01
+		id := ids[rng.IntN(len(ids))]
+		rate := 1 / spell
+		if sick[id] {
+			rate = 1 / bout
+		}
+		if rng.Float64() < rate*0.01*float64(len(ids)) {
+			sick[id] = !sick[id]
+		}
+		fails := soundFails
+		if sick[id] {
+			fails = sickFails
+		}
+		o := Good
+		if rng.Float64() < fails {
+			o = Bad
+		}
+		e.Observe(at(now), id, o, at(now))
+	}
+	r := e.Rates()
+	assert.Assert(t, r.SoundFails > 0.015 && r.SoundFails < 0.045, "%+v", r)
+	assert.Assert(t, r.SickFails > 0.3 && r.SickFails < 0.8, "%+v", r)
+	assert.Assert(t, r.Bout > 300*time.Millisecond && r.Bout < 3*time.Second, "%+v", r)
+	assert.Assert(t, r.Spell > 10*time.Second, "%+v", r)
+}
