--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,7 @@
 
 func (g *Gateway) listen() (err error) {
 	s := &g.settings
-	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds}, g.fill, g.take)
+	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds}, g.fill, g.digest, g.take)
 	if err != nil {
 		return err
 	}
@@ -98,6 +98,9 @@
 	g.knowledge.Fill(now, p)
 }
 
+// digest sums up the own zone.
+func (g *Gateway) digest(now time.Time) *mesh.Digest { return g.knowledge.Digest(now, g.node.View()) }
+
 func (g *Gateway) versions(p *mesh.Packet) {
 	p.Document, p.Registry = g.state.Versions()
 	if g.follower != nil {
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -35,6 +35,7 @@
 	services map[document.ServiceName]*service
 	targets  map[fleet.TargetID]*target
 	peers    map[string]*peer
+	zones    map[fleet.Zone]*zone
 	pending  []gathered
 	most     pastMost
 }
@@ -55,7 +56,7 @@
 	cutFor      time.Duration
 }
 
-// peer is what another instance told.
+// peer is what another instance of the zone told.
 type peer struct {
 	boot  int64
 	heard time.Time
@@ -63,6 +64,12 @@
 	usage map[document.ServiceName]pooled.Usage
 }
 
+// zone is what another zone's bridges told of all its instances.
+type zone struct {
+	peer
+	claims map[document.ServiceName]mesh.ZoneUsage
+}
+
 // gathered is an observation that was not told yet.
 type gathered struct {
 	mesh.Evidence
@@ -77,6 +84,7 @@
 		services: make(map[document.ServiceName]*service),
 		targets:  make(map[fleet.TargetID]*target),
 		peers:    make(map[string]*peer),
+		zones:    make(map[fleet.Zone]*zone),
 	}
 }
 
@@ -234,9 +242,15 @@
 func (k *Knowledge) Take(now time.Time, p *mesh.Packet) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if p.Digest != nil {
+		k.takeDigest(now, p.Zone, p.Digest)
+	}
 	for _, e := range p.Evidence {
 		k.observe(now, e, now.Add(-time.Duration(e.AgeMillis)*time.Millisecond), p.Addr)
 	}
+	if p.Zone != k.chooser.Zone {
+		return // its load and usage are in its zone's digest
+	}
 	pr := k.peers[p.Addr]
 	if pr == nil || pr.boot != p.Boot {
 		k.dropLoad(pr)
@@ -248,7 +262,15 @@
 		k.dropLoad(pr)
 		clear(pr.usage)
 	}
-	for _, l := range p.Load {
+	k.takeLoad(now, pr, p.Load)
+	for _, u := range p.Usage {
+		pr.usage[u.Service] = pooled.Usage{Requests: u.Requests, Added: u.Added}
+	}
+}
+
+// takeLoad takes in a peer's load at some targets.
+func (k *Knowledge) takeLoad(now time.Time, pr *peer, loads []mesh.Load) {
+	for _, l := range loads {
 		t := k.target(l.Target)
 		t.others += l.InFlight - pr.load[l.Target]
 		pr.load[l.Target] = l.InFlight
@@ -256,8 +278,56 @@
 			t.lastUse = now
 		}
 	}
-	for _, u := range p.Usage {
-		pr.usage[u.Service] = pooled.Usage{Requests: u.Requests, Added: u.Added}
+}
+
+// takeDigest takes in what another zone does.
+func (k *Knowledge) takeDigest(now time.Time, name fleet.Zone, d *mesh.Digest) {
+	z := k.zones[name]
+	if z == nil {
+		z = &zone{peer: peer{load: make(map[fleet.TargetID]int)}}
+		k.zones[name] = z
+	}
+	k.dropLoad(&z.peer)
+	k.takeLoad(now, &z.peer, d.Load)
+	z.heard = now
+	z.claims = make(map[document.ServiceName]mesh.ZoneUsage, len(d.Usage))
+	for _, u := range d.Usage {
+		z.claims[u.Service] = u
+	}
+}
+
+// Digest sums up the own zone, of which v is the view.
+func (k *Knowledge) Digest(now time.Time, v mesh.View) *mesh.Digest {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	d := &mesh.Digest{Instances: v.InZone(), Complete: v.ZoneComplete()}
+	instances := k.most.note(now, v.Instances())
+	for name, s := range k.services {
+		f := pooled.Fleet{Instances: instances}
+		f.Add(k.retry, s.budget.Usage(now))
+		k.addMembers(&f, name, v)
+		if f.Requests > 0 {
+			d.Usage = append(d.Usage, mesh.ZoneUsage{Service: name, Requests: f.Requests, Claimed: f.Claimed})
+		}
+	}
+	for id, t := range k.targets {
+		n := t.own + t.others
+		for _, z := range k.zones {
+			n -= z.load[id]
+		}
+		if n > 0 {
+			d.Load = append(d.Load, mesh.Load{Target: id, InFlight: n})
+		}
+	}
+	return d
+}
+
+func (k *Knowledge) addMembers(f *pooled.Fleet, name document.ServiceName, v mesh.View) {
+	for i := range v.Members {
+		m := &v.Members[i]
+		if p := k.peers[m.Addr]; p != nil && m.Zone == v.Zone {
+			f.Add(k.retry, p.usage[name])
+		}
 	}
 }
 
@@ -321,11 +391,11 @@
 }
 
 func (k *Knowledge) fleet(now time.Time, name document.ServiceName, v mesh.View) pooled.Fleet {
-	f := pooled.Fleet{Instances: k.most.note(now, len(v.Members)+1), Complete: v.Complete()}
-	for i := range v.Members {
-		if p := k.peers[v.Members[i].Addr]; p != nil {
-			f.Add(k.retry, p.usage[name])
-		}
+	f := pooled.Fleet{Instances: k.most.note(now, v.Instances()), Complete: v.Complete()}
+	k.addMembers(&f, name, v)
+	for _, z := range k.zones {
+		f.Requests += z.claims[name].Requests
+		f.Claimed += z.claims[name].Claimed
 	}
 	return f
 }
@@ -350,6 +420,14 @@
 			delete(k.peers, addr)
 		}
 	}
+	for name, z := range k.zones {
+		if now.Sub(z.heard) > peerLoadFor {
+			k.dropLoad(&z.peer)
+		}
+		if now.Sub(z.heard) > 2*k.retry.Window {
+			delete(k.zones, name)
+		}
+	}
 	for id, t := range k.targets {
 		if !inUse(id) && t.own == 0 && t.others == 0 {
 			delete(k.targets, id)
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -1,14 +1,19 @@
 // Package mesh lets the instances of a gateway tell each other what they see, by
-// datagrams from each to all.
+// datagrams.
 //
-// Each instance sends a heartbeat several times a second: its versions of the
-// configuration, the load that it puts on targets, what it spent of shared
-// budgets, observations of targets, and the addresses of a few others. What
-// cannot wait, such as a failed attempt, is sent at once. A datagram may be
-// lost; nothing depends on a single one.
+// Within a zone each instance talks to all. It sends a heartbeat several times a
+// second: its versions of the configuration, the load that it puts on targets,
+// what it spent of shared budgets, observations of targets. What cannot wait, such
+// as a failed attempt, is sent at once.
 //
-// An instance becomes known by its seeds, by the store's list of addresses, or by
-// being named in a heartbeat, and counts once it was heard. At 36 instances each
-// sends and receives about 120 small datagrams a second; the interval grows with
-// the fleet so that this number stays bounded.
+// Bytes between zones have a price, so little crosses them: news go to two
+// instances of each other zone, the bridges, which pass them on within theirs, and
+// the bridges of each pair of zones exchange a digest of their zone from time to
+// time. Whoever gets a packet from another zone passes it on, so that views of who
+// the bridges are may differ; a packet that comes twice is taken once.
+//
+// A datagram may be lost; nothing depends on a single one. An instance becomes
+// known by its seeds, by the store's list of addresses, or by being named in a
+// heartbeat, and counts once it was heard. The interval of heartbeats grows with
+// the zone, so that the number of datagrams stays bounded.
 package mesh
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/clementinereel/clementinereel/document"
@@ -23,13 +26,23 @@
 	lapsedAfter = 12 * time.Second
 	// forgottenAfter is when a member that was not heard is dropped.
 	forgottenAfter = 5 * time.Minute
-	// lapsedEvery is the time between datagrams to a lapsed member.
+	// lapsedEvery is the time between datagrams to a member that does not
+	// answer, or whose zone is another.
 	lapsedEvery = 2 * time.Second
+	// zoneFreshFor is how long a digest counts as a zone's present state.
+	zoneFreshFor = 3 * time.Second
+)
+
+const (
 	// knownSample is how many addresses a heartbeat names.
-	knownSample = 4
+	knownSample = 3
 	// completeShare is the part of the members that must be fresh for the
 	// view to count as complete.
 	completeShare = 0.85
+	// bridges is how many instances of each zone stand between it and the others.
+	bridges = 2
+	// remembered is how many of a sender's last packets are known again.
+	remembered = 32
 )
 
 // Member is what is known of another instance.
@@ -41,7 +54,7 @@
 	Document document.Version
 	Registry registry.Offset
 	Log      LogState
-	// Heard is when the last datagram came; zero if none did.
+	// Heard is when the last datagram came from it directly; zero if none did.
 	Heard time.Time
 }
 
@@ -56,29 +69,66 @@
 	added  time.Time
 	sentAt time.Time
 	silent bool
+	// bridgeAt is when a digest of its zone last came from it, by whatever way.
+	bridgeAt time.Time
+	seen     [remembered]uint64
+	seenNext int
+}
+
+// repeated tells whether the packet came before, and remembers it.
+func (m *member) repeated(sequence uint64) bool {
+	if slices.Contains(m.seen[:], sequence) {
+		return true
+	}
+	m.seen[m.seenNext%remembered] = sequence
+	m.seenNext++
+	return false
 }
 
-// members is the table of other instances.
+// last is when the member was heard, or else made known.
+func (m *member) last() time.Time {
+	if m.Heard.IsZero() {
+		return m.added
+	}
+	return m.Heard
+}
+
+// zone is what is known of another zone.
+type zone struct {
+	instances int
+	complete  bool
+	log       LogState
+	heard     time.Time
+}
+
+// members is the table of other instances and zones.
 type members struct {
 	self  string
+	zone  fleet.Zone
 	table map[string]*member
+	zones map[fleet.Zone]*zone
 }
 
-func newMembers(self string) *members {
-	return &members{self: self, table: make(map[string]*member)}
+func newMembers(self string, z fleet.Zone) *members {
+	return &members{self: self, zone: z, table: make(map[string]*member), zones: make(map[fleet.Zone]*zone)}
 }
 
-// add makes an address known. It tells whether it was new.
-func (ms *members) add(now time.Time, addr string) bool {
-	if addr == ms.self || ms.table[addr] != nil {
-		return false
+// add makes an instance known. Zone may be empty.
+func (ms *members) add(now time.Time, addr string, z fleet.Zone) {
+	if addr == ms.self {
+		return
+	}
+	if m := ms.table[addr]; m != nil {
+		if m.Zone == "" {
+			m.Zone = z
+		}
+		return
 	}
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
-		return false
+		return
 	}
-	ms.table[addr] = &member{Member: Member{Addr: addr}, addr: ap, added: now}
-	return true
+	ms.table[addr] = &member{Member: Member{Addr: addr, Zone: z}, addr: ap, added: now}
 }
 
 // Standing of a member after a datagram.
@@ -88,38 +138,60 @@
 	heardBefore standing = iota
 	heardFirst
 	heardAgain
-	// outdated: the datagram is from an earlier process at the address.
-	outdated
+	// ignored: the packet is from an earlier process at the address, or came
+	// before.
+	ignored
 )
 
 func (ms *members) heard(now time.Time, p *Packet) (*member, standing) {
-	ms.add(now, p.Addr)
+	ms.add(now, p.Addr, p.Zone)
 	m := ms.table[p.Addr]
-	if m == nil {
-		return nil, outdated
+	if m == nil || p.Boot < m.Boot {
+		return m, ignored
+	}
+	later := p.Boot > m.Boot
+	if later {
+		m.seen, m.seenNext = [remembered]uint64{}, 0
 	}
-	if p.Boot < m.Boot {
-		return m, outdated
+	m.Zone, m.Boot, m.Leaving = p.Zone, p.Boot, p.Leaving
+	s := ms.direct(now, m, p, later)
+	if m.repeated(p.Sequence) {
+		return m, ignored
+	}
+	if p.Digest != nil && p.Zone != ms.zone {
+		m.bridgeAt = now
+		ms.zones[p.Zone] = &zone{instances: p.Digest.Instances, complete: p.Digest.Complete, log: p.Log, heard: now}
+	}
+	return m, s
+}
+
+// direct notes a packet that came from its sender itself.
+func (ms *members) direct(now time.Time, m *member, p *Packet, later bool) standing {
+	if p.Relayed {
+		return heardBefore
 	}
 	s := heardBefore
 	switch {
-	case m.Heard.IsZero() || p.Boot > m.Boot:
+	case m.Heard.IsZero() || later:
 		s = heardFirst
 	case m.silent:
 		s = heardAgain
 	}
 	m.silent = false
-	m.Zone, m.Boot, m.Leaving, m.Log = p.Zone, p.Boot, p.Leaving, p.Log
-	m.Document, m.Registry = p.Document, p.Registry
-	m.Heard = now
-	return m, s
+	m.Log, m.Document, m.Registry, m.Heard = p.Log, p.Document, p.Registry, now
+	return s
 }
 
-// due returns the members that a heartbeat goes to.
-func (ms *members) due(now time.Time) []netip.AddrPort {
+// beats returns the members that a heartbeat goes to: all of the own zone, and now
+// and then those that were never heard.
+func (ms *members) beats(now time.Time) []netip.AddrPort {
 	var to []netip.AddrPort
 	for _, m := range ms.table {
-		if now.Sub(m.last()) > lapsedAfter && now.Sub(m.sentAt) < lapsedEvery {
+		quiet := now.Sub(m.last()) > lapsedAfter || m.Heard.IsZero()
+		switch {
+		case m.Zone != ms.zone && !m.Heard.IsZero():
+			continue
+		case quiet && now.Sub(m.sentAt) < lapsedEvery:
 			continue
 		}
 		m.sentAt = now
@@ -128,30 +200,90 @@
 	return to
 }
 
-// last is when the member was heard, or else made known.
-func (m *member) last() time.Time {
-	if m.Heard.IsZero() {
-		return m.added
+// neighbours returns the members of the own zone that news goes to.
+func (ms *members) neighbours(now time.Time) []netip.AddrPort {
+	var to []netip.AddrPort
+	for _, m := range ms.table {
+		if m.Zone == ms.zone && !m.Heard.IsZero() && now.Sub(m.Heard) < silentAfter {
+			to = append(to, m.addr)
+		}
 	}
-	return m.Heard
+	return to
 }
 
-// present returns the members that news goes to.
-func (ms *members) present(now time.Time) []netip.AddrPort {
-	var to []netip.AddrPort
+// bridges returns the instances of other zones that news goes to.
+func (ms *members) bridges(now time.Time) []netip.AddrPort {
+	byZone := make(map[fleet.Zone][]*member)
 	for _, m := range ms.table {
-		if !m.Heard.IsZero() && now.Sub(m.Heard) < silentAfter {
+		if m.Zone != ms.zone && m.Zone != "" && !m.Leaving {
+			byZone[m.Zone] = append(byZone[m.Zone], m)
+		}
+	}
+	var to []netip.AddrPort
+	for _, ms := range byZone {
+		for _, m := range firstBridges(now, ms) {
 			to = append(to, m.addr)
 		}
 	}
 	return to
 }
 
+// firstBridges orders a zone's members by whether they acted as bridges lately and
+// by rank, and returns the first.
+func firstBridges(now time.Time, ms []*member) []*member {
+	slices.SortFunc(ms, func(a, b *member) int {
+		if x, y := now.Sub(a.bridgeAt) < zoneFreshFor, now.Sub(b.bridgeAt) < zoneFreshFor; x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return compareRank(a.Addr, b.Addr)
+	})
+	return ms[:min(len(ms), bridges)]
+}
+
+// isBridge tells whether this instance is one of its zone's bridges.
+func (ms *members) isBridge(now time.Time) bool {
+	before := 0
+	for _, m := range ms.table {
+		if m.Zone == ms.zone && !m.Leaving && m.Fresh(now) && compareRank(m.Addr, ms.self) < 0 {
+			before++
+		}
+	}
+	return before < bridges
+}
+
+// compareRank orders instances in a way that is the same everywhere and has nothing
+// to do with their addresses' order.
+func compareRank(a, b string) int {
+	x, y := Rank(a), Rank(b)
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	}
+	return strings.Compare(a, b)
+}
+
+// Rank is an instance's place in the order by which roles fall on instances; the
+// lowest comes first.
+func Rank(addr string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(addr)) // a hash takes every write
+	x := h.Sum64()
+	x ^= x >> 33
+	return x * 0xff51afd7ed558ccd
+}
+
 // expire returns the members that have just become silent.
 func (ms *members) expire(now time.Time) []string {
 	var lost []string
 	for addr, m := range ms.table {
 		switch {
+		case m.Zone != ms.zone && !m.Heard.IsZero():
+			continue // not expected to be heard
 		case now.Sub(m.last()) > forgottenAfter:
 			delete(ms.table, addr)
 		case !m.Heard.IsZero() && !m.silent && now.Sub(m.Heard) > silentAfter:
@@ -162,43 +294,94 @@
 	return lost
 }
 
-// view copies the members that count.
+// view copies what counts.
 func (ms *members) view(now time.Time) View {
-	v := View{At: now}
+	v := View{At: now, Zone: ms.zone}
 	for _, m := range ms.table {
 		if m.Heard.IsZero() || now.Sub(m.Heard) > lapsedAfter {
 			continue
 		}
 		v.Members = append(v.Members, m.Member)
 	}
+	for name, z := range ms.zones {
+		if now.Sub(z.heard) < lapsedAfter {
+			v.Zones = append(v.Zones, Zone{Name: name, Instances: z.instances, Complete: z.complete, Log: z.log, Heard: z.heard})
+		}
+	}
 	sort.Slice(v.Members, func(a, b int) bool { return v.Members[a].Addr < v.Members[b].Addr })
 	return v
 }
 
-func (ms *members) sample(now time.Time) []string {
-	var fresh []string
-	for addr, m := range ms.table {
-		if m.Fresh(now) {
-			fresh = append(fresh, addr)
+func (ms *members) sample(now time.Time) []Known {
+	var fresh []Known
+	for _, m := range ms.table {
+		if m.Fresh(now) || now.Sub(m.bridgeAt) < zoneFreshFor {
+			fresh = append(fresh, Known{Addr: m.Addr, Zone: m.Zone})
 		}
 	}
 	rand.Shuffle(len(fresh), func(a, b int) { fresh[a], fresh[b] = fresh[b], fresh[a] })
 	return fresh[:min(len(fresh), knownSample)]
 }
 
-// View is a snapshot of the other instances, sorted by address.
+// View is a snapshot of the other instances, sorted by address, and of the other
+// zones.
 type View struct {
 	At      time.Time
+	Zone    fleet.Zone
 	Members []Member
+	Zones   []Zone
+}
+
+// Zone is what its bridges last told of another zone.
+type Zone struct {
+	Name      fleet.Zone
+	Instances int
+	Complete  bool
+	Log       LogState
+	Heard     time.Time
+}
+
+// Fresh tells whether the zone was heard of a moment ago.
+func (z *Zone) Fresh(now time.Time) bool { return now.Sub(z.Heard) < zoneFreshFor }
+
+// Instances is how many instances there are, this one included.
+func (v View) Instances() int {
+	n := v.InZone()
+	for i := range v.Zones {
+		n += v.Zones[i].Instances
+	}
+	return n
 }
 
-// Complete tells whether nearly all members were heard a moment ago. One that is
-// leaving is not missed.
+// InZone is how many instances the own zone has, this one included.
+func (v View) InZone() int {
+	n := 1
+	for i := range v.Members {
+		if v.Members[i].Zone == v.Zone {
+			n++
+		}
+	}
+	return n
+}
+
+// Complete tells whether nearly all instances are accounted for by what was heard a
+// moment ago.
 func (v View) Complete() bool {
+	for i := range v.Zones {
+		if !v.Zones[i].Complete || !v.Zones[i].Fresh(v.At) {
+			return false
+		}
+	}
+	return v.ZoneComplete()
+}
+
+// ZoneComplete tells the same of the own zone. A member that is leaving is not
+// missed.
+func (v View) ZoneComplete() bool {
 	present, fresh := 0, 0
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.Leaving {
+		if m.Leaving || m.Zone != v.Zone {
 			continue
 		}
 		present++
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -18,7 +18,9 @@
 	minInterval = 300 * time.Millisecond
 	// perMember stretches the interval, so that an instance sends at most
 	// about 1/perMember datagrams a second.
-	perMember = 5 * time.Millisecond
+	perMember = 8 * time.Millisecond
+	// digestEvery is the time between the digests that a bridge sends.
+	digestEvery = 600 * time.Millisecond
 )
 
 // Config says who the instance is.
@@ -41,11 +43,15 @@
 	cfg     Config
 	conn    *net.UDPConn
 	fill    func(now time.Time, p *Packet)
+	digest  func(now time.Time) *Digest
 	handle  Handler
 	mu      sync.Mutex
 	members *members
 	leaving bool
-	stats   Stats
+	// sequence is that of the last packet.
+	sequence uint64
+	digestAt time.Time
+	stats    Stats
 }
 
 // Stats count datagrams since the start.
@@ -53,9 +59,9 @@
 	Sent, Received, Malformed, Bytes int64
 }
 
-// Listen opens the socket. Fill completes each heartbeat; handle gets each packet
-// that arrives.
-func Listen(cfg Config, fill func(now time.Time, p *Packet), handle Handler) (*Node, error) {
+// Listen opens the socket. Fill completes each heartbeat, digest sums up the own
+// zone, and handle gets each packet that arrives.
+func Listen(cfg Config, fill func(now time.Time, p *Packet), digest func(now time.Time) *Digest, handle Handler) (*Node, error) {
 	addr, err := net.ResolveUDPAddr("udp4", cfg.Addr)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -67,7 +73,7 @@
 	if addr.Port == 0 {
 		cfg.Addr = conn.LocalAddr().String()
 	}
-	n := &Node{cfg: cfg, conn: conn, fill: fill, handle: handle, members: newMembers(cfg.Addr)}
+	n := &Node{cfg: cfg, conn: conn, fill: fill, digest: digest, handle: handle, members: newMembers(cfg.Addr, cfg.Zone)}
 	n.Know(cfg.Seeds)
 	return n, nil
 }
@@ -81,7 +87,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	for _, a := range addrs {
-		n.members.add(now, a)
+		n.members.add(now, a, "")
 	}
 }
 
@@ -136,9 +142,25 @@
 	n.fill(now, p)
 	n.mu.Lock()
 	p.Known = n.members.sample(now)
-	to := n.members.due(now)
+	to := n.members.beats(now)
+	var across []netip.AddrPort
+	if now.Sub(n.digestAt) >= digestEvery && n.members.isBridge(now) {
+		n.digestAt = now
+		across = n.members.bridges(now)
+	}
 	n.mu.Unlock()
 	n.send(p, to)
+	if len(across) > 0 {
+		n.sendDigest(now, across, p)
+	}
+}
+
+// sendDigest tells other zones what the own zone does.
+func (n *Node) sendDigest(now time.Time, to []netip.AddrPort, beat *Packet) {
+	p := n.packet()
+	p.Document, p.Registry, p.Log, p.Known = beat.Document, beat.Registry, beat.Log, beat.Known
+	p.Digest = n.digest(now)
+	n.send(p, to)
 }
 
 // Tell sends a packet with the given evidence, load and usage now.
@@ -147,7 +169,11 @@
 	q.Document, q.Registry, q.Log = p.Document, p.Registry, p.Log
 	q.Evidence, q.Load, q.Usage = p.Evidence, p.Load, p.Usage
 	n.mu.Lock()
-	to := n.members.present(time.Now())
+	now := time.Now()
+	to := n.members.neighbours(now)
+	if len(q.Evidence) > 0 {
+		to = append(to, n.members.bridges(now)...)
+	}
 	n.mu.Unlock()
 	n.send(q, to)
 }
@@ -155,7 +181,8 @@
 func (n *Node) packet() *Packet {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return &Packet{Addr: n.cfg.Addr, Zone: n.cfg.Zone, Boot: n.cfg.Boot.UnixMilli(), Leaving: n.leaving}
+	n.sequence++
+	return &Packet{Addr: n.cfg.Addr, Zone: n.cfg.Zone, Boot: n.cfg.Boot.UnixMilli(), Leaving: n.leaving, Sequence: n.sequence}
 }
 
 // send sends the packet in as many datagrams as its evidence needs.
@@ -167,12 +194,17 @@
 	}
 	if len(b) > maxPacket && len(p.Evidence) > 1 {
 		half := len(p.Evidence) / 2
-		first, rest := *p, Packet{Addr: p.Addr, Zone: p.Zone, Boot: p.Boot, Leaving: p.Leaving, Document: p.Document, Registry: p.Registry, Log: p.Log}
+		first, rest := *p, n.packet()
+		rest.Document, rest.Registry, rest.Log = p.Document, p.Registry, p.Log
 		first.Evidence, rest.Evidence = p.Evidence[:half], p.Evidence[half:]
 		n.send(&first, to)
-		n.send(&rest, to)
+		n.send(rest, to)
 		return
 	}
+	n.write(b, to)
+}
+
+func (n *Node) write(b []byte, to []netip.AddrPort) {
 	for _, a := range to {
 		// A datagram that cannot be sent is a lost one.
 		_, _ = n.conn.WriteToUDPAddrPort(b, a)
@@ -215,19 +247,38 @@
 	n.stats.Received++
 	n.stats.Bytes += int64(len(b))
 	m, s := n.members.heard(now, p)
-	for _, a := range p.Known {
-		n.members.add(now, a)
+	for _, k := range p.Known {
+		n.members.add(now, k.Addr, k.Zone)
 	}
 	n.mu.Unlock()
-	if s == outdated {
+	if s == ignored {
 		return
 	}
+	n.relay(now, p)
 	if s != heardBefore {
 		eventlog.Info(eventlog.PeerFound, "peer", m.Addr, "zone", p.Zone, "boot", p.Boot, "again", s == heardAgain)
 	}
 	n.handle(now, p, s == heardFirst)
 }
 
+// relay passes a packet of another zone on within the own one.
+func (n *Node) relay(now time.Time, p *Packet) {
+	if p.Zone == n.cfg.Zone || p.Relayed || (len(p.Evidence) == 0 && p.Digest == nil) {
+		return
+	}
+	q := *p
+	q.Relayed = true
+	b, err := encode(&q)
+	if err != nil {
+		eventlog.Error(eventlog.PacketRefused, err)
+		return
+	}
+	n.mu.Lock()
+	to := n.members.neighbours(now)
+	n.mu.Unlock()
+	n.write(b, to)
+}
+
 func (n *Node) expire() {
 	n.mu.Lock()
 	lost := n.members.expire(time.Now())
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -21,6 +21,14 @@
 	Boot int64 `cbor:"3,keyasint"`
 	// Leaving tells that the sender is stopping.
 	Leaving bool `cbor:"4,keyasint,omitempty"`
+	// Sequence numbers the sender's packets, so that one that comes twice is
+	// taken once.
+	Sequence uint64 `cbor:"13,keyasint"`
+	// Relayed tells that the packet came through an instance of the receiver's
+	// zone.
+	Relayed bool `cbor:"14,keyasint,omitempty"`
+	// Digest sums up the sender's zone.
+	Digest *Digest `cbor:"15,keyasint,omitempty"`
 	// Document and Registry are the sender's versions.
 	Document document.Version `cbor:"5,keyasint,omitempty"`
 	Registry registry.Offset  `cbor:"6,keyasint,omitempty"`
@@ -28,8 +36,8 @@
 	Log LogState `cbor:"7,keyasint,omitempty"`
 	// Heartbeat tells that Load and Usage are complete.
 	Heartbeat bool `cbor:"8,keyasint,omitempty"`
-	// Known are addresses of some instances that the sender heard.
-	Known []string `cbor:"9,keyasint,omitempty"`
+	// Known are some instances that the sender heard.
+	Known []Known `cbor:"9,keyasint,omitempty"`
 	// Load is what the sender has in flight.
 	Load []Load `cbor:"10,keyasint,omitempty"`
 	// Usage is what the sender added to its requests.
@@ -38,6 +46,34 @@
 	Evidence []Evidence `cbor:"12,keyasint,omitempty"`
 }
 
+// Known names another instance.
+type Known struct {
+	_    struct{} `cbor:",toarray"`
+	Addr string
+	Zone fleet.Zone
+}
+
+// Digest is what the instances of one zone do together.
+type Digest struct {
+	_ struct{} `cbor:",toarray"`
+	// Instances is how many there are.
+	Instances int
+	// Complete tells that nearly all of them were heard from just now.
+	Complete bool
+	Load     []Load
+	Usage    []ZoneUsage
+}
+
+// ZoneUsage is a zone's part of a service's retry budget.
+type ZoneUsage struct {
+	_        struct{} `cbor:",toarray"`
+	Service  document.ServiceName
+	Requests int
+	// Claimed is what the zone's instances have added or may add without
+	// asking.
+	Claimed float64
+}
+
 // LogState is what an instance knows of the store's log.
 type LogState uint8
 
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -118,6 +117,11 @@
 			away = true
 		}
 	}
+	for i := range v.Zones {
+		if v.Zones[i].Log == mesh.LogAnswers && v.Zones[i].Fresh(v.At) {
+			return false
+		}
+	}
 	return away
 }
 
@@ -144,29 +148,21 @@
 
 // ranked tells whether the instance is among the first of its zone.
 func (o *Options) ranked(v mesh.View) bool {
-	own := rank(o.Self)
+	own := mesh.Rank(o.Self)
 	before := 0
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.Zone == o.Zone && !m.Leaving && m.Fresh(v.At) && rank(m.Addr) < own {
+		if m.Zone == o.Zone && !m.Leaving && m.Fresh(v.At) && mesh.Rank(m.Addr) < own {
 			before++
 		}
 	}
 	return before < readersPerZone
 }
 
-func rank(addr string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(addr)) // a hash takes every write
-	x := h.Sum64()
-	x ^= x >> 33
-	return x * 0xff51afd7ed558ccd
-}
-
-// served tells whether some other instance reads the store with success.
+// served tells whether some other instance of the zone reads the store with success.
 func served(v mesh.View) bool {
 	for i := range v.Members {
-		if v.Members[i].Log == mesh.LogAnswers && v.Members[i].Fresh(v.At) {
+		if m := &v.Members[i]; m.Zone == v.Zone && m.Log == mesh.LogAnswers && m.Fresh(v.At) {
 			return true
 		}
 	}
