suspicion: learn the lengths of bouts from equal observations; placement: trials, lateness

Cause: estimates of all targets of a loaded service drifted to the long-run share of sick time within a second, because that share was learned from probabilities that it had set itself, and every false suspicion counted as a bout; then the one trusted target was swamped. 25 to 38 of 100 attempts at the catalogue failed, more than by random choice. Slowness now counts by the queue that was known, and answers that took no work no longer lower the median.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -243,7 +243,7 @@
 	c := r.c
 	now := time.Now()
 	targets := c.h.State.Targets().Services[c.service]
-	w := placement.Work{Repeatable: c.repeatable(), KB: float64(len(c.request.Body)) / 1024}
+	w := placement.Work{Repeatable: c.repeatable(), KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
 	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, c.h.Client.Cache.Idle)
 	if !ok {
 		return false
@@ -261,6 +261,7 @@
 func (r *race) attempt(p Placed) {
 	c := r.c
 	slow, _ := c.h.Knowledge.Slow(c.service)
+	slow = time.Duration(float64(slow) * p.turns())
 	began := time.Now()
 	watch := time.AfterFunc(slow, func() { c.observe(p, suspicion.Slow, began, 0) })
 	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, !c.repeatable())
@@ -275,6 +276,10 @@
 	c.h.Metrics.Attempt(c.service, e.result.Kind)
 	switch res := e.result; res.Kind {
 	case exchange.Answered:
+		if res.Answer.Status == http.StatusGatewayTimeout {
+			c.observe(e.placed, suspicion.Slow, began, 0)
+			return
+		}
 		if res.Answer.Status >= http.StatusInternalServerError || !passable(res.Answer) {
 			c.observe(e.placed, suspicion.Bad, began, 0)
 			return
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -124,6 +124,12 @@
 	Doubtful bool
 }
 
+// turns is how many times the slots must come free, as far as known, before the
+// attempt is done, its own work included; at least 1.
+func (p *Placed) turns() float64 {
+	return max(float64(p.InFlight+1)/float64(max(p.Slots, 1)), 1)
+}
+
 // doubtful is the probability of failure from which an attempt counts as a trial.
 const doubtful = 0.2
 
@@ -134,6 +140,7 @@
 	defer k.mu.Unlock()
 	s := k.service(name)
 	w.KB += s.answerKB
+	_, w.Typical = s.latency.bounds()
 	candidates := make([]placement.Candidate, 0, len(ts))
 	from := make([]*registry.Target, 0, len(ts))
 	for _, t := range ts {
--- a/gateway/latency.go
+++ b/gateway/latency.go
@@ -15,6 +15,9 @@
 	// slowDefault and medianDefault hold until enough samples came.
 	slowDefault   = 900 * time.Millisecond
 	medianDefault = 300 * time.Millisecond
+	// trivial is the part of the long durations below which an answer took no
+	// work, as one that is refused by its content.
+	trivial = 0.1
 	// slowTimes is the least slow bound, in medians.
 	slowTimes = 1.8
 )
@@ -40,6 +43,9 @@
 func (l *latency) work() {
 	sorted := slices.Clone(l.ring[:min(l.count, latencySamples)])
 	slices.Sort(sorted)
+	long := sorted[len(sorted)*9/10]
+	first, _ := slices.BinarySearch(sorted, time.Duration(trivial*float64(long)))
+	sorted = sorted[first:]
 	l.median = sorted[len(sorted)/2]
 	l.slow = max(sorted[int(float64(len(sorted)-1)*slowShare)], time.Duration(slowTimes*float64(l.median)))
 }
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -18,9 +18,11 @@
 	// Load is the cost at a target whose slots are all taken; below, it grows
 	// with the square of the part that is taken.
 	Load float64 `json:"load"`
-	// Queue is the cost of each request, in parts of the slots, that waits
-	// for one.
-	Queue float64 `json:"queue"`
+	// Late is the cost of an answer after the objective.
+	Late float64 `json:"late"`
+	// Trial is the gain of a trial at a doubtful target by work that can be
+	// repeated.
+	Trial float64 `json:"trial"`
 	// CutPath is the cost of a path that was found cut.
 	CutPath float64 `json:"cut_path"`
 	// Crowd is the cost of a doubtful target that others are trying.
@@ -41,13 +43,14 @@
 		ZonePerKB:         0.012,
 		Connection:        0.02,
 		Preference:        0.03,
-		Load:              0.06,
-		Queue:             0.3,
+		Load:              0.08,
+		Late:              0.5,
+		Trial:             0.05,
 		CutPath:           0.8,
 		Crowd:             0.5,
 		Warmup:            0.04,
 		Unused:            0.06,
-		RepeatableFailure: 0.25,
+		RepeatableFailure: 0.8,
 	}
 }
 
@@ -59,6 +62,15 @@
 	// unusedAfter is half of the time in which every sound target should see
 	// some work.
 	unusedAfter = time.Second
+	// trialAfter is the time between trials at a doubtful target.
+	trialAfter = 2 * time.Second
+	// unseen is how many requests more than known are taken to be at a target:
+	// news of them is on its way.
+	unseen = 2
+	// onTime and tooLate are the expected durations, in parts of the objective,
+	// from which answers begin to be late, and are all late: durations vary.
+	onTime  = 0.45
+	tooLate = 1.1
 )
 
 // Candidate is what is known of one target.
@@ -86,6 +98,9 @@
 	Repeatable bool
 	// KB is the size of request and answer, in kilobytes.
 	KB float64
+	// Typical is how long work at the service takes at a free slot, and Objective
+	// within which time it should be done; 0 if there is no such time.
+	Typical, Objective time.Duration
 }
 
 // Chooser chooses for one instance.
@@ -98,7 +113,7 @@
 // Cost is the expected cost of sending the work to the candidate.
 func (c *Chooser) Cost(w Work, t *Candidate) float64 {
 	k := &c.Weights
-	cost := c.failure(w, t) + c.load(t) + k.Preference*preference(c.Self, t.ID)
+	cost := c.failure(w, t) + c.load(w, t) + k.Preference*preference(c.Self, t.ID)
 	if t.Zone != c.Zone {
 		cost += k.ZonePerKB * w.KB
 	}
@@ -115,25 +130,35 @@
 }
 
 func (c *Chooser) failure(w Work, t *Candidate) float64 {
+	k := &c.Weights
 	cost := t.Fails
 	if w.Repeatable {
-		cost *= c.Weights.RepeatableFailure
+		cost *= k.RepeatableFailure
 	}
 	switch {
 	case t.Fails >= doubtful && t.InFlight > 0:
-		cost += c.Weights.Crowd
+		return cost + k.Crowd
+	case t.Fails >= doubtful && w.Repeatable && t.SinceUse > trialAfter && t.Zone == c.Zone:
+		return -k.Trial
 	case t.Fails < doubtful && t.InFlight == 0 && t.SinceUse > unusedAfter:
-		cost -= c.Weights.Unused
+		return cost - k.Unused
 	}
 	return cost
 }
 
-func (c *Chooser) load(t *Candidate) float64 {
-	u := float64(t.InFlight) / float64(max(t.Slots, 1))
-	if u < 1 {
-		return c.Weights.Load * u * u
+// load is the cost of what is already at the target: full slots, and a queue that
+// makes answers late.
+func (c *Chooser) load(w Work, t *Candidate) float64 {
+	slots := float64(max(t.Slots, 1))
+	full := min(float64(t.InFlight)/slots, 1)
+	cost := c.Weights.Load * full * full
+	if w.Objective <= 0 {
+		return cost
 	}
-	return c.Weights.Load + c.Weights.Queue*(u-1+1/float64(max(t.Slots, 1)))
+	turns := max(float64(t.InFlight+unseen)/slots, 1)
+	expected := turns * float64(w.Typical) / float64(w.Objective)
+	x := min(max((expected-onTime)/(tooLate-onTime), 0), 1)
+	return cost + c.Weights.Late*x*x*(3-2*x)
 }
 
 // Choose returns the index of the cheapest candidate and its cost; -1 if there
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -38,16 +38,15 @@
 	priorSickCount   = 20
 	priorSoundFails  = 0.015
 	priorSoundCount  = 200
-	priorBout        = 3 * time.Second
-	priorSoundSpell  = 18 * time.Second
+	priorSickSlow    = 0.3
+	priorSoundSlow   = 0.04
+	priorBout        = 7 * time.Second
+	priorSoundSpell  = 35 * time.Second
 	priorSpellsCount = 4
 )
 
 // Likelihood ratios, sick to sound, of observations whose rates are not learned.
 const (
-	// slowRatio: a healthy target has about 3 in 100 attempts above the bound
-	// that makes an attempt slow, a sick one half of them.
-	slowRatio = 15
 	// unreachableRatio: single instances lose the path to healthy targets too.
 	unreachableRatio = 8
 	// staleRatio: an idle connection's break says little.
@@ -60,6 +59,12 @@
 	Suspected = 0.5
 	// Cleared is the probability under which it counts as sound again.
 	Cleared = 0.25
+	// confirming is how many failures make a suspicion a bout: a single one is
+	// more often a sound target's.
+	confirming = 2
+	// longestGap bounds the time between two observations that counts for
+	// the learned rates: what happened in a longer one is not known.
+	longestGap = 4 * time.Second
 	// ceiling and floor keep a long run of equal observations from making the
 	// estimate deaf to the next one.
 	ceiling = 0.98
@@ -73,7 +78,7 @@
 	lastBad   time.Time
 	lastGood  time.Time
 	suspected bool
-	since     time.Time // of the present spell, sound or sick
+	bads      int // since it is suspected
 }
 
 // Estimator holds the estimates of one service's targets. It belongs to one
@@ -81,10 +86,12 @@
 type Estimator struct {
 	targets map[fleet.TargetID]*target
 
-	sickFails, sickCount   float64
-	soundFails, soundCount float64
-	boutTime, bouts        float64 // seconds, number
-	spellTime, spells      float64
+	sickFails, sickSlow, sickCount    float64
+	soundFails, soundSlow, soundCount float64
+	// sickTime is the time in seconds between failures of bouts, soundTime that
+	// between successes; ends and onsets are how many bouts ended and began.
+	sickTime, ends    float64
+	soundTime, onsets float64
 }
 
 // New returns an estimator that has seen nothing.
@@ -95,10 +102,12 @@
 		sickCount:  priorSickCount,
 		soundFails: priorSoundFails * priorSoundCount,
 		soundCount: priorSoundCount,
-		boutTime:   priorBout.Seconds() * priorSpellsCount,
-		bouts:      priorSpellsCount,
-		spellTime:  priorSoundSpell.Seconds() * priorSpellsCount,
-		spells:     priorSpellsCount,
+		sickSlow:   priorSickSlow * priorSickCount,
+		soundSlow:  priorSoundSlow * priorSoundCount,
+		sickTime:   priorBout.Seconds() * priorSpellsCount,
+		ends:       priorSpellsCount,
+		soundTime:  priorSoundSpell.Seconds() * priorSpellsCount,
+		onsets:     priorSpellsCount,
 	}
 }
 
@@ -106,6 +115,8 @@
 type Rates struct {
 	// SickFails and SoundFails are the parts of work that fail.
 	SickFails, SoundFails float64
+	// SickSlow and SoundSlow are the parts that are slow.
+	SickSlow, SoundSlow float64
 	// Bout and Spell are the mean lengths of a sick and of a sound time.
 	Bout, Spell time.Duration
 }
@@ -115,8 +126,10 @@
 	return Rates{
 		SickFails:  e.sickFails / e.sickCount,
 		SoundFails: e.soundFails / e.soundCount,
-		Bout:       seconds(e.boutTime / e.bouts),
-		Spell:      seconds(e.spellTime / e.spells),
+		SickSlow:   e.sickSlow / e.sickCount,
+		SoundSlow:  e.soundSlow / e.soundCount,
+		Bout:       seconds(e.sickTime / e.ends),
+		Spell:      seconds(e.soundTime / e.onsets),
 	}
 }
 
@@ -140,18 +153,19 @@
 	t := e.target(now, id)
 	e.drift(now, t)
 	before = t.sick
+	e.learnSlow(t, o)
 	ratio := e.ratio(t, o, began)
 	odds := t.sick / (1 - t.sick) * ratio
 	t.sick = min(max(odds/(1+odds), floor), ceiling)
 	e.learnFailures(t, o)
-	e.note(now, t, o)
-	return before, t.sick, e.learnSpells(now, t)
+	e.learnTimes(now, t, o)
+	return before, t.sick, e.learnBouts(now, t)
 }
 
 func (e *Estimator) target(now time.Time, id fleet.TargetID) *target {
 	t := e.targets[id]
 	if t == nil {
-		t = &target{sick: e.longRun(), at: now, since: now}
+		t = &target{sick: e.longRun(), at: now}
 		e.targets[id] = t
 	}
 	return t
@@ -171,7 +185,7 @@
 	case Bad:
 		return r.SickFails / r.SoundFails
 	case Slow:
-		return slowRatio
+		return max(r.SickSlow/r.SoundSlow, 1)
 	case Unreachable:
 		return unreachableRatio
 	case Stale:
@@ -194,28 +208,50 @@
 	e.soundFails += (1 - t.sick) * failed
 }
 
-func (e *Estimator) note(now time.Time, t *target, o Observation) {
-	if o == Good {
+// learnSlow counts with the probability from before the observation: slowness alone
+// must not teach that it means sickness.
+func (e *Estimator) learnSlow(t *target, o Observation) {
+	if o != Slow {
+		return
+	}
+	e.sickSlow += t.sick
+	e.soundSlow += 1 - t.sick
+}
+
+// learnTimes adds the time since the last observation of the same kind to that of
+// bouts or of sound spells. What is between a success and a failure is not known.
+func (e *Estimator) learnTimes(now time.Time, t *target, o Observation) {
+	switch o {
+	case Good:
+		if gap := now.Sub(t.lastGood); gap < longestGap && !t.lastBad.After(t.lastGood) {
+			e.soundTime += gap.Seconds()
+		}
 		t.lastGood = now
 		return
+	case Bad:
+		if gap := now.Sub(t.lastBad); t.suspected && t.bads > 0 && gap < longestGap {
+			e.sickTime += gap.Seconds()
+		}
+		t.bads++
 	}
 	t.lastBad = now
 }
 
-// learnSpells counts a bout or a spell when a threshold is passed.
-func (e *Estimator) learnSpells(now time.Time, t *target) Change {
-	length := now.Sub(t.since).Seconds()
+// learnBouts counts a confirmed bout at its end.
+func (e *Estimator) learnBouts(now time.Time, t *target) Change {
 	switch {
 	case !t.suspected && t.sick >= Suspected:
-		t.suspected, t.since = true, now
-		e.spellTime += length
-		e.spells++
+		t.suspected = true
 		return NowSuspected
+	case !t.suspected && t.sick < Cleared:
+		t.bads = 0
 	case t.suspected && t.sick < Cleared:
-		t.suspected, t.since = false, now
-		// The recovery was somewhere between the last failure and now.
-		e.boutTime += length - now.Sub(t.lastBad).Seconds()/2
-		e.bouts++
+		if t.bads >= confirming {
+			e.onsets++
+			e.ends++
+			e.sickTime += min(now.Sub(t.lastBad), longestGap).Seconds() / 2
+		}
+		t.suspected, t.bads = false, 0
 		return NowCleared
 	}
 	return None
@@ -223,7 +259,7 @@
 
 // longRun is the part of time for which a target is sick.
 func (e *Estimator) longRun() float64 {
-	bout, spell := e.boutTime/e.bouts, e.spellTime/e.spells
+	bout, spell := e.sickTime/e.ends, e.soundTime/e.onsets
 	return bout / (bout + spell)
 }
 
@@ -238,7 +274,7 @@
 }
 
 func (e *Estimator) drifted(sick, dt float64) float64 {
-	rate := e.bouts/e.boutTime + e.spells/e.spellTime
+	rate := e.ends/e.sickTime + e.onsets/e.soundTime
 	long := e.longRun()
 	return long + (sick-long)*math.Exp(-rate*dt)
 }
