placement: random part of each cost; suspicion: slowness against the service's own

Cause: instances learn of each other's choices 300 to 600 ms late and all chose the same cheapest target; its queue made attempts slow, slowness made it suspect, and the crowd moved on together.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -60,7 +61,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g := &Gateway{settings: s, booted: time.Now(), metrics: NewMetrics()}
-	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone}, s.Retry)
+	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone, Random: rand.Float64}, s.Retry)
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
 	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer, MaxReuseIdle: reuseIdle}
 	if err := g.listen(); err != nil {
@@ -99,7 +100,9 @@
 }
 
 // digest sums up the own zone.
-func (g *Gateway) digest(now time.Time) *mesh.Digest { return g.knowledge.Digest(now, g.node.View()) }
+func (g *Gateway) digest(now time.Time, first bool) *mesh.Digest {
+	return g.knowledge.Digest(now, g.node.View(), first)
+}
 
 func (g *Gateway) versions(p *mesh.Packet) {
 	p.Document, p.Registry = g.state.Versions()
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -17,6 +17,9 @@
 const (
 	// peerLoadFor is how long a silent peer's load is counted.
 	peerLoadFor = 3 * time.Second
+	// mostSuccesses bounds the successes at one target that are taken from a
+	// digest.
+	mostSuccesses = 20
 	// cutFirst and cutMost bound how long a path is avoided after a connection
 	// did not come about; the time doubles with each failure in a row.
 	cutFirst = 2 * time.Second
@@ -54,6 +57,11 @@
 	lastUse     time.Time
 	cutUntil    time.Time
 	cutFor      time.Duration
+	// successes are those of the own zone that other zones were not told of;
+	// began is when the latest began.
+	successes int
+	began     time.Time
+	service   document.ServiceName
 }
 
 // peer is what another instance of the zone told.
@@ -206,6 +214,7 @@
 	defer k.mu.Unlock()
 	e := mesh.Evidence{Service: name, Target: id, What: o, TookMillis: took.Milliseconds()}
 	k.observe(now, e, began, "self")
+	k.tally(e, began)
 	if o == suspicion.Unreachable {
 		k.cut(now, id)
 	}
@@ -217,6 +226,19 @@
 	}
 }
 
+// tally counts a success of the own zone, for its digest.
+func (k *Knowledge) tally(e mesh.Evidence, began time.Time) {
+	if e.What != suspicion.Good {
+		return
+	}
+	t := k.target(e.Target)
+	t.successes++
+	t.service = e.Service
+	if began.After(t.began) {
+		t.began = began
+	}
+}
+
 func (k *Knowledge) cut(now time.Time, id fleet.TargetID) {
 	t := k.target(id)
 	t.cutFor = min(max(2*t.cutFor, cutFirst), cutMost)
@@ -253,7 +275,11 @@
 		k.takeDigest(now, p.Zone, p.Digest)
 	}
 	for _, e := range p.Evidence {
-		k.observe(now, e, now.Add(-time.Duration(e.AgeMillis)*time.Millisecond), p.Addr)
+		began := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
+		k.observe(now, e, began, p.Addr)
+		if p.Zone == k.chooser.Zone {
+			k.tally(e, began)
+		}
 	}
 	if p.Zone != k.chooser.Zone {
 		return // its load and usage are in its zone's digest
@@ -297,14 +323,21 @@
 	k.dropLoad(&z.peer)
 	k.takeLoad(now, &z.peer, d.Load)
 	z.heard = now
+	for _, g := range d.Successes {
+		began := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
+		for range min(g.Count, mostSuccesses) {
+			k.observe(now, mesh.Evidence{Service: g.Service, Target: g.Target, What: suspicion.Good}, began, string(name))
+		}
+	}
 	z.claims = make(map[document.ServiceName]mesh.ZoneUsage, len(d.Usage))
 	for _, u := range d.Usage {
 		z.claims[u.Service] = u
 	}
 }
 
-// Digest sums up the own zone, of which v is the view.
-func (k *Knowledge) Digest(now time.Time, v mesh.View) *mesh.Digest {
+// Digest sums up the own zone, of which v is the view, with its successes if this
+// instance is the one to tell of them.
+func (k *Knowledge) Digest(now time.Time, v mesh.View, successes bool) *mesh.Digest {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d := &mesh.Digest{Instances: v.InZone(), Complete: v.ZoneComplete()}
@@ -325,6 +358,10 @@
 		if n > 0 {
 			d.Load = append(d.Load, mesh.Load{Target: id, InFlight: n})
 		}
+		if successes && t.successes > 0 {
+			d.Successes = append(d.Successes, mesh.Successes{Service: t.service, Target: id, Count: t.successes, AgeMillis: now.Sub(t.began).Milliseconds()})
+		}
+		t.successes = 0
 	}
 	return d
 }
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -243,15 +243,16 @@
 	return ms[:min(len(ms), bridges)]
 }
 
-// isBridge tells whether this instance is one of its zone's bridges.
-func (ms *members) isBridge(now time.Time) bool {
+// place is this instance's place in its zone's order of ranks, from 0. The first
+// ones are the bridges.
+func (ms *members) place(now time.Time) int {
 	before := 0
 	for _, m := range ms.table {
 		if m.Zone == ms.zone && !m.Leaving && m.Fresh(now) && compareRank(m.Addr, ms.self) < 0 {
 			before++
 		}
 	}
-	return before < bridges
+	return before
 }
 
 // compareRank orders instances in a way that is the same everywhere and has nothing
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -43,7 +43,7 @@
 	cfg     Config
 	conn    *net.UDPConn
 	fill    func(now time.Time, p *Packet)
-	digest  func(now time.Time) *Digest
+	digest  func(now time.Time, first bool) *Digest
 	handle  Handler
 	mu      sync.Mutex
 	members *members
@@ -60,8 +60,9 @@
 }
 
 // Listen opens the socket. Fill completes each heartbeat, digest sums up the own
-// zone, and handle gets each packet that arrives.
-func Listen(cfg Config, fill func(now time.Time, p *Packet), digest func(now time.Time) *Digest, handle Handler) (*Node, error) {
+// zone (first tells that this instance is the one to tell of successes), and handle
+// gets each packet that arrives.
+func Listen(cfg Config, fill func(now time.Time, p *Packet), digest func(now time.Time, first bool) *Digest, handle Handler) (*Node, error) {
 	addr, err := net.ResolveUDPAddr("udp4", cfg.Addr)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -144,22 +145,23 @@
 	p.Known = n.members.sample(now)
 	to := n.members.beats(now)
 	var across []netip.AddrPort
-	if now.Sub(n.digestAt) >= digestEvery && n.members.isBridge(now) {
+	place := n.members.place(now)
+	if place < bridges && now.Sub(n.digestAt) >= digestEvery {
 		n.digestAt = now
 		across = n.members.bridges(now)
 	}
 	n.mu.Unlock()
 	n.send(p, to)
 	if len(across) > 0 {
-		n.sendDigest(now, across, p)
+		n.sendDigest(now, across, p, place == 0)
 	}
 }
 
 // sendDigest tells other zones what the own zone does.
-func (n *Node) sendDigest(now time.Time, to []netip.AddrPort, beat *Packet) {
+func (n *Node) sendDigest(now time.Time, to []netip.AddrPort, beat *Packet, first bool) {
 	p := n.packet()
 	p.Document, p.Registry, p.Log, p.Known = beat.Document, beat.Registry, beat.Log, beat.Known
-	p.Digest = n.digest(now)
+	p.Digest = n.digest(now, first)
 	n.send(p, to)
 }
 
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -62,6 +62,19 @@
 	Complete bool
 	Load     []Load
 	Usage    []ZoneUsage
+	// Successes are those that the zone's instances had since the last digest
+	// that carried any. Only one of the bridges sends them.
+	Successes []Successes
+}
+
+// Successes are the good attempts at one target.
+type Successes struct {
+	_       struct{} `cbor:",toarray"`
+	Service document.ServiceName
+	Target  fleet.TargetID
+	Count   int
+	// AgeMillis is how long before the datagram the latest attempt began.
+	AgeMillis int64
 }
 
 // ZoneUsage is a zone's part of a service's retry budget.
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"time"
 
 	"github.com/clementinereel/clementinereel/fleet"
@@ -31,6 +32,9 @@
 	Warmup float64 `json:"warmup"`
 	// Unused is the gain of a target that nobody used lately.
 	Unused float64 `json:"unused"`
+	// Noise is the spread of a random part of each cost. Instances learn of each
+	// other's choices late; without it they would all choose the same target.
+	Noise float64 `json:"noise"`
 	// RepeatableFailure is the cost of a failure that can be repeated
 	// elsewhere; one that cannot costs 1.
 	RepeatableFailure float64 `json:"repeatable_failure"`
@@ -50,6 +54,7 @@
 		Crowd:             0.5,
 		Warmup:            0.04,
 		Unused:            0.06,
+		Noise:             0.04,
 		RepeatableFailure: 0.8,
 	}
 }
@@ -108,6 +113,8 @@
 	Weights Weights
 	Self    fleet.InstanceID
 	Zone    fleet.Zone
+	// Random returns numbers from 0 to below 1.
+	Random func() float64
 }
 
 // Cost is the expected cost of sending the work to the candidate.
@@ -166,13 +173,21 @@
 func (c *Chooser) Choose(w Work, ts []Candidate) (int, float64) {
 	best, least := -1, 0.0
 	for i := range ts {
-		if cost := c.Cost(w, &ts[i]); best < 0 || cost < least {
+		cost := c.Cost(w, &ts[i]) + c.noise()
+		if best < 0 || cost < least {
 			best, least = i, cost
 		}
 	}
 	return best, least
 }
 
+// noise is drawn from a Gumbel distribution: the choice then falls on each target
+// with a probability that falls exponentially with its cost.
+func (c *Chooser) noise() float64 {
+	const least = 1e-9
+	return c.Weights.Noise * math.Log(-math.Log(max(c.Random(), least)))
+}
+
 // preference is a number from 0 to 1 that differs for each pair of instance and
 // target, evenly spread.
 func preference(self fleet.InstanceID, id fleet.TargetID) float64 {
--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -11,7 +11,7 @@
 )
 
 func chooser(self fleet.InstanceID) *Chooser {
-	return &Chooser{Weights: DefaultWeights(), Self: self, Zone: "a"}
+	return &Chooser{Weights: DefaultWeights(), Self: self, Zone: "a", Random: func() float64 { return 0.5 }}
 }
 
 func candidates(n int) []Candidate {
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -92,6 +92,7 @@
 	// between successes; ends and onsets are how many bouts ended and began.
 	sickTime, ends    float64
 	soundTime, onsets float64
+	slowLately        recent
 }
 
 // New returns an estimator that has seen nothing.
@@ -135,6 +136,32 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// recent is the part of the service's last attempts that were slow: where the whole
+// service is slow, no target stands out.
+type recent struct {
+	share float64
+	at    time.Time
+}
+
+// recentFor is the time constant of recent.
+const recentFor = 2 * time.Second
+
+// add takes in an observation. Its weight grows with the time since the last one, so
+// that the share does not depend on how many there are.
+func (r *recent) add(now time.Time, o Observation) {
+	slow := 0.0
+	switch o {
+	case Slow:
+		slow = 1
+	case Good, Bad:
+	default:
+		return
+	}
+	weight := 1 - math.Exp(-max(now.Sub(r.at).Seconds(), 0.02)/recentFor.Seconds())
+	r.share += weight * (slow - r.share)
+	r.at = now
+}
+
 // Change tells how an observation changed what is believed of a target.
 type Change uint8
 
@@ -153,6 +180,7 @@
 	t := e.target(now, id)
 	e.drift(now, t)
 	before = t.sick
+	e.slowLately.add(now, o)
 	e.learnSlow(t, o)
 	ratio := e.ratio(t, o, began)
 	odds := t.sick / (1 - t.sick) * ratio
@@ -185,7 +213,7 @@
 	case Bad:
 		return r.SickFails / r.SoundFails
 	case Slow:
-		return max(r.SickSlow/r.SoundSlow, 1)
+		return max(r.SickSlow/max(r.SoundSlow, e.slowLately.share), 1)
 	case Unreachable:
 		return unreachableRatio
 	case Stale:
