suspicion: refused connections and answers by another target are conclusive

Cause: after addresses were reused, 152 attempts in 8 s went to one target whose address another held; a refusal unrun left its estimate untouched.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
@@ -286,8 +289,16 @@
 		}
 		c.h.Knowledge.Answered(c.service, len(res.Answer.Body))
 		c.observe(e.placed, suspicion.Good, began, res.Took)
+	case exchange.Refused:
+		if res.Answer.Status == http.StatusMisdirectedRequest {
+			c.observe(e.placed, suspicion.Elsewhere, began, 0)
+		}
 	case exchange.Unsent:
-		c.observe(e.placed, suspicion.Unreachable, began, 0)
+		o := suspicion.Unreachable
+		if errors.Is(res.Err, syscall.ECONNREFUSED) {
+			o = suspicion.Down
+		}
+		c.observe(e.placed, o, began, 0)
 	case exchange.Broken:
 		if res.Reused && res.IdleFor > staleIdle {
 			c.observe(e.placed, suspicion.Stale, began, 0)
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -71,7 +71,7 @@
 	trialAfter = 2 * time.Second
 	// unseen is how many requests more than known are taken to be at a target:
 	// news of them is on its way.
-	unseen = 2
+	unseen = 1
 	// onTime and tooLate are the expected durations, in parts of the objective,
 	// from which answers begin to be late, and are all late: durations vary.
 	onTime  = 0.45
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -22,10 +22,15 @@
 	// Stale is a break on a connection that had been idle: the target may have
 	// closed it at that moment.
 	Stale
+	// Down is a connection that was refused: no process listens.
+	Down
+	// Elsewhere is an answer by another target at the address.
+	Elsewhere
 )
 
 var observationNames = map[Observation]string{
 	Good: "good", Bad: "bad", Slow: "slow", Unreachable: "unreachable", Stale: "stale",
+	Down: "down", Elsewhere: "elsewhere",
 }
 
 // String names the observation as logs write it.
@@ -49,6 +54,9 @@
 const (
 	// unreachableRatio: single instances lose the path to healthy targets too.
 	unreachableRatio = 8
+	// goneRatio: a target that is there neither refuses connections nor lets
+	// another one answer.
+	goneRatio = 500
 	// staleRatio: an idle connection's break says little.
 	staleRatio = 2
 )
@@ -218,6 +226,8 @@
 		return unreachableRatio
 	case Stale:
 		return staleRatio
+	case Down, Elsewhere:
+		return goneRatio
 	}
 	return 1
 }
