--- a/placement/cost.go
+++ b/placement/cost.go
@@ -44,9 +44,9 @@
 // a kilobyte between zones 0.006 to 0.038, a new connection 0.017 to 0.08.
 func DefaultWeights() Weights {
 	return Weights{
-		ZonePerKB:         0.012,
-		Connection:        0.02,
-		Preference:        0.03,
+		ZonePerKB:         0.018,
+		Connection:        0.04,
+		Preference:        0.1,
 		Load:              0.08,
 		Late:              0.5,
 		Trial:             0.05,
@@ -54,7 +54,7 @@
 		Crowd:             0.5,
 		Warmup:            0.04,
 		Unused:            0.06,
-		Noise:             0.04,
+		Noise:             0.03,
 		RepeatableFailure: 0.8,
 	}
 }
