gateway: last attempts go to sure targets, dials are short, own cut paths are not told

Cause: the second and last attempt of a lookup was used for trials of doubtful targets; a dial over a lossy path took 350 ms, several in a row; an instance cut off from many targets made others suspect them.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -246,7 +246,8 @@
 	c := r.c
 	now := time.Now()
 	targets := c.h.State.Targets().Services[c.service]
-	w := placement.Work{Repeatable: c.repeatable(), KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
+	last := r.sent+r.running+1 >= c.route.MaxAttempts
+	w := placement.Work{Repeatable: c.repeatable() && !last, KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
 	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, c.h.Client.Cache.Idle)
 	if !ok {
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,8 +22,10 @@
 
 const (
 	// dialTimeout bounds the opening of a connection to a target. A path that
-	// works takes a few milliseconds; one lost packet is sent again after 200.
-	dialTimeout = 350 * time.Millisecond
+	// works takes a few milliseconds, 60 to another region; an opening packet
+	// that was lost is sent again only after a second, and by then another
+	// target has been tried.
+	dialTimeout = 120 * time.Millisecond
 	// reuseIdle is how long a connection may have been idle to carry work that
 	// must not be repeated: a target may close it at the same moment.
 	reuseIdle = 6 * time.Second
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -24,6 +24,9 @@
 	// did not come about; the time doubles with each failure in a row.
 	cutFirst = 2 * time.Second
 	cutMost  = 8 * time.Second
+	// cutTogether is the time within which cut paths to different targets are
+	// put down to this instance.
+	cutTogether = 4 * time.Second
 	// evidenceMost bounds the observations that wait for the next heartbeat.
 	evidenceMost = 40
 )
@@ -41,6 +44,11 @@
 	zones    map[fleet.Zone]*zone
 	pending  []gathered
 	most     pastMost
+	// lastCut is the last path that was found cut.
+	lastCut struct {
+		id fleet.TargetID
+		at time.Time
+	}
 }
 
 // service is what is known of a service.
@@ -213,11 +221,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e := mesh.Evidence{Service: name, Target: id, What: o, TookMillis: took.Milliseconds()}
+	if o == suspicion.Unreachable && k.cut(now, id) {
+		// Several targets at once: the fault is on this instance's side, and says
+		// nothing of them to others.
+		return
+	}
 	k.observe(now, e, began, "self")
 	k.tally(e, began)
-	if o == suspicion.Unreachable {
-		k.cut(now, id)
-	}
 	if o == suspicion.Good {
 		k.target(id).cutFor = 0
 	}
@@ -239,11 +249,16 @@
 	}
 }
 
-func (k *Knowledge) cut(now time.Time, id fleet.TargetID) {
+// cut avoids the path to a target for a while. It tells whether the path to another
+// target was found cut lately.
+func (k *Knowledge) cut(now time.Time, id fleet.TargetID) (others bool) {
 	t := k.target(id)
+	others = k.lastCut.id != "" && k.lastCut.id != id && now.Sub(k.lastCut.at) < cutTogether
+	k.lastCut.id, k.lastCut.at = id, now
 	t.cutFor = min(max(2*t.cutFor, cutFirst), cutMost)
 	t.cutUntil = now.Add(t.cutFor)
-	eventlog.Info(eventlog.PathCut, "target", id, "avoid_ms", t.cutFor.Milliseconds())
+	eventlog.Info(eventlog.PathCut, "target", id, "avoid_ms", t.cutFor.Milliseconds(), "others", others)
+	return others
 }
 
 func (k *Knowledge) observe(now time.Time, e mesh.Evidence, began time.Time, from string) {
