gateway: hedge within the objective where slots are free

Cause: a hung target's lookup was joined by a second attempt only at the slow bound, too late for the objective. Conclusion: kept for hanging targets, guarded.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,9 @@
 	maxRefusals = 3
 	// leastTime is the time below which no further attempt is begun.
 	leastTime = 60 * time.Millisecond
+	// hedgeUtilization is the use of a service's slots above which a second
+	// attempt would take them from first ones.
+	hedgeUtilization = 0.55
 	// staleIdle is the idle time of a connection from which its break may be the
 	// target's closing of it.
 	staleIdle = 2 * time.Second
@@ -102,8 +105,8 @@
 }
 
 func (r *race) run() outcome {
-	slow, median := r.c.h.Knowledge.Slow(r.c.service)
-	hedge := time.NewTimer(slow)
+	known := r.c.h.Knowledge.Durations(r.c.service)
+	hedge := time.NewTimer(known.hedgeAfter(r.c.route.Objective))
 	defer hedge.Stop()
 	end := time.NewTimer(time.Until(r.c.deadline))
 	defer end.Stop()
@@ -116,7 +119,7 @@
 				return o
 			}
 		case <-hedge.C:
-			r.hedge(median)
+			r.hedge(known.median)
 		case <-end.C:
 			return r.overdue()
 		case <-r.ctx.Done():
@@ -125,6 +128,17 @@
 	}
 }
 
+// hedgeAfter is the age at which an attempt is joined by a second one: early enough
+// that the second still ends within the objective, but not while many attempts are
+// still at work.
+func (b bounds) hedgeAfter(objective time.Duration) time.Duration {
+	const spare = 1.3 // the second attempt's duration, in medians
+	if objective <= 0 {
+		return b.slow
+	}
+	return max(min(b.slow, objective-time.Duration(spare*float64(b.median))), b.usual)
+}
+
 func (r *race) overdue() outcome {
 	if r.fallback.answer != nil {
 		return r.fallback
@@ -217,7 +231,8 @@
 	if r.hedged || r.running != 1 || !r.c.repeatable() || r.sent+r.running >= r.c.route.MaxAttempts {
 		return
 	}
-	if time.Until(r.c.targetDeadline) < median/2 {
+	targets := r.c.h.State.Targets().Services[r.c.service]
+	if time.Until(r.c.targetDeadline) < median/2 || r.c.h.Knowledge.Utilization(targets) > hedgeUtilization {
 		return
 	}
 	r.hedged = true
@@ -264,8 +279,7 @@
 // attempt sends the request to one target.
 func (r *race) attempt(p Placed) {
 	c := r.c
-	slow, _ := c.h.Knowledge.Slow(c.service)
-	slow = time.Duration(float64(slow) * p.turns())
+	slow := time.Duration(float64(c.h.Knowledge.Durations(c.service).slow) * p.turns())
 	began := time.Now()
 	watch := time.AfterFunc(slow, func() { c.observe(p, suspicion.Slow, began, 0) })
 	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, !c.repeatable())
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -156,7 +156,7 @@
 	defer k.mu.Unlock()
 	s := k.service(name)
 	w.KB += s.answerKB
-	_, w.Typical = s.latency.bounds()
+	w.Typical = s.latency.known().median
 	candidates := make([]placement.Candidate, 0, len(ts))
 	from := make([]*registry.Target, 0, len(ts))
 	for _, t := range ts {
@@ -459,12 +459,24 @@
 	return f
 }
 
-// Slow is the age from which an attempt at the service counts as slow, and the
-// time that half of the attempts take.
-func (k *Knowledge) Slow(name document.ServiceName) (slow, median time.Duration) {
+// Durations sums up how long good attempts at the service take.
+func (k *Knowledge) Durations(name document.ServiceName) bounds {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.service(name).latency.bounds()
+	return k.service(name).latency.known()
+}
+
+// Utilization is the part of the targets' slots that all instances have in use.
+func (k *Knowledge) Utilization(ts []*registry.Target) float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	used, slots := 0, 0
+	for _, t := range ts {
+		x := k.target(t.ID)
+		used += x.own + x.others
+		slots += t.Slots
+	}
+	return float64(used) / float64(max(slots, 1))
 }
 
 // Tick drops what is old.
--- a/gateway/latency.go
+++ b/gateway/latency.go
@@ -12,8 +12,11 @@
 	latencyEvery = 16
 	// slowShare is the part of good attempts that are below the slow bound.
 	slowShare = 0.97
-	// slowDefault and medianDefault hold until enough samples came.
+	// usualShare is the part of good attempts that are below the usual bound.
+	usualShare = 0.93
+	// slowDefault, usualDefault and medianDefault hold until enough samples came.
 	slowDefault   = 900 * time.Millisecond
+	usualDefault  = 700 * time.Millisecond
 	medianDefault = 300 * time.Millisecond
 	// trivial is the part of the long durations below which an answer took no
 	// work, as one that is refused by its content.
@@ -24,9 +27,15 @@
 
 // latency keeps the last durations of good attempts of a service.
 type latency struct {
-	ring         [latencySamples]time.Duration
-	count        int
-	slow, median time.Duration
+	ring  [latencySamples]time.Duration
+	count int
+	bounds
+}
+
+// bounds sum up durations.
+type bounds struct {
+	// slow is above nearly all, usual above most, and median above half.
+	slow, usual, median time.Duration
 }
 
 func (l *latency) add(d time.Duration) {
@@ -47,12 +56,14 @@
 	first, _ := slices.BinarySearch(sorted, time.Duration(trivial*float64(long)))
 	sorted = sorted[first:]
 	l.median = sorted[len(sorted)/2]
+	l.usual = sorted[int(float64(len(sorted)-1)*usualShare)]
 	l.slow = max(sorted[int(float64(len(sorted)-1)*slowShare)], time.Duration(slowTimes*float64(l.median)))
 }
 
-func (l *latency) bounds() (slow, median time.Duration) {
+// known returns the bounds, or defaults until enough samples came.
+func (l *latency) known() bounds {
 	if l.slow == 0 {
-		return slowDefault, medianDefault
+		return bounds{slow: slowDefault, usual: usualDefault, median: medianDefault}
 	}
-	return l.slow, l.median
+	return l.bounds
 }
