--- a/cmd/clementinereel/main.go
+++ b/cmd/clementinereel/main.go
@@ -8,12 +8,14 @@
 	"os/signal"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/dev"
+	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/instance"
 	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/settings"
@@ -31,6 +33,9 @@
 	exitUsage  = 2
 )
 
+// flushWait bounds the wait for the last log lines at the end.
+const flushWait = 200 * time.Millisecond
+
 var errSettings = errors.New("settings refused")
 
 type cli struct {
@@ -75,6 +80,7 @@
 	setVerbosity(c.Verbosity)
 	code := exitCode(k.Run())
 	klog.Flush()
+	eventlog.Flush(flushWait)
 	os.Exit(code)
 }
 
--- a/eventlog/log.go
+++ b/eventlog/log.go
@@ -83,14 +83,18 @@
 // queue is a writer that never blocks.
 type queue struct {
 	lines chan []byte
+	// waiting counts the lines that were taken in and are not written yet.
+	waiting atomic.Int64
 }
 
 // Write implements io.Writer.
 func (q *queue) Write(b []byte) (int, error) {
 	line := append([]byte(nil), b...)
+	q.waiting.Add(1)
 	select {
 	case q.lines <- line:
 	default:
+		q.waiting.Add(-1)
 		unwritten.Add(1)
 	}
 	return len(b), nil
@@ -102,14 +106,31 @@
 		if _, err := w.Write(line); err != nil {
 			unwritten.Add(1)
 		}
+		q.waiting.Add(-1)
 	}
 }
 
-// Start sends all lines to standard output. It returns a function that waits for
-// at most the given time until the queue is empty.
-func Start() (flush func(time.Duration)) { return start(os.Stdout) }
+// flush waits for at most the given time until all lines are written.
+func (q *queue) flush(most time.Duration) {
+	for end := time.Now().Add(most); q.waiting.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// output is the queue that Start set up.
+var output atomic.Pointer[queue]
 
-func start(w io.Writer) (flush func(time.Duration)) {
+// Flush waits for at most the given time until all lines are written.
+func Flush(most time.Duration) {
+	if q := output.Load(); q != nil {
+		q.flush(most)
+	}
+}
+
+// Start sends all lines to standard output.
+func Start() { start(os.Stdout) }
+
+func start(w io.Writer) {
 	fs := flag.NewFlagSet("klog", flag.PanicOnError)
 	klog.InitFlags(fs)
 	for name, value := range map[string]string{
@@ -122,12 +143,8 @@
 	q := &queue{lines: make(chan []byte, queueLines)}
 	klog.SetOutput(q)
 	go q.drain(w)
+	output.Store(q)
 	go report()
-	return func(d time.Duration) {
-		for end := time.Now().Add(d); len(q.lines) > 0 && time.Now().Before(end); {
-			time.Sleep(time.Millisecond)
-		}
-	}
 }
 
 // report says from time to time how many lines were left out.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -40,7 +40,7 @@
 	maxAnswer = 16 << 20
 	// maxDiscard bounds the part of a refused request's body that is read, in
 	// bytes.
-	maxDiscard = 1 << 20
+	maxDiscard = 8 << 20
 )
 
 // Handler serves callers' requests.
