--- a/cmd/reelctl/main.go
+++ b/cmd/reelctl/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/clementinereel/clementinereel/explain"
 	"github.com/clementinereel/clementinereel/load/loadcmd"
 	"github.com/clementinereel/clementinereel/operatecmd"
 	"github.com/clementinereel/clementinereel/reelctl"
@@ -26,6 +27,7 @@
 type cli struct {
 	reelctl.Commands
 	Operations operatecmd.Cmd `cmd:"" help:"List and settle operations whose outcome is unknown."`
+	Explain    explain.Cmd    `cmd:"" help:"Say from instances' log files why a request ended as it did."`
 	Load       loadcmd.Cmd    `cmd:"" help:"Send an open-loop load and report latency and wrong, truncated, doubled and lost answers."`
 }
 
--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -1,5 +1,7 @@
 package eventlog
 
+import "strconv"
+
 // Event names what a line tells.
 type Event string
 
@@ -47,3 +49,9 @@
 	RequestServed  Event = "request-served"
 	CallerLeft     Event = "caller-left"
 )
+
+// Share is a probability or a part of a whole, which lines write with three digits.
+type Share float64
+
+// String implements fmt.Stringer.
+func (s Share) String() string { return strconv.FormatFloat(float64(s), 'f', 3, 64) }
--- /dev/null
+++ b/explain/cmd.go
@@ -0,0 +1,33 @@
+package explain
+
+import (
+	"fmt"
+	"os"
+)
+
+// Cmd is the command line of `reelctl explain`.
+type Cmd struct {
+	ID    string   `arg:"" help:"The request's ID."`
+	Files []string `arg:"" type:"existingfile" help:"Log files of the instances."`
+}
+
+// Run implements the command.
+func (c *Cmd) Run() error {
+	var g Log
+	for _, name := range c.Files {
+		if err := g.readFile(name); err != nil {
+			return err
+		}
+	}
+	g.Request(c.ID).Print(os.Stdout)
+	return nil
+}
+
+func (g *Log) readFile(name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return fmt.Errorf("log file: %w", err)
+	}
+	defer f.Close()
+	return g.Read(name, f)
+}
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,196 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/clementinereel/clementinereel/eventlog"
+)
+
+// contextFor is how long before the request's last line a change of the instance's
+// surroundings still matters.
+const contextFor = 10 * time.Second
+
+// Explanation is why a request ended as it did.
+type Explanation struct {
+	ID string
+	// Lines are those that matter, by time.
+	Lines []*Line
+	// Deciding is the line that decided the outcome; nil if there is none.
+	Deciding *Line
+	Cause    string
+	// Missing says what the logs do not tell.
+	Missing []string
+}
+
+// Request explains a request.
+func (g *Log) Request(id string) *Explanation {
+	x := &Explanation{ID: id}
+	for _, l := range g.Lines {
+		if l.Get("request") == id {
+			x.Lines = append(x.Lines, l)
+		}
+	}
+	if len(x.Lines) == 0 {
+		x.Missing = append(x.Missing, "no line names the request: it was served at the first attempt, or never reached these instances")
+		return x.count(g)
+	}
+	x.sort()
+	x.Deciding, x.Cause = deciding(x.Lines)
+	x.addContext(g)
+	x.sort()
+	x.judge()
+	return x.count(g)
+}
+
+func (x *Explanation) sort() {
+	sort.SliceStable(x.Lines, func(a, b int) bool { return x.Lines[a].At < x.Lines[b].At })
+}
+
+func (x *Explanation) count(g *Log) *Explanation {
+	if g.Dropped > 0 {
+		x.Missing = append(x.Missing, fmt.Sprintf("instances left out %d lines by their rate", g.Dropped))
+	}
+	if g.Skipped > 0 {
+		x.Missing = append(x.Missing, fmt.Sprintf("%d lines could not be read", g.Skipped))
+	}
+	return x
+}
+
+// deciding returns the line that decided the outcome, and the cause in words.
+func deciding(lines []*Line) (*Line, string) {
+	var failed, denied, final *Line
+	for _, l := range lines {
+		switch l.Event {
+		case eventlog.AttemptFailed:
+			failed = l
+		case eventlog.AttemptRefused:
+			denied = l
+		case eventlog.RequestFailed, eventlog.RequestRefused, eventlog.CallerLeft:
+			final = l
+		}
+	}
+	switch {
+	case final == nil && failed != nil:
+		return failed, "an attempt failed and a further one served the request"
+	case final == nil:
+		return lines[len(lines)-1], "the request was served"
+	case final.Event == eventlog.CallerLeft:
+		return final, "the caller left before the answer"
+	case failed == nil:
+		return final, final.Get("why")
+	}
+	cause := fmt.Sprintf("target %s: %s", failed.Get("target"), attemptCause(failed))
+	if denied != nil {
+		cause += "; no further attempt: " + denialCause(denied)
+	}
+	return failed, cause
+}
+
+func attemptCause(l *Line) string {
+	switch l.Get("kind") {
+	case "answered":
+		return "it answered " + l.Get("status")
+	case "refused":
+		return "it refused the request unrun with " + l.Get("status")
+	case "unsent":
+		return "it was not reached: " + l.Get("err")
+	case "overdue":
+		return "it did not answer in " + l.Get("took_ms") + " ms"
+	}
+	return "its answer was lost: " + l.Get("err")
+}
+
+func denialCause(l *Line) string {
+	if left := l.Get("budget_left"); left != "" {
+		return "the service's retry budget has " + left + " left"
+	}
+	return l.Get("why")
+}
+
+// addContext adds the last changes of what the instance believed of the targets that
+// were tried, and of its surroundings.
+func (x *Explanation) addContext(g *Log) {
+	last := x.Lines[len(x.Lines)-1]
+	begin := x.Lines[0].At
+	targets := make(map[string]bool)
+	for _, l := range x.Lines {
+		if t := l.Get("target"); t != "" {
+			targets[t] = true
+		}
+	}
+	newest := make(map[string]*Line)
+	for _, l := range g.Lines {
+		if l.Prefix != last.Prefix || l.File != last.File || l.At > last.At {
+			continue
+		}
+		if key := contextKey(l, targets); key != "" && (l.At <= begin || strings.HasPrefix(key, "target")) {
+			newest[key] = l
+		}
+	}
+	for key, l := range newest {
+		if strings.HasPrefix(key, "target") || last.At-l.At < contextFor || key == "document" {
+			x.Lines = append(x.Lines, l)
+		}
+	}
+}
+
+// contextKey names what the line changes, empty if that does not matter.
+func contextKey(l *Line, targets map[string]bool) string {
+	switch l.Event {
+	case eventlog.TargetSuspected, eventlog.TargetCleared, eventlog.TargetAdded, eventlog.TargetGone, eventlog.PathCut:
+		if t := l.Get("target"); targets[t] {
+			return "target " + t + string(l.Event)
+		}
+	case eventlog.DocumentApplied:
+		return "document"
+	case eventlog.StoreLost, eventlog.StoreBack, eventlog.Stopping, eventlog.ReadyChanged:
+		return string(l.Event)
+	case eventlog.PeerLost:
+		return "peers"
+	}
+	return ""
+}
+
+// judge adds the age of what the choice of the deciding target rested on.
+func (x *Explanation) judge() {
+	if x.Deciding == nil || x.Deciding.Event != eventlog.AttemptFailed {
+		return
+	}
+	target := x.Deciding.Get("target")
+	took, _ := time.ParseDuration(x.Deciding.Get("took_ms") + "ms") // 0 if it is missing
+	chosen := x.Deciding.At - took
+	var belief *Line
+	for _, l := range x.Lines {
+		if l.Get("target") == target && l.At < chosen && (l.Event == eventlog.TargetSuspected || l.Event == eventlog.TargetCleared) {
+			belief = l
+		}
+	}
+	if belief == nil {
+		x.Missing = append(x.Missing, "nothing was known against target "+target+" before")
+		return
+	}
+	x.Cause += fmt.Sprintf(" (%s %d ms before it was chosen, by %s; expected to fail with %s)", belief.Event,
+		(chosen - belief.At).Milliseconds(), belief.Get("by"), x.Deciding.Get("fails"))
+}
+
+// Print writes the explanation for a reader.
+func (x *Explanation) Print(w io.Writer) {
+	fmt.Fprintf(w, "request %s\n", x.ID)
+	if x.Cause != "" {
+		fmt.Fprintf(w, "cause: %s\n", x.Cause)
+	}
+	for _, l := range x.Lines {
+		mark := "  "
+		if l == x.Deciding {
+			mark = "* "
+		}
+		fmt.Fprintf(w, "%s%s\n", mark, strings.TrimSpace(l.Text))
+	}
+	for _, m := range x.Missing {
+		fmt.Fprintf(w, "missing: %s\n", m)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -295,8 +295,7 @@
 	switch res := e.result; res.Kind {
 	case exchange.Answered:
 		if res.Answer.Status == http.StatusGatewayTimeout {
-			c.observe(e.placed, suspicion.Slow, began, 0)
-			return
+			return // see Overdue
 		}
 		if res.Answer.Status >= http.StatusInternalServerError || !passable(res.Answer) {
 			c.observe(e.placed, suspicion.Bad, began, 0)
@@ -321,7 +320,8 @@
 		}
 		c.observe(e.placed, suspicion.Bad, began, 0)
 	case exchange.Overdue:
-		c.observe(e.placed, suspicion.Slow, began, 0)
+		// Nothing more than the watch told: a route's own timeout may be shorter
+		// than its work.
 	}
 }
 
@@ -344,5 +344,5 @@
 	eventlog.Info(eventlog.AttemptFailed, "request", r.c.id, "route", r.c.route.Name, "class", r.c.route.Class, "service", r.c.service,
 		"target", e.placed.ID, "addr", e.placed.Addr, "zone", e.placed.Zone, "kind", e.result.Kind, "status", status, "err", e.result.Err,
 		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
-		"fails", e.placed.Fails, "cost", e.placed.Cost, "in_flight", e.placed.InFlight, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version)
+		"fails", eventlog.Share(e.placed.Fails), "cost", eventlog.Share(e.placed.Cost), "in_flight", e.placed.InFlight, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version)
 }
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -275,10 +275,10 @@
 	case suspicion.NowSuspected:
 		r := s.estimator.Rates()
 		eventlog.Info(eventlog.TargetSuspected, "target", e.Target, "service", e.Service, "by", from, "evidence", e.What,
-			"age_ms", now.Sub(began).Milliseconds(), "sick_before", before, "sick", after, "sound_fails", r.SoundFails, "bout_ms", r.Bout.Milliseconds())
+			"age_ms", now.Sub(began).Milliseconds(), "sick_before", eventlog.Share(before), "sick", eventlog.Share(after), "sound_fails", eventlog.Share(r.SoundFails), "bout_ms", r.Bout.Milliseconds())
 	case suspicion.NowCleared:
 		eventlog.Info(eventlog.TargetCleared, "target", e.Target, "service", e.Service, "by", from, "evidence", e.What,
-			"age_ms", now.Sub(began).Milliseconds(), "sick_before", before, "sick", after)
+			"age_ms", now.Sub(began).Milliseconds(), "sick_before", eventlog.Share(before), "sick", eventlog.Share(after))
 	}
 }
 
--- /dev/null
+++ b/mesh/node_test.go
@@ -0,0 +1,176 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/suspicion"
+)
+
+// heardNode is a node that keeps what it heard.
+type heardNode struct {
+	*Node
+	mu      sync.Mutex
+	packets []*Packet
+}
+
+func startNode(t *testing.T, zone fleet.Zone, seeds ...string) *heardNode {
+	h := new(heardNode)
+	n, err := Listen(Config{Addr: "127.0.0.1:0", Zone: zone, Boot: time.Now(), Seeds: seeds},
+		func(_ time.Time, p *Packet) { p.Document = 7 },
+		func(_ time.Time, first bool) *Digest { return &Digest{Instances: 2, Complete: first} },
+		func(_ time.Time, p *Packet, _ bool) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.packets = append(h.packets, p)
+		})
+	assert.NilError(t, err)
+	h.Node = n
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go n.Run(ctx)
+	return h
+}
+
+func (h *heardNode) evidence(id fleet.TargetID) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, p := range h.packets {
+		n += len(slices.DeleteFunc(slices.Clone(p.Evidence), func(e Evidence) bool { return e.Target != id }))
+	}
+	return n
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func TestInstancesFindEachOtherThroughOneSeed(t *testing.T) {
+	a := startNode(t, "a")
+	nodes := []*heardNode{a, startNode(t, "a", a.Addr()), startNode(t, "a", a.Addr()), startNode(t, "a", a.Addr())}
+	for _, n := range nodes {
+		eventually(t, "all are known", func() bool { return n.View().InZone() == 4 && n.View().Complete() })
+	}
+}
+
+func TestNewsReachesEveryInstanceOfEveryZoneOnce(t *testing.T) {
+	a := startNode(t, "a")
+	others := []*heardNode{startNode(t, "a", a.Addr()), startNode(t, "b", a.Addr()), startNode(t, "b", a.Addr()), startNode(t, "b", a.Addr())}
+	eventually(t, "zones know each other", func() bool {
+		for _, n := range append(others, a) {
+			if v := n.View(); len(v.Zones) != 1 || v.InZone() < 2 {
+				return false
+			}
+		}
+		return others[2].View().InZone() == 3
+	})
+	a.Tell(Packet{Evidence: []Evidence{{Target: "t", What: suspicion.Bad}}})
+	for i, n := range others {
+		eventually(t, "news arrived", func() bool { return n.evidence("t") > 0 })
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, n.evidence("t"), 1, "node %d", i)
+	}
+}
+
+func TestLargeEvidenceIsSplit(t *testing.T) {
+	a := startNode(t, "a")
+	b := startNode(t, "a", a.Addr())
+	eventually(t, "known", func() bool { return a.View().InZone() == 2 && b.View().InZone() == 2 })
+	var p Packet
+	for range 200 {
+		p.Evidence = append(p.Evidence, Evidence{Service: "a-service-name", Target: "t", What: suspicion.Bad})
+	}
+	a.Tell(p)
+	eventually(t, "all of it", func() bool { return b.evidence("t") == 200 })
+}
+
+func TestAnEarlierProcessIsNotHeard(t *testing.T) {
+	now := time.Now()
+	ms := newMembers("self", "a")
+	_, s := ms.heard(now, &Packet{Addr: "10.0.0.1:1", Zone: "a", Boot: 9, Sequence: 5})
+	assert.Equal(t, s, heardFirst)
+	_, s = ms.heard(now, &Packet{Addr: "10.0.0.1:1", Zone: "a", Boot: 8, Sequence: 6})
+	assert.Equal(t, s, ignored)
+	_, s = ms.heard(now, &Packet{Addr: "10.0.0.1:1", Zone: "a", Boot: 9, Sequence: 5})
+	assert.Equal(t, s, ignored, "came before")
+	_, s = ms.heard(now, &Packet{Addr: "10.0.0.1:1", Zone: "a", Boot: 10, Sequence: 5})
+	assert.Equal(t, s, heardFirst)
+}
+
+func TestSilentMembersLeaveTheViewInTime(t *testing.T) {
+	now := time.Now()
+	ms := newMembers("self", "a")
+	for _, addr := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+		ms.heard(now, &Packet{Addr: addr, Zone: "a", Boot: 1, Sequence: 1})
+	}
+	assert.Assert(t, ms.view(now).Complete())
+	ms.heard(now.Add(2*time.Second), &Packet{Addr: "10.0.0.1:1", Zone: "a", Boot: 1, Sequence: 2})
+	assert.Assert(t, !ms.view(now.Add(2*time.Second)).Complete(), "one of two is silent")
+	assert.DeepEqual(t, ms.expire(now.Add(4*time.Second)), []string{"10.0.0.2:1"})
+	assert.Equal(t, ms.view(now.Add(4*time.Second)).InZone(), 3, "it may still be spending")
+	assert.Equal(t, ms.view(now.Add(13*time.Second)).InZone(), 2)
+	assert.Equal(t, len(ms.beats(now.Add(13*time.Second))), 2, "it is still sent to, now and then")
+}
+
+// Members of each zone must choose the same bridges, and go on when one is lost.
+func TestBridges(t *testing.T) {
+	now := time.Now()
+	ms := newMembers("10.0.0.9:1", "a")
+	for _, addr := range []string{"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1", "10.0.1.4:1"} {
+		ms.add(now, addr, "b")
+	}
+	first := ms.bridges(now)
+	assert.Equal(t, len(first), bridges)
+	acting := "10.0.1.4:1"
+	ms.heard(now, &Packet{Addr: acting, Zone: "b", Boot: 1, Sequence: 1, Digest: &Digest{Instances: 4}})
+	assert.Equal(t, ms.bridges(now)[0].String(), acting, "who acts as a bridge comes first")
+	later := now.Add(zoneFreshFor + time.Second)
+	assert.DeepEqual(t, ms.bridges(later)[0].String(), first[0].String())
+}
+
+func FuzzDecode(f *testing.F) {
+	b, err := encode(&Packet{Addr: "10.0.0.1:1", Evidence: []Evidence{{Target: "t"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = decode(b) // must not panic
+	})
+}
+
+// BenchmarkHeartbeat gives the size and the cost of a heartbeat with its load and
+// evidence.
+func BenchmarkHeartbeat(b *testing.B) {
+	p := &Packet{Addr: "10.1.0.34:7540", Zone: "riga-a", Boot: time.Now().UnixMilli(), Sequence: 1000, Heartbeat: true, Document: 60, Registry: 90}
+	for range 4 {
+		p.Load = append(p.Load, Load{Target: "i-7f3a91c2ab", InFlight: 1})
+		p.Evidence = append(p.Evidence, Evidence{Service: "huvo11a", Target: "i-7f3a91c2ab", What: suspicion.Good, AgeMillis: 300, TookMillis: 300})
+	}
+	var size int
+	for b.Loop() {
+		out, err := encode(p)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := decode(out); err != nil {
+			b.Fatal(err)
+		}
+		size = len(out)
+	}
+	b.ReportMetric(float64(size), "B/packet")
+}
