gateway: the size of answers is known from the first ones

Cause: the mean began at 0 and took twenty answers to rise, so that small requests crossed zones freely after each start.

--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -20,6 +20,8 @@
 	// mostSuccesses bounds the successes at one target that are taken from a
 	// digest.
 	mostSuccesses = 20
+	// guessedAnswerKB is taken for an answer's size until some came.
+	guessedAnswerKB = 4
 	// cutFirst and cutMost bound how long a path is avoided after a connection
 	// did not come about; the time doubles with each failure in a row.
 	cutFirst = 2 * time.Second
@@ -56,7 +58,9 @@
 	estimator *suspicion.Estimator
 	budget    *pooled.Budget
 	latency   latency
-	answerKB  float64 // running mean
+	// answerKB is the running mean of answers' sizes, answers their number.
+	answerKB float64
+	answers  int
 }
 
 // target is what is known of a target beside its estimate.
@@ -107,7 +111,7 @@
 func (k *Knowledge) service(name document.ServiceName) *service {
 	s := k.services[name]
 	if s == nil {
-		s = &service{estimator: suspicion.New(), budget: pooled.New(k.retry)}
+		s = &service{estimator: suspicion.New(), budget: pooled.New(k.retry), answerKB: guessedAnswerKB}
 		k.services[name] = s
 	}
 	return s
@@ -209,10 +213,12 @@
 
 // Answered records the length of an answer, which placement weighs.
 func (k *Knowledge) Answered(name document.ServiceName, bytes int) {
-	const weight = 0.05
+	const leastWeight = 0.03
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.service(name)
+	s.answers++
+	weight := max(leastWeight, 1/float64(s.answers+1)) // the first guess counts as one
 	s.answerKB += weight * (float64(bytes)/1024 - s.answerKB)
 }
 
