--- a/mesh/members.go
+++ b/mesh/members.go
@@ -178,7 +178,12 @@
 		s = heardAgain
 	}
 	m.silent = false
-	m.Log, m.Document, m.Registry, m.Heard = p.Log, p.Document, p.Registry, now
+	if later {
+		m.Document, m.Registry = 0, 0
+	}
+	// Packets to other zones carry no versions.
+	m.Document, m.Registry = max(m.Document, p.Document), max(m.Registry, p.Registry)
+	m.Log, m.Heard = p.Log, now
 	return s
 }
 
@@ -297,7 +302,7 @@
 
 // view copies what counts.
 func (ms *members) view(now time.Time) View {
-	v := View{At: now, Zone: ms.zone}
+	v := View{At: now, Zone: ms.zone, Known: len(ms.table)}
 	for _, m := range ms.table {
 		if m.Heard.IsZero() || now.Sub(m.Heard) > lapsedAfter {
 			continue
@@ -331,6 +336,8 @@
 	Zone    fleet.Zone
 	Members []Member
 	Zones   []Zone
+	// Known is how many other instances are known by name, heard or not.
+	Known int
 }
 
 // Zone is what its bridges last told of another zone.
@@ -345,13 +352,14 @@
 // Fresh tells whether the zone was heard of a moment ago.
 func (z *Zone) Fresh(now time.Time) bool { return now.Sub(z.Heard) < zoneFreshFor }
 
-// Instances is how many instances there are, this one included.
+// Instances is how many instances there are at most, this one included. Those that
+// were named and never heard count too: they may be on the other side of a cut.
 func (v View) Instances() int {
 	n := v.InZone()
 	for i := range v.Zones {
 		n += v.Zones[i].Instances
 	}
-	return n
+	return max(n, v.Known+1)
 }
 
 // InZone is how many instances the own zone has, this one included.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/suspicion"
 )
 
 const (
@@ -165,19 +166,32 @@
 	n.send(p, to)
 }
 
-// Tell sends a packet with the given evidence, load and usage now.
+// Tell sends a packet with the given evidence, load and usage now. Other zones get
+// the evidence only, without successes: those, load and usage are in the digests.
 func (n *Node) Tell(p Packet) {
 	q := n.packet()
 	q.Document, q.Registry, q.Log = p.Document, p.Registry, p.Log
 	q.Evidence, q.Load, q.Usage = p.Evidence, p.Load, p.Usage
-	n.mu.Lock()
 	now := time.Now()
-	to := n.members.neighbours(now)
-	if len(q.Evidence) > 0 {
-		to = append(to, n.members.bridges(now)...)
-	}
+	n.mu.Lock()
+	near, far := n.members.neighbours(now), n.members.bridges(now)
 	n.mu.Unlock()
-	n.send(q, to)
+	n.send(q, near)
+	if urgent := withoutSuccesses(p.Evidence); len(urgent) > 0 {
+		across := n.packet()
+		across.Evidence = urgent
+		n.send(across, far)
+	}
+}
+
+func withoutSuccesses(es []Evidence) []Evidence {
+	var out []Evidence
+	for _, e := range es {
+		if e.What != suspicion.Good {
+			out = append(out, e)
+		}
+	}
+	return out
 }
 
 func (n *Node) packet() *Packet {
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// readersPerZone is how many instances of a zone read the store. Three
-	// survive the loss of two; each call has its price.
-	readersPerZone = 3
+	// readersPerZone is how many instances of a zone read the store. Each call has
+	// its price; the others of a zone that loses both read within 1.5 s.
+	readersPerZone = 2
 	// readWait is how long a read waits for a change. It bounds how long a
 	// read may hang on a connection that the store has forgotten.
 	readWait = 4 * time.Second
@@ -28,10 +28,12 @@
 	callSlack = 1200 * time.Millisecond
 	// settle is the time between two reads when changes come quickly: several
 	// are taken by one call.
-	settle = 250 * time.Millisecond
+	settle = 400 * time.Millisecond
 	// backOffMin and backOffMax bound the pause after an error.
 	backOffMin = 100 * time.Millisecond
 	backOffMax = 700 * time.Millisecond
+	// introWait is how long a fresh instance waits to be heard through its seeds.
+	introWait = time.Second
 	// roleEvery is how often an instance looks whether it is a reader.
 	roleEvery = 200 * time.Millisecond
 	// pullJitter spreads the pulls of all instances after a change.
@@ -275,29 +277,31 @@
 // introduce makes the instance and its peers known to each other through the
 // store, where the seeds do not suffice.
 func (f *Follower) introduce(ctx context.Context) {
+	sleep(ctx, introWait)
 	pause := backOffMin
 	for ctx.Err() == nil {
-		if err := f.introduceOnce(ctx); err == nil {
+		err := f.introduceOnce(ctx)
+		if err == nil {
 			return
 		}
+		eventlog.Error(eventlog.StoreCallFailed, err, "call", "introduce")
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(pause*2, 4*backOffMax)
 	}
 }
 
+// introduceOnce announces the instance; one that has met no peer asks for theirs
+// first.
 func (f *Follower) introduceOnce(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, 2*callSlack)
 	defer cancel()
-	f.count()
-	addrs, err := f.o.Store.Addresses(call)
-	if err != nil {
-		return err
-	}
-	f.o.Know(addrs)
-	for _, a := range addrs {
-		if a == f.o.Self {
-			return nil
+	if len(f.o.Peers().Members) == 0 {
+		f.count()
+		addrs, err := f.o.Store.Addresses(call)
+		if err != nil {
+			return err
 		}
+		f.o.Know(addrs)
 	}
 	f.count()
 	return f.o.Store.Announce(call, f.o.Self)
