retry budget survives restarts; tests of the request path and of state

Cause: on a site of 125 instances whose machines were restarted in turn while a service shed, attempts went above the fleet's budget in one window: what ended processes had spent was forgotten, and young processes summed up zones that they did not know. TestARestartDoesNotRefillTheBudget fails without the change. Conclusion: usage of ended processes is kept for the window; a process leaves the part of a bridge to older ones for 10 s.

--- /dev/null
+++ b/gateway/handler_test.go
@@ -0,0 +1,288 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/statesync"
+)
+
+var names = exchange.Headers{RequestID: "X-Id", Deadline: "X-Deadline", Seal: "X-Seal", Target: "X-Target", NotRun: "X-Not-Run"}
+
+// backend is a target that counts runs and those that were given up.
+type backend struct {
+	*httptest.Server
+	mu          sync.Mutex
+	runs, ended int
+	abandoned   int
+}
+
+func newBackend(t *testing.T, serve func(w http.ResponseWriter, r *http.Request)) *backend {
+	b := new(backend)
+	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.mu.Lock()
+		b.runs++
+		b.mu.Unlock()
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		serve(w, r)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.ended++
+		if r.Context().Err() != nil {
+			b.abandoned++
+		}
+	}))
+	t.Cleanup(b.Close)
+	return b
+}
+
+func (b *backend) counts() (runs, ended, abandoned int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs, b.ended, b.abandoned
+}
+
+func answer(status int) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(names.Seal, "s")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "whole")
+	}
+}
+
+func hang(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(2 * time.Second):
+	}
+	answer(http.StatusOK)(w, r)
+}
+
+// storeOf is a store that holds one document and some targets.
+type storeOf struct {
+	document *document.Document
+	entries  []registry.Entry
+}
+
+func (s *storeOf) Snapshot(_ context.Context, stream statesync.Stream) (statesync.Batch, error) {
+	if stream == statesync.Documents {
+		return statesync.Batch{Next: 1, Records: []statesync.Record{{Document: s.document}}}, nil
+	}
+	b := statesync.Batch{Next: 1}
+	for _, e := range s.entries {
+		b.Records = append(b.Records, statesync.Record{ID: e.ID, Entry: &e})
+	}
+	return b, nil
+}
+
+func (s *storeOf) Read(ctx context.Context, _ statesync.Stream, from registry.Offset, wait time.Duration) (statesync.Batch, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return statesync.Batch{Next: from}, ctx.Err()
+}
+
+func (s *storeOf) Addresses(context.Context) ([]string, error) { return nil, nil }
+
+func (s *storeOf) Announce(context.Context, string) error { return nil }
+
+const (
+	routeTimeout = 400 * time.Millisecond
+	idleTimeout  = 300 * time.Millisecond
+)
+
+func routes() *document.Document {
+	service := []document.Backend{{Service: "s", Weight: 1}}
+	return &document.Document{
+		Version: 1,
+		Routes: []document.Route{
+			{Name: "get", Host: "h", Prefix: "/get/", Class: fleet.Lookup, MaxAttempts: 2, Timeout: routeTimeout, Backends: service},
+			{Name: "buy", Host: "h", Prefix: "/buy/", Class: fleet.Confirmation, MaxAttempts: 2, Timeout: routeTimeout, Backends: service},
+		},
+		Services: []document.Service{{Name: "s"}},
+		Limits:   document.Limits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: idleTimeout},
+	}
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// startGateway runs an instance before the backends and returns its URL.
+func startGateway(t *testing.T, backends ...*backend) string {
+	store := &storeOf{document: routes()}
+	for i, b := range backends {
+		store.entries = append(store.entries, registry.Entry{
+			ID: fleet.TargetID(fmt.Sprint("t", i)), Service: "s", Addr: b.Listener.Addr().String(), Zone: "a", Slots: 4,
+		})
+	}
+	s := Settings{
+		Instance: "i", Zone: "a", Listen: freeAddr(t), ReadyListen: freeAddr(t), ReadyPath: "/ready", PeerListen: freeAddr(t),
+		Headers: names, Retry: budget, Grace: 200 * time.Millisecond,
+	}
+	assert.NilError(t, s.Complete())
+	g, err := New(s, store)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.ready.Load() {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	return "http://" + s.Listen
+}
+
+func ask(ctx context.Context, t *testing.T, method, url string) (int, string, time.Duration) {
+	begin := time.Now()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader("order"))
+	assert.NilError(t, err)
+	req.Host = "h"
+	req.Header.Set(names.RequestID, "r1")
+	req.Header.Set(names.Deadline, "4000")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, err.Error(), time.Since(begin)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(body), time.Since(begin)
+}
+
+func totalRuns(bs ...*backend) int {
+	n := 0
+	for _, b := range bs {
+		runs, _, _ := b.counts()
+		n += runs
+	}
+	return n
+}
+
+func TestAttemptsStayWithinTheRoute(t *testing.T) {
+	var bs []*backend
+	for range 5 {
+		bs = append(bs, newBackend(t, answer(http.StatusInternalServerError)))
+	}
+	url := startGateway(t, bs...)
+	status, body, _ := ask(t.Context(), t, "GET", url+"/get/1")
+	assert.Equal(t, status, http.StatusInternalServerError)
+	assert.Equal(t, body, "whole", "the target's own answer")
+	assert.Equal(t, totalRuns(bs...), 2)
+	status, _, _ = ask(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusInternalServerError)
+	assert.Equal(t, totalRuns(bs...), 3)
+}
+
+func TestTheRouteTimeoutEndsTheWait(t *testing.T) {
+	b := newBackend(t, hang)
+	url := startGateway(t, b)
+	status, _, took := ask(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	assert.Assert(t, took >= routeTimeout && took < routeTimeout+500*time.Millisecond, took)
+}
+
+func TestALeavingCallerEndsOnlyRepeatableWork(t *testing.T) {
+	for _, tc := range []struct {
+		method, path string
+		abandoned    int
+	}{{"GET", "/get/1", 1}, {"POST", "/buy/1", 0}} {
+		b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(250 * time.Millisecond):
+				answer(http.StatusOK)(w, r)
+			}
+		})
+		url := startGateway(t, b)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		status, _, _ := ask(ctx, t, tc.method, url+tc.path)
+		assert.Equal(t, status, 0)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if _, ended, _ := b.counts(); ended == 1 {
+				return poll.Success()
+			}
+			return poll.Continue("still at work")
+		}, poll.WithTimeout(3*time.Second), poll.WithDelay(5*time.Millisecond))
+		_, _, abandoned := b.counts()
+		assert.Equal(t, abandoned, tc.abandoned, tc.path)
+	}
+}
+
+func TestASuccessWithoutProofIsNone(t *testing.T) {
+	b := newBackend(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "forged") })
+	url := startGateway(t, b)
+	status, body, _ := ask(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusBadGateway)
+	assert.Assert(t, !strings.Contains(body, "forged"))
+}
+
+func TestARefusalWithoutProofIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
+		b := newBackend(t, answer(status))
+		url := startGateway(t, b)
+		got, _, _ := ask(t.Context(), t, "POST", url+"/buy/1")
+		assert.Equal(t, got, http.StatusBadGateway, "the target may have run it")
+	}
+}
+
+func TestIdleConnectionsFollowTheLimit(t *testing.T) {
+	url := startGateway(t, newBackend(t, answer(http.StatusOK)))
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /get/1 HTTP/1.1\r\nHost: h\r\nX-Id: r\r\n\r\n")
+	assert.NilError(t, err)
+	begin := time.Now()
+	assert.NilError(t, conn.SetReadDeadline(begin.Add(5*time.Second)))
+	_, err = io.Copy(io.Discard, conn)
+	assert.NilError(t, err, "closed by the instance")
+	idle := time.Since(begin)
+	assert.Assert(t, idle >= idleTimeout-50*time.Millisecond && idle < idleTimeout+time.Second, idle)
+}
+
+func TestBodiesAreBounded(t *testing.T) {
+	b := &Bodies{Bound: 100 << 10}
+	body, err := b.Read(strings.NewReader("12345"), 5, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "12345")
+	_, err = b.Read(strings.NewReader("1234"), 5, 10)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	_, err = b.Read(strings.NewReader(strings.Repeat("x", 11)), -1, 10)
+	assert.ErrorIs(t, err, errBodyTooLarge)
+	_, err = b.Read(strings.NewReader(strings.Repeat("x", 200<<10)), -1, 1<<20)
+	assert.ErrorIs(t, err, errBodiesFull)
+	assert.Equal(t, b.held.Load(), int64(5))
+	b.Release(5)
+	assert.Equal(t, b.held.Load(), int64(0))
+}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,7 @@
 	peers    map[string]*peer
 	zones    map[fleet.Zone]*zone
 	pending  []gathered
+	ended    []endedUsage
 	most     pastMost
 	// lastCut is the last path that was found cut.
 	lastCut struct {
@@ -90,6 +92,13 @@
 	claims map[document.ServiceName]mesh.ZoneUsage
 }
 
+// endedUsage is what a process that has ended spent of a service's budget.
+type endedUsage struct {
+	service document.ServiceName
+	usage   pooled.Usage
+	until   time.Time
+}
+
 // gathered is an observation that was not told yet.
 type gathered struct {
 	mesh.Evidence
@@ -308,6 +317,7 @@
 	pr := k.peers[p.Addr]
 	if pr == nil || pr.boot != p.Boot {
 		k.dropLoad(pr)
+		k.bury(now, pr)
 		pr = &peer{boot: p.Boot, load: make(map[fleet.TargetID]int), usage: make(map[document.ServiceName]pooled.Usage)}
 		k.peers[p.Addr] = pr
 	}
@@ -388,6 +398,12 @@
 }
 
 func (k *Knowledge) addMembers(f *pooled.Fleet, name document.ServiceName, v mesh.View) {
+	for i := range k.ended {
+		if e := &k.ended[i]; e.service == name {
+			f.Requests += e.usage.Requests
+			f.Claimed += float64(e.usage.Added)
+		}
+	}
 	for i := range v.Members {
 		m := &v.Members[i]
 		if p := k.peers[m.Addr]; p != nil && m.Zone == v.Zone {
@@ -396,6 +412,20 @@
 	}
 }
 
+// bury keeps what an ended process had spent of the budgets until it has left the
+// window: the process that follows it does not know of it.
+func (k *Knowledge) bury(now time.Time, p *peer) {
+	if p == nil {
+		return
+	}
+	for name, u := range p.usage {
+		if u.Added > 0 {
+			k.ended = append(k.ended, endedUsage{service: name, usage: u, until: now.Add(k.retry.Window)})
+		}
+	}
+	clear(p.usage)
+}
+
 func (k *Knowledge) dropLoad(p *peer) {
 	if p == nil {
 		return
@@ -497,6 +527,7 @@
 			delete(k.peers, addr)
 		}
 	}
+	k.ended = slices.DeleteFunc(k.ended, func(e endedUsage) bool { return now.After(e.until) })
 	for name, z := range k.zones {
 		if now.Sub(z.heard) > peerLoadFor {
 			k.dropLoad(&z.peer)
--- /dev/null
+++ b/gateway/knowledge_test.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/placement"
+	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/retry/pooled"
+	"github.com/clementinereel/clementinereel/suspicion"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	budget = pooled.Config{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+)
+
+func newKnowledge() *Knowledge {
+	return NewKnowledge(&placement.Chooser{
+		Weights: placement.DefaultWeights(), Self: "self", Zone: "a", Random: func() float64 { return 0.5 },
+	}, budget)
+}
+
+func viewOf(members ...mesh.Member) mesh.View {
+	v := mesh.View{At: start, Zone: "a", Members: members}
+	for i := range v.Members {
+		v.Members[i].Zone = "a"
+		v.Members[i].Heard = start
+	}
+	return v
+}
+
+func usage(addr string, boot int64, added int) *mesh.Packet {
+	return &mesh.Packet{Addr: addr, Zone: "a", Boot: boot, Heartbeat: true, Usage: []mesh.Usage{{Service: "s", Requests: 10, Added: added}}}
+}
+
+// spendable is how many attempts the instance may add.
+func spendable(k *Knowledge, now time.Time, v mesh.View) int {
+	for n := 0; ; n++ {
+		if _, ok := k.Spend(now, "s", v, true); !ok {
+			return n
+		}
+	}
+}
+
+// What a process spent counts until it has left the window, though the process that
+// follows it at the address knows nothing of it.
+func TestARestartDoesNotRefillTheBudget(t *testing.T) {
+	v := viewOf(mesh.Member{Addr: "p"})
+	fresh := newKnowledge()
+	fresh.Take(start, usage("p", 1, 0))
+	full := spendable(fresh, start, v)
+
+	k := newKnowledge()
+	k.Take(start, usage("p", 1, 8))
+	k.Take(start.Add(time.Second), &mesh.Packet{Addr: "p", Zone: "a", Boot: 2, Heartbeat: true})
+	left := spendable(k, start.Add(time.Second), v)
+	assert.Assert(t, left <= full-4, "%d may be added, %d with an unspent budget", left, full)
+
+	later := newKnowledge()
+	later.Take(start, usage("p", 1, 8))
+	later.Take(start.Add(time.Second), &mesh.Packet{Addr: "p", Zone: "a", Boot: 2, Heartbeat: true})
+	later.Tick(start.Add(12*time.Second), func(fleet.TargetID) bool { return true })
+	assert.Assert(t, spendable(later, start.Add(12*time.Second), v) > left)
+}
+
+func TestLoadOfPeersIsReplacedAndLapses(t *testing.T) {
+	k := newKnowledge()
+	load := func(boot int64, n int) *mesh.Packet {
+		return &mesh.Packet{Addr: "p", Zone: "a", Boot: boot, Heartbeat: true, Load: []mesh.Load{{Target: "t", InFlight: n}}}
+	}
+	others := func() int { return k.target("t").others }
+	k.Take(start, load(1, 3))
+	k.Take(start, load(1, 2))
+	assert.Equal(t, others(), 2)
+	k.Take(start, load(2, 1))
+	assert.Equal(t, others(), 1, "a new process has what it says")
+	k.Take(start, &mesh.Packet{Addr: "q", Zone: "b", Digest: &mesh.Digest{Load: []mesh.Load{{Target: "t", InFlight: 5}}}})
+	assert.Equal(t, others(), 6)
+	k.Tick(start.Add(peerLoadFor+time.Second), func(fleet.TargetID) bool { return true })
+	assert.Equal(t, others(), 0)
+}
+
+func targets(ids ...fleet.TargetID) []*registry.Target {
+	var ts []*registry.Target
+	for _, id := range ids {
+		ts = append(ts, &registry.Target{Entry: registry.Entry{ID: id, Service: "s", Zone: "a", Slots: 4}})
+	}
+	return ts
+}
+
+func TestEvidenceOfOthersMovesTheChoice(t *testing.T) {
+	k := newKnowledge()
+	ts := targets("t1", "t2")
+	place := func() fleet.TargetID {
+		p, ok := k.Place(start, "s", ts, nil, placement.Work{}, func(fleet.TargetID) bool { return false })
+		assert.Assert(t, ok)
+		k.Ended(p.ID)
+		return p.ID
+	}
+	first := place()
+	k.Take(start, &mesh.Packet{Addr: "p", Zone: "b", Evidence: []mesh.Evidence{{Service: "s", Target: first, What: suspicion.Bad}}})
+	assert.Assert(t, place() != first)
+	_, ok := k.Place(start, "s", ts, []fleet.TargetID{"t1", "t2"}, placement.Work{}, func(fleet.TargetID) bool { return false })
+	assert.Assert(t, !ok)
+}
+
+// An instance that loses several targets at once has lost its own paths.
+func TestOwnCutPathsAreNotHeldAgainstTargets(t *testing.T) {
+	k := newKnowledge()
+	for _, id := range []fleet.TargetID{"t1", "t2", "t3"} {
+		k.Observe(start, "s", id, suspicion.Unreachable, start, 0)
+	}
+	told := k.News(start, "s", "t1").Evidence
+	assert.Equal(t, len(told), 1, "only the first could be the target's fault")
+}
+
+func TestDigestSumsUpTheZone(t *testing.T) {
+	k := newKnowledge()
+	v := viewOf(mesh.Member{Addr: "p"})
+	k.Request(start, "s")
+	k.Take(start, usage("p", 1, 3))
+	p := usage("p", 1, 3)
+	p.Load = []mesh.Load{{Target: "t", InFlight: 2}}
+	p.Evidence = []mesh.Evidence{{Service: "s", Target: "t", What: suspicion.Good}}
+	k.Take(start, p)
+	k.Take(start, &mesh.Packet{Addr: "q", Zone: "b", Digest: &mesh.Digest{Load: []mesh.Load{{Target: "t", InFlight: 5}}}})
+	d := k.Digest(start, v, true)
+	assert.Equal(t, d.Instances, 2)
+	assert.Equal(t, len(d.Load), 1)
+	assert.Equal(t, d.Load[0].InFlight, 2, "the other zone's own load is left out")
+	assert.Equal(t, d.Usage[0].Requests, 11)
+	assert.Assert(t, d.Usage[0].Claimed >= 3)
+	assert.Equal(t, d.Successes[0].Count, 1)
+	assert.Equal(t, len(k.Digest(start, v, true).Successes), 0, "told once")
+}
+
+func TestLatencyLeavesOutAnswersWithoutWork(t *testing.T) {
+	var l latency
+	assert.Equal(t, l.known().median, medianDefault)
+	for n := range 200 {
+		d := time.Duration(300+n%100) * time.Millisecond
+		if n%3 == 0 {
+			d = 2 * time.Millisecond
+		}
+		l.add(d)
+	}
+	k := l.known()
+	assert.Assert(t, k.median > 300*time.Millisecond && k.median < 400*time.Millisecond, k.median)
+	assert.Assert(t, k.usual > k.median && k.slow >= k.usual)
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -41,6 +41,8 @@
 	completeShare = 0.85
 	// bridges is how many instances of each zone stand between it and the others.
 	bridges = 2
+	// youngFor is how long a process leaves the part of a bridge to older ones.
+	youngFor = 10 * time.Second
 	// remembered is how many of a sender's last packets are known again.
 	remembered = 32
 )
@@ -105,12 +107,13 @@
 type members struct {
 	self  string
 	zone  fleet.Zone
+	boot  int64
 	table map[string]*member
 	zones map[fleet.Zone]*zone
 }
 
-func newMembers(self string, z fleet.Zone) *members {
-	return &members{self: self, zone: z, table: make(map[string]*member), zones: make(map[fleet.Zone]*zone)}
+func newMembers(self string, z fleet.Zone, boot int64) *members {
+	return &members{self: self, zone: z, boot: boot, table: make(map[string]*member), zones: make(map[fleet.Zone]*zone)}
 }
 
 // add makes an instance known. Zone may be empty.
@@ -252,14 +255,25 @@
 // ones are the bridges.
 func (ms *members) place(now time.Time) int {
 	before := 0
+	young := ms.young(now, ms.boot)
 	for _, m := range ms.table {
-		if m.Zone == ms.zone && !m.Leaving && m.Fresh(now) && compareRank(m.Addr, ms.self) < 0 {
+		if m.Zone != ms.zone || m.Leaving || !m.Fresh(now) {
+			continue
+		}
+		theirs := ms.young(now, m.Boot)
+		if (young && !theirs) || (young == theirs && compareRank(m.Addr, ms.self) < 0) {
 			before++
 		}
 	}
 	return before
 }
 
+// young tells whether a process started so lately that it cannot know what its zone
+// did within a budget's window.
+func (ms *members) young(now time.Time, boot int64) bool {
+	return now.UnixMilli()-boot < youngFor.Milliseconds()
+}
+
 // compareRank orders instances in a way that is the same everywhere and has nothing
 // to do with their addresses' order.
 func compareRank(a, b string) int {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -75,7 +75,7 @@
 	if addr.Port == 0 {
 		cfg.Addr = conn.LocalAddr().String()
 	}
-	n := &Node{cfg: cfg, conn: conn, fill: fill, digest: digest, handle: handle, members: newMembers(cfg.Addr, cfg.Zone)}
+	n := &Node{cfg: cfg, conn: conn, fill: fill, digest: digest, handle: handle, members: newMembers(cfg.Addr, cfg.Zone, cfg.Boot.UnixMilli())}
 	n.Know(cfg.Seeds)
 	return n, nil
 }
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -100,7 +100,7 @@
 
 func TestAnEarlierProcessIsNotHeard(t *testing.T) {
 	now := time.Now()
-	ms := newMembers("self", "a")
+	ms := newMembers("self", "a", 1)
 	_, s := ms.heard(now, &Packet{Addr: "10.0.0.1:1", Zone: "a", Boot: 9, Sequence: 5})
 	assert.Equal(t, s, heardFirst)
 	_, s = ms.heard(now, &Packet{Addr: "10.0.0.1:1", Zone: "a", Boot: 8, Sequence: 6})
@@ -113,7 +113,7 @@
 
 func TestSilentMembersLeaveTheViewInTime(t *testing.T) {
 	now := time.Now()
-	ms := newMembers("self", "a")
+	ms := newMembers("self", "a", 1)
 	for _, addr := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
 		ms.heard(now, &Packet{Addr: addr, Zone: "a", Boot: 1, Sequence: 1})
 	}
@@ -129,7 +129,7 @@
 // Members of each zone must choose the same bridges, and go on when one is lost.
 func TestBridges(t *testing.T) {
 	now := time.Now()
-	ms := newMembers("10.0.0.9:1", "a")
+	ms := newMembers("10.0.0.9:1", "a", 1)
 	for _, addr := range []string{"10.0.1.1:1", "10.0.1.2:1", "10.0.1.3:1", "10.0.1.4:1"} {
 		ms.add(now, addr, "b")
 	}
@@ -142,6 +142,24 @@
 	assert.DeepEqual(t, ms.bridges(later)[0].String(), first[0].String())
 }
 
+func TestAYoungProcessLeavesTheBridgeToOlderOnes(t *testing.T) {
+	now := time.Now()
+	old, young := now.Add(-time.Minute).UnixMilli(), now.UnixMilli()
+	addrs := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+	slices.SortFunc(addrs, compareRank)
+	for _, boot := range []int64{old, young} {
+		ms := newMembers(addrs[0], "a", boot)
+		for _, addr := range addrs[1:] {
+			ms.heard(now, &Packet{Addr: addr, Zone: "a", Boot: old, Sequence: 1})
+		}
+		want := 0
+		if boot == young {
+			want = 2
+		}
+		assert.Equal(t, ms.place(now), want)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	b, err := encode(&Packet{Addr: "10.0.0.1:1", Evidence: []Evidence{{Target: "t"}}})
 	if err != nil {
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// readersPerZone is how many instances of a zone read the store. Each call has
-	// its price; the others of a zone that loses both read within 1.5 s.
-	readersPerZone = 2
+	// readersPerZone is how many instances of a zone read the store, and
+	// readersAlone how many where there is one zone only. Each call has its price.
+	// A zone whose reader is cut off learns from the others' bridges, and reads
+	// itself once its reader says so or falls silent.
+	readersPerZone = 1
+	readersAlone   = 2
 	// readWait is how long a read waits for a change. It bounds how long a
 	// read may hang on a connection that the store has forgotten.
 	readWait = 4 * time.Second
@@ -148,6 +151,12 @@
 	return role
 }
 
+// settling tells whether it is too early to know who reads: until then a snapshot
+// suffices.
+func (f *Follower) settling(s Stream) bool {
+	return time.Since(f.started) < introWait && f.begun(s)
+}
+
 // ranked tells whether the instance is among the first of its zone.
 func (o *Options) ranked(v mesh.View) bool {
 	own := mesh.Rank(o.Self)
@@ -158,6 +167,9 @@
 			before++
 		}
 	}
+	if len(v.Zones) == 0 {
+		return before < readersAlone
+	}
 	return before < readersPerZone
 }
 
@@ -175,7 +187,7 @@
 func (f *Follower) follow(ctx context.Context, s Stream) {
 	pause := backOffMin
 	for ctx.Err() == nil {
-		if !f.reads() {
+		if !f.reads() || f.settling(s) {
 			sleep(ctx, roleEvery)
 			continue
 		}
--- /dev/null
+++ b/statesync/state_test.go
@@ -0,0 +1,119 @@
+package statesync
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/registry"
+)
+
+func documentOf(v document.Version) *document.Document {
+	return &document.Document{
+		Version:  v,
+		Routes:   []document.Route{{Host: "h", Prefix: "/", Class: fleet.Lookup, MaxAttempts: 1, Backends: []document.Backend{{Service: "s", Weight: 1}}}},
+		Services: []document.Service{{Name: "s"}},
+		Limits:   document.Limits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: 1, IdleTimeout: 1},
+	}
+}
+
+func record(o registry.Offset, id fleet.TargetID) Record {
+	return Record{Offset: o, ID: id, Entry: &registry.Entry{ID: id, Service: "s", Sequence: 1}}
+}
+
+func TestStateMovesOnlyUpwards(t *testing.T) {
+	changes := 0
+	s := NewState(0, func() { changes++ })
+	s.applyBatch(Documents, Batch{Next: 5, Records: []Record{{Offset: 4, Document: documentOf(7)}}}, "store")
+	s.applySnapshot(Documents, Batch{Next: 3, Records: []Record{{Document: documentOf(6)}}}, "a lagging store")
+	s.applyWhole(Whole{Document: documentOf(5), NextDocument: 2}, "peer")
+	v, _ := s.Versions()
+	assert.Equal(t, v, document.Version(7))
+	assert.Equal(t, s.next(Documents), registry.Offset(5))
+	assert.Equal(t, changes, 1)
+
+	s.applyBatch(Targets, Batch{Records: []Record{record(0, "a"), record(1, "b")}}, "store")
+	s.applySnapshot(Targets, Batch{Next: 1, Records: []Record{record(0, "a")}}, "a lagging store")
+	s.applyWhole(Whole{Registry: 1}, "peer")
+	assert.Equal(t, s.Targets().Len(), 2)
+	s.applyWhole(Whole{Registry: 9, Entries: []registry.Entry{{ID: "c", Service: "s"}, {ID: "a", Service: "s", Sequence: 2}, {ID: "b", Service: "s", Sequence: 2}}}, "peer")
+	assert.Equal(t, s.Targets().Len(), 3)
+	assert.Equal(t, s.next(Targets), registry.Offset(9))
+}
+
+func TestWhatCannotBeReadLeavesTheLastGoodState(t *testing.T) {
+	s := NewState(0, nil)
+	s.applyBatch(Documents, Batch{Records: []Record{{Document: documentOf(7)}}}, "store")
+	bad := documentOf(9)
+	bad.Routes[0].Prefix = "no slash"
+	s.applyBatch(Documents, Batch{Records: []Record{{Err: errors.New("cut")}, {Document: bad}}}, "store")
+	v, _ := s.Versions()
+	assert.Equal(t, v, document.Version(7))
+	s.applyBatch(Targets, Batch{Records: []Record{record(0, "a"), {Offset: 1, ID: "a", Err: errors.New("cut")}, record(2, "b")}}, "store")
+	assert.Equal(t, s.Targets().Len(), 2)
+	assert.Equal(t, s.next(Targets), registry.Offset(3), "the reading goes on behind it")
+}
+
+func TestAPeerBringsAFreshInstanceUpToDate(t *testing.T) {
+	old := NewState(0, nil)
+	old.applyBatch(Documents, Batch{Next: 1, Records: []Record{{Document: documentOf(7)}}}, "store")
+	old.applyBatch(Targets, Batch{Records: []Record{record(0, "a")}}, "store")
+	srv := httptest.NewServer(old)
+	defer srv.Close()
+	addr := strings.TrimPrefix(srv.URL, "http://")
+
+	fresh := NewState(0, nil)
+	w, err := newPuller().pull(t.Context(), addr, 0, 0)
+	assert.NilError(t, err)
+	fresh.applyWhole(w, addr)
+	v, o := fresh.Versions()
+	assert.Equal(t, v, document.Version(7))
+	assert.Equal(t, o, registry.Offset(1))
+	w, err = newPuller().pull(t.Context(), addr, v, o)
+	assert.NilError(t, err)
+	assert.Assert(t, w.Document == nil && len(w.Entries) == 0, "nothing that it has already")
+}
+
+func view(zones int, members ...mesh.Member) mesh.View {
+	now := time.Now()
+	v := mesh.View{At: now, Zone: "a", Members: members}
+	for i := range v.Members {
+		v.Members[i].Heard = now
+	}
+	for range zones {
+		v.Zones = append(v.Zones, mesh.Zone{Name: "b", Heard: now})
+	}
+	return v
+}
+
+func TestWhoReadsTheStore(t *testing.T) {
+	members := func(log mesh.LogState) []mesh.Member {
+		var ms []mesh.Member
+		for _, addr := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"} {
+			ms = append(ms, mesh.Member{Addr: addr, Zone: "a", Log: log})
+		}
+		return ms
+	}
+	readers := func(zones int) int {
+		n := 0
+		for i, self := range members(0) {
+			o := Options{Self: self.Addr, Zone: "a"}
+			rest := append(members(0)[:i:i], members(0)[i+1:]...)
+			if o.ranked(view(zones, rest...)) {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, readers(0), readersAlone)
+	assert.Equal(t, readers(1), readersPerZone)
+	assert.Assert(t, served(view(0, members(mesh.LogAnswers)...)))
+	assert.Assert(t, !served(view(0, members(mesh.LogAway)...)), "then every instance reads")
+}
