placement: crossing zones costs 0.028 a kilobyte and at most half a request

Cause: one weight could not serve both small answers, which crossed for little, and uploads, which were lost at a sick target of their own zone rather than moved.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -12,6 +12,9 @@
 type Weights struct {
 	// ZonePerKB is the cost of a kilobyte that crosses zones.
 	ZonePerKB float64 `json:"zone_per_kb"`
+	// ZoneMost bounds the cost of crossing zones: a large body is still better
+	// moved than lost.
+	ZoneMost float64 `json:"zone_most"`
 	// Connection is the cost of opening a connection.
 	Connection float64 `json:"connection"`
 	// Preference is the span of the instance's own order of targets.
@@ -44,16 +47,17 @@
 // a kilobyte between zones 0.006 to 0.038, a new connection 0.017 to 0.08.
 func DefaultWeights() Weights {
 	return Weights{
-		ZonePerKB:         0.018,
+		ZonePerKB:         0.028,
+		ZoneMost:          0.5,
 		Connection:        0.04,
 		Preference:        0.1,
-		Load:              0.08,
+		Load:              0.04,
 		Late:              0.5,
 		Trial:             0.05,
 		CutPath:           0.8,
 		Crowd:             0.5,
 		Warmup:            0.04,
-		Unused:            0.06,
+		Unused:            0.05,
 		Noise:             0.03,
 		RepeatableFailure: 0.8,
 	}
@@ -122,7 +126,7 @@
 	k := &c.Weights
 	cost := c.failure(w, t) + c.load(w, t) + k.Preference*preference(c.Self, t.ID)
 	if t.Zone != c.Zone {
-		cost += k.ZonePerKB * w.KB
+		cost += min(k.ZonePerKB*w.KB, k.ZoneMost)
 	}
 	if !t.Warm {
 		cost += k.Connection
