gateway: tell load within the zone as it changes

Cause: load was known 300 ms late at work of 200 to 400 ms; at half-used services requests queued behind each other while slots elsewhere were free.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -269,9 +269,7 @@
 	}
 	r.tried = append(r.tried, p.ID)
 	r.running++
-	if p.Doubtful {
-		c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
-	}
+	c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
 	go r.attempt(p)
 	return true
 }
@@ -330,7 +328,7 @@
 func (c *call) observe(p Placed, o suspicion.Observation, began time.Time, took time.Duration) {
 	now := time.Now()
 	c.h.Knowledge.Observe(now, c.service, p.ID, o, began, took)
-	if o != suspicion.Good || p.Doubtful {
+	if o != suspicion.Good || p.Doubtful || p.crowded() {
 		c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
 	}
 }
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -159,6 +159,9 @@
 	return max(float64(p.InFlight+1)/float64(max(p.Slots, 1)), 1)
 }
 
+// crowded tells whether the attempt left no slot free, as far as known.
+func (p *Placed) crowded() bool { return p.InFlight+1 >= p.Slots }
+
 // doubtful is the probability of failure from which an attempt counts as a trial.
 const doubtful = 0.2
 
