--- a/mesh/node.go
+++ b/mesh/node.go
@@ -21,7 +21,7 @@
 	// about 1/perMember datagrams a second.
 	perMember = 8 * time.Millisecond
 	// digestEvery is the time between the digests that a bridge sends.
-	digestEvery = 600 * time.Millisecond
+	digestEvery = 300 * time.Millisecond
 )
 
 // Config says who the instance is.
