gateway: name the targets that were still at work when a request's time ran out

Cause: a request that was answered 504 by the instance itself had no line that named its target, so explain could not. Conclusion: attempt-open, one line for each attempt that is still open.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -30,9 +30,7 @@
 	DocumentApplied Event = "document-applied"
 	DocumentRefused Event = "document-refused"
 	TargetAdded     Event = "target-added"
-	TargetLeaving   Event = "target-leaving"
 	TargetGone      Event = "target-gone"
-	TargetHeld      Event = "target-held"
 	EntryRefused    Event = "entry-refused"
 	TargetSuspected Event = "target-suspected"
 	TargetCleared   Event = "target-cleared"
@@ -42,12 +40,11 @@
 // Events of requests.
 const (
 	AttemptFailed  Event = "attempt-failed"
+	AttemptOpen    Event = "attempt-open"
 	AttemptAdded   Event = "attempt-added"
 	AttemptRefused Event = "attempt-not-added"
 	RequestRefused Event = "request-refused"
 	RequestFailed  Event = "request-failed"
-	RequestLate    Event = "request-late"
-	RequestServed  Event = "request-served"
 	CallerLeft     Event = "caller-left"
 )
 
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -65,7 +65,7 @@
 	var failed, denied, final *Line
 	for _, l := range lines {
 		switch l.Event {
-		case eventlog.AttemptFailed:
+		case eventlog.AttemptFailed, eventlog.AttemptOpen:
 			failed = l
 		case eventlog.AttemptRefused:
 			denied = l
@@ -91,6 +91,9 @@
 }
 
 func attemptCause(l *Line) string {
+	if l.Event == eventlog.AttemptOpen {
+		return "it had not answered after " + l.Get("age_ms") + " ms"
+	}
 	switch l.Get("kind") {
 	case "answered":
 		return "it answered " + l.Get("status")
@@ -157,11 +160,11 @@
 
 // judge adds the age of what the choice of the deciding target rested on.
 func (x *Explanation) judge() {
-	if x.Deciding == nil || x.Deciding.Event != eventlog.AttemptFailed {
+	if x.Deciding == nil || x.Deciding.Get("target") == "" {
 		return
 	}
 	target := x.Deciding.Get("target")
-	took, _ := time.ParseDuration(x.Deciding.Get("took_ms") + "ms") // 0 if it is missing
+	took, _ := time.ParseDuration(x.Deciding.Get("took_ms") + x.Deciding.Get("age_ms") + "ms") // one of the two; 0 if neither
 	chosen := x.Deciding.At - took
 	var belief *Line
 	for _, l := range x.Lines {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -18,6 +18,8 @@
 I0722 04:20:07.000000 1 attempt.go:1] "attempt-failed" request="r3" service="s" target="t2" kind="refused" status=503
 I0722 04:20:07.000100 1 attempt.go:1] "attempt-not-added" request="r3" service="s" why="again" budget_left=0 attempts=1
 I0722 04:20:07.000200 1 handler.go:1] "request-refused" request="r3" service="s" why="targets refused it"
+I0722 04:20:09.000000 1 attempt.go:1] "attempt-open" request="r4" service="s" target="t4" age_ms=1200 fails=0.020
+I0722 04:20:09.000100 1 handler.go:1] "request-failed" request="r4" service="s" status=504 by="self" why="no answer in time"
 `
 
 func read(t *testing.T) *Log {
@@ -31,6 +33,7 @@
 	assert.Equal(t, g.Skipped, 1)
 	for id, want := range map[string]string{
 		"r1": "target t1: it answered 500; no further attempt: must not run twice (target-suspected 997 ms before it was chosen, by 10.0.0.1:7; expected to fail with 0.61)",
+		"r4": "target t4: it had not answered after 1200 ms",
 		"r2": "no configuration is known yet",
 		"r3": "target t2: it refused the request unrun with 503; no further attempt: the service's retry budget has 0 left",
 	} {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -44,7 +45,7 @@
 	// or were not reached.
 	maxTries = 6
 	// maxRefusals bounds the targets that refuse one request.
-	maxRefusals = 3
+	maxRefusals = 4
 	// leastTime is the time below which no further attempt is begun.
 	leastTime = 60 * time.Millisecond
 	// hedgeUtilization is the use of a service's slots above which a second
@@ -61,6 +62,7 @@
 	ctx     context.Context
 	results chan ended
 	tried   []fleet.TargetID
+	open    []opened
 	running int
 	// sent counts the attempts that may have run, refused those that did not.
 	sent, refused int
@@ -69,6 +71,12 @@
 	hedged   bool
 }
 
+// opened is an attempt that was begun.
+type opened struct {
+	placed Placed
+	at     time.Time
+}
+
 // ended is the end of one attempt.
 type ended struct {
 	placed Placed
@@ -114,6 +122,7 @@
 		select {
 		case e := <-r.results:
 			r.running--
+			r.open = slices.DeleteFunc(r.open, func(o opened) bool { return o.placed.ID == e.placed.ID })
 			r.c.learn(e)
 			if o, done := r.settle(e); done {
 				return o
@@ -140,6 +149,10 @@
 }
 
 func (r *race) overdue() outcome {
+	for _, o := range r.open {
+		eventlog.Info(eventlog.AttemptOpen, "request", r.c.id, "route", r.c.route.Name, "service", r.c.service, "target", o.placed.ID,
+			"addr", o.placed.Addr, "age_ms", time.Since(o.at).Milliseconds(), "fails", eventlog.Share(o.placed.Fails), "in_flight", o.placed.InFlight)
+	}
 	if r.fallback.answer != nil {
 		return r.fallback
 	}
@@ -268,6 +281,7 @@
 		return false
 	}
 	r.tried = append(r.tried, p.ID)
+	r.open = append(r.open, opened{p, now})
 	r.running++
 	c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
 	go r.attempt(p)
