--- a/dev/dev.go
+++ b/dev/dev.go
@@ -16,6 +16,7 @@
 	"github.com/clementinereel/clementinereel/instance"
 	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/logservice/standin"
+	"github.com/clementinereel/clementinereel/platform"
 	"github.com/clementinereel/clementinereel/publication"
 	"github.com/clementinereel/clementinereel/settings"
 )
@@ -29,11 +30,16 @@
 
 // Cmd is the command line of `clementinereel dev`.
 type Cmd struct {
+	Gateway bool `help:"Run the gateway (docs/DEPLOYMENT.md) before a stand-in of its store, in place of the contract path."`
+
 	Listen string `default:"127.0.0.1:8080" help:"Address of the first instance for callers; the second takes a free port."`
 }
 
 // Run implements the command.
 func (c *Cmd) Run(ctx context.Context) error {
+	if c.Gateway {
+		return platform.Dev(ctx)
+	}
 	log := standin.New(standin.Options{})
 	logURL, err := serveHTTP(log.Handler())
 	if err != nil {
