gateway: begin nothing for a caller that left

Cause: work that must not repeat outlives its caller at its target; when that target refused it after a long queue, it went on to further targets, 12 times in a second of shedding. Ruled out: lookups, whose attempts end with the caller.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -218,6 +218,8 @@
 	unrun := e.result.Kind == exchange.Refused || e.result.Kind == exchange.Unsent
 	why := ""
 	switch {
+	case r.c.r.Context().Err() != nil:
+		why = "the caller left"
 	case !unrun && !r.c.repeatable():
 		why = "must not run twice"
 	case r.sent >= r.c.route.MaxAttempts:
@@ -241,7 +243,7 @@
 
 // hedge begins a further attempt beside one that is slow.
 func (r *race) hedge(median time.Duration) {
-	if r.hedged || r.running != 1 || !r.c.repeatable() || r.sent+r.running >= r.c.route.MaxAttempts {
+	if r.c.r.Context().Err() != nil || r.hedged || r.running != 1 || !r.c.repeatable() || r.sent+r.running >= r.c.route.MaxAttempts {
 		return
 	}
 	targets := r.c.h.State.Targets().Services[r.c.service]
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -286,3 +286,21 @@
 	b.Release(5)
 	assert.Equal(t, b.held.Load(), int64(0))
 }
+
+// Work that must not repeat goes on at its target when the caller has left, but if
+// that target refuses it, it goes nowhere else.
+func TestNothingIsBegunForACallerThatLeft(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		w.Header().Set(names.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	bs := []*backend{newBackend(t, refuse), newBackend(t, refuse), newBackend(t, refuse)}
+	url := startGateway(t, bs...)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	status, _, _ := ask(ctx, t, "POST", url+"/buy/1")
+	assert.Equal(t, status, 0)
+	time.Sleep(400 * time.Millisecond)
+	assert.Equal(t, totalRuns(bs...), 1)
+}
