statesync: no duty on stale answers, silent readers are replaced in a second

Cause: when all readers were cut off, instances that took over reported what the log had answered at their start; each saw the other as a reader and stopped. A leaving target got work for 4 s. Ruled out: the registry's holds (the entry said that it leaves), the store (other instances reached it). Conclusion: the state is cleared with each role; both tests fail without the change; two readers a zone.

--- a/mesh/members.go
+++ b/mesh/members.go
@@ -352,6 +352,8 @@
 	Zones   []Zone
 	// Known is how many other instances are known by name, heard or not.
 	Known int
+	// Interval is the time between heartbeats.
+	Interval time.Duration
 }
 
 // Zone is what its bridges last told of another zone.
@@ -376,6 +378,18 @@
 	return max(n, v.Known+1)
 }
 
+// Times in which a member that has a duty for the others must be heard.
+const (
+	dutyLeast = 900 * time.Millisecond
+	dutyBeats = 3
+)
+
+// OnDuty tells whether the member was heard so lately that the others may rely on
+// what it does for them.
+func (v View) OnDuty(m *Member) bool {
+	return !m.Heard.IsZero() && v.At.Sub(m.Heard) < max(dutyLeast, dutyBeats*v.Interval)
+}
+
 // InZone is how many instances the own zone has, this one included.
 func (v View) InZone() int {
 	n := 1
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -105,7 +105,9 @@
 func (n *Node) View() View {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.members.view(time.Now())
+	v := n.members.view(time.Now())
+	v.Interval = n.beatEvery()
+	return v
 }
 
 // Stats returns the counts so far.
@@ -133,6 +135,10 @@
 func (n *Node) interval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.beatEvery()
+}
+
+func (n *Node) beatEvery() time.Duration {
 	return max(minInterval, time.Duration(len(n.members.table))*perMember)
 }
 
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -15,11 +15,13 @@
 
 const (
 	// readersPerZone is how many instances of a zone read the store, and
-	// readersAlone how many where there is one zone only. Each call has its price.
-	// A zone whose reader is cut off learns from the others' bridges, and reads
-	// itself once its reader says so or falls silent.
-	readersPerZone = 1
-	readersAlone   = 2
+	// readersAlone how many where there is one zone only. Each call has its price,
+	// but a reader whose path is cut notices only when its read is overdue, and
+	// all instances must learn of a change within 2 s: so more than a few readers
+	// would have to be cut off at once. One that its peers do not hear either
+	// is replaced within about a second.
+	readersPerZone = 2
+	readersAlone   = 4
 	// readWait is how long a read waits for a change. It bounds how long a
 	// read may hang on a connection that the store has forgotten.
 	readWait = 4 * time.Second
@@ -93,6 +95,9 @@
 	if !f.role {
 		return mesh.LogUnread
 	}
+	if f.log[Documents] == mesh.LogUnread || f.log[Targets] == mesh.LogUnread {
+		return mesh.LogUnread
+	}
 	return max(f.log[Documents], f.log[Targets])
 }
 
@@ -147,6 +152,8 @@
 	if role != f.role {
 		eventlog.Info(eventlog.ReaderRole, "reads", role, "peers", len(v.Members))
 		f.role = role
+		// What the log answered in an earlier time as a reader says nothing now.
+		f.log = [streams]mesh.LogState{}
 	}
 	return role
 }
@@ -163,7 +170,7 @@
 	before := 0
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.Zone == o.Zone && !m.Leaving && m.Fresh(v.At) && mesh.Rank(m.Addr) < own {
+		if m.Zone == o.Zone && !m.Leaving && v.OnDuty(m) && mesh.Rank(m.Addr) < own {
 			before++
 		}
 	}
@@ -176,7 +183,7 @@
 // served tells whether some other instance of the zone reads the store with success.
 func served(v mesh.View) bool {
 	for i := range v.Members {
-		if m := &v.Members[i]; m.Zone == v.Zone && m.Log == mesh.LogAnswers && m.Fresh(v.At) {
+		if m := &v.Members[i]; m.Zone == v.Zone && m.Log == mesh.LogAnswers && v.OnDuty(m) {
 			return true
 		}
 	}
--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -117,3 +117,30 @@
 	assert.Assert(t, served(view(0, members(mesh.LogAnswers)...)))
 	assert.Assert(t, !served(view(0, members(mesh.LogAway)...)), "then every instance reads")
 }
+
+// storeStub answers no read after its first snapshot.
+type storeStub struct{ Store }
+
+func TestAnEarlierAnswerIsNoDutyNow(t *testing.T) {
+	f := NewFollower(Options{State: NewState(0, nil), Store: storeStub{}, Peers: func() mesh.View {
+		return view(0, mesh.Member{Addr: "10.0.0.1:1", Zone: "a", Log: mesh.LogAnswers})
+	}, Self: "10.0.0.2:1", Zone: "a"})
+	f.role = true
+	f.note(Documents, nil)
+	f.note(Targets, nil)
+	assert.Equal(t, f.Log(), mesh.LogAnswers)
+	f.role = false
+	f.reads()
+	assert.Equal(t, f.Log(), mesh.LogUnread, "it has just become a reader and has no answer yet")
+	f.note(Targets, nil)
+	assert.Equal(t, f.Log(), mesh.LogUnread, "of one stream only")
+	f.note(Documents, errors.New("away"))
+	assert.Equal(t, f.Log(), mesh.LogAway)
+}
+
+func TestASilentReaderIsReplaced(t *testing.T) {
+	v := view(1, mesh.Member{Addr: "10.0.0.1:1", Zone: "a", Log: mesh.LogAnswers})
+	assert.Assert(t, served(v))
+	v.At = v.At.Add(1100 * time.Millisecond)
+	assert.Assert(t, !served(v))
+}
