--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,8 +42,8 @@
 // Bounds of one request's attempts.
 const (
 	// maxTries bounds the targets of one request, those included that refused it
-	// or were not reached.
-	maxTries = 6
+	// or were not reached: an instance may have lost the paths to most.
+	maxTries = 14
 	// maxRefusals bounds the targets that refuse one request.
 	maxRefusals = 4
 	// leastTime is the time below which no further attempt is begun.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,7 @@
 	// works takes a few milliseconds, 60 to another region; an opening packet
 	// that was lost is sent again only after a second, and by then another
 	// target has been tried.
-	dialTimeout = 120 * time.Millisecond
+	dialTimeout = 80 * time.Millisecond
 	// reuseIdle is how long a connection may have been idle to carry work that
 	// must not be repeated: a target may close it at the same moment.
 	reuseIdle = 6 * time.Second
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -304,3 +304,18 @@
 	time.Sleep(400 * time.Millisecond)
 	assert.Equal(t, totalRuns(bs...), 1)
 }
+
+// An instance may have lost the paths to most targets: it goes on to those that it
+// reaches.
+func TestTargetsOutOfReachArePassedOver(t *testing.T) {
+	sound := newBackend(t, answer(http.StatusOK))
+	bs := []*backend{sound}
+	for range 9 {
+		gone := newBackend(t, answer(http.StatusOK))
+		gone.Close() // its address refuses connections
+		bs = append(bs, gone)
+	}
+	url := startGateway(t, bs...)
+	status, _, _ := ask(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -68,9 +68,10 @@
 // target is what is known of a target beside its estimate.
 type target struct {
 	own, others int // in flight
-	lastUse     time.Time
-	cutUntil    time.Time
-	cutFor      time.Duration
+	// lastUse is when any instance last told of a request that reached it.
+	lastUse  time.Time
+	cutUntil time.Time
+	cutFor   time.Duration
 	// successes are those of the own zone that other zones were not told of;
 	// began is when the latest began.
 	successes int
@@ -185,10 +186,11 @@
 	if i < 0 {
 		return Placed{}, false
 	}
+	if next := placement.Floor(s.estimator.FailedLately(), candidates); next >= 0 && len(excluded) == 0 && candidates[next].Zone == k.chooser.Zone {
+		i, cost = next, k.chooser.Cost(w, &candidates[next])
+	}
 	c := &candidates[i]
-	t := k.target(c.ID)
-	t.own++
-	t.lastUse = now
+	k.target(c.ID).own++
 	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= doubtful}, true
 }
 
@@ -282,9 +284,8 @@
 func (k *Knowledge) observe(now time.Time, e mesh.Evidence, began time.Time, from string) {
 	s := k.service(e.Service)
 	before, after, change := s.estimator.Observe(now, e.Target, e.What, began)
-	t := k.target(e.Target)
-	if now.After(t.lastUse) {
-		t.lastUse = now
+	if arrived(e.What) {
+		k.target(e.Target).lastUse = now
 	}
 	if e.What == suspicion.Good {
 		s.latency.add(time.Duration(e.TookMillis) * time.Millisecond)
@@ -300,6 +301,15 @@
 	}
 }
 
+// arrived tells whether the observation means that a request reached the target.
+func arrived(o suspicion.Observation) bool {
+	switch o {
+	case suspicion.Unreachable, suspicion.Down, suspicion.Elsewhere:
+		return false
+	}
+	return true
+}
+
 // Take takes in a packet of another instance.
 func (k *Knowledge) Take(now time.Time, p *mesh.Packet) {
 	k.mu.Lock()
@@ -329,21 +339,18 @@
 		k.dropLoad(pr)
 		clear(pr.usage)
 	}
-	k.takeLoad(now, pr, p.Load)
+	pr.takeLoad(k, p.Load)
 	for _, u := range p.Usage {
 		pr.usage[u.Service] = pooled.Usage{Requests: u.Requests, Added: u.Added}
 	}
 }
 
-// takeLoad takes in a peer's load at some targets.
-func (k *Knowledge) takeLoad(now time.Time, pr *peer, loads []mesh.Load) {
+// takeLoad takes in the peer's load at some targets.
+func (pr *peer) takeLoad(k *Knowledge, loads []mesh.Load) {
 	for _, l := range loads {
 		t := k.target(l.Target)
 		t.others += l.InFlight - pr.load[l.Target]
 		pr.load[l.Target] = l.InFlight
-		if l.InFlight > 0 {
-			t.lastUse = now
-		}
 	}
 }
 
@@ -355,7 +362,7 @@
 		k.zones[name] = z
 	}
 	k.dropLoad(&z.peer)
-	k.takeLoad(now, &z.peer, d.Load)
+	z.takeLoad(k, d.Load)
 	z.heard = now
 	for _, g := range d.Successes {
 		began := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -153,3 +153,13 @@
 	assert.Assert(t, k.median > 300*time.Millisecond && k.median < 400*time.Millisecond, k.median)
 	assert.Assert(t, k.usual > k.median && k.slow >= k.usual)
 }
+
+// A target that some instances cannot reach is not in use by their vain attempts.
+func TestVainAttemptsAreNoUse(t *testing.T) {
+	k := newKnowledge()
+	now := start.Add(time.Minute)
+	k.Take(now, &mesh.Packet{Addr: "p", Zone: "a", Evidence: []mesh.Evidence{{Service: "s", Target: "t", What: suspicion.Unreachable}}})
+	assert.Assert(t, k.target("t").lastUse.IsZero())
+	k.Take(now, &mesh.Packet{Addr: "p", Zone: "a", Evidence: []mesh.Evidence{{Service: "s", Target: "t", What: suspicion.Bad}}})
+	assert.Equal(t, k.target("t").lastUse, now)
+}
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -101,6 +101,41 @@
 	SinceUse time.Duration
 }
 
+// Bounds of Floor.
+const (
+	// troubled is the part of a service's attempts that fail from which the floor
+	// is kept.
+	troubled = 0.09
+	// floorShare is the part of the targets that must see work, and floorWithin in
+	// which time: the users ask for 0.7 of the sound ones within 2 s.
+	floorShare  = 0.75
+	floorWithin = 1500 * time.Millisecond
+)
+
+// Floor returns the target that is to be tried next so that a service in trouble does
+// not shrink to a few targets: what looks sick may be sound again, and the rest is
+// loaded by what was set aside. It returns -1 if enough targets are in use.
+func Floor(failedLately float64, ts []Candidate) int {
+	if failedLately < troubled {
+		return -1
+	}
+	used, next := 0, -1
+	for i := range ts {
+		t := &ts[i]
+		if t.InFlight > 0 || t.SinceUse < floorWithin {
+			used++
+			continue
+		}
+		if !t.Cut && (next < 0 || t.SinceUse > ts[next].SinceUse) {
+			next = i
+		}
+	}
+	if float64(used) >= floorShare*float64(len(ts)) {
+		return -1
+	}
+	return next
+}
+
 // Work is what is to be placed.
 type Work struct {
 	// Repeatable tells that a failure can be repeated elsewhere.
--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -70,6 +70,19 @@
 	assert.Assert(t, other != best)
 }
 
+func TestAServiceInTroubleKeepsItsFloor(t *testing.T) {
+	ts := candidates(10)
+	for i := range 4 {
+		ts[i].Fails, ts[i].SinceUse = 0.7, time.Duration(2+i)*time.Second
+	}
+	assert.Equal(t, Floor(0.01, ts), -1, "no trouble")
+	assert.Equal(t, Floor(0.15, ts), 3, "the one that waits longest")
+	ts[3].Cut = true
+	assert.Equal(t, Floor(0.15, ts), 2)
+	ts[3].InFlight, ts[2].SinceUse = 1, 0
+	assert.Equal(t, Floor(0.15, ts), -1, "enough are in use")
+}
+
 // Instances with the same knowledge must not all choose the same target.
 func TestInstancesSpread(t *testing.T) {
 	ts := candidates(10)
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -53,7 +53,7 @@
 // Likelihood ratios, sick to sound, of observations whose rates are not learned.
 const (
 	// unreachableRatio: single instances lose the path to healthy targets too.
-	unreachableRatio = 8
+	unreachableRatio = 3
 	// goneRatio: a target that is there neither refuses connections nor lets
 	// another one answer.
 	goneRatio = 500
@@ -101,6 +101,7 @@
 	sickTime, ends    float64
 	soundTime, onsets float64
 	slowLately        recent
+	failedLately      recent
 }
 
 // New returns an estimator that has seen nothing.
@@ -144,8 +145,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// recent is the part of the service's last attempts that were slow: where the whole
-// service is slow, no target stands out.
+// recent is a part of the service's last attempts.
 type recent struct {
 	share float64
 	at    time.Time
@@ -156,20 +156,23 @@
 
 // add takes in an observation. Its weight grows with the time since the last one, so
 // that the share does not depend on how many there are.
-func (r *recent) add(now time.Time, o Observation) {
-	slow := 0.0
-	switch o {
-	case Slow:
-		slow = 1
-	case Good, Bad:
-	default:
+func (r *recent) add(now time.Time, o Observation, counts bool) {
+	if o != Good && o != Bad && o != Slow {
 		return
 	}
+	x := 0.0
+	if counts {
+		x = 1
+	}
 	weight := 1 - math.Exp(-max(now.Sub(r.at).Seconds(), 0.02)/recentFor.Seconds())
-	r.share += weight * (slow - r.share)
+	r.share += weight * (x - r.share)
 	r.at = now
 }
 
+// FailedLately is the part of the service's attempts that failed within about the
+// last 2 s.
+func (e *Estimator) FailedLately() float64 { return e.failedLately.share }
+
 // Change tells how an observation changed what is believed of a target.
 type Change uint8
 
@@ -188,7 +191,8 @@
 	t := e.target(now, id)
 	e.drift(now, t)
 	before = t.sick
-	e.slowLately.add(now, o)
+	e.slowLately.add(now, o, o == Slow)
+	e.failedLately.add(now, o, o == Bad)
 	e.learnSlow(t, o)
 	ratio := e.ratio(t, o, began)
 	odds := t.sick / (1 - t.sick) * ratio
@@ -221,6 +225,7 @@
 	case Bad:
 		return r.SickFails / r.SoundFails
 	case Slow:
+		// Where the whole service is slow, no target stands out.
 		return max(r.SickSlow/max(r.SoundSlow, e.slowLately.share), 1)
 	case Unreachable:
 		return unreachableRatio
