--- /dev/null
+++ b/gateway/digest.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/retry/pooled"
+	"github.com/clementinereel/clementinereel/suspicion"
+)
+
+// zone is what another zone's bridges told of all its instances.
+type zone struct {
+	peer
+	claims map[document.ServiceName]mesh.ZoneUsage
+}
+
+// takeDigest takes in what another zone does.
+func (k *Knowledge) takeDigest(now time.Time, name fleet.Zone, d *mesh.Digest) {
+	z := k.zones[name]
+	if z == nil {
+		z = &zone{peer: peer{load: make(map[fleet.TargetID]int)}}
+		k.zones[name] = z
+	}
+	k.dropLoad(&z.peer)
+	z.takeLoad(k, d.Load)
+	z.heard = now
+	for _, g := range d.Successes {
+		began := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
+		for range min(g.Count, mostSuccesses) {
+			k.observe(now, mesh.Evidence{Service: g.Service, Target: g.Target, What: suspicion.Good}, began, string(name))
+		}
+	}
+	z.claims = make(map[document.ServiceName]mesh.ZoneUsage, len(d.Usage))
+	for _, u := range d.Usage {
+		z.claims[u.Service] = u
+	}
+}
+
+// Digest sums up the own zone, of which v is the view, with its successes if this
+// instance is the one to tell of them.
+func (k *Knowledge) Digest(now time.Time, v mesh.View, successes bool) *mesh.Digest {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	d := &mesh.Digest{Instances: v.InZone(), Complete: v.ZoneComplete()}
+	instances := k.most.note(now, v.Instances())
+	for name, s := range k.services {
+		f := pooled.Fleet{Instances: instances}
+		f.Add(k.retry, s.budget.Usage(now))
+		k.addMembers(&f, name, v)
+		if f.Requests > 0 {
+			d.Usage = append(d.Usage, mesh.ZoneUsage{Service: name, Requests: f.Requests, Claimed: f.Claimed})
+		}
+	}
+	for id, t := range k.targets {
+		n := t.own + t.others
+		for _, z := range k.zones {
+			n -= z.load[id]
+		}
+		if n > 0 && len(d.Load) < digestEntries {
+			d.Load = append(d.Load, mesh.Load{Target: id, InFlight: n})
+		}
+		if !successes {
+			t.successes = 0
+			continue
+		}
+		if t.successes > 0 && len(d.Successes) < digestEntries {
+			t.successes = min(t.successes, mostSuccesses)
+			d.Successes = append(d.Successes, mesh.Successes{Service: t.service, Target: id, Count: t.successes, AgeMillis: now.Sub(t.began).Milliseconds()})
+			t.successes = 0
+		}
+	}
+	return d
+}
+
+func (k *Knowledge) addMembers(f *pooled.Fleet, name document.ServiceName, v mesh.View) {
+	for i := range k.ended {
+		if e := &k.ended[i]; e.service == name {
+			f.Requests += e.usage.Requests
+			f.Claimed += float64(e.usage.Added)
+		}
+	}
+	for i := range v.Members {
+		m := &v.Members[i]
+		if p := k.peers[m.Addr]; p != nil && m.Zone == v.Zone {
+			f.Add(k.retry, p.usage[name])
+		}
+	}
+}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -18,6 +18,9 @@
 const (
 	// peerLoadFor is how long a silent peer's load is counted.
 	peerLoadFor = 3 * time.Second
+	// digestEntries bounds the targets in each list of a digest, so that it stays
+	// within a datagram of about 1.5 KB. Those left out take their turn.
+	digestEntries = 28
 	// mostSuccesses bounds the successes at one target that are taken from a
 	// digest.
 	mostSuccesses = 20
@@ -79,33 +82,6 @@
 	service   document.ServiceName
 }
 
-// peer is what another instance of the zone told.
-type peer struct {
-	boot  int64
-	heard time.Time
-	load  map[fleet.TargetID]int
-	usage map[document.ServiceName]pooled.Usage
-}
-
-// zone is what another zone's bridges told of all its instances.
-type zone struct {
-	peer
-	claims map[document.ServiceName]mesh.ZoneUsage
-}
-
-// endedUsage is what a process that has ended spent of a service's budget.
-type endedUsage struct {
-	service document.ServiceName
-	usage   pooled.Usage
-	until   time.Time
-}
-
-// gathered is an observation that was not told yet.
-type gathered struct {
-	mesh.Evidence
-	began time.Time
-}
-
 // NewKnowledge returns the knowledge of an instance that has seen nothing.
 func NewKnowledge(c *placement.Chooser, retry pooled.Config) *Knowledge {
 	return &Knowledge{
@@ -256,19 +232,6 @@
 	}
 }
 
-// tally counts a success of the own zone, for its digest.
-func (k *Knowledge) tally(e mesh.Evidence, began time.Time) {
-	if e.What != suspicion.Good {
-		return
-	}
-	t := k.target(e.Target)
-	t.successes++
-	t.service = e.Service
-	if began.After(t.began) {
-		t.began = began
-	}
-}
-
 // cut avoids the path to a target for a while. It tells whether the path to another
 // target was found cut lately.
 func (k *Knowledge) cut(now time.Time, id fleet.TargetID) (others bool) {
@@ -301,190 +264,6 @@
 	}
 }
 
-// arrived tells whether the observation means that a request reached the target.
-func arrived(o suspicion.Observation) bool {
-	switch o {
-	case suspicion.Unreachable, suspicion.Down, suspicion.Elsewhere:
-		return false
-	}
-	return true
-}
-
-// Take takes in a packet of another instance.
-func (k *Knowledge) Take(now time.Time, p *mesh.Packet) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if p.Digest != nil {
-		k.takeDigest(now, p.Zone, p.Digest)
-	}
-	for _, e := range p.Evidence {
-		began := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
-		k.observe(now, e, began, p.Addr)
-		if p.Zone == k.chooser.Zone {
-			k.tally(e, began)
-		}
-	}
-	if p.Zone != k.chooser.Zone {
-		return // its load and usage are in its zone's digest
-	}
-	pr := k.peers[p.Addr]
-	if pr == nil || pr.boot != p.Boot {
-		k.dropLoad(pr)
-		k.bury(now, pr)
-		pr = &peer{boot: p.Boot, load: make(map[fleet.TargetID]int), usage: make(map[document.ServiceName]pooled.Usage)}
-		k.peers[p.Addr] = pr
-	}
-	pr.heard = now
-	if p.Heartbeat {
-		k.dropLoad(pr)
-		clear(pr.usage)
-	}
-	pr.takeLoad(k, p.Load)
-	for _, u := range p.Usage {
-		pr.usage[u.Service] = pooled.Usage{Requests: u.Requests, Added: u.Added}
-	}
-}
-
-// takeLoad takes in the peer's load at some targets.
-func (pr *peer) takeLoad(k *Knowledge, loads []mesh.Load) {
-	for _, l := range loads {
-		t := k.target(l.Target)
-		t.others += l.InFlight - pr.load[l.Target]
-		pr.load[l.Target] = l.InFlight
-	}
-}
-
-// takeDigest takes in what another zone does.
-func (k *Knowledge) takeDigest(now time.Time, name fleet.Zone, d *mesh.Digest) {
-	z := k.zones[name]
-	if z == nil {
-		z = &zone{peer: peer{load: make(map[fleet.TargetID]int)}}
-		k.zones[name] = z
-	}
-	k.dropLoad(&z.peer)
-	z.takeLoad(k, d.Load)
-	z.heard = now
-	for _, g := range d.Successes {
-		began := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
-		for range min(g.Count, mostSuccesses) {
-			k.observe(now, mesh.Evidence{Service: g.Service, Target: g.Target, What: suspicion.Good}, began, string(name))
-		}
-	}
-	z.claims = make(map[document.ServiceName]mesh.ZoneUsage, len(d.Usage))
-	for _, u := range d.Usage {
-		z.claims[u.Service] = u
-	}
-}
-
-// Digest sums up the own zone, of which v is the view, with its successes if this
-// instance is the one to tell of them.
-func (k *Knowledge) Digest(now time.Time, v mesh.View, successes bool) *mesh.Digest {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	d := &mesh.Digest{Instances: v.InZone(), Complete: v.ZoneComplete()}
-	instances := k.most.note(now, v.Instances())
-	for name, s := range k.services {
-		f := pooled.Fleet{Instances: instances}
-		f.Add(k.retry, s.budget.Usage(now))
-		k.addMembers(&f, name, v)
-		if f.Requests > 0 {
-			d.Usage = append(d.Usage, mesh.ZoneUsage{Service: name, Requests: f.Requests, Claimed: f.Claimed})
-		}
-	}
-	for id, t := range k.targets {
-		n := t.own + t.others
-		for _, z := range k.zones {
-			n -= z.load[id]
-		}
-		if n > 0 {
-			d.Load = append(d.Load, mesh.Load{Target: id, InFlight: n})
-		}
-		if successes && t.successes > 0 {
-			d.Successes = append(d.Successes, mesh.Successes{Service: t.service, Target: id, Count: t.successes, AgeMillis: now.Sub(t.began).Milliseconds()})
-		}
-		t.successes = 0
-	}
-	return d
-}
-
-func (k *Knowledge) addMembers(f *pooled.Fleet, name document.ServiceName, v mesh.View) {
-	for i := range k.ended {
-		if e := &k.ended[i]; e.service == name {
-			f.Requests += e.usage.Requests
-			f.Claimed += float64(e.usage.Added)
-		}
-	}
-	for i := range v.Members {
-		m := &v.Members[i]
-		if p := k.peers[m.Addr]; p != nil && m.Zone == v.Zone {
-			f.Add(k.retry, p.usage[name])
-		}
-	}
-}
-
-// bury keeps what an ended process had spent of the budgets until it has left the
-// window: the process that follows it does not know of it.
-func (k *Knowledge) bury(now time.Time, p *peer) {
-	if p == nil {
-		return
-	}
-	for name, u := range p.usage {
-		if u.Added > 0 {
-			k.ended = append(k.ended, endedUsage{service: name, usage: u, until: now.Add(k.retry.Window)})
-		}
-	}
-	clear(p.usage)
-}
-
-func (k *Knowledge) dropLoad(p *peer) {
-	if p == nil {
-		return
-	}
-	for id, n := range p.load {
-		k.target(id).others -= n
-	}
-	clear(p.load)
-}
-
-// Fill completes a heartbeat.
-func (k *Knowledge) Fill(now time.Time, p *mesh.Packet) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for id, t := range k.targets {
-		if t.own > 0 {
-			p.Load = append(p.Load, mesh.Load{Target: id, InFlight: t.own})
-		}
-	}
-	for name, s := range k.services {
-		if u := s.budget.Usage(now); u != (pooled.Usage{}) {
-			p.Usage = append(p.Usage, mesh.Usage{Service: name, Requests: u.Requests, Added: u.Added})
-		}
-	}
-	p.Evidence = k.takePending(now)
-}
-
-// News returns what cannot wait for the next heartbeat.
-func (k *Knowledge) News(now time.Time, name document.ServiceName, id fleet.TargetID) mesh.Packet {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	u := k.service(name).budget.Usage(now)
-	return mesh.Packet{
-		Evidence: k.takePending(now),
-		Load:     []mesh.Load{{Target: id, InFlight: k.target(id).own}},
-		Usage:    []mesh.Usage{{Service: name, Requests: u.Requests, Added: u.Added}},
-	}
-}
-
-func (k *Knowledge) takePending(now time.Time) []mesh.Evidence {
-	told := make([]mesh.Evidence, 0, len(k.pending))
-	for _, g := range k.pending {
-		g.AgeMillis = now.Sub(g.began).Milliseconds()
-		told = append(told, g.Evidence)
-	}
-	k.pending = k.pending[:0]
-	return told
-}
-
 // Spend takes an attempt out of the service's retry budget, if there is one.
 func (k *Knowledge) Spend(now time.Time, name document.ServiceName, v mesh.View, urgent bool) (left float64, ok bool) {
 	k.mu.Lock()
--- /dev/null
+++ b/gateway/peers.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/retry/pooled"
+	"github.com/clementinereel/clementinereel/suspicion"
+)
+
+// peer is what another instance of the zone told.
+type peer struct {
+	boot  int64
+	heard time.Time
+	load  map[fleet.TargetID]int
+	usage map[document.ServiceName]pooled.Usage
+}
+
+// endedUsage is what a process that has ended spent of a service's budget.
+type endedUsage struct {
+	service document.ServiceName
+	usage   pooled.Usage
+	until   time.Time
+}
+
+// gathered is an observation that was not told yet.
+type gathered struct {
+	mesh.Evidence
+	began time.Time
+}
+
+// tally counts a success of the own zone, for its digest.
+func (k *Knowledge) tally(e mesh.Evidence, began time.Time) {
+	if e.What != suspicion.Good {
+		return
+	}
+	t := k.target(e.Target)
+	t.successes++
+	t.service = e.Service
+	if began.After(t.began) {
+		t.began = began
+	}
+}
+
+// arrived tells whether the observation means that a request reached the target.
+func arrived(o suspicion.Observation) bool {
+	switch o {
+	case suspicion.Unreachable, suspicion.Down, suspicion.Elsewhere:
+		return false
+	}
+	return true
+}
+
+// Take takes in a packet of another instance.
+func (k *Knowledge) Take(now time.Time, p *mesh.Packet) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if p.Digest != nil {
+		k.takeDigest(now, p.Zone, p.Digest)
+	}
+	for _, e := range p.Evidence {
+		began := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
+		k.observe(now, e, began, p.Addr)
+		if p.Zone == k.chooser.Zone {
+			k.tally(e, began)
+		}
+	}
+	if p.Zone != k.chooser.Zone {
+		return // its load and usage are in its zone's digest
+	}
+	pr := k.peers[p.Addr]
+	if pr == nil || pr.boot != p.Boot {
+		k.dropLoad(pr)
+		k.bury(now, pr)
+		pr = &peer{boot: p.Boot, load: make(map[fleet.TargetID]int), usage: make(map[document.ServiceName]pooled.Usage)}
+		k.peers[p.Addr] = pr
+	}
+	pr.heard = now
+	if p.Heartbeat {
+		k.dropLoad(pr)
+		clear(pr.usage)
+	}
+	pr.takeLoad(k, p.Load)
+	for _, u := range p.Usage {
+		pr.usage[u.Service] = pooled.Usage{Requests: u.Requests, Added: u.Added}
+	}
+}
+
+// takeLoad takes in the peer's load at some targets.
+func (pr *peer) takeLoad(k *Knowledge, loads []mesh.Load) {
+	for _, l := range loads {
+		t := k.target(l.Target)
+		t.others += l.InFlight - pr.load[l.Target]
+		pr.load[l.Target] = l.InFlight
+	}
+}
+
+// bury keeps what an ended process had spent of the budgets until it has left the
+// window: the process that follows it does not know of it.
+func (k *Knowledge) bury(now time.Time, p *peer) {
+	if p == nil {
+		return
+	}
+	for name, u := range p.usage {
+		if u.Added > 0 {
+			k.ended = append(k.ended, endedUsage{service: name, usage: u, until: now.Add(k.retry.Window)})
+		}
+	}
+	clear(p.usage)
+}
+
+func (k *Knowledge) dropLoad(p *peer) {
+	if p == nil {
+		return
+	}
+	for id, n := range p.load {
+		k.target(id).others -= n
+	}
+	clear(p.load)
+}
+
+// Fill completes a heartbeat.
+func (k *Knowledge) Fill(now time.Time, p *mesh.Packet) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for id, t := range k.targets {
+		if t.own > 0 {
+			p.Load = append(p.Load, mesh.Load{Target: id, InFlight: t.own})
+		}
+	}
+	for name, s := range k.services {
+		if u := s.budget.Usage(now); u != (pooled.Usage{}) {
+			p.Usage = append(p.Usage, mesh.Usage{Service: name, Requests: u.Requests, Added: u.Added})
+		}
+	}
+	p.Evidence = k.takePending(now)
+}
+
+// News returns what cannot wait for the next heartbeat.
+func (k *Knowledge) News(now time.Time, name document.ServiceName, id fleet.TargetID) mesh.Packet {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	u := k.service(name).budget.Usage(now)
+	return mesh.Packet{
+		Evidence: k.takePending(now),
+		Load:     []mesh.Load{{Target: id, InFlight: k.target(id).own}},
+		Usage:    []mesh.Usage{{Service: name, Requests: u.Requests, Added: u.Added}},
+	}
+}
+
+func (k *Knowledge) takePending(now time.Time) []mesh.Evidence {
+	told := make([]mesh.Evidence, 0, len(k.pending))
+	for _, g := range k.pending {
+		g.AgeMillis = now.Sub(g.began).Milliseconds()
+		told = append(told, g.Evidence)
+	}
+	k.pending = k.pending[:0]
+	return told
+}
