exchange: wait for the writer before giving up a connection

Cause: an answer could be read before the goroutine that wrote the body had said that it was done, and the connection was closed as if the target had answered early; seen beside load as TestWhatIsKnownAfterAnExchange and TestSweepClosesWhatIsNotInUse failing. Ruled out: the target, whose answers were whole. Conclusion: 10 ms are waited for, only where a target answered early.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -190,7 +190,7 @@
 	select {
 	case w := <-written:
 		return w.err == nil && !closing && cn.reader.Buffered() == 0
-	default:
+	case <-time.After(writeSettle):
 		// The target answered before it had the whole body: whatever came next
 		// on the connection would be taken for the rest of it.
 		return false
@@ -271,6 +271,10 @@
 	return b.Bytes()
 }
 
+// writeSettle is how long after an answer the end of the request's writing is waited
+// for: the writer may not have been scheduled yet to say that it is done.
+const writeSettle = 10 * time.Millisecond
+
 // maxForeign bounds how many answers of other requests are passed over.
 const maxForeign = 3
 
