One copy of pauses, of backing off and of looking at idle connections

Cause: a read of the whole change found pauses that end with a context in four packages and the doubling pause in two, once written twice over; pool and exchange each looked whether an idle connection is quiet; placement and gateway each had the bound from which a target is doubtful. Ruled out: one hash for ranks and preferences, since it would deal roles and targets out anew. Before and after: behaviour as it was, but that the pause after an error of the store is now half to the whole of a longer one, of the same mean; and every answer of a stopping instance closes its connection, also one of its own that was begun before, since that now stands where all answers are written. A target's first sighting and a handler's flag that nobody read are gone.

--- /dev/null
+++ b/conncheck/doc.go
@@ -0,0 +1,2 @@
+// Package conncheck looks at connections that nobody reads.
+package conncheck
--- /dev/null
+++ b/conncheck/quiet_test.go
@@ -0,0 +1,45 @@
+package conncheck
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func pair(t *testing.T) (near, far net.Conn) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	near, err = net.Dial("tcp4", ln.Addr().String())
+	assert.NilError(t, err)
+	far, err = ln.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+func notQuiet(t *testing.T, c net.Conn) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if Quiet(c) {
+			return poll.Continue("still quiet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+func TestQuiet(t *testing.T) {
+	near, far := pair(t)
+	assert.Assert(t, Quiet(near))
+	assert.Assert(t, Quiet(near))
+	_, err := io.WriteString(far, "x")
+	assert.NilError(t, err)
+	notQuiet(t, near)
+
+	near, far = pair(t)
+	assert.NilError(t, far.Close())
+	notQuiet(t, near)
+}
--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -5,9 +5,9 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
+	"github.com/clementinereel/clementinereel/conncheck"
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
@@ -158,26 +158,6 @@
 }
 
 // quiet tells whether the idle connection is open and nothing has arrived on it.
-// It reads without waiting: whatever comes while no request is under way
-// belongs to none, so the connection is closed then anyway.
 func (cn *conn) quiet() bool {
-	if cn.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := cn.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		quiet = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	return cn.reader.Buffered() == 0 && conncheck.Quiet(cn.Conn)
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -224,15 +224,3 @@
 		klog.InfoS("configuration record refused", "offset", d.Offset, "verdict", d.Verdict, "publication", d.ID, "customer", d.Customer, "target", d.Target, "current", d.Current, "reason", d.Message)
 	}
 }
-
-// sleep pauses and tells whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/follow/pull.go
+++ b/follow/pull.go
@@ -14,6 +14,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 // logSilence is how long the log may be silent, beyond the wait of a read,
@@ -68,18 +69,18 @@
 			ids = f.random(1)
 		}
 		if len(ids) == 0 {
-			sleep(ctx, f.settings.PeerInterval)
+			wait.For(ctx, f.settings.PeerInterval)
 			continue
 		}
 		from, began := f.Next(), time.Now()
 		if err := f.pullFrom(ctx, ids[0], f.settings.PeerWait); err != nil {
 			f.peerFailed(ctx, ids[0], err)
-			b.pause(ctx)
+			b.Pause(ctx)
 			continue
 		}
-		b.reset()
+		b.Reset()
 		if f.Next() == from && time.Since(began) < f.settings.PeerInterval {
-			sleep(ctx, f.settings.PeerInterval) // the peer did not hold the call
+			wait.For(ctx, f.settings.PeerInterval) // the peer did not hold the call
 		}
 	}
 }
@@ -96,12 +97,12 @@
 		from := f.Next()
 		if err := f.pullFrom(ctx, id, 0); err != nil {
 			f.peerFailed(ctx, id, err)
-			b.pause(ctx)
+			b.Pause(ctx)
 			continue
 		}
-		b.reset()
+		b.Reset()
 		if f.Next() == from {
-			sleep(ctx, f.settings.PeerInterval) // it was not ahead after all
+			wait.For(ctx, f.settings.PeerInterval) // it was not ahead after all
 		}
 	}
 }
--- a/follow/snapshot.go
+++ b/follow/snapshot.go
@@ -9,6 +9,7 @@
 
 	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 // checkpointShare is the part of the log's retention after which a checkpoint
@@ -47,7 +48,7 @@
 
 // checkpoint appends checkpoints while this instance has the role.
 func (f *Follower) checkpoint(ctx context.Context) {
-	for sleep(ctx, f.settings.CheckpointInterval) {
+	for wait.For(ctx, f.settings.CheckpointInterval) {
 		if !f.opts.Checkpoint() || !f.checkpointDue(time.Now()) {
 			continue
 		}
--- a/follow/tail.go
+++ b/follow/tail.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,23 +9,11 @@
 
 	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/publication"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
-// backoff doubles the pause after each error in a row.
-type backoff struct {
-	min, max, next time.Duration
-}
-
-func (f *Follower) newBackoff() *backoff {
-	return &backoff{min: f.settings.RetryMin, max: f.settings.RetryMax}
-}
-
-func (b *backoff) reset() { b.next = 0 }
-
-// pause sleeps for half to the whole of the pause that is due.
-func (b *backoff) pause(ctx context.Context) bool {
-	b.next = min(max(2*b.next, b.min), b.max)
-	return sleep(ctx, b.next/2+rand.N(b.next/2+1))
+func (f *Follower) newBackoff() *wait.Backoff {
+	return &wait.Backoff{Min: f.settings.RetryMin, Max: f.settings.RetryMax}
 }
 
 // tail reads the log for as long as this instance is to.
@@ -34,18 +21,18 @@
 	b := f.newBackoff()
 	for ctx.Err() == nil {
 		if !f.opts.Tail() {
-			sleep(ctx, f.settings.PeerInterval)
+			wait.For(ctx, f.settings.PeerInterval)
 			continue
 		}
 		from, began := f.Next(), time.Now()
 		if err := f.read(ctx); err != nil {
 			f.logFailed(ctx, err)
-			b.pause(ctx)
+			b.Pause(ctx)
 			continue
 		}
-		b.reset()
+		b.Reset()
 		if f.Next() == from && time.Since(began) < f.settings.RetryMin {
-			sleep(ctx, f.settings.RetryMin) // the log does not wait by itself
+			wait.For(ctx, f.settings.RetryMin) // the log does not wait by itself
 		}
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,7 +126,7 @@
 }
 
 // take takes in a packet.
-func (g *Gateway) take(now time.Time, p *mesh.Packet, _ bool) {
+func (g *Gateway) take(now time.Time, p *mesh.Packet) {
 	g.knowledge.Take(now, p)
 	version, offset := g.state.Versions()
 	if p.Document > version || p.Registry > offset {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -68,9 +68,6 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Client.Headers.RequestID)}
-	if h.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	status := c.serve()
 	h.Metrics.Request(c, status, time.Since(c.start))
 }
@@ -209,9 +206,6 @@
 	if _, ok := out["Content-Type"]; !ok {
 		out["Content-Type"] = nil // none, rather than a guess
 	}
-	if c.h.leaving.Load() {
-		out.Set("Connection", "close")
-	}
 	if bodyAllowed(c.r.Method, o.answer.Status) {
 		out.Set("Content-Length", strconv.Itoa(len(o.answer.Body)))
 	}
@@ -224,6 +218,9 @@
 }
 
 func (c *call) write(status int, body []byte) {
+	if c.h.leaving.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
 	rc := http.NewResponseController(c.w)
 	// A connection without deadlines is bounded by the callers' own.
 	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -139,9 +139,6 @@
 // crowded tells whether the attempt left no slot free, as far as known.
 func (p *Placed) crowded() bool { return p.InFlight+1 >= p.Slots }
 
-// doubtful is the probability of failure from which an attempt counts as a trial.
-const doubtful = 0.2
-
 // Place chooses a target among those given, the excluded left out, and counts the
 // attempt in. It returns false if there is none.
 func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, excluded []fleet.TargetID, w placement.Work, warm func(fleet.TargetID) bool) (Placed, bool) {
@@ -153,7 +150,7 @@
 	candidates := make([]placement.Candidate, 0, len(ts))
 	from := make([]*registry.Target, 0, len(ts))
 	for _, t := range ts {
-		if !contains(excluded, t.ID) {
+		if !slices.Contains(excluded, t.ID) {
 			candidates = append(candidates, k.candidate(now, s, t, warm(t.ID)))
 			from = append(from, t)
 		}
@@ -167,16 +164,7 @@
 	}
 	c := &candidates[i]
 	k.target(c.ID).own++
-	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= doubtful}, true
-}
-
-func contains(ids []fleet.TargetID, id fleet.TargetID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
+	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful}, true
 }
 
 func (k *Knowledge) candidate(now time.Time, s *service, rt *registry.Target, warm bool) placement.Candidate {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -35,9 +35,8 @@
 	Seeds []string
 }
 
-// Handler takes in a packet of another instance. First tells that the sender was
-// not known, or has started anew.
-type Handler func(now time.Time, p *Packet, first bool)
+// Handler takes in a packet of another instance.
+type Handler func(now time.Time, p *Packet)
 
 // Node is the instance's end of the mesh. It is safe for concurrent use.
 type Node struct {
@@ -280,7 +279,7 @@
 	if s != heardBefore {
 		eventlog.Info(eventlog.PeerFound, "peer", m.Addr, "zone", p.Zone, "boot", p.Boot, "again", s == heardAgain)
 	}
-	n.handle(now, p, s == heardFirst)
+	n.handle(now, p)
 }
 
 // relay passes a packet of another zone on within the own one.
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -26,7 +26,7 @@
 	n, err := Listen(Config{Addr: "127.0.0.1:0", Zone: zone, Boot: time.Now(), Seeds: seeds},
 		func(_ time.Time, p *Packet) { p.Document = 7 },
 		func(_ time.Time, first bool) *Digest { return &Digest{Instances: 2, Complete: first} },
-		func(_ time.Time, p *Packet, _ bool) {
+		func(_ time.Time, p *Packet) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.packets = append(h.packets, p)
--- a/operate/fake_test.go
+++ b/operate/fake_test.go
@@ -20,6 +20,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 var errFault = errors.New("injected fault")
@@ -55,7 +56,7 @@
 	l.mu.Lock()
 	latency, down := l.latency, l.down
 	l.mu.Unlock()
-	if !sleep(ctx, latency) {
+	if !wait.For(ctx, latency) {
 		return 0, ctx.Err()
 	}
 	if down {
@@ -75,8 +76,8 @@
 	return o, nil
 }
 
-func (l *memLog) Read(ctx context.Context, stream string, from logservice.Offset, limit int, wait time.Duration) (logservice.Batch, error) {
-	timeout := time.After(wait)
+func (l *memLog) Read(ctx context.Context, stream string, from logservice.Offset, limit int, most time.Duration) (logservice.Batch, error) {
+	timeout := time.After(most)
 	for {
 		l.mu.Lock()
 		list := l.streams[stream]
@@ -90,7 +91,7 @@
 			return b, logservice.ErrExpired
 		case int(from) < len(list):
 			b.Records = slices.Clone(list[from:min(len(list), int(from)+limit)])
-			sleep(ctx, latency)
+			wait.For(ctx, latency)
 			return b, nil
 		}
 		select {
@@ -193,7 +194,7 @@
 	c.nodes[id] = s
 	c.mu.Unlock()
 	s.spawn(func(ctx context.Context) {
-		for sleep(ctx, 20*time.Millisecond) {
+		for wait.For(ctx, 20*time.Millisecond) {
 			s.Tick(time.Now())
 		}
 	})
--- a/operate/measure_faults_test.go
+++ b/operate/measure_faults_test.go
@@ -10,6 +10,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 // fault is what goes wrong with the first dispatch of an operation.
@@ -189,7 +190,7 @@
 	case answerLost:
 		return Result{Outcome: fleet.Unknown, Target: "t1"}
 	case impatient:
-		sleep(ctx, 30*time.Millisecond)
+		wait.For(ctx, 30*time.Millisecond)
 	}
 	return Result{Outcome: fleet.Completed, Target: "t1", Answer: operation.NewCompleted(201, nil, []byte("booked"))}
 }
--- a/operate/partition.go
+++ b/operate/partition.go
@@ -12,6 +12,7 @@
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/logservice"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -176,26 +177,26 @@
 	for {
 		p.mu.Lock()
 		batch, entries := p.rec.Next(p.s.now())
-		wait := idlePoll
+		idle := idlePoll
 		switch {
 		case p.rec.Queued() > 0:
-			wait = p.s.cfg.recorder().WithDefaults().Linger
+			idle = p.s.cfg.recorder().WithDefaults().Linger
 		case p.rec.Len() > 0:
-			wait = duePoll
+			idle = duePoll
 		}
 		p.mu.Unlock()
 		if len(entries) > 0 {
 			p.append(ctx, batch, entries)
 			continue
 		}
-		t := time.NewTimer(wait)
+		t := time.NewTimer(idle)
 		select {
 		case <-ctx.Done():
 			t.Stop()
 			return
 		case <-p.kick:
 			t.Stop()
-			sleep(ctx, p.s.cfg.recorder().WithDefaults().Linger)
+			wait.For(ctx, p.s.cfg.recorder().WithDefaults().Linger)
 		case <-t.C:
 		}
 	}
@@ -224,7 +225,7 @@
 			p.restart(b.First)
 		case err != nil:
 			logFailure("read failed", err, "stream", p.stream)
-			sleep(ctx, readBackoff)
+			wait.For(ctx, readBackoff)
 		default:
 			p.take(b, began)
 		}
--- a/operate/peers.go
+++ b/operate/peers.go
@@ -15,6 +15,7 @@
 	"github.com/clementinereel/clementinereel/peer"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
 	"github.com/clementinereel/clementinereel/peer/peerv1/peerv1connect"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -54,7 +55,7 @@
 	entry := a.Entry(claim.Claim)
 	s.mu.Unlock()
 	r := s.askRecorders(ctx, entry)
-	for n := 1; r.refused && n < handOverTries && sleep(ctx, handOverPause); n++ {
+	for n := 1; r.refused && n < handOverTries && wait.For(ctx, handOverPause); n++ {
 		r = s.askRecorders(ctx, entry).after(r)
 	}
 	if r.withheld && ctx.Err() == nil {
@@ -312,17 +313,5 @@
 	if d, ok := ctx.Deadline(); ok && time.Until(d) < answerReserve+pollEvery {
 		return false
 	}
-	return sleep(ctx, pollEvery)
-}
-
-// sleep waits, and returns false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return wait.For(ctx, pollEvery)
 }
--- a/operate/receipts.go
+++ b/operate/receipts.go
@@ -9,6 +9,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/ticket"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -66,7 +67,7 @@
 
 // flush appends what waits until nothing does.
 func (r *receipts) flush(ctx context.Context) {
-	for sleep(ctx, r.pause()) {
+	for wait.For(ctx, r.pause()) {
 		if !r.flushOnce(ctx) {
 			return
 		}
--- a/operate/record.go
+++ b/operate/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementinereel/clementinereel/claim"
 	"github.com/clementinereel/clementinereel/operation"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -60,7 +61,7 @@
 				return
 			}
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, maxRecordBackoff)
--- a/operate/seal.go
+++ b/operate/seal.go
@@ -14,6 +14,7 @@
 	"github.com/clementinereel/clementinereel/operation"
 	"github.com/clementinereel/clementinereel/peer/peerv1"
 	"github.com/clementinereel/clementinereel/ticket"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -50,7 +51,7 @@
 // drain waits until a count is 0.
 func (s *Service) drain(ctx context.Context, count func() int) error {
 	for count() > 0 {
-		if !sleep(ctx, sealPoll) {
+		if !wait.For(ctx, sealPoll) {
 			return ctx.Err()
 		}
 	}
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -65,9 +65,9 @@
 
 // Bounds of what counts as doubtful and as unused.
 const (
-	// doubtful is the probability of failure from which only one attempt at
-	// a time is made.
-	doubtful = 0.2
+	// Doubtful is the probability of failure from which an attempt is a trial, and
+	// only one at a time is made.
+	Doubtful = 0.2
 	// unusedAfter is half of the time in which every sound target should see
 	// some work.
 	unusedAfter = time.Second
@@ -182,11 +182,11 @@
 		cost *= k.RepeatableFailure
 	}
 	switch {
-	case t.Fails >= doubtful && t.InFlight > 0:
+	case t.Fails >= Doubtful && t.InFlight > 0:
 		return cost + k.Crowd
-	case t.Fails >= doubtful && w.Repeatable && t.SinceUse > trialAfter && t.Zone == c.Zone:
+	case t.Fails >= Doubtful && w.Repeatable && t.SinceUse > trialAfter && t.Zone == c.Zone:
 		return -k.Trial
-	case t.Fails < doubtful && t.InFlight == 0 && t.SinceUse > unusedAfter:
+	case t.Fails < Doubtful && t.InFlight == 0 && t.SinceUse > unusedAfter:
 		return cost - k.Unused
 	}
 	return cost
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -3,10 +3,11 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/conncheck"
 )
 
 // errSealed is what a write on a sealed connection gets.
@@ -69,25 +70,4 @@
 
 // alive tells whether the peer of an unused connection has neither closed it
 // nor sent anything.
-func (c *conn) alive() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = rc.Read(func(fd uintptr) bool {
-		quiet = peekBlocks(int(fd))
-		return true
-	})
-	return err == nil && quiet
-}
-
-func peekBlocks(fd int) bool {
-	var b [1]byte
-	_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN
-}
+func (c *conn) alive() bool { return conncheck.Quiet(c.Conn) }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -38,8 +38,6 @@
 // Target is a registered target in use.
 type Target struct {
 	Entry
-	// Since is when this instance first knew of the target.
-	Since time.Time
 	// WarmAt is when the target is expected to be at full speed.
 	WarmAt time.Time
 }
@@ -170,15 +168,8 @@
 	if old != nil && e.Sequence < old.Sequence {
 		return
 	}
-	t := &Target{Entry: e, Since: now, WarmAt: now.Add(e.Warmup)}
-	if h, ok := r.held[e.ID]; ok {
-		old = h.target
-		delete(r.held, e.ID)
-	}
-	if old != nil {
-		t.Since = old.Since
-	}
-	r.entries[e.ID] = t
+	delete(r.held, e.ID)
+	r.entries[e.ID] = &Target{Entry: e, WarmAt: now.Add(e.Warmup)}
 	r.changed = true
 }
 
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -11,6 +11,7 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -34,9 +35,12 @@
 	// settle is the time between two reads when changes come quickly: several
 	// are taken by one call.
 	settle = 400 * time.Millisecond
-	// backOffMin and backOffMax bound the pause after an error.
-	backOffMin = 100 * time.Millisecond
-	backOffMax = 700 * time.Millisecond
+	// backOffMin and backOffMax bound the pause after an error, of which half to
+	// the whole is waited; introBackOffMax is the same for the introduction, which
+	// nothing waits for.
+	backOffMin      = 130 * time.Millisecond
+	backOffMax      = 930 * time.Millisecond
+	introBackOffMax = 4 * backOffMax
 	// introWait is how long a fresh instance waits to be heard through its seeds.
 	introWait = time.Second
 	// roleEvery is how often an instance looks whether it is a reader.
@@ -192,10 +196,10 @@
 
 // follow reads one stream.
 func (f *Follower) follow(ctx context.Context, s Stream) {
-	pause := backOffMin
+	b := wait.Backoff{Min: backOffMin, Max: backOffMax}
 	for ctx.Err() == nil {
 		if !f.reads() || f.settling(s) {
-			sleep(ctx, roleEvery)
+			wait.For(ctx, roleEvery)
 			continue
 		}
 		n, err := f.step(ctx, s)
@@ -203,15 +207,13 @@
 			return
 		}
 		f.note(s, err)
-		switch {
-		case err != nil:
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(pause*2, backOffMax)
-		case n > 0:
-			pause = backOffMin
-			sleep(ctx, settle)
-		default:
-			pause = backOffMin
+		if err != nil {
+			b.Pause(ctx)
+			continue
+		}
+		b.Reset()
+		if n > 0 {
+			wait.For(ctx, settle)
 		}
 	}
 }
@@ -222,14 +224,14 @@
 	if next == 0 && !f.begun(s) {
 		return 0, f.snapshot(ctx, s)
 	}
-	wait := readWait
+	held := readWait
 	if f.away(s) {
-		wait = probeWait
+		held = probeWait
 	}
 	f.count()
-	call, cancel := context.WithTimeout(ctx, wait+callSlack)
+	call, cancel := context.WithTimeout(ctx, held+callSlack)
 	defer cancel()
-	b, err := f.o.Store.Read(call, s, next, wait)
+	b, err := f.o.Store.Read(call, s, next, held)
 	if errors.Is(err, ErrExpired) {
 		return 0, f.snapshot(ctx, s)
 	}
@@ -296,16 +298,15 @@
 // introduce makes the instance and its peers known to each other through the
 // store, where the seeds do not suffice.
 func (f *Follower) introduce(ctx context.Context) {
-	sleep(ctx, introWait)
-	pause := backOffMin
+	wait.For(ctx, introWait)
+	b := wait.Backoff{Min: backOffMin, Max: introBackOffMax}
 	for ctx.Err() == nil {
 		err := f.introduceOnce(ctx)
 		if err == nil {
 			return
 		}
 		eventlog.Error(eventlog.StoreCallFailed, err, "call", "introduce")
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(pause*2, 4*backOffMax)
+		b.Pause(ctx)
 	}
 }
 
@@ -334,7 +335,7 @@
 			return
 		case <-f.ahead:
 		}
-		sleep(ctx, rand.N(pullJitter))
+		wait.For(ctx, rand.N(pullJitter))
 		f.pullOnce(ctx)
 	}
 }
@@ -397,12 +398,3 @@
 	}
 	return -1
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -20,7 +20,7 @@
 
 	mu       sync.Mutex
 	registry *registry.Registry
-	// next is the offset to read each stream from; that of Targets is the
+	// nextDocument is the offset to read Documents from; that of Targets is the
 	// registry's.
 	nextDocument registry.Offset
 }
@@ -140,13 +140,9 @@
 func (s *State) applyRecordTarget(r Record) bool {
 	if r.Err != nil {
 		eventlog.Error(eventlog.EntryRefused, r.Err, "offset", r.Offset, "target", r.ID)
+		return s.registry.Skip(r.Offset)
 	}
-	c := registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry}
-	now := time.Now()
-	if r.Err != nil {
-		return s.registry.Skip(c.Offset)
-	}
-	return s.registry.Apply(now, c)
+	return s.registry.Apply(time.Now(), registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry})
 }
 
 // Tick ends what is over by time. Away tells that the store's log answers nobody.
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -13,6 +13,7 @@
 	"github.com/clementinereel/clementinereel/outlier"
 	"github.com/clementinereel/clementinereel/pool"
 	"github.com/clementinereel/clementinereel/retry"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 // Service is the runtime state of one service at this instance: which targets
@@ -120,7 +121,7 @@
 			}
 			pause, again = s.balancer.Refused(search, pick, time.Since(begun))
 		}
-		if !again || !sleep(ctx, pause) {
+		if !again || !wait.For(ctx, pause) {
 			return last
 		}
 	}
@@ -136,18 +137,3 @@
 	pick.Done(balancer.DoneInfo{Result: res.Try, Latency: res.Latency, RetryAfter: res.RetryAfter})
 	return res
 }
-
-// sleep waits unless the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
