gateway: an attempt that ran out of time makes the request late, not lost

Cause: the connection's deadline and the request's timer end at the same moment; when the connection was first, the caller got 502 'the answer was lost' in place of 504. Ruled out: the target, which hung. Before: 502 by the order of two timers. Conclusion: settle is split, its cases stand alone.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,9 @@
 	late outcomeKind = "late"
 )
 
+// noAnswerInTime is why a request is late.
+const noAnswerInTime = "no answer in time"
+
 // outcome is how all attempts together ended.
 type outcome struct {
 	kind     outcomeKind
@@ -156,42 +159,46 @@
 	if r.fallback.answer != nil {
 		return r.fallback
 	}
-	return outcome{kind: late, why: "no answer in time", attempts: len(r.tried)}
+	return outcome{kind: late, why: noAnswerInTime, attempts: len(r.tried)}
 }
 
 // settle takes in an attempt's end. It returns the outcome if that is final.
 func (r *race) settle(e ended) (outcome, bool) {
-	res := e.result
+	o := r.classify(e)
+	if o.answer != nil && o.answer.Status < http.StatusInternalServerError {
+		return o, true
+	}
+	r.keep(o)
+	r.log(e, o)
+	if r.running > 0 || r.again(e) {
+		return outcome{}, false
+	}
+	return r.fallback, true
+}
+
+// classify says what an attempt's end alone would make of the request, and counts it.
+func (r *race) classify(e ended) outcome {
 	o := outcome{target: e.placed.ID, attempts: len(r.tried)}
-	switch res.Kind {
+	switch e.result.Kind {
 	case exchange.Answered:
 		r.sent++
-		o.kind, o.answer = answered, res.Answer
-		if passable(res.Answer) {
-			if res.Answer.Status < http.StatusInternalServerError {
-				return o, true
-			}
-		} else {
-			o.kind, o.answer, o.why = unknown, nil, "the target's answer bears no proof"
+		o.kind, o.why = unknown, "the target's answer bears no proof"
+		if passable(e.result.Answer) {
+			o.kind, o.answer, o.why = answered, e.result.Answer, ""
 		}
 	case exchange.Refused:
 		r.refused++
 		o.kind, o.why = notRun, "targets refused it"
 	case exchange.Unsent:
 		o.kind, o.why = notRun, "targets were out of reach"
+	case exchange.Overdue:
+		r.sent++
+		o.kind, o.why = late, noAnswerInTime
 	default:
 		r.sent++
 		o.kind, o.why = unknown, "the answer was lost"
 	}
-	r.keep(o)
-	r.log(e, o)
-	if r.running > 0 {
-		return outcome{}, false
-	}
-	if r.again(e) {
-		return outcome{}, false
-	}
-	return r.fallback, true
+	return o
 }
 
 // passable tells whether the answer may reach the caller as it is: a success
@@ -207,7 +214,7 @@
 // keep remembers the outcome that tells the caller most truthfully what is known:
 // an answer before a doubt, and a doubt before a refusal.
 func (r *race) keep(o outcome) {
-	rank := map[outcomeKind]int{notRun: 1, unknown: 2, answered: 3}
+	rank := map[outcomeKind]int{notRun: 1, unknown: 2, late: 2, answered: 3}
 	if rank[o.kind] >= rank[r.fallback.kind] {
 		r.fallback = o
 	}
