--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"github.com/clementinereel/clementinereel/admission"
@@ -21,8 +22,13 @@
 	if d.OK {
 		return d, nil
 	}
-	h.decided(x, "limited", "")
-	p := problem.New(http.StatusTooManyRequests, problem.RateLimited, "the contract's limit is reached")
+	h.decided(x, "limited", string(d.Refusal))
+	scope := "the route"
+	if d.RefusedBy == ratelimit.Whole {
+		scope = "all routes together"
+	}
+	why := fmt.Sprintf("the contract's limit is reached: %s of %s", d.Refusal, scope)
+	p := problem.New(http.StatusTooManyRequests, problem.RateLimited, why)
 	return d, p.After(d.RetryAfter)
 }
 
--- a/ratelimit/account.go
+++ b/ratelimit/account.go
@@ -44,10 +44,23 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// Refusal tells what of a limit a refused request lacked.
+type Refusal string
+
+const (
+	// NoToken: the rate and its burst are used up.
+	NoToken Refusal = "rate"
+	// NoSlot: as many requests are in flight as the account may have.
+	NoSlot Refusal = "concurrency"
+)
+
 // Decision is what the limits say to one request.
 type Decision struct {
 	// OK tells whether the request may go on; Done must be called then.
 	OK bool
+	// Refusal and RefusedBy tell why a request was refused, and by which limit.
+	Refusal   Refusal
+	RefusedBy LimitID
 	// RetryAfter is how long a refused caller should wait.
 	RetryAfter time.Duration
 	// Limit, Remaining and Reset describe the tighter of the limits that
@@ -168,7 +181,11 @@
 	if route != 0 {
 		part.offered++
 	}
-	ok := a.passes(whole) && (route == 0 || a.passes(part))
+	refusedBy, refusal := whole, a.refusal(whole)
+	if refusal == "" {
+		refusedBy, refusal = part, a.refusal(part)
+	}
+	ok := refusal == ""
 	if ok {
 		whole.enter(now)
 		if route != 0 {
@@ -176,15 +193,22 @@
 		}
 	}
 	wake = a.turnUrgent(whole, part)
-	return a.decision(ok, route), wake
+	d = a.decision(ok, route)
+	if !ok {
+		d.Refusal, d.RefusedBy = refusal, refusedBy.ID
+	}
+	return d, wake
 }
 
-// passes tells whether a line has a token and a slot.
-func (a *Account) passes(l *line) bool {
-	if l.balance-1 < -l.own(a.listed) {
-		return false
+// refusal tells what the line lacks for one more request; empty if nothing.
+func (a *Account) refusal(l *line) Refusal {
+	switch {
+	case l.balance-1 < -l.own(a.listed):
+		return NoToken
+	case a.full(l):
+		return NoSlot
 	}
-	return !a.full(l)
+	return ""
 }
 
 func (a *Account) slots(l *line) int {
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -177,6 +177,29 @@
 	assert.Assert(t, first.OK && second.OK)
 }
 
+// TestARefusalNamesWhatIsMissing takes until each of two limits refuses.
+func TestARefusalNamesWhatIsMissing(t *testing.T) {
+	route := RouteID("prices")
+	f := newTestFleet(10, 1, Limits{
+		{ID: Whole, Rate: 1, Burst: 20},
+		{ID: route, Rate: 1000, Burst: 1000, Concurrency: 3},
+	}, []float64{1})
+	refused := func() (last Decision) {
+		for last.OK = true; last.OK; {
+			last = f.tables[0].Take(f.now, "c", route)
+		}
+		return last
+	}
+	d := refused()
+	assert.Equal(t, d.Refusal, NoSlot)
+	assert.Equal(t, d.RefusedBy, route)
+	for d = f.tables[0].Take(f.now, "c", Whole); d.OK; {
+		d = f.tables[0].Take(f.now, "c", Whole)
+	}
+	assert.Equal(t, d.Refusal, NoToken)
+	assert.Equal(t, d.RefusedBy, Whole)
+}
+
 // TestLittleUseGoesOnWhenTheLimiterIsCutOff loses the limiter in the middle of
 // a use far below the limit.
 func TestLittleUseGoesOnWhenTheLimiterIsCutOff(t *testing.T) {
