suspicion, placement: quick failures told apart; a floor by probability; joined targets

Sound targets fail 1.2% of their work after doing it, sick ones within milliseconds; both counted the same. Change: Floor counts each target by the probability that it is sound, for the own zone and for zones that are not heard of, and takes the one most likely sound. A failure that came in under 0.15 of the usual duration is an observation of its own, with learned rates. A target that has just started gets its first work at once. TestTheFloorCountsWhatIsLikelySound, TestQuickFailuresAreToldApart and TestATargetThatJoinedGetsWork fail before. TestAServiceInTroubleKeepsItsFloor now gives probabilities and asks for the likeliest instead of the longest unused: the same cases, as strict.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,9 @@
 	// hedgeUtilization is the use of a service's slots above which a second
 	// attempt would take them from first ones.
 	hedgeUtilization = 0.55
+	// quickShare is the part of the usual duration below which a failure did not
+	// come from the work itself.
+	quickShare = 0.15
 	// staleIdle is the idle time of a connection from which its break may be the
 	// target's closing of it.
 	staleIdle = 2 * time.Second
@@ -319,7 +322,7 @@
 			return // see Overdue
 		}
 		if res.Answer.Status >= http.StatusInternalServerError || !passable(res.Answer) {
-			c.observe(e.placed, suspicion.Bad, began, 0)
+			c.observe(e.placed, c.failure(res.Took), began, 0)
 			return
 		}
 		c.h.Knowledge.Answered(c.service, len(res.Answer.Body))
@@ -346,6 +349,14 @@
 	}
 }
 
+// failure is the observation of a failure that came after the given time.
+func (c *call) failure(took time.Duration) suspicion.Observation {
+	if float64(took) < quickShare*float64(c.h.Knowledge.Durations(c.service).median) {
+		return suspicion.Quick
+	}
+	return suspicion.Bad
+}
+
 // observe records an observation, and tells the others at once what may keep
 // them from a sick target or bring one back.
 func (c *call) observe(p Placed, o suspicion.Observation, began time.Time, took time.Duration) {
@@ -365,5 +376,5 @@
 	eventlog.Info(eventlog.AttemptFailed, "request", r.c.id, "route", r.c.route.Name, "class", r.c.route.Class, "service", r.c.service,
 		"target", e.placed.ID, "addr", e.placed.Addr, "zone", e.placed.Zone, "kind", e.result.Kind, "status", status, "err", e.result.Err,
 		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
-		"fails", eventlog.Share(e.placed.Fails), "cost", eventlog.Share(e.placed.Cost), "in_flight", e.placed.InFlight, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version)
+		"fails", eventlog.Share(e.placed.Fails), "cost", eventlog.Share(e.placed.Cost), "in_flight", e.placed.InFlight, "for_floor", e.placed.ForFloor, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version)
 }
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -33,6 +33,9 @@
 	// cutTogether is the time within which cut paths to different targets are
 	// put down to this instance.
 	cutTogether = 4 * time.Second
+	// joinedFor is for how long after its start-up a target that nobody used is sought
+	// out.
+	joinedFor = 8 * time.Second
 	// evidenceMost bounds the observations that wait for the next heartbeat.
 	evidenceMost = 40
 )
@@ -128,6 +131,8 @@
 	InFlight int
 	// Doubtful tells that the others are to hear of the attempt at once.
 	Doubtful bool
+	// ForFloor tells that the target was chosen to keep enough targets in use.
+	ForFloor bool
 }
 
 // turns is how many times the slots must come free, as far as known, before the
@@ -159,12 +164,13 @@
 	if i < 0 {
 		return Placed{}, false
 	}
-	if next := placement.Floor(s.estimator.FailedLately(), candidates); next >= 0 && len(excluded) == 0 && candidates[next].Zone == k.chooser.Zone {
-		i, cost = next, k.chooser.Cost(w, &candidates[next])
+	forFloor := false
+	if next := placement.Floor(s.estimator.FailedLately(), candidates); next >= 0 && len(excluded) == 0 {
+		i, cost, forFloor = next, k.chooser.Cost(w, &candidates[next]), true
 	}
 	c := &candidates[i]
 	k.target(c.ID).own++
-	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful}, true
+	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor}, true
 }
 
 func (k *Knowledge) candidate(now time.Time, s *service, rt *registry.Target, warm bool) placement.Candidate {
@@ -173,15 +179,28 @@
 		ID:       rt.ID,
 		Zone:     rt.Zone,
 		Slots:    rt.Slots,
+		Sick:     s.estimator.Sick(now, rt.ID),
 		Fails:    s.estimator.Fails(now, rt.ID),
 		InFlight: t.own + t.others,
 		Warm:     warm,
 		Cut:      now.Before(t.cutUntil),
 		Warming:  now.Before(rt.WarmAt),
 		SinceUse: now.Sub(t.lastUse),
+		Joined:   t.lastUse.IsZero() && now.Sub(rt.WarmAt) < joinedFor,
+		Near:     k.near(now, rt.Zone),
 	}
 }
 
+// near tells whether this zone's instances look after targets of the given zone:
+// their own, and those of a zone from which nothing is heard.
+func (k *Knowledge) near(now time.Time, name fleet.Zone) bool {
+	if name == k.chooser.Zone {
+		return true
+	}
+	z := k.zones[name]
+	return z == nil || now.Sub(z.heard) > peerLoadFor
+}
+
 // Ended counts an attempt out.
 func (k *Knowledge) Ended(id fleet.TargetID) {
 	k.mu.Lock()
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -139,6 +139,22 @@
 	assert.Equal(t, len(k.Digest(start, v, true).Successes), 0, "told once")
 }
 
+// A target that has just started gets work at once, though others are warm and known.
+func TestATargetThatJoinedGetsWork(t *testing.T) {
+	k := newKnowledge()
+	var ts []*registry.Target
+	for _, id := range []fleet.TargetID{"a", "b", "c", "d"} {
+		ts = append(ts, &registry.Target{Entry: registry.Entry{ID: id, Zone: "a", Slots: 2}})
+		k.Observe(start, "s", id, suspicion.Good, start, time.Millisecond)
+	}
+	ts = append(ts, &registry.Target{Entry: registry.Entry{ID: "new", Zone: "a", Slots: 2}, WarmAt: start.Add(3 * time.Second)})
+	warm := func(id fleet.TargetID) bool { return id != "new" }
+	p, _ := k.Place(start, "s", ts, nil, placement.Work{}, warm)
+	assert.Equal(t, p.ID, fleet.TargetID("new"))
+	p, _ = k.Place(start, "s", ts, nil, placement.Work{}, warm)
+	assert.Assert(t, p.ID != "new", "one at a time")
+}
+
 func TestLatencyLeavesOutAnswersWithoutWork(t *testing.T) {
 	var l latency
 	assert.Equal(t, l.known().median, medianDefault)
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -35,6 +35,9 @@
 	Warmup float64 `json:"warmup"`
 	// Unused is the gain of a target that nobody used lately.
 	Unused float64 `json:"unused"`
+	// Joined is the gain of the first work at a target that joined lately: capacity
+	// that was added is to be used at once.
+	Joined float64 `json:"joined"`
 	// Noise is the spread of a random part of each cost. Instances learn of each
 	// other's choices late; without it they would all choose the same target.
 	Noise float64 `json:"noise"`
@@ -58,6 +61,7 @@
 		Crowd:             0.5,
 		Warmup:            0.04,
 		Unused:            0.05,
+		Joined:            0.3,
 		Noise:             0.03,
 		RepeatableFailure: 0.8,
 	}
@@ -87,8 +91,8 @@
 	ID    fleet.TargetID
 	Zone  fleet.Zone
 	Slots int
-	// Fails is the probability that an attempt fails.
-	Fails float64
+	// Sick is the probability that the target is sick, Fails that an attempt fails.
+	Sick, Fails float64
 	// InFlight is how many requests all instances have there.
 	InFlight int
 	// Warm tells that an open connection is at hand.
@@ -99,6 +103,11 @@
 	Warming bool
 	// SinceUse is the time since any instance sent it work.
 	SinceUse time.Duration
+	// Joined tells that the target has just started and nobody sent it work yet.
+	Joined bool
+	// Near tells that this instance's zone looks after the target: what the
+	// instances of its zone do is known at once, and others leave it to them.
+	Near bool
 }
 
 // Bounds of Floor.
@@ -106,31 +115,38 @@
 	// troubled is the part of a service's attempts that fail from which the floor
 	// is kept.
 	troubled = 0.09
-	// floorShare is the part of the targets that must see work, and floorWithin in
-	// which time: the users ask for 0.7 of the sound ones within 2 s.
+	// floorShare is the part of the sound targets that must see work, and floorWithin
+	// in which time: the users ask for 0.7 of them within 2 s.
 	floorShare  = 0.75
 	floorWithin = 1500 * time.Millisecond
 )
 
 // Floor returns the target that is to be tried next so that a service in trouble does
-// not shrink to a few targets: what looks sick may be sound again, and the rest is
-// loaded by what was set aside. It returns -1 if enough targets are in use.
+// not shrink to a few targets: what looked sick may be sound again, and the rest is
+// loaded by what was set aside. It returns -1 while the targets in use are enough of
+// the sound ones near by, each counted by the probability that it is sound: trials of
+// what is surely sick would only be failures. Among the unused it is the one that is
+// most likely sound.
 func Floor(failedLately float64, ts []Candidate) int {
 	if failedLately < troubled {
 		return -1
 	}
-	used, next := 0, -1
+	sound, used, next := 0.0, 0.0, -1
 	for i := range ts {
 		t := &ts[i]
+		if !t.Near {
+			continue
+		}
+		sound += 1 - t.Sick
 		if t.InFlight > 0 || t.SinceUse < floorWithin {
-			used++
+			used += 1 - t.Sick
 			continue
 		}
-		if !t.Cut && (next < 0 || t.SinceUse > ts[next].SinceUse) {
+		if !t.Cut && (next < 0 || t.Sick < ts[next].Sick) {
 			next = i
 		}
 	}
-	if float64(used) >= floorShare*float64(len(ts)) {
+	if used >= floorShare*sound {
 		return -1
 	}
 	return next
@@ -186,6 +202,8 @@
 		return cost + k.Crowd
 	case t.Fails >= Doubtful && w.Repeatable && t.SinceUse > trialAfter && t.Zone == c.Zone:
 		return -k.Trial
+	case t.Joined && t.InFlight == 0 && t.Near:
+		return cost - k.Joined
 	case t.Fails < Doubtful && t.InFlight == 0 && t.SinceUse > unusedAfter:
 		return cost - k.Unused
 	}
--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -17,7 +17,7 @@
 func candidates(n int) []Candidate {
 	ts := make([]Candidate, n)
 	for i := range ts {
-		ts[i] = Candidate{ID: fleet.TargetID(fmt.Sprint("t", i)), Zone: "a", Slots: 4, Fails: 0.02, Warm: true, SinceUse: time.Millisecond}
+		ts[i] = Candidate{ID: fleet.TargetID(fmt.Sprint("t", i)), Zone: "a", Slots: 4, Fails: 0.02, Warm: true, SinceUse: time.Millisecond, Near: true}
 	}
 	return ts
 }
@@ -73,16 +73,37 @@
 func TestAServiceInTroubleKeepsItsFloor(t *testing.T) {
 	ts := candidates(10)
 	for i := range 4 {
-		ts[i].Fails, ts[i].SinceUse = 0.7, time.Duration(2+i)*time.Second
+		ts[i].Sick, ts[i].SinceUse = 0.4-0.1*float64(i), time.Duration(2+i)*time.Second
 	}
 	assert.Equal(t, Floor(0.01, ts), -1, "no trouble")
-	assert.Equal(t, Floor(0.15, ts), 3, "the one that waits longest")
+	assert.Equal(t, Floor(0.15, ts), 3, "the one that is most likely sound")
 	ts[3].Cut = true
 	assert.Equal(t, Floor(0.15, ts), 2)
 	ts[3].InFlight, ts[2].SinceUse = 1, 0
 	assert.Equal(t, Floor(0.15, ts), -1, "enough are in use")
 }
 
+// A trial of what is surely sick would be one more failure, and keeps up no capacity.
+func TestTheFloorCountsWhatIsLikelySound(t *testing.T) {
+	ts := candidates(10)
+	for i := range 5 {
+		ts[i].Sick, ts[i].SinceUse = 0.9, 3*time.Second
+	}
+	assert.Equal(t, Floor(0.15, ts), -1, "half of the targets are set aside and sick")
+	for i := range 5 {
+		ts[i].Sick = 0.3
+	}
+	assert.Assert(t, Floor(0.15, ts) >= 0, "half of the targets are set aside and likely sound")
+}
+
+func TestOtherZonesKeepTheirOwnFloor(t *testing.T) {
+	ts := candidates(10)
+	for i := range 6 {
+		ts[i].SinceUse, ts[i].Near = 5*time.Second, false
+	}
+	assert.Equal(t, Floor(0.15, ts), -1)
+}
+
 // Instances with the same knowledge must not all choose the same target.
 func TestInstancesSpread(t *testing.T) {
 	ts := candidates(10)
--- a/suspicion/doc.go
+++ b/suspicion/doc.go
@@ -9,6 +9,10 @@
 // run of successes, and a target that was set aside is trusted a little more
 // with each second.
 //
+// A failure says more when it came much sooner than work takes: a sick target often
+// fails its work at once, while a sound one fails what it could not do after trying.
+// How much more is learned for each service.
+//
 // The rates are learned from what is seen, from weak priors, since deployments
 // differ. A target that refuses work because it is full is not sick.
 //
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -26,16 +26,22 @@
 	Down
 	// Elsewhere is an answer by another target at the address.
 	Elsewhere
+	// Quick is a failure that came much sooner than work takes: the target failed
+	// it without trying. A sound target's failures take as long as its work.
+	Quick
 )
 
 var observationNames = map[Observation]string{
 	Good: "good", Bad: "bad", Slow: "slow", Unreachable: "unreachable", Stale: "stale",
-	Down: "down", Elsewhere: "elsewhere",
+	Down: "down", Elsewhere: "elsewhere", Quick: "quick-failure",
 }
 
 // String names the observation as logs write it.
 func (o Observation) String() string { return observationNames[o] }
 
+// Failed tells whether the observation is a failure that the target answered with.
+func (o Observation) Failed() bool { return o == Bad || o == Quick }
+
 // Priors of the learned rates. The pseudo counts are small, so that some tens of
 // observations outweigh them.
 const (
@@ -43,6 +49,8 @@
 	priorSickCount   = 20
 	priorSoundFails  = 0.015
 	priorSoundCount  = 200
+	priorSickQuick   = 0.3
+	priorSoundQuick  = 0.15
 	priorSickSlow    = 0.3
 	priorSoundSlow   = 0.04
 	priorBout        = 7 * time.Second
@@ -96,6 +104,8 @@
 
 	sickFails, sickSlow, sickCount    float64
 	soundFails, soundSlow, soundCount float64
+	// sickQuick and soundQuick are the part of the failures that were quick.
+	sickQuick, soundQuick float64
 	// sickTime is the time in seconds between failures of bouts, soundTime that
 	// between successes; ends and onsets are how many bouts ended and began.
 	sickTime, ends    float64
@@ -112,6 +122,8 @@
 		sickCount:  priorSickCount,
 		soundFails: priorSoundFails * priorSoundCount,
 		soundCount: priorSoundCount,
+		sickQuick:  priorSickQuick * priorSickFails * priorSickCount,
+		soundQuick: priorSoundQuick * priorSoundFails * priorSoundCount,
 		sickSlow:   priorSickSlow * priorSickCount,
 		soundSlow:  priorSoundSlow * priorSoundCount,
 		sickTime:   priorBout.Seconds() * priorSpellsCount,
@@ -125,6 +137,8 @@
 type Rates struct {
 	// SickFails and SoundFails are the parts of work that fail.
 	SickFails, SoundFails float64
+	// SickQuick and SoundQuick are the parts of the failures that are quick.
+	SickQuick, SoundQuick float64
 	// SickSlow and SoundSlow are the parts that are slow.
 	SickSlow, SoundSlow float64
 	// Bout and Spell are the mean lengths of a sick and of a sound time.
@@ -136,6 +150,8 @@
 	return Rates{
 		SickFails:  e.sickFails / e.sickCount,
 		SoundFails: e.soundFails / e.soundCount,
+		SickQuick:  e.sickQuick / e.sickFails,
+		SoundQuick: e.soundQuick / e.soundFails,
 		SickSlow:   e.sickSlow / e.sickCount,
 		SoundSlow:  e.soundSlow / e.soundCount,
 		Bout:       seconds(e.sickTime / e.ends),
@@ -157,7 +173,7 @@
 // add takes in an observation. Its weight grows with the time since the last one, so
 // that the share does not depend on how many there are.
 func (r *recent) add(now time.Time, o Observation, counts bool) {
-	if o != Good && o != Bad && o != Slow {
+	if o != Good && !o.Failed() && o != Slow {
 		return
 	}
 	x := 0.0
@@ -192,7 +208,7 @@
 	e.drift(now, t)
 	before = t.sick
 	e.slowLately.add(now, o, o == Slow)
-	e.failedLately.add(now, o, o == Bad)
+	e.failedLately.add(now, o, o.Failed())
 	e.learnSlow(t, o)
 	ratio := e.ratio(t, o, began)
 	odds := t.sick / (1 - t.sick) * ratio
@@ -223,7 +239,9 @@
 		}
 		return (1 - r.SickFails) / (1 - r.SoundFails)
 	case Bad:
-		return r.SickFails / r.SoundFails
+		return r.SickFails * (1 - r.SickQuick) / (r.SoundFails * (1 - r.SoundQuick))
+	case Quick:
+		return r.SickFails * r.SickQuick / (r.SoundFails * r.SoundQuick)
 	case Slow:
 		// Where the whole service is slow, no target stands out.
 		return max(r.SickSlow/max(r.SoundSlow, e.slowLately.share), 1)
@@ -238,13 +256,17 @@
 }
 
 func (e *Estimator) learnFailures(t *target, o Observation) {
-	if o != Good && o != Bad {
+	if o != Good && !o.Failed() {
 		return
 	}
 	failed := 0.0
-	if o == Bad {
+	if o.Failed() {
 		failed = 1
 	}
+	if o == Quick {
+		e.sickQuick += t.sick
+		e.soundQuick += 1 - t.sick
+	}
 	e.sickCount += t.sick
 	e.sickFails += t.sick * failed
 	e.soundCount += 1 - t.sick
@@ -271,7 +293,7 @@
 		}
 		t.lastGood = now
 		return
-	case Bad:
+	case Bad, Quick:
 		if gap := now.Sub(t.lastBad); t.suspected && t.bads > 0 && gap < longestGap {
 			e.sickTime += gap.Seconds()
 		}
--- a/suspicion/estimator_test.go
+++ b/suspicion/estimator_test.go
@@ -79,3 +79,33 @@
 	assert.Assert(t, r.Bout > 300*time.Millisecond && r.Bout < 3*time.Second, "%+v", r)
 	assert.Assert(t, r.Spell > 10*time.Second, "%+v", r)
 }
+
+// TestQuickFailuresAreToldApart lets sick targets fail at once and sound ones after
+// their work: a sound target's failure must not set it aside, a sick one's must.
+func TestQuickFailuresAreToldApart(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	e := New()
+	ids := []fleet.TargetID{"a", "b", "c", "d", "e", "f"}
+	now := 0.0
+	for range 4000 {
+		now += 0.02
+		i := rng.IntN(len(ids))
+		sick := int(now/4)%len(ids) == i
+		o := Good
+		switch {
+		case sick && rng.Float64() < 0.8:
+			o = Quick
+		case rng.Float64() < 0.012:
+			o = Bad
+		}
+		e.Observe(at(now), ids[i], o, at(now))
+	}
+	for n := range 4 {
+		e.Observe(at(now+float64(n)), "g", Good, at(now+float64(n)))
+		e.Observe(at(now+float64(n)), "h", Good, at(now+float64(n)))
+	}
+	_, slow, _ := e.Observe(at(now+5), "g", Bad, at(now+5))
+	_, quick, _ := e.Observe(at(now+5), "h", Quick, at(now+5))
+	assert.Assert(t, slow < Suspected, "after a failure that took its time: %.3f, %+v", slow, e.Rates())
+	assert.Assert(t, quick > 0.9, "after a quick one: %.3f, %+v", quick, e.Rates())
+}
