exchange, gateway: stale connections are told from sick targets, and not met twice

Cause: targets may forget idle connections without a notice and reset whatever comes next; work that must not repeat is lost by it. Each instance went on using connections of up to 6 s, and took each reset for a sick target. TCP keep-alive probes find idle connections that went silent within 2.5 s.

--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -36,6 +36,10 @@
 	readBuffer = 4 << 10
 )
 
+// probes find connections that went silent while they were idle: nothing else shows
+// it before a request is lost on them.
+var probes = net.KeepAliveConfig{Enable: true, Idle: 1500 * time.Millisecond, Interval: 500 * time.Millisecond, Count: 2}
+
 // Cache keeps idle connections to targets. It is safe for concurrent use.
 type Cache struct {
 	dialer net.Dialer
@@ -49,13 +53,14 @@
 // open.
 func NewCache(dialTimeout time.Duration) *Cache {
 	return &Cache{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes},
 		idle:   make(map[fleet.TargetID][]*conn),
 	}
 }
 
-// Idle tells whether a connection to the target can be used again.
-func (c *Cache) Idle(id fleet.TargetID) bool {
+// Idle tells whether a connection to the target can be used again that was not idle
+// for longer than maxIdle.
+func (c *Cache) Idle(id fleet.TargetID, maxIdle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[id]
@@ -63,7 +68,7 @@
 		return false
 	}
 	last := conns[len(conns)-1]
-	return time.Since(last.idleSince) < last.keep
+	return time.Since(last.idleSince) < min(last.keep, maxIdle)
 }
 
 // Opened is how many connections were opened so far.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -107,9 +107,6 @@
 	Headers Headers
 	// MaxAnswer bounds an answer's body in bytes.
 	MaxAnswer int64
-	// MaxReuseIdle bounds how long a connection may have been idle for a
-	// request that must not be repeated.
-	MaxReuseIdle time.Duration
 }
 
 var (
@@ -120,10 +117,11 @@
 
 // Do sends the request, tells the target that its answer is wanted until wanted,
 // and waits until deadline. Cancelling ctx gives up: the connection is closed, so
-// that the target may stop. Once tells that the request must not be repeated.
-func (c *Client) Do(ctx context.Context, t Target, r *Request, wanted, deadline time.Time, once bool) Result {
+// that the target may stop. A connection that was idle for longer than maxIdle is not
+// used: the target may be closing it.
+func (c *Client) Do(ctx context.Context, t Target, r *Request, wanted, deadline time.Time, maxIdle time.Duration) Result {
 	start := time.Now()
-	cn, err := c.connect(ctx, t, deadline, once)
+	cn, err := c.connect(ctx, t, deadline, maxIdle)
 	if err != nil {
 		return Result{Kind: Unsent, Err: err, Took: time.Since(start)}
 	}
@@ -148,14 +146,14 @@
 	return res
 }
 
-func (c *Client) connect(ctx context.Context, t Target, deadline time.Time, once bool) (*conn, error) {
+func (c *Client) connect(ctx context.Context, t Target, deadline time.Time, maxIdle time.Duration) (*conn, error) {
 	now := time.Now()
 	for {
 		cn := c.Cache.take(t.ID, now)
 		if cn == nil {
 			break
 		}
-		if !once || now.Sub(cn.idleSince) <= c.MaxReuseIdle {
+		if now.Sub(cn.idleSince) <= maxIdle {
 			return cn, nil
 		}
 		_ = cn.Close()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -75,7 +75,7 @@
 )
 
 func client() *Client {
-	return &Client{Cache: NewCache(time.Second), Headers: names, MaxAnswer: 1 << 20, MaxReuseIdle: time.Minute}
+	return &Client{Cache: NewCache(time.Second), Headers: names, MaxAnswer: 1 << 20}
 }
 
 func request(id string) *Request {
@@ -84,7 +84,7 @@
 
 func do(c *Client, t Target, r *Request) Result {
 	end := time.Now().Add(400 * time.Millisecond)
-	return c.Do(context.Background(), t, r, end, end, true)
+	return c.Do(context.Background(), t, r, end, end, time.Minute)
 }
 
 func TestWhatIsKnownAfterAnExchange(t *testing.T) {
@@ -229,7 +229,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(30*time.Millisecond, cancel)
 	end := time.Now().Add(5 * time.Second)
-	res := client().Do(ctx, rt.Target, request("r1"), end, end, false)
+	res := client().Do(ctx, rt.Target, request("r1"), end, end, time.Minute)
 	assert.Equal(t, res.Kind, Abandoned)
 	assert.Assert(t, res.Took < time.Second)
 }
@@ -248,7 +248,7 @@
 	r := request("r1")
 	r.Header.Set("X-Other", "kept")
 	end := time.Now().Add(time.Second)
-	res := client().Do(context.Background(), Target{ID: "me", Addr: ln.Addr().String()}, r, end.Add(-500*time.Millisecond), end, true)
+	res := client().Do(context.Background(), Target{ID: "me", Addr: ln.Addr().String()}, r, end.Add(-500*time.Millisecond), end, time.Minute)
 	assert.Equal(t, res.Kind, Answered, "%v", res.Err)
 	in := <-got
 	assert.Equal(t, in.RequestURI, "/p?q=%2F")
@@ -266,9 +266,9 @@
 	rt := newRawTarget(t, script{sealed, sealed})
 	c := client()
 	do(c, rt.Target, request("r1"))
-	assert.Assert(t, c.Cache.Idle("t1"))
+	assert.Assert(t, c.Cache.Idle("t1", time.Minute))
 	c.Cache.Sweep(time.Now(), func(fleet.TargetID) bool { return false })
-	assert.Assert(t, !c.Cache.Idle("t1"))
+	assert.Assert(t, !c.Cache.Idle("t1", time.Minute))
 	assert.Equal(t, c.Cache.Opened(), int64(1))
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,8 +58,9 @@
 	// come from the work itself.
 	quickShare = 0.15
 	// staleIdle is the idle time of a connection from which its break may be the
-	// target's closing of it.
-	staleIdle = 2 * time.Second
+	// target's closing of it, and staleLeast the same for a break that came at once.
+	staleIdle  = 2 * time.Second
+	staleLeast = 100 * time.Millisecond
 )
 
 // race is the attempts of one request.
@@ -288,7 +289,9 @@
 	targets := c.h.State.Targets().Services[c.service]
 	last := r.sent+r.running+1 >= c.route.MaxAttempts
 	w := placement.Work{Repeatable: c.repeatable() && !last, KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
-	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, c.h.Client.Cache.Idle)
+	maxIdle := c.h.Knowledge.ReuseIdle(now, c.service, c.repeatable())
+	warm := func(id fleet.TargetID) bool { return c.h.Client.Cache.Idle(id, maxIdle) }
+	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, warm)
 	if !ok {
 		return false
 	}
@@ -296,17 +299,18 @@
 	r.open = append(r.open, opened{p, now})
 	r.running++
 	c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
-	go r.attempt(p)
+	go r.attempt(p, maxIdle)
 	return true
 }
 
-// attempt sends the request to one target.
-func (r *race) attempt(p Placed) {
+// attempt sends the request to one target, on a connection that was not idle for longer
+// than maxIdle.
+func (r *race) attempt(p Placed, maxIdle time.Duration) {
 	c := r.c
 	slow := time.Duration(float64(c.h.Knowledge.Durations(c.service).slow) * p.turns())
 	began := time.Now()
 	watch := time.AfterFunc(slow, func() { c.observe(p, suspicion.Slow, began, 0) })
-	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, !c.repeatable())
+	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, maxIdle)
 	watch.Stop()
 	c.h.Knowledge.Ended(p.ID)
 	r.results <- ended{p, res}
@@ -338,11 +342,11 @@
 		}
 		c.observe(e.placed, o, began, 0)
 	case exchange.Broken:
-		if res.Reused && res.IdleFor > staleIdle {
-			c.observe(e.placed, suspicion.Stale, began, 0)
+		if res.Reused && (res.IdleFor > staleIdle || (res.IdleFor > staleLeast && c.failure(res.Took) == suspicion.Quick)) {
+			c.observe(e.placed, suspicion.Stale, began, res.IdleFor)
 			return
 		}
-		c.observe(e.placed, suspicion.Bad, began, 0)
+		c.observe(e.placed, c.failure(res.Took), began, 0)
 	case exchange.Overdue:
 		// Nothing more than the watch told: a route's own timeout may be shorter
 		// than its work.
@@ -358,7 +362,8 @@
 }
 
 // observe records an observation, and tells the others at once what may keep
-// them from a sick target or bring one back.
+// them from a sick target or bring one back. Took is how long a good attempt took, or
+// a connection was idle that proved to be stale.
 func (c *call) observe(p Placed, o suspicion.Observation, began time.Time, took time.Duration) {
 	now := time.Now()
 	c.h.Knowledge.Observe(now, c.service, p.ID, o, began, took)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,9 +26,6 @@
 	// that was lost is sent again only after a second, and by then another
 	// target has been tried.
 	dialTimeout = 80 * time.Millisecond
-	// reuseIdle is how long a connection may have been idle to carry work that
-	// must not be repeated: a target may close it at the same moment.
-	reuseIdle = 6 * time.Second
 	// tick is how often tables are looked through for what is over. Targets that
 	// are gone may be in use for longer by it.
 	tick = 100 * time.Millisecond
@@ -66,7 +63,7 @@
 	g := &Gateway{settings: s, booted: time.Now(), metrics: NewMetrics()}
 	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone, Random: rand.Float64}, s.Retry)
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
-	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer, MaxReuseIdle: reuseIdle}
+	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -69,6 +69,7 @@
 	// answerKB is the running mean of answers' sizes, answers their number.
 	answerKB float64
 	answers  int
+	reuse    reuse
 }
 
 // target is what is known of a target beside its estimate.
@@ -158,6 +159,9 @@
 		if !slices.Contains(excluded, t.ID) {
 			candidates = append(candidates, k.candidate(now, s, t, warm(t.ID)))
 			from = append(from, t)
+			if t.Zone == k.chooser.Zone {
+				w.InZone++
+			}
 		}
 	}
 	i, cost := k.chooser.Choose(w, candidates)
@@ -260,6 +264,9 @@
 	if e.What == suspicion.Good {
 		s.latency.add(time.Duration(e.TookMillis) * time.Millisecond)
 	}
+	if e.What == suspicion.Stale {
+		s.reuse.broke(now, time.Duration(e.TookMillis)*time.Millisecond)
+	}
 	switch change {
 	case suspicion.NowSuspected:
 		r := s.estimator.Rates()
@@ -271,6 +278,14 @@
 	}
 }
 
+// ReuseIdle is how long a connection to the service's targets may have been idle to
+// carry a request.
+func (k *Knowledge) ReuseIdle(now time.Time, name document.ServiceName, repeatable bool) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service(name).reuse.most(now, repeatable)
+}
+
 // Spend takes an attempt out of the service's retry budget, if there is one.
 func (k *Knowledge) Spend(now time.Time, name document.ServiceName, v mesh.View, urgent bool) (left float64, ok bool) {
 	k.mu.Lock()
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -122,7 +122,8 @@
 	What    suspicion.Observation
 	// AgeMillis is how long before the datagram the attempt began.
 	AgeMillis int64
-	// TookMillis is how long a good attempt took.
+	// TookMillis is how long a good attempt took, or for how long a connection
+	// was idle that proved to be stale.
 	TookMillis int64
 }
 
