placement: an instance has few homes however many targets there are

Cause: on the grown Texas site two of three requests opened a connection (12,050 for 18,360): each instance chose among its zone's 43 targets by a preference of at most 0.1, a tenth for each third of them, under noise of the same size. Change: the preference grows with the place in the instance's own order of its zone; preference 0.2 for the eighth, noise 0.01, connection 0.06, and load 0.1, warm-up 0.1, joined 0.6 in proportion: a full or cold home must not be preferred to the next one.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -17,8 +17,13 @@
 	ZoneMost float64 `json:"zone_most"`
 	// Connection is the cost of opening a connection.
 	Connection float64 `json:"connection"`
-	// Preference is the span of the instance's own order of targets.
+	// Preference is the cost of the target that is at place Homes in the
+	// instance's own order of its zone's targets. The cost grows evenly with the
+	// place, up to mostPreference times that, so that an instance meets few
+	// targets, on warm connections, however many there are.
 	Preference float64 `json:"preference"`
+	// Homes is how many targets of its zone an instance should mostly use.
+	Homes float64 `json:"homes"`
 	// Load is the cost at a target whose slots are all taken; below, it grows
 	// with the square of the part that is taken.
 	Load float64 `json:"load"`
@@ -52,17 +57,18 @@
 	return Weights{
 		ZonePerKB:         0.028,
 		ZoneMost:          0.5,
-		Connection:        0.04,
-		Preference:        0.1,
-		Load:              0.04,
+		Connection:        0.06,
+		Preference:        0.2,
+		Homes:             8,
+		Load:              0.1,
 		Late:              0.5,
 		Trial:             0.05,
 		CutPath:           0.8,
 		Crowd:             0.5,
-		Warmup:            0.04,
+		Warmup:            0.1,
 		Unused:            0.05,
-		Joined:            0.3,
-		Noise:             0.03,
+		Joined:            0.6,
+		Noise:             0.01,
 		RepeatableFailure: 0.8,
 	}
 }
@@ -75,6 +81,9 @@
 	// unusedAfter is half of the time in which every sound target should see
 	// some work.
 	unusedAfter = time.Second
+	// mostPreference bounds the cost of a target far down in the instance's order,
+	// in parts of Weights.Preference.
+	mostPreference = 2
 	// trialAfter is the time between trials at a doubtful target.
 	trialAfter = 2 * time.Second
 	// unseen is how many requests more than known are taken to be at a target:
@@ -161,6 +170,8 @@
 	// Typical is how long work at the service takes at a free slot, and Objective
 	// within which time it should be done; 0 if there is no such time.
 	Typical, Objective time.Duration
+	// InZone is how many of the candidates are in the chooser's zone.
+	InZone int
 }
 
 // Chooser chooses for one instance.
@@ -175,7 +186,7 @@
 // Cost is the expected cost of sending the work to the candidate.
 func (c *Chooser) Cost(w Work, t *Candidate) float64 {
 	k := &c.Weights
-	cost := c.failure(w, t) + c.load(w, t) + k.Preference*preference(c.Self, t.ID)
+	cost := c.failure(w, t) + c.load(w, t) + c.preference(w, t)
 	if t.Zone != c.Zone {
 		cost += min(k.ZonePerKB*w.KB, k.ZoneMost)
 	}
@@ -191,6 +202,16 @@
 	return cost
 }
 
+// preference is the cost of the target's place in the instance's own order. Targets of
+// other zones are used when the own ones do not suffice, by everybody alike.
+func (c *Chooser) preference(w Work, t *Candidate) float64 {
+	x := preference(c.Self, t.ID)
+	if t.Zone == c.Zone && w.InZone > 0 {
+		x = min(x*float64(w.InZone)/c.Weights.Homes, mostPreference)
+	}
+	return c.Weights.Preference * x
+}
+
 func (c *Chooser) failure(w Work, t *Candidate) float64 {
 	k := &c.Weights
 	cost := t.Fails
