soak: real processes under a random series of faults

The users ask for a soak that runs the real programs and injects faults from outside. platform/soak runs five gateways as processes, the stand-in of the store and fifteen targets, with a proxy before each path to the store and to a target. A ledger checks from what callers and targets see: right caller, whole answers, at most once, true refusals, allowed service, leaving, configuration in force, nothing lost by a stop, retry budget, recovery. Clocks are not stepped: no tool for it without touching the machine; pauses move all timers.

--- a/test.sh
+++ b/test.sh
@@ -6,3 +6,4 @@
 # knows nothing: a cached result may be that of an older program.
 go test -count=1 "$@" ./...
 (cd faults && go test -count=1 "$@" ./...)
+(cd platform/soak && go test -count=1 "$@" ./...)
