statesync: few instances take over from readers that the store refuses

Ruled out: the long polls of the readers (8 readers, 4 calls a second in calm), the introduction (one call a start). Change: an instance leaves it to each of those before it that may still get answers for 150 ms; that the store answers is told at once; of two that took over the first goes on. Those that read in place of others pause up to 4 s after an error. TestFewTakeOverFromReadersThatAreRefused, TestOneOfTwoThatTookOverGivesWay are new. TestWhoReadsTheStore kept its cases; "then every instance reads" became the steps of the former.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,12 +63,13 @@
 	g := &Gateway{settings: s, booted: time.Now(), metrics: NewMetrics()}
 	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone, Random: rand.Float64}, s.Retry)
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
+	g.state.LeaveWithin(s.LeaveWithin)
 	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
 	g.follower = statesync.NewFollower(statesync.Options{
-		State: g.state, Store: store, Peers: g.node.View, Self: g.node.Addr(), Zone: s.Zone, Know: g.node.Know,
+		State: g.state, Store: store, Peers: g.node.View, Self: g.node.Addr(), Zone: s.Zone, Know: g.node.Know, Tell: g.announce,
 	})
 	return g, nil
 }
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -45,6 +45,12 @@
 	introWait = time.Second
 	// roleEvery is how often an instance looks whether it is a reader.
 	roleEvery = 200 * time.Millisecond
+	// takeOverStep is for how long an instance leaves it to each of those before it
+	// to read for a zone whose readers get no answers: where the store refuses
+	// these only, one instance more suffices, and each call has its price.
+	takeOverStep = 150 * time.Millisecond
+	// backOffOthers is backOffMax for instances that read in place of others.
+	backOffOthers = 4 * time.Second
 	// pullJitter spreads the pulls of all instances after a change.
 	pullJitter = 30 * time.Millisecond
 )
@@ -59,6 +65,9 @@
 	Zone  fleet.Zone
 	// Know is called with addresses of instances that the store named.
 	Know func([]string)
+	// Tell is called when the store's answers begin or end; it makes the others hear
+	// of it at once. It may be nil.
+	Tell func()
 }
 
 // Follower keeps a State up to date.
@@ -74,6 +83,8 @@
 	lost  bool
 	role  bool
 	calls int64
+	// unserved is since when no other instance of the zone reads with success.
+	unserved time.Time
 }
 
 // NewFollower returns a follower that does nothing yet.
@@ -150,9 +161,9 @@
 // reads tells whether this instance reads the store at present.
 func (f *Follower) reads() bool {
 	v := f.o.Peers()
-	role := f.o.ranked(v) || !served(v)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	role := f.o.ranked(v) || f.takesOver(v)
 	if role != f.role {
 		eventlog.Info(eventlog.ReaderRole, "reads", role, "peers", len(v.Members))
 		f.role = role
@@ -162,6 +173,22 @@
 	return role
 }
 
+// takesOver tells whether the instance reads in place of its zone's readers. One that
+// does so goes on unless one before it succeeds too, or two would give way to each
+// other.
+func (f *Follower) takesOver(v mesh.View) bool {
+	own := mesh.Rank(f.o.Self)
+	yields := func(m *mesh.Member) bool { return !f.role || mesh.Rank(m.Addr) < own }
+	if served(v, yields) {
+		f.unserved = time.Time{}
+		return false
+	}
+	if f.unserved.IsZero() {
+		f.unserved = v.At
+	}
+	return v.At.Sub(f.unserved) >= time.Duration(f.o.place(v))*takeOverStep
+}
+
 // settling tells whether it is too early to know who reads: until then a snapshot
 // suffices.
 func (f *Follower) settling(s Stream) bool {
@@ -170,24 +197,37 @@
 
 // ranked tells whether the instance is among the first of its zone.
 func (o *Options) ranked(v mesh.View) bool {
+	before := o.before(v, func(*mesh.Member) bool { return true })
+	if len(v.Zones) == 0 {
+		return before < readersAlone
+	}
+	return before < readersPerZone
+}
+
+// place is how many instances of the zone come before this one that may still get
+// answers.
+func (o *Options) place(v mesh.View) int {
+	return o.before(v, func(m *mesh.Member) bool { return m.Log != mesh.LogAway })
+}
+
+// before counts the instances of the zone that come before this one.
+func (o *Options) before(v mesh.View, counts func(*mesh.Member) bool) int {
 	own := mesh.Rank(o.Self)
-	before := 0
+	n := 0
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.Zone == o.Zone && !m.Leaving && v.OnDuty(m) && mesh.Rank(m.Addr) < own {
-			before++
+		if m.Zone == o.Zone && !m.Leaving && v.OnDuty(m) && mesh.Rank(m.Addr) < own && counts(m) {
+			n++
 		}
 	}
-	if len(v.Zones) == 0 {
-		return before < readersAlone
-	}
-	return before < readersPerZone
+	return n
 }
 
-// served tells whether some other instance of the zone reads the store with success.
-func served(v mesh.View) bool {
+// served tells whether some other instance of the zone, of those that count, reads the
+// store with success.
+func served(v mesh.View, counts func(*mesh.Member) bool) bool {
 	for i := range v.Members {
-		if m := &v.Members[i]; m.Zone == v.Zone && m.Log == mesh.LogAnswers && v.OnDuty(m) {
+		if m := &v.Members[i]; m.Zone == v.Zone && m.Log == mesh.LogAnswers && v.OnDuty(m) && counts(m) {
 			return true
 		}
 	}
@@ -208,6 +248,7 @@
 		}
 		f.note(s, err)
 		if err != nil {
+			b.Max = f.backOffMost()
 			b.Pause(ctx)
 			continue
 		}
@@ -218,6 +259,14 @@
 	}
 }
 
+// backOffMost bounds the pause after an error.
+func (f *Follower) backOffMost() time.Duration {
+	if f.o.ranked(f.o.Peers()) {
+		return backOffMax
+	}
+	return backOffOthers
+}
+
 // step makes one call for the stream and returns how many changes it brought.
 func (f *Follower) step(ctx context.Context, s Stream) (int, error) {
 	next := f.o.State.next(s)
@@ -277,8 +326,16 @@
 	return f.log[s] == mesh.LogAway
 }
 
-// note records whether the store answered.
+// note records whether the store answered, and tells the others if that is news.
 func (f *Follower) note(s Stream, err error) {
+	before := f.Log()
+	f.record(s, err)
+	if f.Log() != before && f.o.Tell != nil {
+		f.o.Tell()
+	}
+}
+
+func (f *Follower) record(s Stream, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.log[s] = mesh.LogAnswers
--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -1,7 +1,10 @@
 package statesync
 
 import (
+	"cmp"
+	"fmt"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -114,8 +117,78 @@
 	}
 	assert.Equal(t, readers(0), readersAlone)
 	assert.Equal(t, readers(1), readersPerZone)
-	assert.Assert(t, served(view(0, members(mesh.LogAnswers)...)))
-	assert.Assert(t, !served(view(0, members(mesh.LogAway)...)), "then every instance reads")
+	assert.Assert(t, served(view(0, members(mesh.LogAnswers)...), anyone))
+	assert.Assert(t, !served(view(0, members(mesh.LogAway)...), anyone))
+}
+
+func anyone(*mesh.Member) bool { return true }
+
+// TestFewTakeOverFromReadersThatAreRefused lets the store refuse a zone's two readers:
+// the next instance reads at once, and those after it only if that fails too.
+func TestFewTakeOverFromReadersThatAreRefused(t *testing.T) {
+	var members []mesh.Member
+	for n := range 12 {
+		members = append(members, mesh.Member{Addr: fmt.Sprintf("10.0.0.%d:1", n+1), Zone: "a"})
+	}
+	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(mesh.Rank(a.Addr), mesh.Rank(b.Addr)) })
+	members[0].Log, members[1].Log = mesh.LogAway, mesh.LogAway
+	v := view(1, members...)
+	followers := make([]*Follower, len(members))
+	for i, m := range members {
+		rest := slices.Delete(slices.Clone(v.Members), i, i+1)
+		followers[i] = NewFollower(Options{Self: m.Addr, Zone: "a", Peers: func() mesh.View {
+			return mesh.View{At: v.At, Zone: "a", Members: rest, Zones: v.Zones}
+		}})
+	}
+	reading := func() (n int) {
+		for _, f := range followers {
+			if f.reads() {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, reading(), 3, "the two first and the next one")
+	v.At = v.At.Add(2*takeOverStep + time.Millisecond)
+	assert.Equal(t, reading(), 5, "two more, since no answer is heard of")
+	v.At = v.At.Add(12 * takeOverStep)
+	for i := range v.Members {
+		v.Members[i].Heard = v.At
+	}
+	for i, f := range followers {
+		rest := slices.Delete(slices.Clone(v.Members), i, i+1)
+		f.o.Peers = func() mesh.View { return mesh.View{At: v.At, Zone: "a", Members: rest, Zones: v.Zones} }
+	}
+	assert.Equal(t, reading(), len(members), "everybody, if nobody else gets answers")
+}
+
+// TestOneOfTwoThatTookOverGivesWay: each hears that the other gets answers.
+func TestOneOfTwoThatTookOverGivesWay(t *testing.T) {
+	addrs := []string{"10.0.0.1:1", "10.0.0.2:1"}
+	reading := 0
+	for i, self := range addrs {
+		other := mesh.Member{Addr: addrs[1-i], Zone: "a", Log: mesh.LogAnswers}
+		away := []mesh.Member{other}
+		for n := range readersPerZone {
+			away = append(away, mesh.Member{Addr: lowest(n), Zone: "a", Log: mesh.LogAway})
+		}
+		f := NewFollower(Options{Self: self, Zone: "a", Peers: func() mesh.View { return view(1, away...) }})
+		f.role = true
+		if f.reads() {
+			reading++
+		}
+	}
+	assert.Equal(t, reading, 1)
+}
+
+// lowest returns addresses that come before those of the tests.
+func lowest(n int) string {
+	for host := 3; ; host++ {
+		addr := fmt.Sprintf("10.0.%d.%d:1", n+1, host)
+		if mesh.Rank(addr) < min(mesh.Rank("10.0.0.1:1"), mesh.Rank("10.0.0.2:1")) {
+			return addr
+		}
+	}
 }
 
 // storeStub answers no read after its first snapshot.
@@ -140,7 +213,7 @@
 
 func TestASilentReaderIsReplaced(t *testing.T) {
 	v := view(1, mesh.Member{Addr: "10.0.0.1:1", Zone: "a", Log: mesh.LogAnswers})
-	assert.Assert(t, served(v))
+	assert.Assert(t, served(v, anyone))
 	v.At = v.At.Add(1100 * time.Millisecond)
-	assert.Assert(t, !served(v))
+	assert.Assert(t, !served(v, anyone))
 }
