registry: holds follow the deployment's bound for targets that have gone

Cause: by reading: a hold of 0.8 s fits a bound of 2 s; a deployment may ask for less. A bound that is not positive is refused with the field's name. Nothing changes for bounds of 2 s or more.

--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -37,6 +37,9 @@
 	// Grace is the time from the request to stop until the process is ended.
 	// Default 6 s.
 	Grace time.Duration
+	// LeaveWithin is the time within which a target that has gone must get no more
+	// work. Default 2 s.
+	LeaveWithin time.Duration
 	// MemoryBytes is what the process may use. Default 256 MiB.
 	MemoryBytes int64
 	// Weights are the costs that placement weighs. Default:
@@ -47,6 +50,7 @@
 // Defaults of Settings.
 const (
 	DefaultGrace       = 6 * time.Second
+	DefaultLeaveWithin = 2 * time.Second
 	DefaultMemoryBytes = 256 << 20
 )
 
@@ -56,6 +60,9 @@
 	if s.Grace == 0 {
 		s.Grace = DefaultGrace
 	}
+	if s.LeaveWithin == 0 {
+		s.LeaveWithin = DefaultLeaveWithin
+	}
 	if s.MemoryBytes == 0 {
 		s.MemoryBytes = DefaultMemoryBytes
 	}
@@ -100,6 +107,8 @@
 		return errors.Errorf("retry.window: %v is not positive", s.Retry.Window)
 	case s.Grace <= 0:
 		return errors.Errorf("grace: %v is not positive", s.Grace)
+	case s.LeaveWithin <= 0:
+		return errors.Errorf("leave within: %v is not positive", s.LeaveWithin)
 	case s.MemoryBytes < minMemory:
 		return errors.Errorf("memory bytes: %d is below %d", s.MemoryBytes, minMemory)
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -73,6 +73,9 @@
 	// which takes as long where many change at once, it stays below the bound
 	// for work at targets that are gone, 2 s.
 	CalmHold = 800 * time.Millisecond
+	// holdShare is the part of the bound for work at targets that are gone that a
+	// hold may take, where the bound is shorter than 2 s.
+	holdShare = 0.4
 	// OutageHold counts from the return of the log: live targets register anew
 	// within about 2 s of it.
 	OutageHold = 2300 * time.Millisecond
@@ -101,6 +104,7 @@
 	backAt   time.Time
 	changed  bool
 	view     *View
+	calmHold time.Duration
 }
 
 // held is an entry that vanished at a time and is in use until another.
@@ -126,11 +130,19 @@
 		held:    make(map[fleet.TargetID]held),
 		removed: make(map[fleet.TargetID]int64),
 		changed: true,
+
+		calmHold: CalmHold,
 	}
 	r.View()
 	return r
 }
 
+// LeaveWithin sets within which time a target that has gone must get no more work;
+// holds are kept below it.
+func (r *Registry) LeaveWithin(bound time.Duration) {
+	r.calmHold = min(CalmHold, time.Duration(holdShare*float64(bound)))
+}
+
 // Next is the offset of the first change that was not applied yet.
 func (r *Registry) Next() Offset { return r.next }
 
@@ -260,7 +272,7 @@
 }
 
 func (r *Registry) holdUntil(now, since time.Time) time.Time {
-	until := since.Add(CalmHold)
+	until := since.Add(r.calmHold)
 	if !r.awayFrom.IsZero() {
 		return now.Add(OutageHold)
 	}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -53,6 +53,19 @@
 	assert.Assert(t, CalmHold < 2*time.Second)
 }
 
+func TestHoldsStayBelowAShortBound(t *testing.T) {
+	r := New()
+	r.LeaveWithin(time.Second)
+	put(t, r, start, entry("a", 1))
+	drop(t, r, start, "a")
+	assert.Assert(t, inUse(r, start.Add(399*time.Millisecond), "a"))
+	assert.Assert(t, !inUse(r, start.Add(401*time.Millisecond), "a"))
+	r.LeaveWithin(time.Minute)
+	put(t, r, start, entry("b", 1))
+	drop(t, r, start, "b")
+	assert.Assert(t, !inUse(r, start.Add(CalmHold+time.Millisecond), "b"))
+}
+
 // TestAHoldCountsFromWhenTheRemovalWasFirstLearned lets an instance learn late, from a
 // peer: the target is out of use everywhere at the same time.
 func TestAHoldCountsFromWhenTheRemovalWasFirstLearned(t *testing.T) {
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -32,6 +32,13 @@
 	return s
 }
 
+// LeaveWithin sets within which time a target that has gone must get no more work.
+func (s *State) LeaveWithin(bound time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.LeaveWithin(bound)
+}
+
 // Table returns the document in force, or nil if none is known yet.
 func (s *State) Table() *document.Table { return s.table.Load() }
 
