placement: the floor is that of all zones

Change: no trial while enough targets are in use of all that are known, or of those near by (of large services only the latter are known well). TestTheFloorIsThatOfAllZones fails before.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -133,34 +133,45 @@
 // Floor returns the target that is to be tried next so that a service in trouble does
 // not shrink to a few targets: what looked sick may be sound again, and the rest is
 // loaded by what was set aside. It returns -1 while the targets in use are enough of
-// the sound ones near by, each counted by the probability that it is sound: trials of
-// what is surely sick would only be failures. Among the unused it is the one that is
-// most likely sound.
+// the sound ones, of all or of those near by, each counted by the probability that it
+// is sound: trials of what is surely sick would only be failures. Among the unused
+// ones near by it is the one that is most likely sound.
 func Floor(failedLately float64, ts []Candidate) int {
 	if failedLately < troubled {
 		return -1
 	}
-	sound, used, next := 0.0, 0.0, -1
+	var all, near tally
+	next := -1
 	for i := range ts {
 		t := &ts[i]
+		used := t.InFlight > 0 || t.SinceUse < floorWithin
+		all.add(t, used)
 		if !t.Near {
 			continue
 		}
-		sound += 1 - t.Sick
-		if t.InFlight > 0 || t.SinceUse < floorWithin {
-			used += 1 - t.Sick
-			continue
-		}
-		if !t.Cut && (next < 0 || t.Sick < ts[next].Sick) {
+		near.add(t, used)
+		if !used && !t.Cut && (next < 0 || t.Sick < ts[next].Sick) {
 			next = i
 		}
 	}
-	if used >= floorShare*sound {
+	if all.suffices() || near.suffices() {
 		return -1
 	}
 	return next
 }
 
+// tally is how many targets are expected to be sound, and of these in use.
+type tally struct{ sound, used float64 }
+
+func (n *tally) add(t *Candidate, used bool) {
+	n.sound += 1 - t.Sick
+	if used {
+		n.used += 1 - t.Sick
+	}
+}
+
+func (n *tally) suffices() bool { return n.used >= floorShare*n.sound }
+
 // Work is what is to be placed.
 type Work struct {
 	// Repeatable tells that a failure can be repeated elsewhere.
--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -104,6 +104,20 @@
 	assert.Equal(t, Floor(0.15, ts), -1)
 }
 
+// A zone may have few targets in use while all zones together have enough.
+func TestTheFloorIsThatOfAllZones(t *testing.T) {
+	ts := candidates(12)
+	for i := range 12 {
+		ts[i].Near = i < 4
+	}
+	ts[0].SinceUse, ts[1].SinceUse = 3*time.Second, 3*time.Second
+	assert.Equal(t, Floor(0.15, ts), -1, "ten of twelve")
+	for i := 6; i < 10; i++ {
+		ts[i].SinceUse = 3 * time.Second
+	}
+	assert.Assert(t, Floor(0.15, ts) >= 0, "six of twelve, two of four near by")
+}
+
 // Instances with the same knowledge must not all choose the same target.
 func TestInstancesSpread(t *testing.T) {
 	ts := candidates(10)
