explain: what was believed before, and processes that ended without a stop

Change: numbers before a line are left out of its machine's name; where no line names a request, the processes that ended without a stop are listed with their times. TestProcessesThatEndedAreNamed fails before.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -35,7 +35,10 @@
 		}
 	}
 	if len(x.Lines) == 0 {
-		x.Missing = append(x.Missing, "no line names the request: it was served at the first attempt, or never reached these instances")
+		x.Missing = append(x.Missing, "no line names the request: it was served at the first attempt, never reached these instances, or was lost with a process")
+		if ended := g.endedUnasked(); len(ended) > 0 {
+			x.Missing = append(x.Missing, "processes that ended without a stop, with all that they had taken: "+strings.Join(ended, ", "))
+		}
 		return x.count(g)
 	}
 	x.sort()
@@ -46,6 +49,34 @@
 	return x.count(g)
 }
 
+// endedUnasked names the instances whose process ended without a signal to stop, with
+// the time of its last line and of the next start.
+func (g *Log) endedUnasked() []string {
+	type instance struct{ file, prefix string }
+	last := make(map[instance]*Line)
+	stopping := make(map[instance]bool)
+	var ended []string
+	for _, l := range g.Lines {
+		in := instance{l.File, l.Prefix}
+		switch {
+		case l.Event == eventlog.Stopping:
+			stopping[in] = true
+		case l.Event == eventlog.Started && last[in] != nil && !stopping[in]:
+			ended = append(ended, fmt.Sprintf("%s after %s, started again at %s", l.Get("instance"), clock(last[in].At), clock(l.At)))
+		}
+		if l.Event == eventlog.Started {
+			stopping[in] = false
+		}
+		last[in] = l
+	}
+	return ended
+}
+
+// clock prints a time of day.
+func clock(at time.Duration) string {
+	return time.Time{}.Add(at).Format("15:04:05.000")
+}
+
 func (x *Explanation) sort() {
 	sort.SliceStable(x.Lines, func(a, b int) bool { return x.Lines[a].At < x.Lines[b].At })
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -56,3 +56,18 @@
 	x.Print(&b)
 	assert.Assert(t, strings.Contains(b.String(), `* I0722 04:20:04.000000`), b.String())
 }
+
+// TestProcessesThatEndedAreNamed: a request that no line names may have been lost with
+// a process.
+func TestProcessesThatEndedAreNamed(t *testing.T) {
+	var g Log
+	assert.NilError(t, g.Read("f", strings.NewReader(`0.0012 a I0722 04:20:01.000000 1 gateway.go:1] "started" instance="a" zone="z"
+2.5012 a I0722 04:20:03.500000 1 state.go:75] "document-applied" version=7
+b I0722 04:20:01.000000 1 gateway.go:1] "started" instance="b" zone="z"
+b I0722 04:20:04.000000 1 stop.go:1] "stopping" grace_ms=6000
+a I0722 04:20:05.000000 2 gateway.go:1] "started" instance="a" zone="z"
+b I0722 04:20:11.000000 2 gateway.go:1] "started" instance="b" zone="z"
+`)))
+	x := g.Request("r1")
+	assert.Equal(t, x.Missing[1], "processes that ended without a stop, with all that they had taken: a after 04:20:03.500, started again at 04:20:05.000")
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -16,7 +16,7 @@
 // Line is one line of an instance's log.
 type Line struct {
 	// File names where the line stands, and Prefix what its collector put before
-	// it, as the name of a machine.
+	// it, as the name of a machine; numbers are left out, as times.
 	File, Prefix string
 	// At is the time of day, without a date.
 	At    time.Duration
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, false
 	}
-	l := &Line{File: file, Prefix: strings.TrimSpace(m[1]), At: at, Event: eventlog.Event(m[5]), Keys: make(map[string]string), Text: text}
+	l := &Line{File: file, Prefix: name(m[1]), At: at, Event: eventlog.Event(m[5]), Keys: make(map[string]string), Text: text}
 	for _, p := range pair.FindAllStringSubmatch(m[6], -1) {
 		value := p[2]
 		if unquoted, err := strconv.Unquote(value); err == nil {
@@ -54,6 +54,17 @@
 	return l, true
 }
 
+// name is what a collector put before a line, without the times that it may add.
+func name(prefix string) string {
+	var words []string
+	for _, w := range strings.Fields(prefix) {
+		if _, err := strconv.ParseFloat(w, 64); err != nil {
+			words = append(words, w)
+		}
+	}
+	return strings.Join(words, " ")
+}
+
 func timeOfDay(hours, minutes, seconds string) (time.Duration, error) {
 	return time.ParseDuration(hours + "h" + minutes + "m" + seconds + "s")
 }
