statesync: a reader that takes over has an answer soon

Ruled out: two that give way to each other (none did). Change: the first read in a role waits 50 ms. TestANewReaderHasAnAnswerSoon fails before.

--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -29,6 +29,9 @@
 	// probeWait is the same while the store is away, so that its return is
 	// noticed soon.
 	probeWait = 250 * time.Millisecond
+	// firstWait is the same for the first read of an instance that has just become a
+	// reader: until it has an answer to tell of, others take over too.
+	firstWait = 50 * time.Millisecond
 	// callSlack is what a call may take beyond its wait. A slow store takes
 	// some hundred milliseconds an answer.
 	callSlack = 1200 * time.Millisecond
@@ -273,10 +276,7 @@
 	if next == 0 && !f.begun(s) {
 		return 0, f.snapshot(ctx, s)
 	}
-	held := readWait
-	if f.away(s) {
-		held = probeWait
-	}
+	held := f.wait(s)
 	f.count()
 	call, cancel := context.WithTimeout(ctx, held+callSlack)
 	defer cancel()
@@ -320,10 +320,17 @@
 	f.mu.Unlock()
 }
 
-func (f *Follower) away(s Stream) bool {
+// wait is how long the next read of a stream waits for a change.
+func (f *Follower) wait(s Stream) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.log[s] == mesh.LogAway
+	switch f.log[s] {
+	case mesh.LogUnread:
+		return firstWait
+	case mesh.LogAway:
+		return probeWait
+	}
+	return readWait
 }
 
 // note records whether the store answered, and tells the others if that is news.
--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -162,6 +162,18 @@
 	assert.Equal(t, reading(), len(members), "everybody, if nobody else gets answers")
 }
 
+// TestANewReaderHasAnAnswerSoon: its first read must not wait for a change, or others
+// would take over too.
+func TestANewReaderHasAnAnswerSoon(t *testing.T) {
+	f := NewFollower(Options{State: NewState(0, nil), Store: storeStub{}, Peers: func() mesh.View { return view(0) }, Self: "10.0.0.2:1", Zone: "a"})
+	assert.Assert(t, f.reads())
+	assert.Assert(t, f.wait(Targets) <= takeOverStep, f.wait(Targets))
+	f.note(Targets, nil)
+	assert.Equal(t, f.wait(Targets), readWait)
+	f.note(Targets, errors.New("away"))
+	assert.Equal(t, f.wait(Targets), probeWait)
+}
+
 // TestOneOfTwoThatTookOverGivesWay: each hears that the other gets answers.
 func TestOneOfTwoThatTookOverGivesWay(t *testing.T) {
 	addrs := []string{"10.0.0.1:1", "10.0.0.2:1"}
