--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -109,6 +109,8 @@
 		return errors.Errorf("grace: %v is not positive", s.Grace)
 	case s.LeaveWithin <= 0:
 		return errors.Errorf("leave within: %v is not positive", s.LeaveWithin)
+	case s.Weights.Homes <= 0:
+		return errors.Errorf("weights.homes: %v is not positive", s.Weights.Homes)
 	case s.MemoryBytes < minMemory:
 		return errors.Errorf("memory bytes: %d is below %d", s.MemoryBytes, minMemory)
 	}
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -216,7 +216,7 @@
 // preference is the cost of the target's place in the instance's own order. Targets of
 // other zones are used when the own ones do not suffice, by everybody alike.
 func (c *Chooser) preference(w Work, t *Candidate) float64 {
-	x := preference(c.Self, t.ID)
+	x := order(c.Self, t.ID)
 	if t.Zone == c.Zone && w.InZone > 0 {
 		x = min(x*float64(w.InZone)/c.Weights.Homes, mostPreference)
 	}
@@ -277,9 +277,9 @@
 	return c.Weights.Noise * math.Log(-math.Log(max(c.Random(), least)))
 }
 
-// preference is a number from 0 to 1 that differs for each pair of instance and
-// target, evenly spread.
-func preference(self fleet.InstanceID, id fleet.TargetID) float64 {
+// order is a number from 0 to 1 that differs for each pair of instance and target,
+// evenly spread: the place of the target in the instance's own order.
+func order(self fleet.InstanceID, id fleet.TargetID) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(self)) // a hash takes every write
 	_, _ = h.Write([]byte{0})
