mesh, gateway: a fleet that starts finds itself soon, and tries nothing for the floor

Cause: after all processes of the grown Riga site had ended, two of three requests of the next 2 s and a quarter of those after failed; 239 of the quick failures of one zone fell within 4 s, 149 of them trials for the floor: a fresh instance knows of no use by the others, so that all targets seemed unused. The others found each sick target by themselves, since evidence goes to members that were heard: 40 instances with one seed took 1.9 s to hear of each other (each heartbeat names three). Change: an instance that is heard for the first time is answered at once; while one of those heard has just started, 16 are named instead of 3; no trial for the floor within 5 s of the first request. TestAFreshInstanceTriesNothingForTheFloor fails before.

--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -36,6 +36,9 @@
 	// joinedFor is for how long after its start-up a target that nobody used is sought
 	// out.
 	joinedFor = 8 * time.Second
+	// floorAfter is how long an instance only learns before it tries targets for the
+	// floor: it does not know yet what the others use, and would try them all.
+	floorAfter = 5 * time.Second
 	// evidenceMost bounds the observations that wait for the next heartbeat.
 	evidenceMost = 40
 )
@@ -54,6 +57,8 @@
 	pending  []gathered
 	ended    []endedUsage
 	most     pastMost
+	// born is when the first target was chosen.
+	born time.Time
 	// lastCut is the last path that was found cut.
 	lastCut struct {
 		id fleet.TargetID
@@ -168,15 +173,27 @@
 	if i < 0 {
 		return Placed{}, false
 	}
-	forFloor := false
-	if next := placement.Floor(s.estimator.FailedLately(), candidates); next >= 0 && len(excluded) == 0 {
-		i, cost, forFloor = next, k.chooser.Cost(w, &candidates[next]), true
+	next := k.floor(now, s, candidates)
+	forFloor := next >= 0 && len(excluded) == 0
+	if forFloor {
+		i, cost = next, k.chooser.Cost(w, &candidates[next])
 	}
 	c := &candidates[i]
 	k.target(c.ID).own++
 	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor}, true
 }
 
+// floor returns the target to be tried so that enough are in use; -1 if none is.
+func (k *Knowledge) floor(now time.Time, s *service, candidates []placement.Candidate) int {
+	if k.born.IsZero() {
+		k.born = now
+	}
+	if now.Sub(k.born) < floorAfter {
+		return -1
+	}
+	return placement.Floor(s.estimator.FailedLately(), candidates)
+}
+
 func (k *Knowledge) candidate(now time.Time, s *service, rt *registry.Target, warm bool) placement.Candidate {
 	t := k.target(rt.ID)
 	return placement.Candidate{
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -139,6 +139,27 @@
 	assert.Equal(t, len(k.Digest(start, v, true).Successes), 0, "told once")
 }
 
+// TestAFreshInstanceTriesNothingForTheFloor: it knows of no use by the others.
+func TestAFreshInstanceTriesNothingForTheFloor(t *testing.T) {
+	k := newKnowledge()
+	var ts []*registry.Target
+	for _, id := range []fleet.TargetID{"a", "b", "c", "d", "e", "f"} {
+		ts = append(ts, &registry.Target{Entry: registry.Entry{ID: id, Zone: "a", Slots: 2}})
+	}
+	forFloor := func(now time.Time) bool {
+		for range 20 {
+			k.Observe(now, "s", "a", suspicion.Good, now, time.Millisecond)
+			k.Observe(now, "s", "f", suspicion.Bad, now, 0)
+		}
+		p, ok := k.Place(now, "s", ts, nil, placement.Work{}, func(fleet.TargetID) bool { return false })
+		assert.Assert(t, ok)
+		k.Ended(p.ID)
+		return p.ForFloor
+	}
+	assert.Assert(t, !forFloor(start))
+	assert.Assert(t, forFloor(start.Add(floorAfter)))
+}
+
 // A target that has just started gets work at once, though others are warm and known.
 func TestATargetThatJoinedGetsWork(t *testing.T) {
 	k := newKnowledge()
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -34,8 +34,13 @@
 )
 
 const (
-	// knownSample is how many addresses a heartbeat names.
+	// knownSample is how many addresses a heartbeat names, and youngSample while
+	// this instance or one that it hears has just started: until they all know each
+	// other, each finds every sick target by itself.
 	knownSample = 3
+	youngSample = 16
+	// meetingFor is for how long a process counts as just started.
+	meetingFor = 3 * time.Second
 	// completeShare is the part of the members that must be fresh for the
 	// view to count as complete.
 	completeShare = 0.85
@@ -346,7 +351,25 @@
 		}
 	}
 	rand.Shuffle(len(fresh), func(a, b int) { fresh[a], fresh[b] = fresh[b], fresh[a] })
-	return fresh[:min(len(fresh), knownSample)]
+	n := knownSample
+	if ms.meeting(now) {
+		n = youngSample
+	}
+	return fresh[:min(len(fresh), n)]
+}
+
+// meeting tells whether this instance or one that it hears has just started.
+func (ms *members) meeting(now time.Time) bool {
+	recent := func(boot int64) bool { return now.UnixMilli()-boot < meetingFor.Milliseconds() }
+	if recent(ms.boot) {
+		return true
+	}
+	for _, m := range ms.table {
+		if m.Fresh(now) && recent(m.Boot) {
+			return true
+		}
+	}
+	return false
 }
 
 // View is a snapshot of the other instances, sorted by address, and of the other
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -308,12 +308,25 @@
 		return
 	}
 	n.relay(now, p)
+	if s == heardFirst {
+		n.greet(now, m.addr)
+	}
 	if s != heardBefore {
 		eventlog.Info(eventlog.PeerFound, "peer", m.Addr, "zone", p.Zone, "boot", p.Boot, "again", s == heardAgain)
 	}
 	n.handle(now, p)
 }
 
+// greet answers an instance that is heard for the first time at once, with names of
+// others, so that a fleet that starts finds itself within a heartbeat or two.
+func (n *Node) greet(now time.Time, to netip.AddrPort) {
+	p := n.packet()
+	n.mu.Lock()
+	p.Known = n.members.sample(now)
+	n.mu.Unlock()
+	n.send(p, []netip.AddrPort{to})
+}
+
 // relay passes a packet of another zone on within the own one.
 func (n *Node) relay(now time.Time, p *Packet) {
 	if p.Zone == n.cfg.Zone || p.Relayed || (len(p.Evidence) == 0 && p.Digest == nil) {
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -21,7 +21,7 @@
 	packets []*Packet
 }
 
-func startNode(t *testing.T, zone fleet.Zone, seeds ...string) *heardNode {
+func startNode(t testing.TB, zone fleet.Zone, seeds ...string) *heardNode {
 	h := new(heardNode)
 	n, err := Listen(Config{Addr: "127.0.0.1:0", Zone: zone, Boot: time.Now(), Seeds: seeds},
 		func(_ time.Time, p *Packet) { p.Document = 7 },
@@ -241,3 +241,21 @@
 	}
 	b.ReportMetric(float64(size), "B/packet")
 }
+
+// BenchmarkAFleetFindsItself takes the time from the start of 40 instances of a zone
+// that share one seed until each hears nearly all others.
+func BenchmarkAFleetFindsItself(b *testing.B) {
+	const instances = 40
+	for b.Loop() {
+		first := startNode(b, "a")
+		nodes := []*heardNode{first}
+		for range instances - 1 {
+			nodes = append(nodes, startNode(b, "a", first.Addr()))
+		}
+		for slices.ContainsFunc(nodes, func(n *heardNode) bool {
+			return float64(n.View().InZone()) < completeShare*instances
+		}) {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
