gateway: a fresh instance spends only its own part of the retry budgets

By reading: a peer counts as heard from its first packet, which says nothing of what it spent, and zones from which no digest came are not missed, so that to each of some 50 fresh processes the budget looked untouched. Ruled out: forgotten usage of ended processes (kept for the window), stale digests (300 ms; at most some 50 attempts). Change: within 2 s of its first request an instance spends only its assured part.

--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -39,6 +39,11 @@
 	// floorAfter is how long an instance only learns before it tries targets for the
 	// floor: it does not know yet what the others use, and would try them all.
 	floorAfter = 5 * time.Second
+	// accountAfter is how long an instance spends only its own part of the retry
+	// budgets: heartbeats and digests must have told it first what the others
+	// spent, and which zones there are. An instance is known by its first packet,
+	// which says nothing of that.
+	accountAfter = 2 * time.Second
 	// evidenceMost bounds the observations that wait for the next heartbeat.
 	evidenceMost = 40
 )
@@ -314,7 +319,7 @@
 }
 
 func (k *Knowledge) fleet(now time.Time, name document.ServiceName, v mesh.View) pooled.Fleet {
-	f := pooled.Fleet{Instances: k.most.note(now, v.Instances()), Complete: v.Complete()}
+	f := pooled.Fleet{Instances: k.most.note(now, v.Instances()), Complete: v.Complete() && !k.fresh(now)}
 	k.addMembers(&f, name, v)
 	for _, z := range k.zones {
 		f.Requests += z.claims[name].Requests
@@ -323,6 +328,11 @@
 	return f
 }
 
+// fresh tells whether the instance cannot know yet what the others spent.
+func (k *Knowledge) fresh(now time.Time) bool {
+	return !k.born.IsZero() && now.Sub(k.born) < accountAfter
+}
+
 // Durations sums up how long good attempts at the service take.
 func (k *Knowledge) Durations(name document.ServiceName) bounds {
 	k.mu.Lock()
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -139,6 +139,29 @@
 	assert.Equal(t, len(k.Digest(start, v, true).Successes), 0, "told once")
 }
 
+// TestAFreshInstanceSpendsOnlyItsOwnPart: peers are heard before they have told what
+// they spent, and the budget must not look untouched.
+func TestAFreshInstanceSpendsOnlyItsOwnPart(t *testing.T) {
+	spend := func(now time.Time) int {
+		k := newKnowledge()
+		ts := []*registry.Target{{Entry: registry.Entry{ID: "a", Zone: "a", Slots: 2}}}
+		_, ok := k.Place(start, "s", ts, nil, placement.Work{}, func(fleet.TargetID) bool { return false })
+		assert.Assert(t, ok)
+		k.Take(start, &mesh.Packet{Addr: "p", Zone: "a", Boot: 1})
+		v := viewOf(mesh.Member{Addr: "p"})
+		n := 0
+		for ; n < 100; n++ {
+			if _, ok := k.Spend(now, "s", v, true); !ok {
+				break
+			}
+		}
+		return n
+	}
+	fresh, later := spend(start.Add(300*time.Millisecond)), spend(start.Add(accountAfter))
+	assert.Assert(t, fresh <= 2, "%d attempts of a bound of 10 for two instances", fresh)
+	assert.Assert(t, later > fresh, "%d, then %d", fresh, later)
+}
+
 // TestAFreshInstanceTriesNothingForTheFloor: it knows of no use by the others.
 func TestAFreshInstanceTriesNothingForTheFloor(t *testing.T) {
 	k := newKnowledge()
