registry: most of a service is not taken away at once

No reader had noticed the outage; all entries lapsed, and came back after 1 s, when holds of 0.8 s were over. Ruled out: the change of budgets (no further attempt is involved). Change: where more than half of a service's entries, at least three, vanish together, they are held for 2.3 s as after an outage that was noticed.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -76,6 +76,10 @@
 	// holdShare is the part of the bound for work at targets that are gone that a
 	// hold may take, where the bound is shorter than 2 s.
 	holdShare = 0.4
+	// lapsedShare and lapsedLeast are the part and the number of a service's entries
+	// from which those that vanish together are put down to the log.
+	lapsedShare = 0.5
+	lapsedLeast = 3
 	// OutageHold counts from the return of the log: live targets register anew
 	// within about 2 s of it.
 	OutageHold = 2300 * time.Millisecond
@@ -313,17 +317,41 @@
 
 // Tick ends the holds that are over. While the log is away none ends.
 func (r *Registry) Tick(now time.Time) {
-	if !r.awayFrom.IsZero() {
+	if !r.awayFrom.IsZero() || len(r.held) == 0 {
 		return
 	}
+	lapsed := r.lapsed()
 	for id, h := range r.held {
-		if now.After(h.until) {
+		until := h.until
+		if back := h.since.Add(OutageHold); lapsed[h.target.Service] && back.After(until) {
+			until = back
+		}
+		if now.After(until) {
 			delete(r.held, id)
 			r.changed = true
 		}
 	}
 }
 
+// lapsed returns the services of which most entries vanished together: nobody takes so
+// many targets away at once without a notice, so the log was away for a time that went
+// unnoticed.
+func (r *Registry) lapsed() map[document.ServiceName]bool {
+	vanished, all := make(map[document.ServiceName]int), make(map[document.ServiceName]int)
+	for _, h := range r.held {
+		vanished[h.target.Service]++
+		all[h.target.Service]++
+	}
+	for _, t := range r.entries {
+		all[t.Service]++
+	}
+	lapsed := make(map[document.ServiceName]bool)
+	for name, n := range vanished {
+		lapsed[name] = n >= lapsedLeast && float64(n) > lapsedShare*float64(all[name])
+	}
+	return lapsed
+}
+
 // Entries returns what the log holds, held entries left out.
 func (r *Registry) Entries() []Entry {
 	entries := make([]Entry, 0, len(r.entries))
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -53,6 +53,22 @@
 	assert.Assert(t, CalmHold < 2*time.Second)
 }
 
+// TestMostOfAServiceIsNotTakenAway: an outage of the log may be too short to be noticed,
+// and its entries come back within about 2 s.
+func TestMostOfAServiceIsNotTakenAway(t *testing.T) {
+	for vanish, held := range map[int]bool{1: false, 2: false, 4: true, 5: true} {
+		r := New()
+		for n := range 5 {
+			put(t, r, start, entry(fleet.TargetID(rune('a'+n)), 1))
+		}
+		for n := range vanish {
+			drop(t, r, start, fleet.TargetID(rune('a'+n)))
+		}
+		assert.Equal(t, inUse(r, start.Add(2*time.Second), "a"), held, "%d of 5", vanish)
+		assert.Assert(t, !inUse(r, start.Add(OutageHold+time.Millisecond), "a"), "%d of 5", vanish)
+	}
+}
+
 func TestHoldsStayBelowAShortBound(t *testing.T) {
 	r := New()
 	r.LeaveWithin(time.Second)
