exchange: a resting connection has no deadline

Cause: a connection was put back with the deadline of its last request. Once that had passed, the check before the next use took the connection for broken, so that each lived for about one route timeout (0.8 to 1.4 s) whatever time the target named. Ruled out: a check that ignores deadlines (the deadline would still end the next read). Before: TestARestedConnectionOutlivesItsLastDeadline opens a second connection.

--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -106,8 +106,15 @@
 	return cn
 }
 
-// put keeps a connection for the next request.
+// put keeps a connection for the next request. The deadline of the last one is taken
+// off: once it had passed, the check before the next use would find the connection
+// broken, and a connection would live for one request's timeout in place of the time
+// that the target keeps it.
 func (c *Cache) put(id fleet.TargetID, cn *conn, now time.Time) {
+	if err := cn.SetDeadline(time.Time{}); err != nil {
+		_ = cn.Close() // it is closed already
+		return
+	}
 	cn.idleSince = now
 	cn.served++
 	c.mu.Lock()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -287,3 +287,18 @@
 		do(c, Target{ID: "t", Addr: ln.Addr().String()}, r)
 	}
 }
+
+// TestARestedConnectionOutlivesItsLastDeadline lets a connection rest past the deadline
+// of the request that it carried last.
+func TestARestedConnectionOutlivesItsLastDeadline(t *testing.T) {
+	c, rt := client(), newRawTarget(t, script{sealed, sealed})
+	const wait = 50 * time.Millisecond
+	end := time.Now().Add(wait)
+	first := c.Do(context.Background(), rt.Target, request("r1"), end, end, time.Minute)
+	assert.Equal(t, first.Kind, Answered)
+	time.Sleep(2 * wait)
+	second := do(c, rt.Target, request("r2"))
+	assert.Equal(t, second.Kind, Answered)
+	assert.Assert(t, second.Reused)
+	assert.Equal(t, rt.conns.Load(), int32(1))
+}
