gateway: a break on a rested connection is weighed against the target's sickness

Cause: any break that came at once on a connection idle for 0.1 s or more was taken for the target's closing of idle connections, and bounded the reuse of all connections of the service for 8 s. Ruled out: no staleness below 2 s of idleness (crude: targets may forget sooner); evidence of rested successes in every datagram (bytes; an instance's own exchanges suffice when reports of n others weigh 1/n each). Change: each instance counts by class of idle time how rested connections serve; a break is stale if that is likelier than that this target fails at once.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -57,10 +57,6 @@
 	// quickShare is the part of the usual duration below which a failure did not
 	// come from the work itself.
 	quickShare = 0.15
-	// staleIdle is the idle time of a connection from which its break may be the
-	// target's closing of it, and staleLeast the same for a break that came at once.
-	staleIdle  = 2 * time.Second
-	staleLeast = 100 * time.Millisecond
 )
 
 // race is the attempts of one request.
@@ -320,6 +316,9 @@
 func (c *call) learn(e ended) {
 	began := time.Now().Add(-e.result.Took)
 	c.h.Metrics.Attempt(c.service, e.result.Kind)
+	if e.result.Reused && e.result.Answer != nil {
+		c.h.Knowledge.Rested(time.Now(), c.service, e.result.IdleFor)
+	}
 	switch res := e.result; res.Kind {
 	case exchange.Answered:
 		if res.Answer.Status == http.StatusGatewayTimeout {
@@ -342,11 +341,12 @@
 		}
 		c.observe(e.placed, o, began, 0)
 	case exchange.Broken:
-		if res.Reused && (res.IdleFor > staleIdle || (res.IdleFor > staleLeast && c.failure(res.Took) == suspicion.Quick)) {
+		o := c.failure(res.Took)
+		if res.Reused && o == suspicion.Quick && c.h.Knowledge.Stale(time.Now(), c.service, e.placed.ID, res.IdleFor) {
 			c.observe(e.placed, suspicion.Stale, began, res.IdleFor)
 			return
 		}
-		c.observe(e.placed, c.failure(res.Took), began, 0)
+		c.observe(e.placed, o, began, 0)
 	case exchange.Overdue:
 		// Nothing more than the watch told: a route's own timeout may be shorter
 		// than its work.
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -255,7 +255,7 @@
 		// nothing of them to others.
 		return
 	}
-	k.observe(now, e, began, "self")
+	k.observe(now, e, began, fromSelf)
 	k.tally(e, began)
 	if o == suspicion.Good {
 		k.target(id).cutFor = 0
@@ -277,6 +277,9 @@
 	return others
 }
 
+// fromSelf names this instance as the source of an observation.
+const fromSelf = "self"
+
 func (k *Knowledge) observe(now time.Time, e mesh.Evidence, began time.Time, from string) {
 	s := k.service(e.Service)
 	before, after, change := s.estimator.Observe(now, e.Target, e.What, began)
@@ -287,7 +290,11 @@
 		s.latency.add(time.Duration(e.TookMillis) * time.Millisecond)
 	}
 	if e.What == suspicion.Stale {
-		s.reuse.broke(now, time.Duration(e.TookMillis)*time.Millisecond)
+		weight := 1.0
+		if from != fromSelf {
+			weight = 1 / float64(max(k.most.now, k.most.before, 1))
+		}
+		s.reuse.broke(now, time.Duration(e.TookMillis)*time.Millisecond, weight)
 	}
 	switch change {
 	case suspicion.NowSuspected:
@@ -308,6 +315,22 @@
 	return k.service(name).reuse.most(now, repeatable)
 }
 
+// Rested records that a connection to the service carried an exchange after it was idle.
+func (k *Knowledge) Rested(now time.Time, name document.ServiceName, idle time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.service(name).reuse.served(now, idle)
+}
+
+// Stale tells whether a break that came at once on a connection that was idle is put
+// down to the connection; otherwise it is the target's.
+func (k *Knowledge) Stale(now time.Time, name document.ServiceName, id fleet.TargetID, idle time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.service(name)
+	return s.reuse.judge(now, idle, s.estimator.FailsAtOnce(now, id))
+}
+
 // Spend takes an attempt out of the service's retry budget, if there is one.
 func (k *Knowledge) Spend(now time.Time, name document.ServiceName, v mesh.View, urgent bool) (left float64, ok bool) {
 	k.mu.Lock()
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -359,6 +359,13 @@
 	return sick*e.sickFails/e.sickCount + (1-sick)*e.soundFails/e.soundCount
 }
 
+// FailsAtOnce is the probability that an attempt at the target fails much sooner than
+// work takes.
+func (e *Estimator) FailsAtOnce(now time.Time, id fleet.TargetID) float64 {
+	sick := e.Sick(now, id)
+	return sick*e.sickQuick/e.sickCount + (1-sick)*e.soundQuick/e.soundCount
+}
+
 // Suspects is how many targets count as sick.
 func (e *Estimator) Suspects() int {
 	n := 0
