losses: reelctl losses sums up where and why requests were lost

Cause: reelctl explain tells of one request; nothing said which causes weigh most. Change: a ledger from log files by service, class, cause and window of 2 s, detection time and false ejections by service, and why connections to targets were opened, from a line of counts every 5 s. Requests outside the configuration are no losses. Lines that requests end with name the class; attempts name the target's slots.

--- a/cmd/reelctl/main.go
+++ b/cmd/reelctl/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/clementinereel/clementinereel/explain"
 	"github.com/clementinereel/clementinereel/load/loadcmd"
+	"github.com/clementinereel/clementinereel/losses"
 	"github.com/clementinereel/clementinereel/operatecmd"
 	"github.com/clementinereel/clementinereel/reelctl"
 )
@@ -28,6 +29,7 @@
 	reelctl.Commands
 	Operations operatecmd.Cmd `cmd:"" help:"List and settle operations whose outcome is unknown."`
 	Explain    explain.Cmd    `cmd:"" help:"Say from instances' log files why a request ended as it did."`
+	Losses     losses.Cmd     `cmd:"" help:"Sum up from instances' log files where and why requests were lost."`
 	Load       loadcmd.Cmd    `cmd:"" help:"Send an open-loop load and report latency and wrong, truncated, doubled and lost answers."`
 }
 
--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -35,6 +35,7 @@
 	TargetSuspected Event = "target-suspected"
 	TargetCleared   Event = "target-cleared"
 	PathCut         Event = "path-cut"
+	ConnectionsUsed Event = "connections-used"
 )
 
 // Events of requests.
--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -45,8 +45,52 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	idle   map[fleet.TargetID][]*conn
-	// Opened counts the connections that were opened.
+	// lent is how many connections to a target are in use.
+	lent map[fleet.TargetID]int
+	// opened counts the connections that were opened.
 	opened int64
+	uses   Uses
+}
+
+// Uses counts what became of connections to targets since it was last taken.
+type Uses struct {
+	// Reused carried one more request.
+	Reused int
+	// OpenedFirst were opened where there was none, OpenedBusy where all were in use.
+	OpenedFirst, OpenedBusy int
+	// Aged had rested for as long as the target keeps them, Bounded for longer than
+	// the request allowed, and Broken had been closed by the target or held bytes
+	// that belong to no request.
+	Aged, Bounded, Broken int
+	// Ended were not kept after a request: the target closed them, or the request
+	// failed or was left. Surplus were not kept since there were enough.
+	Ended, Surplus int
+}
+
+// TakeUses returns the counts since the last call.
+func (c *Cache) TakeUses() Uses {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.uses
+	c.uses = Uses{}
+	return u
+}
+
+// count changes the counts.
+func (c *Cache) count(change func(*Uses)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.uses)
+}
+
+// lend counts a connection that comes into use, by 1, or goes out of it, by -1.
+func (c *Cache) lend(id fleet.TargetID, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lent[id] += n
+	if c.lent[id] == 0 {
+		delete(c.lent, id)
+	}
 }
 
 // NewCache returns an empty cache whose connections take at most dialTimeout to
@@ -55,6 +99,7 @@
 	return &Cache{
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes},
 		idle:   make(map[fleet.TargetID][]*conn),
+		lent:   make(map[fleet.TargetID]int),
 	}
 }
 
@@ -78,14 +123,24 @@
 	return c.opened
 }
 
-// take returns an idle connection on which nothing has arrived, or nil.
-func (c *Cache) take(id fleet.TargetID, now time.Time) *conn {
+// take returns an idle connection that has rested for at most most and on which
+// nothing has arrived, or nil.
+func (c *Cache) take(id fleet.TargetID, now time.Time, most time.Duration) *conn {
 	for {
 		cn := c.pop(id)
 		if cn == nil {
 			return nil
 		}
-		if now.Sub(cn.idleSince) < cn.keep && cn.quiet() {
+		rested := now.Sub(cn.idleSince)
+		switch {
+		case rested >= cn.keep:
+			c.count(func(u *Uses) { u.Aged++ })
+		case rested > most:
+			c.count(func(u *Uses) { u.Bounded++ })
+		case !cn.quiet():
+			c.count(func(u *Uses) { u.Broken++ })
+		default:
+			c.count(func(u *Uses) { u.Reused++ })
 			return cn
 		}
 		_ = cn.Close()
@@ -122,6 +177,8 @@
 	if len(conns) < maxIdle {
 		c.idle[id] = append(conns, cn)
 		cn = nil
+	} else {
+		c.uses.Surplus++
 	}
 	c.mu.Unlock()
 	if cn != nil {
@@ -143,6 +200,7 @@
 				continue
 			}
 			closing = append(closing, cn)
+			c.uses.Aged++
 		}
 		clear(conns[len(kept):])
 		if len(kept) == 0 {
@@ -158,13 +216,18 @@
 }
 
 // dial opens a connection.
-func (c *Cache) dial(ctx context.Context, addr string) (*conn, error) {
-	nc, err := c.dialer.DialContext(ctx, "tcp4", addr)
+func (c *Cache) dial(ctx context.Context, t Target) (*conn, error) {
+	nc, err := c.dialer.DialContext(ctx, "tcp4", t.Addr)
 	if err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
 	c.opened++
+	if c.lent[t.ID] > 0 {
+		c.uses.OpenedBusy++
+	} else {
+		c.uses.OpenedFirst++
+	}
 	c.mu.Unlock()
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer), keep: defaultKeep}, nil
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -129,6 +129,7 @@
 	if res.Reused {
 		res.IdleFor = start.Sub(cn.idleSince)
 	}
+	c.Cache.lend(t.ID, 1)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	keep := c.converse(cn, t, r, wanted, deadline, &res)
 	if !stop() {
@@ -138,7 +139,9 @@
 		}
 	}
 	res.Took = time.Since(start)
+	c.Cache.lend(t.ID, -1)
 	if !keep {
+		c.Cache.count(func(u *Uses) { u.Ended++ })
 		_ = cn.Close()
 		return res
 	}
@@ -147,20 +150,12 @@
 }
 
 func (c *Client) connect(ctx context.Context, t Target, deadline time.Time, maxIdle time.Duration) (*conn, error) {
-	now := time.Now()
-	for {
-		cn := c.Cache.take(t.ID, now)
-		if cn == nil {
-			break
-		}
-		if now.Sub(cn.idleSince) <= maxIdle {
-			return cn, nil
-		}
-		_ = cn.Close()
+	if cn := c.Cache.take(t.ID, time.Now(), maxIdle); cn != nil {
+		return cn, nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	return c.Cache.dial(ctx, t.Addr)
+	return c.Cache.dial(ctx, t)
 }
 
 // converse writes the request and reads its answer. It tells whether the
--- a/explain/cmd.go
+++ b/explain/cmd.go
@@ -14,12 +14,20 @@
 // Run implements the command.
 func (c *Cmd) Run() error {
 	var g Log
-	for _, name := range c.Files {
+	if err := g.ReadFiles(c.Files); err != nil {
+		return err
+	}
+	g.Request(c.ID).Print(os.Stdout)
+	return nil
+}
+
+// ReadFiles adds the lines of the files.
+func (g *Log) ReadFiles(names []string) error {
+	for _, name := range names {
 		if err := g.readFile(name); err != nil {
 			return err
 		}
 	}
-	g.Request(c.ID).Print(os.Stdout)
 	return nil
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -154,7 +154,7 @@
 func (r *race) overdue() outcome {
 	for _, o := range r.open {
 		eventlog.Info(eventlog.AttemptOpen, "request", r.c.id, "route", r.c.route.Name, "service", r.c.service, "target", o.placed.ID,
-			"addr", o.placed.Addr, "age_ms", time.Since(o.at).Milliseconds(), "fails", eventlog.Share(o.placed.Fails), "in_flight", o.placed.InFlight)
+			"addr", o.placed.Addr, "age_ms", time.Since(o.at).Milliseconds(), "fails", eventlog.Share(o.placed.Fails), "in_flight", o.placed.InFlight, "slots", o.placed.Slots, "class", r.c.route.Class)
 	}
 	if r.fallback.answer != nil {
 		return r.fallback
@@ -381,5 +381,5 @@
 	eventlog.Info(eventlog.AttemptFailed, "request", r.c.id, "route", r.c.route.Name, "class", r.c.route.Class, "service", r.c.service,
 		"target", e.placed.ID, "addr", e.placed.Addr, "zone", e.placed.Zone, "kind", e.result.Kind, "status", status, "err", e.result.Err,
 		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
-		"fails", eventlog.Share(e.placed.Fails), "cost", eventlog.Share(e.placed.Cost), "in_flight", e.placed.InFlight, "for_floor", e.placed.ForFloor, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version)
+		"fails", eventlog.Share(e.placed.Fails), "cost", eventlog.Share(e.placed.Cost), "in_flight", e.placed.InFlight, "slots", e.placed.Slots, "for_floor", e.placed.ForFloor, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,8 @@
 	// tick is how often tables are looked through for what is over. Targets that
 	// are gone may be in use for longer by it.
 	tick = 100 * time.Millisecond
+	// usesEvery is the time between lines on the use of connections to targets.
+	usesEvery = 5 * time.Second
 	// bodiesShare is the part of the memory for bodies of requests.
 	bodiesShare = 0.35
 	// gcPercent trades processor time, which is plentiful, for memory.
@@ -190,16 +192,30 @@
 func (g *Gateway) tick(ctx context.Context) {
 	t := time.NewTicker(tick)
 	defer t.Stop()
+	uses := time.NewTicker(usesEvery)
+	defer uses.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
 			g.tickOnce(now)
+		case <-uses.C:
+			g.logUses()
 		}
 	}
 }
 
+// logUses tells what became of connections to targets since the last such line.
+func (g *Gateway) logUses() {
+	u := g.client.Cache.TakeUses()
+	if u == (exchange.Uses{}) {
+		return
+	}
+	eventlog.Info(eventlog.ConnectionsUsed, "reused", u.Reused, "opened_first", u.OpenedFirst, "opened_busy", u.OpenedBusy,
+		"aged", u.Aged, "bounded", u.Bounded, "broken", u.Broken, "ended", u.Ended, "surplus", u.Surplus)
+}
+
 func (g *Gateway) tickOnce(now time.Time) {
 	view := g.node.View()
 	g.state.Tick(now, g.follower.Away(view))
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -41,6 +41,7 @@
 			break
 		}
 	}
+	g.logUses()
 	open, busy = g.front.counts()
 	_ = g.front.server.Close() // the process ends in any case
 	eventlog.Info(eventlog.Stopped, "after_ms", time.Since(start).Milliseconds(), "connections_closed", open, "busy_cut", busy)
