mesh: a process that just started greets at each heartbeat, three times as often

Cause: where all instances start at once, the seeds are as likely last as first, and who had greeted them too early waited 2 s for the next try. Ruled out: readiness that waits for peers (the balancer uses all where none is ready).

--- a/mesh/members.go
+++ b/mesh/members.go
@@ -39,8 +39,12 @@
 	// other, each finds every sick target by itself.
 	knownSample = 3
 	youngSample = 16
-	// meetingFor is for how long a process counts as just started.
-	meetingFor = 3 * time.Second
+	// meetingFor is for how long a process counts as just started. Till then it sends
+	// heartbeats meetingSpeed times as often, also to instances that have not answered
+	// yet: where all start at once, seeds may come up last, and what one instance
+	// learns of targets the others learn only once they know each other.
+	meetingFor   = 3 * time.Second
+	meetingSpeed = 3
 	// completeShare is the part of the members that must be fresh for the
 	// view to count as complete.
 	completeShare = 0.85
@@ -199,12 +203,16 @@
 // and then those that were never heard, unless a bridge speaks for their zone.
 func (ms *members) beats(now time.Time) []netip.AddrPort {
 	var to []netip.AddrPort
+	wait := lapsedEvery
+	if justStarted(now, ms.boot) {
+		wait = 0
+	}
 	for _, m := range ms.table {
 		quiet := now.Sub(m.last()) > lapsedAfter || m.Heard.IsZero()
 		switch {
 		case m.Zone != ms.zone && (!m.Heard.IsZero() || ms.spokenFor(now, m.Zone)):
 			continue
-		case quiet && now.Sub(m.sentAt) < lapsedEvery:
+		case quiet && now.Sub(m.sentAt) < wait:
 			continue
 		}
 		m.sentAt = now
@@ -360,18 +368,21 @@
 
 // meeting tells whether this instance or one that it hears has just started.
 func (ms *members) meeting(now time.Time) bool {
-	recent := func(boot int64) bool { return now.UnixMilli()-boot < meetingFor.Milliseconds() }
-	if recent(ms.boot) {
+	if justStarted(now, ms.boot) {
 		return true
 	}
 	for _, m := range ms.table {
-		if m.Fresh(now) && recent(m.Boot) {
+		if m.Fresh(now) && justStarted(now, m.Boot) {
 			return true
 		}
 	}
 	return false
 }
 
+func justStarted(now time.Time, boot int64) bool {
+	return now.UnixMilli()-boot < meetingFor.Milliseconds()
+}
+
 // View is a snapshot of the other instances, sorted by address, and of the other
 // zones.
 type View struct {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -146,7 +146,11 @@
 }
 
 func (n *Node) beatEvery() time.Duration {
-	return max(minInterval, time.Duration(len(n.members.table))*perMember)
+	every := max(minInterval, time.Duration(len(n.members.table))*perMember)
+	if justStarted(time.Now(), n.members.boot) {
+		every /= meetingSpeed
+	}
+	return every
 }
 
 // Beat sends a heartbeat now.
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -22,8 +23,12 @@
 }
 
 func startNode(t testing.TB, zone fleet.Zone, seeds ...string) *heardNode {
+	return startNodeAt(t, "127.0.0.1:0", zone, seeds...)
+}
+
+func startNodeAt(t testing.TB, addr string, zone fleet.Zone, seeds ...string) *heardNode {
 	h := new(heardNode)
-	n, err := Listen(Config{Addr: "127.0.0.1:0", Zone: zone, Boot: time.Now(), Seeds: seeds},
+	n, err := Listen(Config{Addr: addr, Zone: zone, Boot: time.Now(), Seeds: seeds},
 		func(_ time.Time, p *Packet) { p.Document = 7 },
 		func(_ time.Time, first bool) *Digest { return &Digest{Instances: 2, Complete: first} },
 		func(_ time.Time, p *Packet) {
@@ -67,6 +72,24 @@
 	}
 }
 
+// TestInstancesMeetThroughASeedThatStartsLast: where a whole fleet starts at once, the
+// seeds are as likely last as first.
+func TestInstancesMeetThroughASeedThatStartsLast(t *testing.T) {
+	const late, meetWithin = 600 * time.Millisecond, 700 * time.Millisecond
+	free, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := free.LocalAddr().String()
+	assert.NilError(t, free.Close())
+	nodes := []*heardNode{startNode(t, "a", addr), startNode(t, "a", addr), startNode(t, "a", addr)}
+	time.Sleep(late)
+	begin := time.Now()
+	nodes = append(nodes, startNodeAt(t, addr, "a"))
+	for _, n := range nodes {
+		eventually(t, "all are known", func() bool { return n.View().InZone() == len(nodes) })
+	}
+	assert.Assert(t, time.Since(begin) < meetWithin, "%v", time.Since(begin))
+}
+
 func TestNewsReachesEveryInstanceOfEveryZoneOnce(t *testing.T) {
 	a := startNode(t, "a")
 	others := []*heardNode{startNode(t, "a", a.Addr()), startNode(t, "b", a.Addr()), startNode(t, "b", a.Addr()), startNode(t, "b", a.Addr())}
