suspicion, gateway: a break at rest moves the estimate by how rare stale connections are

Change: the likelihood ratio is that of a mixture of the two explanations, with the service's measured part of stale connections; the count of stale ones gains by the same posterior. There is no hard verdict any more. Ruled out: telling the verdict of one instance as a plain failure (wrong where targets forget connections).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -342,8 +342,8 @@
 		c.observe(e.placed, o, began, 0)
 	case exchange.Broken:
 		o := c.failure(res.Took)
-		if res.Reused && o == suspicion.Quick && c.h.Knowledge.Stale(time.Now(), c.service, e.placed.ID, res.IdleFor) {
-			c.observe(e.placed, suspicion.Stale, began, res.IdleFor)
+		if res.Reused && o == suspicion.Quick && res.IdleFor >= restedLeast {
+			c.observe(e.placed, suspicion.Rested, began, res.IdleFor)
 			return
 		}
 		c.observe(e.placed, o, began, 0)
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -282,20 +282,13 @@
 
 func (k *Knowledge) observe(now time.Time, e mesh.Evidence, began time.Time, from string) {
 	s := k.service(e.Service)
-	before, after, change := s.estimator.Observe(now, e.Target, e.What, began)
+	before, after, change := k.estimate(now, s, &e, began, from)
 	if arrived(e.What) {
 		k.target(e.Target).lastUse = now
 	}
 	if e.What == suspicion.Good {
 		s.latency.add(time.Duration(e.TookMillis) * time.Millisecond)
 	}
-	if e.What == suspicion.Stale {
-		weight := 1.0
-		if from != fromSelf {
-			weight = 1 / float64(max(k.most.now, k.most.before, 1))
-		}
-		s.reuse.broke(now, time.Duration(e.TookMillis)*time.Millisecond, weight)
-	}
 	switch change {
 	case suspicion.NowSuspected:
 		r := s.estimator.Rates()
@@ -307,6 +300,22 @@
 	}
 }
 
+// estimate moves the estimate of the evidence's target.
+func (k *Knowledge) estimate(now time.Time, s *service, e *mesh.Evidence, began time.Time, from string) (before, after float64, c suspicion.Change) {
+	if e.What != suspicion.Rested {
+		return s.estimator.Observe(now, e.Target, e.What, began)
+	}
+	idle := time.Duration(e.TookMillis) * time.Millisecond
+	weight := 1.0
+	if from != fromSelf {
+		weight = 1 / float64(max(k.most.now, k.most.before, 1))
+	}
+	targetFails := s.estimator.FailsAtOnce(now, e.Target)
+	before, after, c = s.estimator.ObserveRested(now, e.Target, s.reuse.stale(idle))
+	s.reuse.broke(now, idle, targetFails, weight)
+	return before, after, c
+}
+
 // ReuseIdle is how long a connection to the service's targets may have been idle to
 // carry a request.
 func (k *Knowledge) ReuseIdle(now time.Time, name document.ServiceName, repeatable bool) time.Duration {
@@ -322,15 +331,6 @@
 	k.service(name).reuse.served(now, idle)
 }
 
-// Stale tells whether a break that came at once on a connection that was idle is put
-// down to the connection; otherwise it is the target's.
-func (k *Knowledge) Stale(now time.Time, name document.ServiceName, id fleet.TargetID, idle time.Duration) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	s := k.service(name)
-	return s.reuse.judge(now, idle, s.estimator.FailsAtOnce(now, id))
-}
-
 // Spend takes an attempt out of the service's retry budget, if there is one.
 func (k *Knowledge) Spend(now time.Time, name document.ServiceName, v mesh.View, urgent bool) (left float64, ok bool) {
 	k.mu.Lock()
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -89,29 +89,14 @@
 	return (priorStale*priorRested + r.broken) / (priorRested + r.broken + n)
 }
 
-// judge weighs a break that came at once on a connection that was idle against the
-// probability that its target fails a request like this. It tells whether the
-// connection was stale.
-func (r *reuse) judge(now time.Time, idle time.Duration, targetFails float64) bool {
-	if idle < restedLeast {
-		return false
-	}
+// broke notes a break that came at once on a connection that was idle, at a target that
+// fails a request like this at once with the given probability. Its weight is 1 for one
+// of this instance's own; a report of one of n other instances weighs 1/n, since they use
+// as many rested connections each, of which nothing is told.
+func (r *reuse) broke(now time.Time, idle time.Duration, targetFails, weight float64) {
 	r.forget(now)
 	s := r.stale(idle)
-	p := s / (s + (1-s)*targetFails)
-	if p < 0.5 {
-		r.broken += p
-		return false
-	}
-	return true
-}
-
-// broke notes that a connection proved to be stale after it was idle. Its weight is 1
-// for one of this instance's own; a report of one of n other instances weighs 1/n, since
-// they use as many rested connections each, of which nothing is told.
-func (r *reuse) broke(now time.Time, idle time.Duration, weight float64) {
-	r.forget(now)
-	r.broken += weight
+	r.broken += weight * s / (s + (1-s)*targetFails)
 	if r.stale(idle) < bearableStale {
 		return
 	}
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -19,9 +19,9 @@
 	Slow
 	// Unreachable is a connection that did not come about.
 	Unreachable
-	// Stale is a break on a connection that had been idle: the target may have
-	// closed it at that moment.
-	Stale
+	// Rested is a break that came at once on a connection that had been idle: the
+	// target may be sick, or may have forgotten the connection.
+	Rested
 	// Down is a connection that was refused: no process listens.
 	Down
 	// Elsewhere is an answer by another target at the address.
@@ -32,7 +32,7 @@
 )
 
 var observationNames = map[Observation]string{
-	Good: "good", Bad: "bad", Slow: "slow", Unreachable: "unreachable", Stale: "stale",
+	Good: "good", Bad: "bad", Slow: "slow", Unreachable: "unreachable", Rested: "rested-break",
 	Down: "down", Elsewhere: "elsewhere", Quick: "quick-failure",
 }
 
@@ -65,8 +65,6 @@
 	// goneRatio: a target that is there neither refuses connections nor lets
 	// another one answer.
 	goneRatio = 500
-	// staleRatio: an idle connection's break says little.
-	staleRatio = 2
 )
 
 // Thresholds of the learned lengths of bouts and spells, and of logs.
@@ -206,11 +204,24 @@
 func (e *Estimator) Observe(now time.Time, id fleet.TargetID, o Observation, began time.Time) (before, after float64, c Change) {
 	t := e.target(now, id)
 	e.drift(now, t)
-	before = t.sick
 	e.slowLately.add(now, o, o == Slow)
 	e.failedLately.add(now, o, o.Failed())
 	e.learnSlow(t, o)
-	ratio := e.ratio(t, o, began)
+	return e.update(now, t, o, e.ratio(t, o, began))
+}
+
+// ObserveRested takes in a Rested break, where the given part of the connections that
+// rested as long is stale: the rarer that is, the more the break says of the target.
+func (e *Estimator) ObserveRested(now time.Time, id fleet.TargetID, stale float64) (before, after float64, c Change) {
+	t := e.target(now, id)
+	e.drift(now, t)
+	sick, sound := e.sickQuick/e.sickCount, e.soundQuick/e.soundCount
+	return e.update(now, t, Rested, (stale+(1-stale)*sick)/(stale+(1-stale)*sound))
+}
+
+// update moves the target's estimate by the likelihood ratio of an observation.
+func (e *Estimator) update(now time.Time, t *target, o Observation, ratio float64) (before, after float64, c Change) {
+	before = t.sick
 	odds := t.sick / (1 - t.sick) * ratio
 	t.sick = min(max(odds/(1+odds), floor), ceiling)
 	e.learnFailures(t, o)
@@ -247,8 +258,6 @@
 		return max(r.SickSlow/max(r.SoundSlow, e.slowLately.share), 1)
 	case Unreachable:
 		return unreachableRatio
-	case Stale:
-		return staleRatio
 	case Down, Elsewhere:
 		return goneRatio
 	}
--- a/suspicion/estimator_test.go
+++ b/suspicion/estimator_test.go
@@ -109,3 +109,16 @@
 	assert.Assert(t, slow < Suspected, "after a failure that took its time: %.3f, %+v", slow, e.Rates())
 	assert.Assert(t, quick > 0.9, "after a quick one: %.3f, %+v", quick, e.Rates())
 }
+
+// A break on a connection that rested says much of the target where connections are
+// rarely forgotten, and little where they often are.
+func TestARestedBreakWeighsByHowOftenConnectionsAreForgotten(t *testing.T) {
+	after := func(stale float64) float64 {
+		e := New()
+		e.Observe(at(0), "a", Good, at(0))
+		_, after, _ := e.ObserveRested(at(2), "a", stale)
+		return after
+	}
+	assert.Assert(t, after(0.005) > Suspected, "%v", after(0.005))
+	assert.Assert(t, after(0.3) < Cleared, "%v", after(0.3))
+}
