gateway: a stopping instance serves what it can end in time

Change: only requests that may take until after the end are refused. The end is held on the steady clock. Ruled out: refusing later (long requests would be cut); the usual duration in place of the deadline (a slow target would get work cut that must not repeat).

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -55,15 +55,24 @@
 	Bodies *Bodies
 	// leaving tells callers to go elsewhere after their answer.
 	leaving atomic.Bool
-	// refusing tells that the process is about to end.
-	refusing atomic.Bool
+	// end is when the process ends, once requests are refused that may take longer. It
+	// carries the steady clock, since the time of day may jump meanwhile.
+	end atomic.Pointer[time.Time]
 }
 
 // Leave makes every answer the last on its connection.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
-// Refuse answers further requests with a refusal.
-func (h *Handler) Refuse() { h.refusing.Store(true) }
+// RefuseBeyond refuses further requests that may take until after the end of the
+// process. Those that cannot are still served: callers who are refused may have no
+// time, or no right, to come again.
+func (h *Handler) RefuseBeyond(end time.Time) { h.end.Store(&end) }
+
+// endsBefore tells whether the process may end before the given time.
+func (h *Handler) endsBefore(t time.Time) bool {
+	end := h.end.Load()
+	return end != nil && t.After(*end)
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -91,9 +100,6 @@
 // serve answers the request and returns the answer's status; 0 if the caller
 // left.
 func (c *call) serve() int {
-	if c.h.refusing.Load() {
-		return c.refuse(problem.Overloaded, "the instance is stopping")
-	}
 	table := c.h.State.Table()
 	if table == nil {
 		return c.refuse(problem.Overloaded, "no configuration is known yet")
@@ -108,6 +114,9 @@
 	if err := c.setDeadline(); err != nil {
 		return c.fail(http.StatusBadRequest, problem.BadRequest, err.Error())
 	}
+	if c.h.endsBefore(c.deadline) {
+		return c.refuse(problem.Overloaded, "the instance is stopping")
+	}
 	body, status := c.readBody(&table.Document.Limits)
 	if status != 0 {
 		return status
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -130,6 +131,13 @@
 
 // startGateway runs an instance before the backends and returns its URL.
 func startGateway(t *testing.T, backends ...*backend) string {
+	url, _ := startGatewayFor(t, 200*time.Millisecond, backends...)
+	return url
+}
+
+// startGatewayFor starts an instance with a grace time. It returns its URL and what
+// stops it.
+func startGatewayFor(t *testing.T, grace time.Duration, backends ...*backend) (string, context.CancelFunc) {
 	store := &storeOf{document: routes()}
 	for i, b := range backends {
 		store.entries = append(store.entries, registry.Entry{
@@ -138,7 +146,7 @@
 	}
 	s := Settings{
 		Instance: "i", Zone: "a", Listen: freeAddr(t), ReadyListen: freeAddr(t), ReadyPath: "/ready", PeerListen: freeAddr(t),
-		Headers: names, Retry: budget, Grace: 200 * time.Millisecond,
+		Headers: names, Retry: budget, Grace: grace,
 	}
 	assert.NilError(t, s.Complete())
 	g, err := New(s, store)
@@ -159,16 +167,21 @@
 		}
 		return poll.Continue("not ready")
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
-	return "http://" + s.Listen
+	return "http://" + s.Listen, cancel
 }
 
 func ask(ctx context.Context, t *testing.T, method, url string) (int, string, time.Duration) {
+	return askWithin(ctx, t, method, url, 4*time.Second)
+}
+
+// askWithin asks with the given deadline.
+func askWithin(ctx context.Context, t *testing.T, method, url string, deadline time.Duration) (int, string, time.Duration) {
 	begin := time.Now()
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader("order"))
 	assert.NilError(t, err)
 	req.Host = "h"
 	req.Header.Set(names.RequestID, "r1")
-	req.Header.Set(names.Deadline, "4000")
+	req.Header.Set(names.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0, err.Error(), time.Since(begin)
@@ -179,6 +192,23 @@
 	return resp.StatusCode, string(body), time.Since(begin)
 }
 
+// A stopping instance serves what it can end in time and refuses the rest: callers may
+// have no time to come again.
+func TestAStoppingInstanceServesWhatItCanEnd(t *testing.T) {
+	const grace, short, long = time.Second, 100 * time.Millisecond, 900 * time.Millisecond
+	b := newBackend(t, answer(http.StatusOK))
+	url, stop := startGatewayFor(t, grace, b)
+	kept, _, _ := askWithin(t.Context(), t, "POST", url+"/buy/1", long)
+	assert.Equal(t, kept, http.StatusOK)
+	stop()
+	time.Sleep(time.Duration((refuseFrom + 0.05) * float64(grace)))
+	// A connection of its own for each: the first answer closes its connection.
+	ended, _, _ := askWithin(t.Context(), t, "POST", url+"/buy/1", short)
+	assert.Equal(t, ended, http.StatusOK)
+	refused, body, _ := askWithin(t.Context(), t, "POST", url+"/buy/1", long)
+	assert.Equal(t, refused, http.StatusServiceUnavailable, body)
+}
+
 func totalRuns(bs ...*backend) int {
 	n := 0
 	for _, b := range bs {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -11,9 +11,9 @@
 	// leastStay is how long new connections may still come: the balancer asks
 	// once a second and takes an instance out after two misses.
 	leastStay = 0.45
-	// refuseFrom is when further requests are refused, so that what was taken
-	// before can end in time; by then kept connections had an answer that
-	// closed them.
+	// refuseFrom is from when on requests are refused that may take until after the
+	// end, so that what was taken can end in time; by then kept connections had an
+	// answer that closed them.
 	refuseFrom = 0.6
 	// endBy is when the process ends, whatever still runs.
 	endBy = 0.96
@@ -35,7 +35,7 @@
 		time.Sleep(stopPoll)
 		if !refused && time.Now().After(at(refuseFrom)) {
 			refused = true
-			g.handler.Refuse()
+			g.handler.RefuseBeyond(at(endBy))
 		}
 		if open, _ := g.front.counts(); open == 0 && time.Now().After(at(leastStay)) {
 			break
