gateway, mesh: a fresh instance takes over what its peers believe of targets

Cause: a process that has just started knew nothing of targets that all others avoid, and of which there is no news for that reason. Change: the answer to a first greeting carries beliefs, the sick first, at most 32; they are taken over for targets of which nothing was seen. Before the targets are known, nothing of them is forgotten.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,7 +78,8 @@
 
 func (g *Gateway) listen() (err error) {
 	s := &g.settings
-	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds}, g.fill, g.digest, g.take)
+	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds},
+		mesh.Callbacks{Fill: g.fill, Greet: g.greet, Digest: g.digest, Take: g.take})
 	if err != nil {
 		return err
 	}
@@ -102,6 +103,11 @@
 	g.knowledge.Fill(now, p)
 }
 
+// greet tells an instance that was just found what this one believes of targets.
+func (g *Gateway) greet(now time.Time, p *mesh.Packet) {
+	p.Beliefs = g.knowledge.Beliefs(now)
+}
+
 // digest sums up the own zone.
 func (g *Gateway) digest(now time.Time, first bool) *mesh.Digest {
 	return g.knowledge.Digest(now, g.node.View(), first)
@@ -220,7 +226,9 @@
 	view := g.node.View()
 	g.state.Tick(now, g.follower.Away(view))
 	targets := g.state.Targets()
-	inUse := func(id fleet.TargetID) bool { return targets.Target(id) != nil }
+	// Before the targets are known, what others told of them is kept.
+	unknown := targets.Len() == 0
+	inUse := func(id fleet.TargetID) bool { return unknown || targets.Target(id) != nil }
 	g.knowledge.Tick(now, inUse)
 	g.client.Cache.Sweep(now, inUse)
 	if t := g.state.Table(); t != nil && !g.leaving.Load() {
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -223,3 +224,24 @@
 	k.Take(now, &mesh.Packet{Addr: "p", Zone: "a", Evidence: []mesh.Evidence{{Service: "s", Target: "t", What: suspicion.Bad}}})
 	assert.Equal(t, k.target("t").lastUse, now)
 }
+
+// A process that has just started does not meet the targets that all others avoid.
+func TestAFreshInstanceTakesOverBeliefs(t *testing.T) {
+	old, fresh := newKnowledge(), newKnowledge()
+	for range 3 {
+		old.Observe(start, "s", "sick", suspicion.Bad, start, 0)
+		old.Observe(start, "s", "sound", suspicion.Good, start, time.Millisecond)
+	}
+	fresh.Take(start, &mesh.Packet{Addr: "old", Zone: "a", Boot: 1, Beliefs: old.Beliefs(start)})
+	e := fresh.service("s").estimator
+	assert.Assert(t, e.Sick(start, "sick") > suspicion.Suspected)
+	assert.Assert(t, e.Sick(start, "sound") < suspicion.Cleared)
+	many := newKnowledge()
+	for n := range 100 {
+		many.Observe(start, "s", fleet.TargetID(fmt.Sprint(n)), suspicion.Good, start, 0)
+	}
+	many.Observe(start, "s", "sick", suspicion.Bad, start, 0)
+	told := many.Beliefs(start)
+	assert.Equal(t, len(told), beliefEntries)
+	assert.Equal(t, told[0].Target, fleet.TargetID("sick"))
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/retry/pooled"
@@ -60,6 +62,7 @@
 	if p.Digest != nil {
 		k.takeDigest(now, p.Zone, p.Digest)
 	}
+	k.adopt(now, p.Beliefs, p.Addr)
 	for _, e := range p.Evidence {
 		began := now.Add(-time.Duration(e.AgeMillis) * time.Millisecond)
 		k.observe(now, e, began, p.Addr)
@@ -138,6 +141,34 @@
 	p.Evidence = k.takePending(now)
 }
 
+// beliefEntries bounds the beliefs of a greeting, so that it stays within a datagram.
+const beliefEntries = 32
+
+// Beliefs are what the instance believes of targets: first of those that are likely
+// sick, for a fresh instance would lose a request at each, then of some others.
+func (k *Knowledge) Beliefs(now time.Time) []mesh.Belief {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var all []mesh.Belief
+	for name, s := range k.services {
+		s.estimator.Known(now, func(id fleet.TargetID, sick float64) {
+			all = append(all, mesh.Belief{Service: name, Target: id, Permille: int(1000 * sick)})
+		})
+	}
+	slices.SortFunc(all, func(a, b mesh.Belief) int { return b.Permille - a.Permille })
+	return all[:min(len(all), beliefEntries)]
+}
+
+// adopt takes over what another instance believes of targets of which this one knows
+// nothing.
+func (k *Knowledge) adopt(now time.Time, bs []mesh.Belief, from string) {
+	for _, b := range bs {
+		if k.service(b.Service).estimator.Adopt(now, b.Target, float64(b.Permille)/1000) && float64(b.Permille) >= 1000*suspicion.Suspected {
+			eventlog.Info(eventlog.TargetSuspected, "target", b.Target, "service", b.Service, "by", from, "evidence", "belief", "sick", eventlog.Share(float64(b.Permille)/1000))
+		}
+	}
+}
+
 // News returns what cannot wait for the next heartbeat.
 func (k *Knowledge) News(now time.Time, name document.ServiceName, id fleet.TargetID) mesh.Packet {
 	k.mu.Lock()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -47,13 +47,22 @@
 // Handler takes in a packet of another instance.
 type Handler func(now time.Time, p *Packet)
 
+// Callbacks are what a node needs of its instance.
+type Callbacks struct {
+	// Fill completes each heartbeat, and Greet the first datagram to an instance that
+	// was just found.
+	Fill, Greet func(now time.Time, p *Packet)
+	// Digest sums up the own zone.
+	Digest Digester
+	// Take gets each packet that arrives.
+	Take Handler
+}
+
 // Node is the instance's end of the mesh. It is safe for concurrent use.
 type Node struct {
 	cfg     Config
 	conn    *net.UDPConn
-	fill    func(now time.Time, p *Packet)
-	digest  Digester
-	handle  Handler
+	calls   Callbacks
 	mu      sync.Mutex
 	members *members
 	leaving bool
@@ -68,9 +77,8 @@
 	Sent, Received, Malformed, Bytes int64
 }
 
-// Listen opens the socket. Fill completes each heartbeat, digest sums up the own
-// zone, and handle gets each packet that arrives.
-func Listen(cfg Config, fill func(now time.Time, p *Packet), digest Digester, handle Handler) (*Node, error) {
+// Listen opens the socket.
+func Listen(cfg Config, calls Callbacks) (*Node, error) {
 	addr, err := net.ResolveUDPAddr("udp4", cfg.Addr)
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -82,7 +90,7 @@
 	if addr.Port == 0 {
 		cfg.Addr = conn.LocalAddr().String()
 	}
-	n := &Node{cfg: cfg, conn: conn, fill: fill, digest: digest, handle: handle, members: newMembers(cfg.Addr, cfg.Zone, cfg.Boot.UnixMilli())}
+	n := &Node{cfg: cfg, conn: conn, calls: calls, members: newMembers(cfg.Addr, cfg.Zone, cfg.Boot.UnixMilli())}
 	n.Know(cfg.Seeds)
 	return n, nil
 }
@@ -158,7 +166,7 @@
 	now := time.Now()
 	p := n.packet()
 	p.Heartbeat = true
-	n.fill(now, p)
+	n.calls.Fill(now, p)
 	n.mu.Lock()
 	p.Known = n.members.sample(now)
 	to := n.members.beats(now)
@@ -188,7 +196,7 @@
 	}
 	p := n.packet()
 	p.Document, p.Registry, p.Log, p.Known = beat.Document, beat.Registry, beat.Log, beat.Known
-	p.Digest = n.digest(now, first)
+	p.Digest = n.calls.Digest(now, first)
 	n.send(p, across)
 }
 
@@ -318,16 +326,18 @@
 	if s != heardBefore {
 		eventlog.Info(eventlog.PeerFound, "peer", m.Addr, "zone", p.Zone, "boot", p.Boot, "again", s == heardAgain)
 	}
-	n.handle(now, p)
+	n.calls.Take(now, p)
 }
 
 // greet answers an instance that is heard for the first time at once, with names of
-// others, so that a fleet that starts finds itself within a heartbeat or two.
+// others, so that a fleet that starts finds itself within a heartbeat or two, and with
+// what this instance believes.
 func (n *Node) greet(now time.Time, to netip.AddrPort) {
 	p := n.packet()
 	n.mu.Lock()
 	p.Known = n.members.sample(now)
 	n.mu.Unlock()
+	n.calls.Greet(now, p)
 	n.send(p, []netip.AddrPort{to})
 }
 
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -29,12 +29,15 @@
 func startNodeAt(t testing.TB, addr string, zone fleet.Zone, seeds ...string) *heardNode {
 	h := new(heardNode)
 	n, err := Listen(Config{Addr: addr, Zone: zone, Boot: time.Now(), Seeds: seeds},
-		func(_ time.Time, p *Packet) { p.Document = 7 },
-		func(_ time.Time, first bool) *Digest { return &Digest{Instances: 2, Complete: first} },
-		func(_ time.Time, p *Packet) {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			h.packets = append(h.packets, p)
+		Callbacks{
+			Fill:   func(_ time.Time, p *Packet) { p.Document = 7 },
+			Greet:  func(_ time.Time, p *Packet) { p.Beliefs = []Belief{{Service: "s", Target: "t", Permille: 900}} },
+			Digest: func(_ time.Time, first bool) *Digest { return &Digest{Instances: 2, Complete: first} },
+			Take: func(_ time.Time, p *Packet) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.packets = append(h.packets, p)
+			},
 		})
 	assert.NilError(t, err)
 	h.Node = n
@@ -90,6 +93,16 @@
 	assert.Assert(t, time.Since(begin) < meetWithin, "%v", time.Since(begin))
 }
 
+func TestAFreshInstanceIsToldWhatOthersBelieve(t *testing.T) {
+	old := startNode(t, "a")
+	fresh := startNode(t, "a", old.Addr())
+	eventually(t, "beliefs are told", func() bool {
+		fresh.mu.Lock()
+		defer fresh.mu.Unlock()
+		return slices.ContainsFunc(fresh.packets, func(p *Packet) bool { return len(p.Beliefs) == 1 && p.Beliefs[0].Permille == 900 })
+	})
+}
+
 func TestNewsReachesEveryInstanceOfEveryZoneOnce(t *testing.T) {
 	a := startNode(t, "a")
 	others := []*heardNode{startNode(t, "a", a.Addr()), startNode(t, "b", a.Addr()), startNode(t, "b", a.Addr()), startNode(t, "b", a.Addr())}
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -44,6 +44,17 @@
 	Usage []Usage `cbor:"11,keyasint,omitempty"`
 	// Evidence is what attempts said of targets.
 	Evidence []Evidence `cbor:"12,keyasint,omitempty"`
+	// Beliefs are what the sender believes of targets, for an instance that it hears
+	// for the first time.
+	Beliefs []Belief `cbor:"16,keyasint,omitempty"`
+}
+
+// Belief is how likely a target is sick.
+type Belief struct {
+	_        struct{} `cbor:",toarray"`
+	Service  document.ServiceName
+	Target   fleet.TargetID
+	Permille int
 }
 
 // Known names another instance.
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -353,6 +353,26 @@
 	return long + (sick-long)*math.Exp(-rate*dt)
 }
 
+// Known calls f with each target of which something was seen, and the probability that
+// it is sick.
+func (e *Estimator) Known(now time.Time, f func(id fleet.TargetID, sick float64)) {
+	for id, t := range e.targets {
+		f(id, e.drifted(t.sick, max(now.Sub(t.at).Seconds(), 0)))
+	}
+}
+
+// Adopt takes over what another instance believes of a target, if nothing was seen of
+// the target here. It tells whether it did.
+func (e *Estimator) Adopt(now time.Time, id fleet.TargetID, sick float64) bool {
+	if e.targets[id] != nil {
+		return false
+	}
+	t := &target{sick: min(max(sick, floor), ceiling), at: now}
+	t.suspected = t.sick >= Suspected
+	e.targets[id] = t
+	return true
+}
+
 // Sick is the probability that the target is sick.
 func (e *Estimator) Sick(now time.Time, id fleet.TargetID) float64 {
 	t := e.targets[id]
--- a/suspicion/estimator_test.go
+++ b/suspicion/estimator_test.go
@@ -122,3 +122,15 @@
 	assert.Assert(t, after(0.005) > Suspected, "%v", after(0.005))
 	assert.Assert(t, after(0.3) < Cleared, "%v", after(0.3))
 }
+
+// A fresh instance takes over what others believe, and trusts its own eyes more.
+func TestBeliefsAreTakenOverOnce(t *testing.T) {
+	old, fresh := New(), New()
+	old.Observe(at(0), "a", Bad, at(0))
+	fresh.Observe(at(1), "b", Good, at(1))
+	old.Observe(at(0), "b", Bad, at(0))
+	old.Known(at(1), func(id fleet.TargetID, sick float64) { fresh.Adopt(at(1), id, sick) })
+	assert.Equal(t, fresh.Sick(at(1), "a"), old.Sick(at(1), "a"))
+	assert.Assert(t, fresh.Sick(at(1), "b") < Cleared)
+	assert.Equal(t, fresh.Suspects(), 1)
+}
