placement: a failure that cannot be repeated costs twice a request's worth

Cause: the cost of failure counted the request's own worth; what a caller who was failed does next, and the share that is served at all, weigh as much again.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -46,8 +46,9 @@
 	// Noise is the spread of a random part of each cost. Instances learn of each
 	// other's choices late; without it they would all choose the same target.
 	Noise float64 `json:"noise"`
-	// RepeatableFailure is the cost of a failure that can be repeated
-	// elsewhere; one that cannot costs 1.
+	// Failure is the cost of a failure that cannot be repeated elsewhere, and
+	// RepeatableFailure of one that can.
+	Failure           float64 `json:"failure"`
 	RepeatableFailure float64 `json:"repeatable_failure"`
 }
 
@@ -69,6 +70,7 @@
 		Unused:            0.05,
 		Joined:            0.6,
 		Noise:             0.01,
+		Failure:           2,
 		RepeatableFailure: 0.8,
 	}
 }
@@ -225,9 +227,9 @@
 
 func (c *Chooser) failure(w Work, t *Candidate) float64 {
 	k := &c.Weights
-	cost := t.Fails
+	cost := t.Fails * k.Failure
 	if w.Repeatable {
-		cost *= k.RepeatableFailure
+		cost = t.Fails * k.RepeatableFailure
 	}
 	switch {
 	case t.Fails >= Doubtful && t.InFlight > 0:
