gateway: work that must not repeat reuses connections for as long as the target keeps them

Change: one bound for all work, the target's own time less a margin; stale connections are found by what breaks. The guess before any was used is 0.02: at 0.04 each surprise at a target that had just answered bounded its service for 8 s.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -285,7 +285,7 @@
 	targets := c.h.State.Targets().Services[c.service]
 	last := r.sent+r.running+1 >= c.route.MaxAttempts
 	w := placement.Work{Repeatable: c.repeatable() && !last, KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
-	maxIdle := c.h.Knowledge.ReuseIdle(now, c.service, c.repeatable())
+	maxIdle := c.h.Knowledge.ReuseIdle(now, c.service)
 	warm := func(id fleet.TargetID) bool { return c.h.Client.Cache.Idle(id, maxIdle) }
 	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, warm)
 	if !ok {
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -318,10 +318,10 @@
 
 // ReuseIdle is how long a connection to the service's targets may have been idle to
 // carry a request.
-func (k *Knowledge) ReuseIdle(now time.Time, name document.ServiceName, repeatable bool) time.Duration {
+func (k *Knowledge) ReuseIdle(now time.Time, name document.ServiceName) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.service(name).reuse.most(now, repeatable)
+	return k.service(name).reuse.most(now)
 }
 
 // Rested records that a connection to the service carried an exchange after it was idle.
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -6,12 +6,9 @@
 )
 
 const (
-	// reuseIdle is how long a connection may have been idle to carry work that must
-	// not be repeated: a target may close it at the same moment.
-	reuseIdle = 6 * time.Second
-	// reuseRepeatable is the same for work that can be repeated: as long as the
-	// target keeps it.
-	reuseRepeatable = time.Minute
+	// reuseIdle is how long a connection may have been idle to carry a request where
+	// nothing speaks against it: as long as the target keeps it.
+	reuseIdle = time.Minute
 	// reuseShare is the part of the idle time at which a connection broke that others
 	// may still reach.
 	reuseShare = 0.6
@@ -32,7 +29,7 @@
 	// about what a target that answered just before fails at once, so that a first
 	// break is put down to the connection, and one where targets are often sick to
 	// the target.
-	priorStale  = 0.04
+	priorStale  = 0.02
 	priorRested = 10
 	// bearableStale is the part of rested connections that may break before they are
 	// not used any more: a new connection costs about a twentieth of a request.
@@ -108,13 +105,9 @@
 }
 
 // most is how long a connection may have been idle.
-func (r *reuse) most(now time.Time, repeatable bool) time.Duration {
-	usual := reuseIdle
-	if repeatable {
-		usual = reuseRepeatable
-	}
+func (r *reuse) most(now time.Time) time.Duration {
 	if now.Before(r.until) {
-		return min(r.bound, usual)
+		return min(r.bound, reuseIdle)
 	}
-	return usual
+	return reuseIdle
 }
