gateway: a single break at rest bounds the reuse of its target's connections only

Change: the break bounds its target; two at different targets, or as many as speak against the service's count, bound all.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -285,9 +285,7 @@
 	targets := c.h.State.Targets().Services[c.service]
 	last := r.sent+r.running+1 >= c.route.MaxAttempts
 	w := placement.Work{Repeatable: c.repeatable() && !last, KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
-	maxIdle := c.h.Knowledge.ReuseIdle(now, c.service)
-	warm := func(id fleet.TargetID) bool { return c.h.Client.Cache.Idle(id, maxIdle) }
-	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, warm)
+	p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, w, c.h.Client.Cache.Idle)
 	if !ok {
 		return false
 	}
@@ -295,18 +293,17 @@
 	r.open = append(r.open, opened{p, now})
 	r.running++
 	c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
-	go r.attempt(p, maxIdle)
+	go r.attempt(p)
 	return true
 }
 
-// attempt sends the request to one target, on a connection that was not idle for longer
-// than maxIdle.
-func (r *race) attempt(p Placed, maxIdle time.Duration) {
+// attempt sends the request to one target.
+func (r *race) attempt(p Placed) {
 	c := r.c
 	slow := time.Duration(float64(c.h.Knowledge.Durations(c.service).slow) * p.turns())
 	began := time.Now()
 	watch := time.AfterFunc(slow, func() { c.observe(p, suspicion.Slow, began, 0) })
-	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, maxIdle)
+	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, p.MaxIdle)
 	watch.Stop()
 	c.h.Knowledge.Ended(p.ID)
 	r.results <- ended{p, res}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -94,6 +94,7 @@
 	successes int
 	began     time.Time
 	service   document.ServiceName
+	reuse     idleBound
 }
 
 // NewKnowledge returns the knowledge of an instance that has seen nothing.
@@ -144,6 +145,8 @@
 	Doubtful bool
 	// ForFloor tells that the target was chosen to keep enough targets in use.
 	ForFloor bool
+	// MaxIdle is how long a connection may have been idle to carry the attempt.
+	MaxIdle time.Duration
 }
 
 // turns is how many times the slots must come free, as far as known, before the
@@ -156,8 +159,9 @@
 func (p *Placed) crowded() bool { return p.InFlight+1 >= p.Slots }
 
 // Place chooses a target among those given, the excluded left out, and counts the
-// attempt in. It returns false if there is none.
-func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, excluded []fleet.TargetID, w placement.Work, warm func(fleet.TargetID) bool) (Placed, bool) {
+// attempt in. Warm tells whether a connection that was idle for at most the given time is
+// at hand. It returns false if there is no target.
+func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, excluded []fleet.TargetID, w placement.Work, warm func(fleet.TargetID, time.Duration) bool) (Placed, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.service(name)
@@ -167,7 +171,7 @@
 	from := make([]*registry.Target, 0, len(ts))
 	for _, t := range ts {
 		if !slices.Contains(excluded, t.ID) {
-			candidates = append(candidates, k.candidate(now, s, t, warm(t.ID)))
+			candidates = append(candidates, k.candidate(now, s, t, warm(t.ID, k.maxIdle(now, s, t.ID))))
 			from = append(from, t)
 			if t.Zone == k.chooser.Zone {
 				w.InZone++
@@ -185,7 +189,12 @@
 	}
 	c := &candidates[i]
 	k.target(c.ID).own++
-	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor}, true
+	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor, MaxIdle: k.maxIdle(now, s, c.ID)}, true
+}
+
+// maxIdle is how long a connection to the target may have been idle.
+func (k *Knowledge) maxIdle(now time.Time, s *service, id fleet.TargetID) time.Duration {
+	return min(s.reuse.most(now), k.target(id).reuse.most(now))
 }
 
 // floor returns the target to be tried so that enough are in use; -1 if none is.
@@ -313,17 +322,10 @@
 	targetFails := s.estimator.FailsAtOnce(now, e.Target)
 	before, after, c = s.estimator.ObserveRested(now, e.Target, s.reuse.stale(idle))
 	s.reuse.broke(now, idle, targetFails, weight)
+	k.target(e.Target).reuse.after(now, idle)
 	return before, after, c
 }
 
-// ReuseIdle is how long a connection to the service's targets may have been idle to
-// carry a request.
-func (k *Knowledge) ReuseIdle(now time.Time, name document.ServiceName) time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.service(name).reuse.most(now)
-}
-
 // Rested records that a connection to the service carried an exchange after it was idle.
 func (k *Knowledge) Rested(now time.Time, name document.ServiceName, idle time.Duration) {
 	k.mu.Lock()
--- a/gateway/reuse.go
+++ b/gateway/reuse.go
@@ -31,20 +31,24 @@
 	// the target.
 	priorStale  = 0.02
 	priorRested = 10
-	// bearableStale is the part of rested connections that may break before they are
-	// not used any more: a new connection costs about a twentieth of a request.
-	bearableStale = 0.06
+	// bearableStale is the part of rested connections that may break before those of
+	// the whole service are not used any more. A new connection costs about a twentieth
+	// of a request; twice that asks for more than one break, of which a target's bad
+	// time brings one.
+	bearableStale = 0.1
 )
 
 // reuse bounds the idle times of connections to a service's targets. Targets may forget
 // idle connections without a notice, and whatever is sent next on them is lost; where
 // some did, the others of the service are not trusted either for a while.
 //
+// Where one connection broke, no rested one to its target is used for a while; where
+// several did, none to the service.
+//
 // A sick target resets requests too, on rested connections and on fresh ones. What
 // breaks while others that rested as long serve well is put down to its target.
 type reuse struct {
-	bound time.Duration
-	until time.Time
+	idleBound
 	// well counts the exchanges that went well by the class of the connection's idle
 	// time; broken counts the breaks, by the probability that they were stale.
 	well   [restedClasses]float64
@@ -97,17 +101,28 @@
 	if r.stale(idle) < bearableStale {
 		return
 	}
+	r.after(now, idle)
+}
+
+// idleBound bounds for a while how long connections may have been idle.
+type idleBound struct {
+	bound time.Duration
+	until time.Time
+}
+
+// after sets the bound after a break of a connection that was idle for the given time.
+func (b *idleBound) after(now time.Time, idle time.Duration) {
 	bound := time.Duration(reuseShare * float64(idle))
-	if now.Before(r.until) {
-		bound = min(bound, r.bound)
+	if now.Before(b.until) {
+		bound = min(bound, b.bound)
 	}
-	r.bound, r.until = bound, now.Add(reuseMemory)
+	b.bound, b.until = bound, now.Add(reuseMemory)
 }
 
 // most is how long a connection may have been idle.
-func (r *reuse) most(now time.Time) time.Duration {
-	if now.Before(r.until) {
-		return min(r.bound, reuseIdle)
+func (b *idleBound) most(now time.Time) time.Duration {
+	if now.Before(b.until) {
+		return min(b.bound, reuseIdle)
 	}
 	return reuseIdle
 }
