gateway: a fresh process waits a moment for its first configuration

Change: within 2 s of its start a process lets a request wait up to 150 ms for configuration and targets. Ruled out: 300 ms (a caller that is refused in the end would have waited for long).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,7 +91,7 @@
 	}
 	g.handler = &Handler{
 		State: g.state, Knowledge: g.knowledge, Client: g.client, Peers: g.node.View, Tell: g.tell, Metrics: g.metrics,
-		Bodies: &Bodies{Bound: int64(bodiesShare * float64(s.MemoryBytes))},
+		Booted: g.booted, Bodies: &Bodies{Bound: int64(bodiesShare * float64(s.MemoryBytes))},
 	}
 	g.front, err = listenFront(s.Listen, g.handler)
 	return err
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -19,6 +19,7 @@
 	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/problem"
 	"github.com/clementinereel/clementinereel/statesync"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -36,6 +37,13 @@
 	// writeTimeout bounds the writing of an answer to a caller that reads
 	// slowly.
 	writeTimeout = 10 * time.Second
+	// stateWait is how long a request waits for the first configuration and targets of
+	// a process that has just started, startingFor for how long it counts as such, and
+	// statePoll how often it looks. The store or a peer answers within some 10 ms; a
+	// caller that is refused may have no time, or no right, to come again.
+	stateWait   = 150 * time.Millisecond
+	startingFor = 2 * time.Second
+	statePoll   = 5 * time.Millisecond
 	// maxAnswer bounds an answer's body in bytes.
 	maxAnswer = 16 << 20
 	// maxDiscard bounds the part of a refused request's body that is read, in
@@ -53,6 +61,8 @@
 	Metrics   *Metrics
 	// Bodies bounds the bytes of all requests' bodies that are held.
 	Bodies *Bodies
+	// Booted is when the process started.
+	Booted time.Time
 	// leaving tells callers to go elsewhere after their answer.
 	leaving atomic.Bool
 	// end is when the process ends, once requests are refused that may take longer. It
@@ -100,7 +110,7 @@
 // serve answers the request and returns the answer's status; 0 if the caller
 // left.
 func (c *call) serve() int {
-	table := c.h.State.Table()
+	table := c.h.table(c.r.Context(), c.start)
 	if table == nil {
 		return c.refuse(problem.Overloaded, "no configuration is known yet")
 	}
@@ -131,6 +141,18 @@
 	return c.answer(c.attempts())
 }
 
+// table returns the configuration in force, nil if there is none. A process that has just
+// started waits a moment for it and for the targets.
+func (h *Handler) table(ctx context.Context, asked time.Time) *document.Table {
+	known := func() bool { return h.State.Table() != nil && h.State.Targets().Len() > 0 }
+	for !known() && time.Since(h.Booted) < startingFor && time.Since(asked) < stateWait {
+		if !wait.For(ctx, statePoll) {
+			break
+		}
+	}
+	return h.State.Table()
+}
+
 // requestURI is the path and query as they were sent.
 func requestURI(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -140,15 +162,15 @@
 }
 
 func (c *call) setDeadline() error {
-	wait := fallbackWait
+	left := fallbackWait
 	if v := c.r.Header.Get(c.h.Client.Headers.Deadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || ms < 0 {
 			return errors.Errorf("%s: %q is not a number of milliseconds", c.h.Client.Headers.Deadline, v)
 		}
-		wait = time.Duration(ms) * time.Millisecond
+		left = time.Duration(ms) * time.Millisecond
 	}
-	c.targetDeadline = c.start.Add(wait)
+	c.targetDeadline = c.start.Add(left)
 	c.deadline = c.targetDeadline.Add(-answerMargin)
 	if t := c.route.Timeout; t > 0 && c.start.Add(t).Before(c.targetDeadline) {
 		c.targetDeadline = c.start.Add(t)
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -79,9 +79,12 @@
 type storeOf struct {
 	document *document.Document
 	entries  []registry.Entry
+	// late is how long a snapshot takes.
+	late time.Duration
 }
 
 func (s *storeOf) Snapshot(_ context.Context, stream statesync.Stream) (statesync.Batch, error) {
+	time.Sleep(s.late)
 	if stream == statesync.Documents {
 		return statesync.Batch{Next: 1, Records: []statesync.Record{{Document: s.document}}}, nil
 	}
@@ -138,7 +141,18 @@
 // startGatewayFor starts an instance with a grace time. It returns its URL and what
 // stops it.
 func startGatewayFor(t *testing.T, grace time.Duration, backends ...*backend) (string, context.CancelFunc) {
-	store := &storeOf{document: routes()}
+	url, g, stop := launch(t, grace, &storeOf{document: routes()}, backends...)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.ready.Load() {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	return url, stop
+}
+
+// launch starts an instance and does not wait for it.
+func launch(t *testing.T, grace time.Duration, store *storeOf, backends ...*backend) (string, *Gateway, context.CancelFunc) {
 	for i, b := range backends {
 		store.entries = append(store.entries, registry.Entry{
 			ID: fleet.TargetID(fmt.Sprint("t", i)), Service: "s", Addr: b.Listener.Addr().String(), Zone: "a", Slots: 4,
@@ -161,13 +175,7 @@
 		cancel()
 		<-done
 	})
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if g.ready.Load() {
-			return poll.Success()
-		}
-		return poll.Continue("not ready")
-	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
-	return "http://" + s.Listen, cancel
+	return "http://" + s.Listen, g, cancel
 }
 
 func ask(ctx context.Context, t *testing.T, method, url string) (int, string, time.Duration) {
@@ -192,6 +200,25 @@
 	return resp.StatusCode, string(body), time.Since(begin)
 }
 
+// Callers reach a process that has just started before it knows the configuration: they
+// wait a moment and are served.
+func TestAFreshProcessWaitsForItsFirstConfiguration(t *testing.T) {
+	const late = 50 * time.Millisecond
+	b := newBackend(t, answer(http.StatusOK))
+	url, _, _ := launch(t, 200*time.Millisecond, &storeOf{document: routes(), late: late}, b)
+	status, body, took := ask(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusOK, body)
+	assert.Assert(t, took < stateWait)
+}
+
+// Where no configuration comes, callers are told soon.
+func TestAFreshProcessDoesNotWaitForLong(t *testing.T) {
+	url, _, _ := launch(t, 200*time.Millisecond, &storeOf{document: routes(), late: time.Second}, newBackend(t, answer(http.StatusOK)))
+	status, _, took := ask(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, took < stateWait+100*time.Millisecond, "%v", took)
+}
+
 // A stopping instance serves what it can end in time and refuses the rest: callers may
 // have no time to come again.
 func TestAStoppingInstanceServesWhatItCanEnd(t *testing.T) {
