gateway: tables, choice, evidence, budget and learning have files of their own

Cause: knowledge.go (440 lines) held the entity tables, the choice of a target, evidence, the budget and the tick; attempt.go also what is learned from attempts. Change: moved without a change of a statement; constants stand where they are used; doc.go says where to look. Tests as before.

--- /dev/null
+++ b/gateway/choice.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/placement"
+	"github.com/clementinereel/clementinereel/registry"
+)
+
+const (
+	// joinedFor is for how long after its start-up a target that nobody used is sought
+	// out.
+	joinedFor = 8 * time.Second
+	// floorAfter is how long an instance only learns before it tries targets for the
+	// floor: it does not know yet what the others use, and would try them all.
+	floorAfter = 5 * time.Second
+)
+
+// Placed is a target that was chosen and why.
+type Placed struct {
+	*registry.Target
+	// Cost is the expected cost, Fails its part for failure.
+	Cost, Fails float64
+	// InFlight is what all instances had there, this attempt left out.
+	InFlight int
+	// Doubtful tells that the others are to hear of the attempt at once.
+	Doubtful bool
+	// ForFloor tells that the target was chosen to keep enough targets in use.
+	ForFloor bool
+	// MaxIdle is how long a connection may have been idle to carry the attempt.
+	MaxIdle time.Duration
+}
+
+// turns is how many times the slots must come free, as far as known, before the
+// attempt is done, its own work included; at least 1.
+func (p *Placed) turns() float64 {
+	return max(float64(p.InFlight+1)/float64(max(p.Slots, 1)), 1)
+}
+
+// crowded tells whether the attempt left no slot free, as far as known.
+func (p *Placed) crowded() bool { return p.InFlight+1 >= p.Slots }
+
+// Place chooses a target among those given, the excluded left out, and counts the
+// attempt in. Warm tells whether a connection that was idle for at most the given time is
+// at hand. It returns false if there is no target.
+func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, excluded []fleet.TargetID, w placement.Work, warm func(fleet.TargetID, time.Duration) bool) (Placed, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.service(name)
+	w.KB += s.answerKB
+	w.Typical = s.latency.known().median
+	candidates := make([]placement.Candidate, 0, len(ts))
+	from := make([]*registry.Target, 0, len(ts))
+	for _, t := range ts {
+		if !slices.Contains(excluded, t.ID) {
+			candidates = append(candidates, k.candidate(now, s, t, warm(t.ID, k.maxIdle(now, s, t.ID))))
+			from = append(from, t)
+			if t.Zone == k.chooser.Zone {
+				w.InZone++
+			}
+		}
+	}
+	i, cost := k.chooser.Choose(w, candidates)
+	if i < 0 {
+		return Placed{}, false
+	}
+	next := k.floor(now, s, candidates)
+	forFloor := next >= 0 && len(excluded) == 0
+	if forFloor {
+		i, cost = next, k.chooser.Cost(w, &candidates[next])
+	}
+	c := &candidates[i]
+	k.target(c.ID).own++
+	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor, MaxIdle: k.maxIdle(now, s, c.ID)}, true
+}
+
+// maxIdle is how long a connection to the target may have been idle.
+func (k *Knowledge) maxIdle(now time.Time, s *service, id fleet.TargetID) time.Duration {
+	return min(s.reuse.most(now), k.target(id).reuse.most(now))
+}
+
+// floor returns the target to be tried so that enough are in use; -1 if none is.
+func (k *Knowledge) floor(now time.Time, s *service, candidates []placement.Candidate) int {
+	if k.born.IsZero() {
+		k.born = now
+	}
+	if now.Sub(k.born) < floorAfter {
+		return -1
+	}
+	return placement.Floor(s.estimator.FailedLately(), candidates)
+}
+
+func (k *Knowledge) candidate(now time.Time, s *service, rt *registry.Target, warm bool) placement.Candidate {
+	t := k.target(rt.ID)
+	return placement.Candidate{
+		ID:       rt.ID,
+		Zone:     rt.Zone,
+		Slots:    rt.Slots,
+		Sick:     s.estimator.Sick(now, rt.ID),
+		Fails:    s.estimator.Fails(now, rt.ID),
+		InFlight: t.own + t.others,
+		Warm:     warm,
+		Cut:      now.Before(t.cutUntil),
+		Warming:  now.Before(rt.WarmAt),
+		SinceUse: now.Sub(t.lastUse),
+		Joined:   t.lastUse.IsZero() && now.Sub(rt.WarmAt) < joinedFor,
+		Near:     k.near(now, rt.Zone),
+	}
+}
+
+// near tells whether this zone's instances look after targets of the given zone:
+// their own, and those of a zone from which nothing is heard.
+func (k *Knowledge) near(now time.Time, name fleet.Zone) bool {
+	if name == k.chooser.Zone {
+		return true
+	}
+	z := k.zones[name]
+	return z == nil || now.Sub(z.heard) > peerLoadFor
+}
+
+// Ended counts an attempt out.
+func (k *Knowledge) Ended(id fleet.TargetID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.target(id).own--
+}
+
+// Utilization is the part of the targets' slots that all instances have in use.
+func (k *Knowledge) Utilization(ts []*registry.Target) float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	used, slots := 0, 0
+	for _, t := range ts {
+		x := k.target(t.ID)
+		used += x.own + x.others
+		slots += t.Slots
+	}
+	return float64(used) / float64(max(slots, 1))
+}
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -10,6 +10,15 @@
 	"github.com/clementinereel/clementinereel/suspicion"
 )
 
+const (
+	// mostSuccesses bounds the successes at one target that are taken from a
+	// digest.
+	mostSuccesses = 20
+	// digestEntries bounds the targets in each list of a digest, so that it stays
+	// within a datagram of about 1.5 KB. Those left out take their turn.
+	digestEntries = 28
+)
+
 // zone is what another zone's bridges told of all its instances.
 type zone struct {
 	peer
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -4,7 +4,10 @@
 //
 // What the request path decides by is kept in Knowledge, one table for each kind
 // of entity: estimates of targets, load, paths, budgets. Packets of other
-// instances and the instance's own attempts update it; a tick drops what is old.
+// instances and the instance's own attempts update it; a tick drops what is old. Where a
+// target is chosen stands in choice.go, how a failure becomes a belief in learn.go (what
+// an attempt says) and evidence.go (what it changes), whether there is a further attempt
+// in race.again, and what a caller is refused for in call.serve.
 //
 // What holds for each request:
 //
--- /dev/null
+++ b/gateway/learn.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/suspicion"
+	"github.com/pkg/errors"
+)
+
+const (
+	// quickShare is the part of the usual duration below which a failure did not
+	// come from the work itself.
+	quickShare = 0.15
+)
+
+// learn takes in what an attempt's end says of its target.
+func (c *call) learn(e ended) {
+	began := time.Now().Add(-e.result.Took)
+	c.h.Metrics.Attempt(c.service, e.result.Kind)
+	if e.result.Reused && e.result.Answer != nil {
+		c.h.Knowledge.Rested(time.Now(), c.service, e.result.IdleFor)
+	}
+	switch res := e.result; res.Kind {
+	case exchange.Answered:
+		if res.Answer.Status == http.StatusGatewayTimeout {
+			return // see Overdue
+		}
+		if res.Answer.Status >= http.StatusInternalServerError || !passable(res.Answer) {
+			c.observe(e.placed, c.failure(res.Took), began, 0)
+			return
+		}
+		c.h.Knowledge.Answered(c.service, len(res.Answer.Body))
+		c.observe(e.placed, suspicion.Good, began, res.Took)
+	case exchange.Refused:
+		if res.Answer.Status == http.StatusMisdirectedRequest {
+			c.observe(e.placed, suspicion.Elsewhere, began, 0)
+		}
+	case exchange.Unsent:
+		o := suspicion.Unreachable
+		if errors.Is(res.Err, syscall.ECONNREFUSED) {
+			o = suspicion.Down
+		}
+		c.observe(e.placed, o, began, 0)
+	case exchange.Broken:
+		o := c.failure(res.Took)
+		if res.Reused && o == suspicion.Quick && res.IdleFor >= restedLeast {
+			c.observe(e.placed, suspicion.Rested, began, res.IdleFor)
+			return
+		}
+		c.observe(e.placed, o, began, 0)
+	case exchange.Overdue:
+		// Nothing more than the watch told: a route's own timeout may be shorter
+		// than its work.
+	}
+}
+
+// failure is the observation of a failure that came after the given time.
+func (c *call) failure(took time.Duration) suspicion.Observation {
+	if float64(took) < quickShare*float64(c.h.Knowledge.Durations(c.service).median) {
+		return suspicion.Quick
+	}
+	return suspicion.Bad
+}
+
+// observe records an observation, and tells the others at once what may keep
+// them from a sick target or bring one back. Took is how long a good attempt took, or
+// a connection was idle that proved to be stale.
+func (c *call) observe(p Placed, o suspicion.Observation, began time.Time, took time.Duration) {
+	now := time.Now()
+	c.h.Knowledge.Observe(now, c.service, p.ID, o, began, took)
+	if o != suspicion.Good || p.Doubtful || p.crowded() {
+		c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
+	}
+}
