placement: targets that nobody used lately are not made cheaper any more

Ruled out: that capacity lies idle for it: what many fail is kept in use by the floor, what joins by its own gain, what is needed by load. Conclusion: removed with its constant and its words in the docs.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -41,8 +41,6 @@
 	Crowd float64 `json:"crowd"`
 	// Warmup is the cost of a target that is still slow after its start.
 	Warmup float64 `json:"warmup"`
-	// Unused is the gain of a target that nobody used lately.
-	Unused float64 `json:"unused"`
 	// Joined is the gain of the first work at a target that joined lately: capacity
 	// that was added is to be used at once.
 	Joined float64 `json:"joined"`
@@ -71,7 +69,6 @@
 		CutPath:           0.8,
 		Crowd:             0.5,
 		Warmup:            0.1,
-		Unused:            0.05,
 		Joined:            0.6,
 		Noise:             0.01,
 		Failure:           2,
@@ -79,14 +76,11 @@
 	}
 }
 
-// Bounds of what counts as doubtful and as unused.
+// Bounds of what counts as doubtful, and of queues.
 const (
 	// Doubtful is the probability of failure from which an attempt is a trial, and
 	// only one at a time is made.
 	Doubtful = 0.2
-	// unusedAfter is half of the time in which every sound target should see
-	// some work.
-	unusedAfter = time.Second
 	// mostPreference bounds the cost of a target far down in the instance's order,
 	// in parts of Weights.Preference.
 	mostPreference = 2
@@ -242,8 +236,6 @@
 		return -k.Trial
 	case t.Joined && t.InFlight == 0 && t.Near:
 		return cost - k.Joined
-	case t.Fails < Doubtful && t.InFlight == 0 && t.SinceUse > unusedAfter:
-		return cost - k.Unused
 	}
 	return cost
 }
