gateway, mesh: names and comments of beliefs, rested breaks and classes say what they hold

Cause: read as a newcomer: a factor of 1000 stood three times, two comments still spoke of stale connections, and a request without a route had the class class(0) in its lines. No behaviour changes; tests as before.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -208,7 +208,7 @@
 // answer passes on the outcome of the attempts.
 func (c *call) answer(o outcome) int {
 	if c.r.Context().Err() != nil {
-		eventlog.Info(eventlog.CallerLeft, "request", c.id, "route", c.route.Name, "class", c.class(), "service", c.service, "outcome", o.kind,
+		eventlog.Info(eventlog.CallerLeft, "request", c.id, "route", c.route.Name, "class", c.className(), "service", c.service, "outcome", o.kind,
 			"after_ms", time.Since(c.start).Milliseconds())
 		return 0
 	}
@@ -227,7 +227,7 @@
 // pass sends a target's answer to the caller.
 func (c *call) pass(o outcome) int {
 	if o.answer.Status/100 != 2 {
-		eventlog.Info(eventlog.RequestFailed, "request", c.id, "route", c.route.Name, "class", c.class(), "service", c.service, "status", o.answer.Status,
+		eventlog.Info(eventlog.RequestFailed, "request", c.id, "route", c.route.Name, "class", c.className(), "service", c.service, "status", o.answer.Status,
 			"by", "target", "target", o.target, "attempts", o.attempts, "document", c.version, "after_ms", time.Since(c.start).Milliseconds())
 	}
 	out := c.w.Header()
@@ -262,7 +262,7 @@
 
 // refuse tells the caller that the request was not run, and when to come back.
 func (c *call) refuse(t problem.Type, why string) int {
-	eventlog.Info(eventlog.RequestRefused, "request", c.id, "route", c.routeName(), "class", c.class(), "service", c.service, "why", why,
+	eventlog.Info(eventlog.RequestRefused, "request", c.id, "route", c.routeName(), "class", c.className(), "service", c.service, "why", why,
 		"document", c.version, "after_ms", time.Since(c.start).Milliseconds(), "come_back_ms", comeBack.Milliseconds())
 	seconds := strconv.FormatFloat(comeBack.Seconds(), 'f', -1, 64)
 	c.w.Header().Set(header.RetryAfter, seconds)
@@ -271,7 +271,7 @@
 
 // fail tells the caller that the request failed or may have run.
 func (c *call) fail(status int, t problem.Type, why string) int {
-	eventlog.Info(eventlog.RequestFailed, "request", c.id, "route", c.routeName(), "class", c.class(), "service", c.service, "status", status,
+	eventlog.Info(eventlog.RequestFailed, "request", c.id, "route", c.routeName(), "class", c.className(), "service", c.service, "status", status,
 		"by", "self", "why", why, "document", c.version, "after_ms", time.Since(c.start).Milliseconds())
 	return c.own(problem.New(status, t, why))
 }
@@ -306,6 +306,14 @@
 	return c.route.Class
 }
 
+// className is the class as logs write it, empty if no route was found.
+func (c *call) className() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Class.String()
+}
+
 // repeatable tells whether the request may run more than once.
 func (c *call) repeatable() bool { return c.route.Class == fleet.Lookup }
 
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -67,7 +67,7 @@
 
 // observe records an observation, and tells the others at once what may keep
 // them from a sick target or bring one back. Took is how long a good attempt took, or
-// a connection was idle that proved to be stale.
+// a connection was idle that broke at once.
 func (c *call) observe(p Placed, o suspicion.Observation, began time.Time, took time.Duration) {
 	now := time.Now()
 	c.h.Knowledge.Observe(now, c.service, p.ID, o, began, took)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -145,6 +145,9 @@
 // about 1.4 KB beside the names of other instances.
 const beliefEntries = 24
 
+// permille is the unit in which beliefs are told.
+const permille = 1000
+
 // Beliefs are what the instance believes of targets: first of those that are likely
 // sick, for a fresh instance would lose a request at each, then of some others.
 func (k *Knowledge) Beliefs(now time.Time) []mesh.Belief {
@@ -153,7 +156,7 @@
 	var all []mesh.Belief
 	for name, s := range k.services {
 		s.estimator.Known(now, func(id fleet.TargetID, sick float64) {
-			all = append(all, mesh.Belief{Service: name, Target: id, Permille: int(1000 * sick)})
+			all = append(all, mesh.Belief{Service: name, Target: id, Permille: int(permille * sick)})
 		})
 	}
 	slices.SortFunc(all, func(a, b mesh.Belief) int { return b.Permille - a.Permille })
@@ -164,8 +167,9 @@
 // nothing.
 func (k *Knowledge) adopt(now time.Time, bs []mesh.Belief, from string) {
 	for _, b := range bs {
-		if k.service(b.Service).estimator.Adopt(now, b.Target, float64(b.Permille)/1000) && float64(b.Permille) >= 1000*suspicion.Suspected {
-			eventlog.Info(eventlog.TargetSuspected, "target", b.Target, "service", b.Service, "by", from, "evidence", "belief", "sick", eventlog.Share(float64(b.Permille)/1000))
+		sick := float64(b.Permille) / permille
+		if k.service(b.Service).estimator.Adopt(now, b.Target, sick) && sick >= suspicion.Suspected {
+			eventlog.Info(eventlog.TargetSuspected, "target", b.Target, "service", b.Service, "by", from, "evidence", "belief", "sick", eventlog.Share(sick))
 		}
 	}
 }
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -51,9 +51,11 @@
 
 // Belief is how likely a target is sick.
 type Belief struct {
-	_        struct{} `cbor:",toarray"`
-	Service  document.ServiceName
-	Target   fleet.TargetID
+	_       struct{} `cbor:",toarray"`
+	Service document.ServiceName
+	Target  fleet.TargetID
+	// Permille is the probability in thousandths, which take fewer bytes than a
+	// floating-point number.
 	Permille int
 }
 
@@ -133,8 +135,8 @@
 	What    suspicion.Observation
 	// AgeMillis is how long before the datagram the attempt began.
 	AgeMillis int64
-	// TookMillis is how long a good attempt took, or for how long a connection
-	// was idle that proved to be stale.
+	// TookMillis is how long a good attempt took, or for how long a connection was
+	// idle that broke at once.
 	TookMillis int64
 }
 
