--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -147,10 +147,16 @@
 	}
 }
 
+// BenchmarkChoose is a choice among a service's targets: those of a service today, of all
+// services of a grown deployment, and of one that is much larger.
 func BenchmarkChoose(b *testing.B) {
-	c := chooser("i")
-	ts := candidates(30)
-	for b.Loop() {
-		c.Choose(Work{KB: 1}, ts)
+	for _, n := range []int{36, 386, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := chooser("i")
+			ts := candidates(n)
+			for b.Loop() {
+				c.Choose(Work{KB: 1}, ts)
+			}
+		})
 	}
 }
