lab: the gateway's estimator and bad times of seconds beside what was measured before

Cause: the two detectors of the repository had no figures on the same work. Change: a policy that drives package suspicion with observations told to all at each tick, and a fault in which every target fails most work at once for seconds, three tenths of the time. A target's health can say that work fails at once.

--- a/lab/doc.go
+++ b/lab/doc.go
@@ -12,7 +12,7 @@
 //   - Fault: what goes wrong in a run, as a schedule of each target's health
 //     and of the links between instances; one file for each fault;
 //   - Policy: what an instance decides from the results of its tries; the
-//     product's own policy and the baselines are adapted to it;
+//     product's own policies and the baselines are adapted to it;
 //   - Run: one run of a service under a fault and a policy, with a seed;
 //   - Measures: what a run, or many runs of different seeds, came to.
 //
--- a/lab/fault.go
+++ b/lab/fault.go
@@ -39,7 +39,7 @@
 	coldStart, loadShed, targetCut, peerCut, wholeSlow, logDown,
 	shedAndLate, grayAndCold, grayAndShed, twoGray, zoneCutAndGray, grayAndSlowService,
 	grayAndSickInstance, pauses, flappingAndLoss, grayAndHolderCut,
-	leavingAndGray, grayJoining,
+	leavingAndGray, grayJoining, bouts,
 }
 
 // health returns how the target treats the instance under the plan.
--- a/lab/own.go
+++ b/lab/own.go
@@ -10,9 +10,9 @@
 // Own is the product's policy, set up by the contract of the service.
 var Own = Maker{Name: "pooled", New: newPooled}
 
-// Policies lists every policy that is measured: the baselines, the product's
-// own by the service's contract, and the own with either user's weight.
-var Policies = append(Baselines, Own,
+// Policies lists every policy that is measured: the baselines, the contract path's own
+// by the service's contract, the same with either user's weight, and the gateway's.
+var Policies = append(Baselines, Own, Estimate,
 	Weighted("pooled-0.9", daugavaWeight), Weighted("pooled-0.1", loneStarWeight))
 
 // Weighted is Own with another weight of false ejections.
--- a/lab/pair_gray_holdercut.go
+++ b/lab/pair_gray_holdercut.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// suspicion is how long the others take to see that the holder is cut off.
-const suspicion = 5 * time.Second
+// noticeAfter is how long the others take to see that the holder is cut off.
+const noticeAfter = 5 * time.Second
 
 var grayAndHolderCut = Fault{
 	Name: "gray+holder-cut",
@@ -16,7 +16,7 @@
 		p.Link = func(now time.Duration, from, to int) (time.Duration, bool) {
 			return s.delay(from, to), from != holder || !s.during(now)
 		}
-		p.Takeover = s.Onset + suspicion
+		p.Takeover = s.Onset + noticeAfter
 		return p
 	},
 }
--- a/lab/request.go
+++ b/lab/request.go
@@ -12,6 +12,8 @@
 const (
 	// requestValue is the value of every route.
 	requestValue = 50
+	// errorAfter is when a target answers that it fails without trying.
+	errorAfter = time.Millisecond
 	// waitFactor times the expected latency is the least time that a try is
 	// given when another may follow it, as in package dispatch.
 	waitFactor = 4
@@ -158,7 +160,10 @@
 	if h.AnswerLost || tg.rng.Float64() < h.Hang {
 		return
 	}
-	if tg.rng.Float64() < errorShare {
+	switch {
+	case h.Error > 0 && tg.rng.Float64() < h.Error:
+		y.result, took = fleet.TryError, errorAfter
+	case tg.rng.Float64() < errorShare:
 		y.result = fleet.TryError
 	}
 	r.queue.push(event{at: r.now + took, kind: evTryDone, try: y})
--- a/lab/target.go
+++ b/lab/target.go
@@ -14,6 +14,8 @@
 	Sick bool
 	// Hang is the share of tries that never get an answer.
 	Hang float64
+	// Error is the share of tries that the target fails at once.
+	Error float64
 	// Unreachable targets let connections fail; nothing arrives there.
 	Unreachable bool
 	// AnswerLost targets run the request, but the answer gets lost.
