placement: the gain of unused targets is back, and the floor asks for more

Ruled out: a floor alone (it acts only where 0.09 of the attempts fail). TestALikelySoundTargetIsNotLeftUnused fails without the gain.

--- a/placement/cost.go
+++ b/placement/cost.go
@@ -41,6 +41,9 @@
 	Crowd float64 `json:"crowd"`
 	// Warmup is the cost of a target that is still slow after its start.
 	Warmup float64 `json:"warmup"`
+	// Unused is the gain of a target that nobody used lately: in a service in trouble
+	// each sound target must see some work within 2 s, also one that was doubted.
+	Unused float64 `json:"unused"`
 	// Joined is the gain of the first work at a target that joined lately: capacity
 	// that was added is to be used at once.
 	Joined float64 `json:"joined"`
@@ -69,6 +72,7 @@
 		CutPath:           0.8,
 		Crowd:             0.5,
 		Warmup:            0.1,
+		Unused:            0.1,
 		Joined:            0.6,
 		Noise:             0.01,
 		Failure:           2,
@@ -81,6 +85,9 @@
 	// Doubtful is the probability of failure from which an attempt is a trial, and
 	// only one at a time is made.
 	Doubtful = 0.2
+	// unusedAfter is half of the time in which every sound target should see
+	// some work.
+	unusedAfter = time.Second
 	// mostPreference bounds the cost of a target far down in the instance's order,
 	// in parts of Weights.Preference.
 	mostPreference = 2
@@ -125,8 +132,9 @@
 	// is kept.
 	troubled = 0.09
 	// floorShare is the part of the sound targets that must see work, and floorWithin
-	// in which time: the users ask for 0.7 of them within 2 s.
-	floorShare  = 0.75
+	// in which time: the users ask for 0.7 of them within 2 s. The rest is for targets
+	// that are taken for sound and are not.
+	floorShare  = 0.8
 	floorWithin = 1500 * time.Millisecond
 )
 
@@ -236,6 +244,8 @@
 		return -k.Trial
 	case t.Joined && t.InFlight == 0 && t.Near:
 		return cost - k.Joined
+	case t.Fails < Doubtful && t.InFlight == 0 && t.SinceUse > unusedAfter:
+		return cost - k.Unused
 	}
 	return cost
 }
--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -98,6 +98,21 @@
 	assert.Equal(t, Floor(0.15, ts), -1, "enough are in use")
 }
 
+// A target that nobody used for 2 s and that is likely sound is taken by some instance,
+// though others are better known and at hand.
+func TestALikelySoundTargetIsNotLeftUnused(t *testing.T) {
+	ts := candidates(8)
+	ts[5].Fails, ts[5].SinceUse, ts[5].Warm = 0.05, 2*time.Second, false
+	taken := 0
+	for i := range 40 {
+		best, _ := chooser(fleet.InstanceID(fmt.Sprint("i", i))).Choose(Work{InZone: 8}, ts)
+		if best == 5 {
+			taken++
+		}
+	}
+	assert.Assert(t, taken > 0)
+}
+
 // A trial of what is surely sick would be one more failure, and keeps up no capacity.
 func TestTheFloorCountsWhatIsLikelySound(t *testing.T) {
 	ts := candidates(10)
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -9,7 +9,9 @@
 //
 // Each instance has an order of preference of its own, worth a little, so that
 // instances with the same knowledge spread out and meet few targets each, on
-// connections that stay warm.
+// connections that stay warm. A target that nobody has used for a while is made
+// a little cheaper: without work, nobody would learn that it is sound, and
+// capacity would lie idle.
 //
 // The package is pure: all that it weighs is passed in.
 package placement
