suspicion: one rule tells a failure that came at once, for the gateway and the lab

Cause: read as a whole, the change held the threshold of quick failures and its comparison twice, in gateway and lab; the import of errors in gateway/learn.go stood among the project's own. suspicion.Failure serves both. Ruled out: a setting (nothing differs between deployments). Before and after: tests of suspicion, gateway and lab as they were, none changed; no behaviour changes.

--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -5,15 +5,10 @@
 	"syscall"
 	"time"
 
-	"github.com/clementinereel/clementinereel/exchange"
-	"github.com/clementinereel/clementinereel/suspicion"
 	"github.com/pkg/errors"
-)
 
-const (
-	// quickShare is the part of the usual duration below which a failure did not
-	// come from the work itself.
-	quickShare = 0.15
+	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/suspicion"
 )
 
 // learn takes in what an attempt's end says of its target.
@@ -59,10 +54,7 @@
 
 // failure is the observation of a failure that came after the given time.
 func (c *call) failure(took time.Duration) suspicion.Observation {
-	if float64(took) < quickShare*float64(c.h.Knowledge.Durations(c.service).median) {
-		return suspicion.Quick
-	}
-	return suspicion.Bad
+	return suspicion.Failure(took, c.h.Knowledge.Durations(c.service).median)
 }
 
 // observe records an observation, and tells the others at once what may keep
--- a/lab/estimate.go
+++ b/lab/estimate.go
@@ -20,10 +20,6 @@
 // the rest.
 const estimateBytes, estimateHead = 30, 40
 
-// quickShare is the part of the usual time below which a failure did not come from the
-// work itself.
-const quickShare = 0.15
-
 // seen is one observation that others are told of.
 type seen struct {
 	target int
@@ -77,10 +73,8 @@
 		return suspicion.Unreachable, true
 	case !r.Failed():
 		return 0, false
-	case took < time.Duration(quickShare*float64(p.service.Mean)):
-		return suspicion.Quick, true
 	}
-	return suspicion.Bad, true
+	return suspicion.Failure(took, p.service.Mean), true
 }
 
 func (p *estimate) observe(now time.Duration, s seen) {
--- a/suspicion/estimator.go
+++ b/suspicion/estimator.go
@@ -42,6 +42,19 @@
 // Failed tells whether the observation is a failure that the target answered with.
 func (o Observation) Failed() bool { return o == Bad || o == Quick }
 
+// quickShare is the part of the usual duration below which a failure did not come from
+// the work itself.
+const quickShare = 0.15
+
+// Failure is the observation of a failure that came after the given time, where work
+// usually takes so long.
+func Failure(took, usual time.Duration) Observation {
+	if float64(took) < quickShare*float64(usual) {
+		return Quick
+	}
+	return Bad
+}
+
 // Priors of the learned rates. The pseudo counts are small, so that some tens of
 // observations outweigh them.
 const (
