mesh, statesync: what is sent to other instances by kind, and the age of a change

Cause: nothing told the three hypotheses on the late configuration apart: bytes of datagrams were one counter, and neither a change applied nor a failed pull said for how long a peer had had it. Added: a line mesh-traffic every 5 s and metrics by kind, behind_ms on document-applied, versions, age and duration on pull-failed. No decision changes.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -22,6 +22,7 @@
 	ReadyChanged     Event = "ready-changed"
 	LinesDropped     Event = "lines-dropped"
 	PacketRefused    Event = "packet-refused"
+	MeshTraffic      Event = "mesh-traffic"
 	ServerError      Event = "server-error"
 )
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,8 +136,7 @@
 // take takes in a packet.
 func (g *Gateway) take(now time.Time, p *mesh.Packet) {
 	g.knowledge.Take(now, p)
-	version, offset := g.state.Versions()
-	if p.Document > version || p.Registry > offset {
+	if g.state.Behind(now, p.Document, p.Registry) {
 		g.follower.Ahead()
 	}
 }
@@ -208,10 +207,23 @@
 			g.tickOnce(now)
 		case <-uses.C:
 			g.logUses()
+			g.logTraffic()
 		}
 	}
 }
 
+// logTraffic tells what this instance sent to others since the start, in KB, by kind,
+// and the most within one second: more than its link takes holds up everything else.
+func (g *Gateway) logTraffic() {
+	const kb = 1024
+	s := g.node.Stats()
+	pairs := []any{"received", s.Received, "most_kb_s", s.MostBytes / kb}
+	for _, k := range mesh.Kinds() {
+		pairs = append(pairs, k.String()+"_kb", s.SentBytes[k]/kb)
+	}
+	eventlog.Info(eventlog.MeshTraffic, pairs...)
+}
+
 // logUses tells what became of connections to targets since the last such line.
 func (g *Gateway) logUses() {
 	u := g.client.Cache.TakeUses()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/telemetry"
 )
 
@@ -54,6 +55,10 @@
 	gauge("gateway.mesh.sent", stats.Sent)
 	gauge("gateway.mesh.received", stats.Received)
 	gauge("gateway.mesh.bytes", stats.Bytes)
+	gauge("gateway.mesh.bytes.most", stats.MostBytes)
+	for _, k := range mesh.Kinds() {
+		m.Registry.Gauge("gateway.mesh.bytes.sent", telemetry.Label{Key: "kind", Value: k.String()}).Update(stats.SentBytes[k])
+	}
 	for name, n := range g.knowledge.Suspects() {
 		m.Registry.Gauge("gateway.targets.suspected", telemetry.Label{Key: "service", Value: string(name)}).Update(int64(n))
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -69,12 +69,7 @@
 	// sequence is that of the last packet.
 	sequence uint64
 	digestAt time.Time
-	stats    Stats
-}
-
-// Stats count datagrams since the start.
-type Stats struct {
-	Sent, Received, Malformed, Bytes int64
+	meter    meter
 }
 
 // Listen opens the socket.
@@ -129,7 +124,7 @@
 func (n *Node) Stats() Stats {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.stats
+	return n.meter.Stats
 }
 
 // Run sends heartbeats and takes in packets until ctx ends.
@@ -172,7 +167,7 @@
 	to := n.members.beats(now)
 	place := n.members.place(now)
 	n.mu.Unlock()
-	n.send(p, to)
+	n.send(Heartbeats, p, to)
 	if place < bridges {
 		n.sendDigest(now, p, place == 0)
 	}
@@ -197,7 +192,7 @@
 	p := n.packet()
 	p.Document, p.Registry, p.Log, p.Known = beat.Document, beat.Registry, beat.Log, beat.Known
 	p.Digest = n.calls.Digest(now, first)
-	n.send(p, across)
+	n.send(Digests, p, across)
 }
 
 // Announce tells the own zone which versions this instance has; a bridge tells the
@@ -212,7 +207,7 @@
 		to = append(to, n.members.bridges(now)...)
 	}
 	n.mu.Unlock()
-	n.send(q, to)
+	n.send(Announcements, q, to)
 }
 
 // Tell sends a packet with the given evidence, load and usage now. Other zones get
@@ -225,11 +220,11 @@
 	n.mu.Lock()
 	near, far := n.members.neighbours(now), n.members.bridges(now)
 	n.mu.Unlock()
-	n.send(q, near)
+	n.send(News, q, near)
 	if urgent := withoutSuccesses(p.Evidence); len(urgent) > 0 {
 		across := n.packet()
 		across.Evidence = urgent
-		n.send(across, far)
+		n.send(News, across, far)
 	}
 }
 
@@ -251,7 +246,7 @@
 }
 
 // send sends the packet in as many datagrams as its evidence needs.
-func (n *Node) send(p *Packet, to []netip.AddrPort) {
+func (n *Node) send(k Kind, p *Packet, to []netip.AddrPort) {
 	b, err := encode(p)
 	if err != nil {
 		eventlog.Error(eventlog.PacketRefused, err)
@@ -262,21 +257,20 @@
 		first, rest := *p, n.packet()
 		rest.Document, rest.Registry, rest.Log = p.Document, p.Registry, p.Log
 		first.Evidence, rest.Evidence = p.Evidence[:half], p.Evidence[half:]
-		n.send(&first, to)
-		n.send(rest, to)
+		n.send(k, &first, to)
+		n.send(k, rest, to)
 		return
 	}
-	n.write(b, to)
+	n.write(k, b, to)
 }
 
-func (n *Node) write(b []byte, to []netip.AddrPort) {
+func (n *Node) write(k Kind, b []byte, to []netip.AddrPort) {
 	for _, a := range to {
 		// A datagram that cannot be sent is a lost one.
 		_, _ = n.conn.WriteToUDPAddrPort(b, a)
 	}
 	n.mu.Lock()
-	n.stats.Sent += int64(len(to))
-	n.stats.Bytes += int64(len(to) * len(b))
+	n.meter.sent(time.Now(), k, len(to), len(b))
 	n.mu.Unlock()
 }
 
@@ -302,15 +296,14 @@
 	p, err := decode(b)
 	if err != nil {
 		n.mu.Lock()
-		n.stats.Malformed++
+		n.meter.Malformed++
 		n.mu.Unlock()
 		eventlog.Error(eventlog.PacketRefused, err)
 		return
 	}
 	now := time.Now()
 	n.mu.Lock()
-	n.stats.Received++
-	n.stats.Bytes += int64(len(b))
+	n.meter.received(len(b))
 	m, s := n.members.heard(now, p)
 	for _, k := range p.Known {
 		n.members.add(now, k.Addr, k.Zone)
@@ -338,7 +331,7 @@
 	p.Known = n.members.sample(now)
 	n.mu.Unlock()
 	n.calls.Greet(now, p)
-	n.send(p, []netip.AddrPort{to})
+	n.send(Greetings, p, []netip.AddrPort{to})
 }
 
 // relay passes a packet of another zone on within the own one.
@@ -356,7 +349,7 @@
 	n.mu.Lock()
 	to := n.members.neighbours(now)
 	n.mu.Unlock()
-	n.write(b, to)
+	n.write(Passed, b, to)
 }
 
 func (n *Node) expire() {
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -410,9 +410,11 @@
 	if best == nil || (best.Document <= version && best.Registry <= offset) {
 		return
 	}
+	began := time.Now()
 	w, err := f.puller.pull(ctx, best.Addr, version, offset)
 	if err != nil {
-		eventlog.Error(eventlog.PullFailed, err, "peer", best.Addr)
+		eventlog.Error(eventlog.PullFailed, err, "peer", best.Addr, "document", version, "theirs", best.Document, "registry", offset,
+			"their_registry", best.Registry, "behind_ms", f.o.State.behind().Milliseconds(), "took_ms", time.Since(began).Milliseconds())
 		return
 	}
 	f.o.State.applyWhole(w, best.Addr)
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -23,6 +23,9 @@
 	// nextDocument is the offset to read Documents from; that of Targets is the
 	// registry's.
 	nextDocument registry.Offset
+	// behindSince is when a peer first told of a newer document than the one in force;
+	// zero if none did.
+	behindSince time.Time
 }
 
 // NewState returns an empty state. OnChange is called after each change.
@@ -52,6 +55,32 @@
 	return s.version(), s.registry.Next()
 }
 
+// Behind tells whether a peer's versions are ahead, and remembers since when one has a
+// newer document.
+func (s *State) Behind(now time.Time, v document.Version, o registry.Offset) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newer := v > s.version()
+	if newer && s.behindSince.IsZero() {
+		s.behindSince = now
+	}
+	return newer || o > s.registry.Next()
+}
+
+// behind is for how long peers have had a newer document; 0 if none has.
+func (s *State) behind() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lag()
+}
+
+func (s *State) lag() time.Duration {
+	if s.behindSince.IsZero() {
+		return 0
+	}
+	return time.Since(s.behindSince)
+}
+
 func (s *State) version() document.Version {
 	if t := s.table.Load(); t != nil {
 		return t.Document.Version
@@ -80,7 +109,8 @@
 		return false
 	}
 	eventlog.Info(eventlog.DocumentApplied, "version", d.Version, "before", s.version(), "from", from,
-		"routes", len(d.Routes), "idle_ms", d.Limits.IdleTimeout.Milliseconds())
+		"behind_ms", s.lag().Milliseconds(), "routes", len(d.Routes), "idle_ms", d.Limits.IdleTimeout.Milliseconds())
+	s.behindSince = time.Time{}
 	s.table.Store(document.NewTable(d, s.seed))
 	return true
 }
