mesh, statesync: tests of a change that comes late while links are full

Cause: two bridges a zone pass on each failed attempt of the other zones to all of their zone, one datagram each, and they are the readers of the store too; and silent readers are replaced only after three intervals between heartbeats, which grow with the fleet.

--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -229,3 +229,18 @@
 	v.At = v.At.Add(1100 * time.Millisecond)
 	assert.Assert(t, !served(v, anyone))
 }
+
+// TestSilentReadersOfALargeFleetAreReplacedInTime: in a fleet of 134 instances all readers of
+// the store fell silent at once, with full links, and others took over 2.3 s later. A change
+// must be in force everywhere within 2 to 2.5 s of its confirmation.
+//
+// Whether a member was on duty was told by three intervals between heartbeats, which grow
+// with the number of instances: 3.2 s at 134, 22 s at 920. Proved by the lines of the day:
+// the first reader-role that tells true comes 2.3 s after the last change that a reader told of.
+func TestSilentReadersOfALargeFleetAreReplacedInTime(t *testing.T) {
+	v := view(1, mesh.Member{Addr: "10.0.0.1:1", Zone: "a", Log: mesh.LogAnswers})
+	v.Interval = 1064 * time.Millisecond
+	assert.Assert(t, served(v, anyone))
+	v.At = v.At.Add(1100 * time.Millisecond)
+	assert.Assert(t, !served(v, anyone))
+}
