mesh: news of targets is paced by the link and put together

Cause: each attempt and each failed attempt of another zone left in a datagram of its own to all of the zone, without a bound. At twice the usual load a bridge sent 2.0 to 2.3 MB a second over a link of 1.25; announcements, heartbeats, reads of the store and answers to pulls stood behind it. Change: an outbox holds news back while datagrams take over 0.3 of the link, and puts what has gathered into one datagram; heartbeats and announcements do not wait. What is older than 256 pieces is dropped and counted. Packets of other zones travel together in a new field that earlier versions pass over; one that is alone travels as before. Ruled out: bridges that pass on by halves (loses the second copy where one is gone); a larger part of the link (callers' bodies take up to half).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,7 +78,7 @@
 
 func (g *Gateway) listen() (err error) {
 	s := &g.settings
-	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds},
+	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds, LinkBytes: s.LinkBytes},
 		mesh.Callbacks{Fill: g.fill, Greet: g.greet, Digest: g.digest, Take: g.take})
 	if err != nil {
 		return err
@@ -217,7 +217,7 @@
 func (g *Gateway) logTraffic() {
 	const kb = 1024
 	s := g.node.Stats()
-	pairs := []any{"received", s.Received, "most_kb_s", s.MostBytes / kb}
+	pairs := []any{"received", s.Received, "dropped", s.Dropped, "most_kb_s", s.MostBytes / kb}
 	for _, k := range mesh.Kinds() {
 		pairs = append(pairs, k.String()+"_kb", s.SentBytes[k]/kb)
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/placement"
 	"github.com/clementinereel/clementinereel/retry/pooled"
 )
@@ -42,6 +43,9 @@
 	LeaveWithin time.Duration
 	// MemoryBytes is what the process may use. Default 256 MiB.
 	MemoryBytes int64
+	// LinkBytes is what the instance's link carries, in bytes a second; news of targets
+	// to other instances takes a part of it. Default mesh.DefaultLinkBytes.
+	LinkBytes int64
 	// Weights are the costs that placement weighs. Default:
 	// placement.DefaultWeights.
 	Weights placement.Weights
@@ -66,6 +70,9 @@
 	if s.MemoryBytes == 0 {
 		s.MemoryBytes = DefaultMemoryBytes
 	}
+	if s.LinkBytes == 0 {
+		s.LinkBytes = mesh.DefaultLinkBytes
+	}
 	if s.Weights == (placement.Weights{}) {
 		s.Weights = placement.DefaultWeights()
 	}
@@ -111,6 +118,8 @@
 		return errors.Errorf("leave within: %v is not positive", s.LeaveWithin)
 	case s.Weights.Homes <= 0:
 		return errors.Errorf("weights.homes: %v is not positive", s.Weights.Homes)
+	case s.LinkBytes < 0:
+		return errors.Errorf("link bytes: %d is negative", s.LinkBytes)
 	case s.MemoryBytes < minMemory:
 		return errors.Errorf("memory bytes: %d is below %d", s.MemoryBytes, minMemory)
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -9,8 +9,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/suspicion"
 )
 
@@ -42,6 +44,9 @@
 	Boot time.Time
 	// Seeds are addresses of instances that may run.
 	Seeds []string
+	// LinkBytes is what the instance's link carries, in bytes a second. Default:
+	// DefaultLinkBytes.
+	LinkBytes int64
 }
 
 // Handler takes in a packet of another instance.
@@ -70,6 +75,19 @@
 	sequence uint64
 	digestAt time.Time
 	meter    meter
+	outbox   *outbox
+	versions versions
+}
+
+// versions are what the instance last told of itself.
+type versions struct {
+	document document.Version
+	registry registry.Offset
+	log      LogState
+}
+
+func (v versions) stamp(p *Packet) {
+	p.Document, p.Registry, p.Log = v.document, v.registry, v.log
 }
 
 // Listen opens the socket.
@@ -85,7 +103,7 @@
 	if addr.Port == 0 {
 		cfg.Addr = conn.LocalAddr().String()
 	}
-	n := &Node{cfg: cfg, conn: conn, calls: calls, members: newMembers(cfg.Addr, cfg.Zone, cfg.Boot.UnixMilli())}
+	n := &Node{cfg: cfg, conn: conn, calls: calls, members: newMembers(cfg.Addr, cfg.Zone, cfg.Boot.UnixMilli()), outbox: newOutbox(cfg.LinkBytes)}
 	n.Know(cfg.Seeds)
 	return n, nil
 }
@@ -124,7 +142,9 @@
 func (n *Node) Stats() Stats {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.meter.Stats
+	s := n.meter.Stats
+	s.Dropped = n.outbox.dropped
+	return s
 }
 
 // Run sends heartbeats and takes in packets until ctx ends.
@@ -163,6 +183,8 @@
 	p.Heartbeat = true
 	n.calls.Fill(now, p)
 	n.mu.Lock()
+	n.versions = versions{p.Document, p.Registry, p.Log}
+	n.outbox.superseded()
 	p.Known = n.members.sample(now)
 	to := n.members.beats(now)
 	place := n.members.place(now)
@@ -196,12 +218,13 @@
 }
 
 // Announce tells the own zone which versions this instance has; a bridge tells the
-// other zones too.
+// other zones too. It does not wait for the link.
 func (n *Node) Announce(p Packet) {
 	q := n.packet()
-	q.Document, q.Registry, q.Log = p.Document, p.Registry, p.Log
 	now := time.Now()
 	n.mu.Lock()
+	n.versions = versions{p.Document, p.Registry, p.Log}
+	n.versions.stamp(q)
 	to := n.members.neighbours(now)
 	if n.members.place(now) < bridges {
 		to = append(to, n.members.bridges(now)...)
@@ -210,18 +233,85 @@
 	n.send(Announcements, q, to)
 }
 
-// Tell sends a packet with the given evidence, load and usage now. Other zones get
-// the evidence only, without successes: those, load and usage are in the digests.
+// Tell sends a packet with the given evidence, load and usage, at once where the link
+// allows. Other zones get the evidence only, without successes: those, load and usage are
+// in the digests.
 func (n *Node) Tell(p Packet) {
-	q := n.packet()
-	q.Document, q.Registry, q.Log = p.Document, p.Registry, p.Log
-	q.Evidence, q.Load, q.Usage = p.Evidence, p.Load, p.Usage
+	n.mu.Lock()
+	n.versions = versions{p.Document, p.Registry, p.Log}
+	n.outbox.add(time.Now(), &p)
+	n.mu.Unlock()
+	n.flush()
+}
+
+// flush sends the news that waits, as far as the link allows, and the rest later.
+func (n *Node) flush() {
+	for n.flushOnce() {
+	}
+}
+
+// flushOnce sends one datagram's news. It tells false if there is none, or if it must
+// wait.
+func (n *Node) flushOnce() bool {
 	now := time.Now()
 	n.mu.Lock()
+	if n.outbox.empty() {
+		n.mu.Unlock()
+		return false
+	}
+	if wait := n.outbox.wait(now); wait > 0 {
+		n.flushAfter(wait)
+		n.mu.Unlock()
+		return false
+	}
+	news, digest := n.outbox.next(now)
 	near, far := n.members.neighbours(now), n.members.bridges(now)
 	n.mu.Unlock()
-	n.send(News, q, near)
-	if urgent := withoutSuccesses(p.Evidence); len(urgent) > 0 {
+	if news != nil {
+		n.sendNews(news, near, far)
+	}
+	if digest != nil {
+		digest.Relayed = true
+		n.send(Passed, digest, near)
+	}
+	return true
+}
+
+// flushAfter arranges for a later flush; the lock is held.
+func (n *Node) flushAfter(wait time.Duration) {
+	if n.outbox.armed {
+		return
+	}
+	n.outbox.armed = true
+	time.AfterFunc(wait, func() {
+		n.mu.Lock()
+		n.outbox.armed = false
+		n.mu.Unlock()
+		n.flush()
+	})
+}
+
+// sendNews sends own news and that of other zones to the own zone, and own evidence to
+// the other zones.
+func (n *Node) sendNews(news *Packet, near, far []netip.AddrPort) {
+	own := len(news.Evidence)+len(news.Load)+len(news.Usage) > 0
+	if !own && len(news.Passed) == 1 {
+		alone := news.Passed[0]
+		alone.Relayed = true
+		n.send(Passed, alone, near)
+		return
+	}
+	q := n.packet()
+	n.mu.Lock()
+	n.versions.stamp(q)
+	n.mu.Unlock()
+	q.Evidence, q.Load, q.Usage, q.Passed = news.Evidence, news.Load, news.Usage, news.Passed
+	kind := News
+	if !own {
+		kind = Passed
+	}
+	n.send(kind, q, near)
+	if urgent := withoutSuccesses(news.Evidence); len(urgent) > 0 {
 		across := n.packet()
 		across.Evidence = urgent
 		n.send(News, across, far)
@@ -270,7 +360,9 @@
 		_, _ = n.conn.WriteToUDPAddrPort(b, a)
 	}
 	n.mu.Lock()
-	n.meter.sent(time.Now(), k, len(to), len(b))
+	now := time.Now()
+	n.meter.sent(now, k, len(to), len(b))
+	n.outbox.charge(now, len(to), len(b))
 	n.mu.Unlock()
 }
 
@@ -304,6 +396,16 @@
 	now := time.Now()
 	n.mu.Lock()
 	n.meter.received(len(b))
+	n.mu.Unlock()
+	n.takePacket(now, p)
+	for _, q := range p.Passed {
+		q.Relayed = true
+		n.takePacket(now, q)
+	}
+}
+
+func (n *Node) takePacket(now time.Time, p *Packet) {
+	n.mu.Lock()
 	m, s := n.members.heard(now, p)
 	for _, k := range p.Known {
 		n.members.add(now, k.Addr, k.Zone)
@@ -339,17 +441,10 @@
 	if p.Zone == n.cfg.Zone || p.Relayed || (len(p.Evidence) == 0 && p.Digest == nil) {
 		return
 	}
-	q := *p
-	q.Relayed = true
-	b, err := encode(&q)
-	if err != nil {
-		eventlog.Error(eventlog.PacketRefused, err)
-		return
-	}
 	n.mu.Lock()
-	to := n.members.neighbours(now)
+	n.outbox.pass(now, p)
 	n.mu.Unlock()
-	n.write(Passed, b, to)
+	n.flush()
 }
 
 func (n *Node) expire() {
--- /dev/null
+++ b/mesh/outbox.go
@@ -0,0 +1,231 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+const (
+	// DefaultLinkBytes is taken for what an instance's link carries where nobody says,
+	// in bytes a second: 10 Mbit/s, the smallest links of the deployments.
+	DefaultLinkBytes = 1_250_000
+	// newsShare is the part of the link that datagrams to other instances may take;
+	// news waits once they do. The rest is for callers and targets, whose bodies take
+	// up to half of a small link at twice the usual load, and for changes of the
+	// configuration: with bridges that sent without a bound, 1.8 times what their
+	// links carry, a change was in force 2 s late.
+	newsShare = 0.3
+	// newsBurst is for how long a time's share may be sent ahead, so that a few
+	// pieces of news leave at once. It holds up other packets for 30 ms at most.
+	newsBurst = 100 * time.Millisecond
+	// headerBytes are those that IP and UDP add to a datagram.
+	headerBytes = 28
+)
+
+// Bounds of the news that waits: each is about as much as goes to 44 neighbours over a small
+// link within 1.3 s. What is older when more comes is dropped, since it says less of the
+// present.
+const (
+	waitingEvidence = 256
+	waitingLoads    = 128
+	waitingPassed   = 128
+)
+
+// Sizes by which news is put into datagrams, in bytes, as they are encoded with names of
+// about 12 characters.
+const (
+	roomBytes     = 1250 // of maxPacket, without the sender's part
+	evidenceBytes = 42
+	loadBytes     = 18
+	usageBytes    = 16
+	passedBytes   = 50 // without its evidence
+)
+
+// outbox holds back news for as long as what was sent before has taken up the
+// datagrams' part of the link, and puts what has gathered by then into one datagram: the
+// fuller the link, the fewer the datagrams. Heartbeats and announcements do not wait, but
+// are counted.
+type outbox struct {
+	bytesPerSecond float64
+	// freeAt is when what was sent has used up no more than its part.
+	freeAt time.Time
+	// armed tells that news will be sent later.
+	armed bool
+
+	evidence []waitingItem[Evidence]
+	load     map[fleet.TargetID]int
+	usage    map[document.ServiceName]Usage
+	// passed and digests are other zones' packets that go on to the own one; of the
+	// digests of one sender only the latest counts.
+	passed  []waitingItem[*Packet]
+	digests []waitingItem[*Packet]
+	dropped int64
+}
+
+// waitingItem is a piece of news and since when it waits.
+type waitingItem[T any] struct {
+	what  T
+	since time.Time
+}
+
+func newOutbox(linkBytes int64) *outbox {
+	if linkBytes <= 0 {
+		linkBytes = DefaultLinkBytes
+	}
+	return &outbox{
+		bytesPerSecond: newsShare * float64(linkBytes),
+		load:           make(map[fleet.TargetID]int),
+		usage:          make(map[document.ServiceName]Usage),
+	}
+}
+
+// charge counts a datagram that goes to a number of instances.
+func (o *outbox) charge(now time.Time, to, size int) {
+	if o.freeAt.Before(now) {
+		o.freeAt = now
+	}
+	o.freeAt = o.freeAt.Add(time.Duration(float64(to*(size+headerBytes)) / o.bytesPerSecond * float64(time.Second)))
+}
+
+// wait is how long news must wait.
+func (o *outbox) wait(now time.Time) time.Duration {
+	if !o.freeAt.After(now) {
+		return 0
+	}
+	return max(o.freeAt.Sub(now)-newsBurst, 0)
+}
+
+// add takes in news of this instance.
+func (o *outbox) add(now time.Time, p *Packet) {
+	for _, e := range p.Evidence {
+		o.evidence = keepLast(o, append(o.evidence, waitingItem[Evidence]{e, now}), waitingEvidence)
+	}
+	for _, l := range p.Load {
+		if _, known := o.load[l.Target]; !known && len(o.load) >= waitingLoads {
+			o.dropped++ // the next heartbeat tells it
+			continue
+		}
+		o.load[l.Target] = l.InFlight
+	}
+	for _, u := range p.Usage {
+		o.usage[u.Service] = u
+	}
+}
+
+// pass takes in a packet of another zone.
+func (o *outbox) pass(now time.Time, p *Packet) {
+	item := waitingItem[*Packet]{p, now}
+	if p.Digest == nil {
+		o.passed = keepLast(o, append(o.passed, item), waitingPassed)
+		return
+	}
+	for i := range o.digests {
+		if o.digests[i].what.Addr == p.Addr {
+			o.dropped++
+			o.digests[i] = item
+			return
+		}
+	}
+	o.digests = append(o.digests, item)
+}
+
+// keepLast drops what is oldest of more than the given number.
+func keepLast[T any](o *outbox, items []waitingItem[T], most int) []waitingItem[T] {
+	over := len(items) - most
+	if over <= 0 {
+		return items
+	}
+	o.dropped += int64(over)
+	return items[over:]
+}
+
+// superseded drops what a heartbeat tells.
+func (o *outbox) superseded() {
+	clear(o.load)
+	clear(o.usage)
+}
+
+func (o *outbox) empty() bool {
+	return !o.news() && len(o.digests) == 0
+}
+
+// news tells whether anything but digests waits.
+func (o *outbox) news() bool {
+	return len(o.evidence) > 0 || len(o.load) > 0 || len(o.usage) > 0 || len(o.passed) > 0
+}
+
+// next takes out what fits into one datagram of news, and a digest if one waits. Either
+// may be nil.
+func (o *outbox) next(now time.Time) (news, digest *Packet) {
+	if o.news() {
+		news = o.fill(now)
+	}
+	if len(o.digests) > 0 {
+		digest = aged(o.digests[0].what, now.Sub(o.digests[0].since))
+		o.digests = o.digests[1:]
+	}
+	return news, digest
+}
+
+// fill puts as much news into a packet as a datagram takes.
+func (o *outbox) fill(now time.Time) *Packet {
+	p, room := new(Packet), roomBytes
+	for name, u := range o.usage {
+		p.Usage = append(p.Usage, u)
+		delete(o.usage, name)
+		room -= usageBytes
+	}
+	n := 0
+	for ; n < len(o.evidence) && room >= evidenceBytes; n++ {
+		e := o.evidence[n]
+		p.Evidence = append(p.Evidence, older(e.what, now.Sub(e.since)))
+		room -= evidenceBytes
+	}
+	o.evidence = o.evidence[n:]
+	for id, inFlight := range o.load {
+		if room < loadBytes {
+			break
+		}
+		p.Load = append(p.Load, Load{Target: id, InFlight: inFlight})
+		delete(o.load, id)
+		room -= loadBytes
+	}
+	for n = 0; n < len(o.passed); n++ {
+		q := o.passed[n]
+		size := passedBytes + evidenceBytes*len(q.what.Evidence)
+		if n > 0 && room < size {
+			break
+		}
+		p.Passed = append(p.Passed, aged(q.what, now.Sub(q.since)))
+		room -= size
+	}
+	o.passed = o.passed[n:]
+	return p
+}
+
+// aged returns a copy of a packet that has waited for the given time.
+func aged(p *Packet, waited time.Duration) *Packet {
+	q := *p
+	q.Evidence = make([]Evidence, len(p.Evidence))
+	for i, e := range p.Evidence {
+		q.Evidence[i] = older(e, waited)
+	}
+	if p.Digest == nil {
+		return &q
+	}
+	d := *p.Digest
+	d.Successes = make([]Successes, len(p.Digest.Successes))
+	for i, s := range p.Digest.Successes {
+		s.AgeMillis += waited.Milliseconds()
+		d.Successes[i] = s
+	}
+	q.Digest = &d
+	return &q
+}
+
+func older(e Evidence, waited time.Duration) Evidence {
+	e.AgeMillis += waited.Milliseconds()
+	return e
+}
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -47,6 +47,8 @@
 	// Beliefs are what the sender believes of targets, for an instance that it hears
 	// for the first time.
 	Beliefs []Belief `cbor:"16,keyasint,omitempty"`
+	// Passed are packets of other zones that the sender passes on together.
+	Passed []*Packet `cbor:"17,keyasint,omitempty"`
 }
 
 // Belief is how likely a target is sick.
@@ -156,5 +158,10 @@
 	if p.Addr == "" {
 		return nil, errors.New("packet without an address")
 	}
+	for _, q := range p.Passed {
+		if q == nil || q.Addr == "" {
+			return nil, errors.New("passed on a packet without an address")
+		}
+	}
 	return p, nil
 }
--- a/mesh/stats.go
+++ b/mesh/stats.go
@@ -44,6 +44,8 @@
 	SentBytes [kinds]int64
 	// MostBytes is the most that was sent within one second.
 	MostBytes int64
+	// Dropped are pieces of news that waited for the link until newer ones came.
+	Dropped int64
 }
 
 // meter counts what a node sends and receives.
