mesh: how long a silent reader of the store counts does not grow with the fleet

Cause: a member counted as on duty for three intervals between heartbeats, which are 8 ms for each known instance: 3.2 s at 134 instances, 22 s at 920, where a change must be in force within 2 to 2.5 s. Change: readers send heartbeats every 300 ms whatever the size of the fleet, and count for 0.9 s; others as before. Instances of an earlier version that read are silent for longer than that now and then, so that during a release more instances read the store than need to. Ruled out: short intervals for all (45 times the datagrams). Before and after: silent for 1.1 s at 134 instances: on duty before, not after. A reader sends 26 KB a second more in heartbeats to 44 neighbours.

--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -113,3 +114,34 @@
 	l.look()
 	assert.Assert(t, l.longest < wait, "an announcement waits for %v", l.longest.Round(time.Millisecond))
 }
+
+// TestReadersOfALargeFleetAreHeardOften: the others replace a reader that was silent for three
+// of the shortest intervals, so that its heartbeats must not become rarer with the fleet.
+func TestReadersOfALargeFleetAreHeardOften(t *testing.T) {
+	const (
+		instances = 920
+		lasts     = 1300 * time.Millisecond
+	)
+	heartbeats := func(log LogState) int {
+		sent := 0
+		n, err := Listen(Config{Addr: "127.0.0.1:0", Zone: "a", Boot: time.Now().Add(-time.Hour)}, Callbacks{
+			Fill: func(_ time.Time, p *Packet) {
+				p.Log = log
+				sent++
+			},
+			Greet:  func(time.Time, *Packet) {},
+			Digest: func(time.Time, bool) *Digest { return new(Digest) },
+			Take:   func(time.Time, *Packet) {},
+		})
+		assert.NilError(t, err)
+		for i := range instances {
+			n.Know([]string{fmt.Sprintf("127.0.%d.%d:9", i/250+1, i%250+1)})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), lasts)
+		defer cancel()
+		n.Run(ctx)
+		return sent
+	}
+	assert.Assert(t, heartbeats(LogAnswers) >= 4)
+	assert.Equal(t, heartbeats(LogUnread), 1)
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -418,16 +418,23 @@
 	return max(n, v.Known+1)
 }
 
-// Times in which a member that has a duty for the others must be heard.
+// Times in which a member that has a duty for the others must be heard: dutyLeast for one
+// that reads the store, whose heartbeats are minInterval apart however many instances
+// there are, and at least dutyBeats intervals for others. A reader that falls silent is
+// replaced soon enough for a change to be in force everywhere within 2 s.
 const (
-	dutyLeast = 900 * time.Millisecond
+	dutyLeast = dutyBeats * minInterval
 	dutyBeats = 3
 )
 
 // OnDuty tells whether the member was heard so lately that the others may rely on
 // what it does for them.
 func (v View) OnDuty(m *Member) bool {
-	return !m.Heard.IsZero() && v.At.Sub(m.Heard) < max(dutyLeast, dutyBeats*v.Interval)
+	within := dutyLeast
+	if m.Log == LogUnread {
+		within = max(dutyLeast, dutyBeats*v.Interval)
+	}
+	return !m.Heard.IsZero() && v.At.Sub(m.Heard) < within
 }
 
 // InZone is how many instances the own zone has, this one included.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -14,6 +14,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/suspicion"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -154,10 +155,22 @@
 	for {
 		n.Beat()
 		n.expire()
-		select {
-		case <-ctx.Done():
+		if !n.rest(ctx) {
 			return
-		case <-time.After(n.interval()):
+		}
+	}
+}
+
+// rest waits until the next heartbeat is due. An instance that becomes a reader meanwhile
+// sends it earlier. It tells false if ctx has ended.
+func (n *Node) rest(ctx context.Context) bool {
+	for since := time.Now(); ; {
+		left := n.interval() - time.Since(since)
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		if !wait.For(ctx, min(left, minInterval)) {
+			return false
 		}
 	}
 }
@@ -168,8 +181,13 @@
 	return n.beatEvery()
 }
 
+// beatEvery is the time between heartbeats. It does not grow with the fleet for readers of
+// the store, of which there are a few in each zone: others replace one that falls silent.
 func (n *Node) beatEvery() time.Duration {
-	every := max(minInterval, time.Duration(len(n.members.table))*perMember)
+	every := minInterval
+	if n.versions.log == LogUnread {
+		every = max(minInterval, time.Duration(len(n.members.table))*perMember)
+	}
 	if justStarted(time.Now(), n.members.boot) {
 		every /= meetingSpeed
 	}
