statesync: readers of the store are not the bridges between zones

Cause: both parts fell on the first instances of a zone by the same rank, so that the links that were filled by other zones' news were those that a change had to leave by; who took over got both parts too. Change: readers are taken from the other end of the order. Ruled out: a second hash (one of two parts would still meet in a third of zones of 12).

--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -180,8 +180,8 @@
 // does so goes on unless one before it succeeds too, or two would give way to each
 // other.
 func (f *Follower) takesOver(v mesh.View) bool {
-	own := mesh.Rank(f.o.Self)
-	yields := func(m *mesh.Member) bool { return !f.role || mesh.Rank(m.Addr) < own }
+	own := readerRank(f.o.Self)
+	yields := func(m *mesh.Member) bool { return !f.role || readerRank(m.Addr) < own }
 	if served(v, yields) {
 		f.unserved = time.Time{}
 		return false
@@ -198,6 +198,12 @@
 	return time.Since(f.started) < introWait && f.begun(s)
 }
 
+// readerRank is an instance's place in the order by which instances read the store; the
+// lowest comes first. It is the reverse of the order of bridges, so that the instances that
+// pass on other zones' news, whose links are the fullest, are not those that all others wait
+// for with a change.
+func readerRank(addr string) uint64 { return ^mesh.Rank(addr) }
+
 // ranked tells whether the instance is among the first of its zone.
 func (o *Options) ranked(v mesh.View) bool {
 	before := o.before(v, func(*mesh.Member) bool { return true })
@@ -215,11 +221,11 @@
 
 // before counts the instances of the zone that come before this one.
 func (o *Options) before(v mesh.View, counts func(*mesh.Member) bool) int {
-	own := mesh.Rank(o.Self)
+	own := readerRank(o.Self)
 	n := 0
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.Zone == o.Zone && !m.Leaving && v.OnDuty(m) && mesh.Rank(m.Addr) < own && counts(m) {
+		if m.Zone == o.Zone && !m.Leaving && v.OnDuty(m) && readerRank(m.Addr) < own && counts(m) {
 			n++
 		}
 	}
--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -130,7 +130,7 @@
 	for n := range 12 {
 		members = append(members, mesh.Member{Addr: fmt.Sprintf("10.0.0.%d:1", n+1), Zone: "a"})
 	}
-	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(mesh.Rank(a.Addr), mesh.Rank(b.Addr)) })
+	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(readerRank(a.Addr), readerRank(b.Addr)) })
 	members[0].Log, members[1].Log = mesh.LogAway, mesh.LogAway
 	v := view(1, members...)
 	followers := make([]*Follower, len(members))
@@ -197,7 +197,7 @@
 func lowest(n int) string {
 	for host := 3; ; host++ {
 		addr := fmt.Sprintf("10.0.%d.%d:1", n+1, host)
-		if mesh.Rank(addr) < min(mesh.Rank("10.0.0.1:1"), mesh.Rank("10.0.0.2:1")) {
+		if readerRank(addr) < min(readerRank("10.0.0.1:1"), readerRank("10.0.0.2:1")) {
 			return addr
 		}
 	}
@@ -244,3 +244,26 @@
 	v.At = v.At.Add(1100 * time.Millisecond)
 	assert.Assert(t, !served(v, anyone))
 }
+
+// TestReadersAreNotTheBridges: one instance with a full link must not hold up both what
+// other zones tell and what the store does.
+func TestReadersAreNotTheBridges(t *testing.T) {
+	const bridges = 2
+	var addrs []string
+	for host := range 12 {
+		addrs = append(addrs, fmt.Sprintf("10.0.0.%d:1", host+1))
+	}
+	slices.SortFunc(addrs, func(a, b string) int { return cmp.Compare(mesh.Rank(a), mesh.Rank(b)) })
+	for i, self := range addrs {
+		var others []mesh.Member
+		for _, a := range addrs {
+			if a != self {
+				others = append(others, mesh.Member{Addr: a, Zone: "a"})
+			}
+		}
+		o := Options{Self: self, Zone: "a"}
+		reads := o.ranked(view(1, others...))
+		assert.Equal(t, reads, i >= len(addrs)-readersPerZone)
+		assert.Assert(t, !reads || i >= bridges)
+	}
+}
