registry, gateway, exchange: a target that starts again under its ID is known by its later process

Cause: entries were ordered by sequence alone, which starts anew: a target that had started again stayed what it had been (leaving, at its old address) until its count had caught up, or unknown for good after a notice. Estimates, requests in flight, cut paths and kept connections of the process that had gone went on counting. Change: entries carry when their process was born and are ordered by it first; the last start of targets that have gone is remembered. Instances forget what they knew of the earlier process, and pass over what is told of attempts that began before. Connections belong to ID, start and address.

--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/conncheck"
-	"github.com/clementinereel/clementinereel/fleet"
 )
 
 // conn is a connection to a target.
@@ -44,9 +43,9 @@
 type Cache struct {
 	dialer net.Dialer
 	mu     sync.Mutex
-	idle   map[fleet.TargetID][]*conn
+	idle   map[Target][]*conn
 	// lent is how many connections to a target are in use.
-	lent map[fleet.TargetID]int
+	lent map[Target]int
 	// opened counts the connections that were opened.
 	opened int64
 	uses   Uses
@@ -84,12 +83,12 @@
 }
 
 // lend counts a connection that comes into use, by 1, or goes out of it, by -1.
-func (c *Cache) lend(id fleet.TargetID, n int) {
+func (c *Cache) lend(t Target, n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lent[id] += n
-	if c.lent[id] == 0 {
-		delete(c.lent, id)
+	c.lent[t] += n
+	if c.lent[t] == 0 {
+		delete(c.lent, t)
 	}
 }
 
@@ -98,17 +97,17 @@
 func NewCache(dialTimeout time.Duration) *Cache {
 	return &Cache{
 		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes},
-		idle:   make(map[fleet.TargetID][]*conn),
-		lent:   make(map[fleet.TargetID]int),
+		idle:   make(map[Target][]*conn),
+		lent:   make(map[Target]int),
 	}
 }
 
 // Idle tells whether a connection to the target can be used again that was not idle
 // for longer than maxIdle.
-func (c *Cache) Idle(id fleet.TargetID, maxIdle time.Duration) bool {
+func (c *Cache) Idle(t Target, maxIdle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conns := c.idle[id]
+	conns := c.idle[t]
 	if len(conns) == 0 {
 		return false
 	}
@@ -125,9 +124,9 @@
 
 // take returns an idle connection that has rested for at most most and on which
 // nothing has arrived, or nil.
-func (c *Cache) take(id fleet.TargetID, now time.Time, most time.Duration) *conn {
+func (c *Cache) take(t Target, now time.Time, most time.Duration) *conn {
 	for {
-		cn := c.pop(id)
+		cn := c.pop(t)
 		if cn == nil {
 			return nil
 		}
@@ -147,17 +146,17 @@
 	}
 }
 
-func (c *Cache) pop(id fleet.TargetID) *conn {
+func (c *Cache) pop(t Target) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	conns := c.idle[id]
+	conns := c.idle[t]
 	if len(conns) == 0 {
 		return nil
 	}
 	last := len(conns) - 1
 	cn := conns[last]
 	conns[last] = nil
-	c.idle[id] = conns[:last]
+	c.idle[t] = conns[:last]
 	return cn
 }
 
@@ -165,7 +164,7 @@
 // off: once it had passed, the check before the next use would find the connection
 // broken, and a connection would live for one request's timeout in place of the time
 // that the target keeps it.
-func (c *Cache) put(id fleet.TargetID, cn *conn, now time.Time) {
+func (c *Cache) put(t Target, cn *conn, now time.Time) {
 	if err := cn.SetDeadline(time.Time{}); err != nil {
 		_ = cn.Close() // it is closed already
 		return
@@ -173,9 +172,9 @@
 	cn.idleSince = now
 	cn.served++
 	c.mu.Lock()
-	conns := c.idle[id]
+	conns := c.idle[t]
 	if len(conns) < maxIdle {
-		c.idle[id] = append(conns, cn)
+		c.idle[t] = append(conns, cn)
 		cn = nil
 	} else {
 		c.uses.Surplus++
@@ -188,11 +187,11 @@
 
 // Sweep closes the connections that were idle for too long and those of targets
 // that are not in use.
-func (c *Cache) Sweep(now time.Time, inUse func(fleet.TargetID) bool) {
+func (c *Cache) Sweep(now time.Time, inUse func(Target) bool) {
 	var closing []*conn
 	c.mu.Lock()
-	for id, conns := range c.idle {
-		used := inUse(id)
+	for t, conns := range c.idle {
+		used := inUse(t)
 		kept := conns[:0]
 		for _, cn := range conns {
 			if used && now.Sub(cn.idleSince) < cn.keep {
@@ -204,10 +203,10 @@
 		}
 		clear(conns[len(kept):])
 		if len(kept) == 0 {
-			delete(c.idle, id)
+			delete(c.idle, t)
 			continue
 		}
-		c.idle[id] = kept
+		c.idle[t] = kept
 	}
 	c.mu.Unlock()
 	for _, cn := range closing {
@@ -223,7 +222,7 @@
 	}
 	c.mu.Lock()
 	c.opened++
-	if c.lent[t.ID] > 0 {
+	if c.lent[t] > 0 {
 		c.uses.OpenedBusy++
 	} else {
 		c.uses.OpenedFirst++
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -30,10 +30,14 @@
 	NotRun string
 }
 
-// Target is where a request goes.
+// Target is where a request goes: a process that registered under an ID at an address. A
+// later process under the ID gets none of its connections.
 type Target struct {
 	ID   fleet.TargetID
 	Addr string
+	// Born is when the process started, in milliseconds since the Unix epoch; 0 if that
+	// is not known.
+	Born int64
 }
 
 // Request is what a caller asked.
@@ -129,7 +133,7 @@
 	if res.Reused {
 		res.IdleFor = start.Sub(cn.idleSince)
 	}
-	c.Cache.lend(t.ID, 1)
+	c.Cache.lend(t, 1)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	keep := c.converse(cn, t, r, wanted, deadline, &res)
 	if !stop() {
@@ -139,18 +143,18 @@
 		}
 	}
 	res.Took = time.Since(start)
-	c.Cache.lend(t.ID, -1)
+	c.Cache.lend(t, -1)
 	if !keep {
 		c.Cache.count(func(u *Uses) { u.Ended++ })
 		_ = cn.Close()
 		return res
 	}
-	c.Cache.put(t.ID, cn, time.Now())
+	c.Cache.put(t, cn, time.Now())
 	return res
 }
 
 func (c *Client) connect(ctx context.Context, t Target, deadline time.Time, maxIdle time.Duration) (*conn, error) {
-	if cn := c.Cache.take(t.ID, time.Now(), maxIdle); cn != nil {
+	if cn := c.Cache.take(t, time.Now(), maxIdle); cn != nil {
 		return cn, nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -13,8 +13,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/clementinereel/clementinereel/fleet"
 )
 
 var names = Headers{RequestID: "X-Id", Deadline: "X-Deadline", Seal: "X-Seal", Target: "X-Target", NotRun: "X-Not-Run"}
@@ -266,12 +264,30 @@
 	rt := newRawTarget(t, script{sealed, sealed})
 	c := client()
 	do(c, rt.Target, request("r1"))
-	assert.Assert(t, c.Cache.Idle("t1", time.Minute))
-	c.Cache.Sweep(time.Now(), func(fleet.TargetID) bool { return false })
-	assert.Assert(t, !c.Cache.Idle("t1", time.Minute))
+	assert.Assert(t, c.Cache.Idle(rt.Target, time.Minute))
+	c.Cache.Sweep(time.Now(), func(Target) bool { return false })
+	assert.Assert(t, !c.Cache.Idle(rt.Target, time.Minute))
 	assert.Equal(t, c.Cache.Opened(), int64(1))
 }
 
+// TestALaterProcessGetsNoConnectionOfTheEarlierOne: a target may start again under its ID,
+// at the same address or at another.
+func TestALaterProcessGetsNoConnectionOfTheEarlierOne(t *testing.T) {
+	rt := newRawTarget(t, script{sealed, sealed})
+	c := client()
+	earlier, later := rt.Target, rt.Target
+	earlier.Born, later.Born = 1_800_000_000_000, 1_800_000_007_000
+	do(c, earlier, request("r1"))
+	assert.Assert(t, c.Cache.Idle(earlier, time.Minute))
+	assert.Assert(t, !c.Cache.Idle(later, time.Minute))
+	res := do(c, later, request("r2"))
+	assert.Equal(t, res.Kind, Answered)
+	assert.Assert(t, !res.Reused)
+	c.Cache.Sweep(time.Now(), func(t Target) bool { return t == later })
+	assert.Assert(t, !c.Cache.Idle(earlier, time.Minute))
+	assert.Assert(t, c.Cache.Idle(later, time.Minute))
+}
+
 func BenchmarkExchange(b *testing.B) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(b, err)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -297,9 +297,9 @@
 	slow := time.Duration(float64(c.h.Knowledge.Durations(c.service).slow) * p.turns())
 	began := time.Now()
 	watch := time.AfterFunc(slow, func() { c.observe(p, suspicion.Slow, began, 0) })
-	res := c.h.Client.Do(r.ctx, exchange.Target{ID: p.ID, Addr: p.Addr}, c.request, c.targetDeadline, c.deadline, p.MaxIdle)
+	res := c.h.Client.Do(r.ctx, at(p.Target), c.request, c.targetDeadline, c.deadline, p.MaxIdle)
 	watch.Stop()
-	c.h.Knowledge.Ended(p.ID)
+	c.h.Knowledge.Ended(p)
 	r.results <- ended{p, res}
 }
 
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/placement"
 	"github.com/clementinereel/clementinereel/registry"
@@ -32,6 +33,13 @@
 	ForFloor bool
 	// MaxIdle is how long a connection may have been idle to carry the attempt.
 	MaxIdle time.Duration
+	// restarts are those of the target before the attempt.
+	restarts int
+}
+
+// at is where the attempt goes.
+func at(t *registry.Target) exchange.Target {
+	return exchange.Target{ID: t.ID, Addr: t.Addr, Born: t.Born}
 }
 
 // turns is how many times the slots must come free, as far as known, before the
@@ -46,7 +54,7 @@
 // Place chooses a target among those given, the excluded left out, and counts the
 // attempt in. Warm tells whether a connection that was idle for at most the given time is
 // at hand. It returns false if there is no target.
-func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, excluded []fleet.TargetID, w placement.Work, warm func(fleet.TargetID, time.Duration) bool) (Placed, bool) {
+func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, excluded []fleet.TargetID, w placement.Work, warm func(exchange.Target, time.Duration) bool) (Placed, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.service(name)
@@ -56,7 +64,7 @@
 	from := make([]*registry.Target, 0, len(ts))
 	for _, t := range ts {
 		if !slices.Contains(excluded, t.ID) {
-			candidates = append(candidates, k.candidate(now, s, t, warm(t.ID, k.maxIdle(now, s, t.ID))))
+			candidates = append(candidates, k.candidate(now, s, t, warm(at(t), k.maxIdle(now, s, t.ID))))
 			from = append(from, t)
 			if t.Zone == k.chooser.Zone {
 				w.InZone++
@@ -73,8 +81,9 @@
 		i, cost = next, k.chooser.Cost(w, &candidates[next])
 	}
 	c := &candidates[i]
-	k.target(c.ID).own++
-	return Placed{Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor, MaxIdle: k.maxIdle(now, s, c.ID)}, true
+	chosen := k.target(c.ID)
+	chosen.own++
+	return Placed{restarts: chosen.restarts, Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor, MaxIdle: k.maxIdle(now, s, c.ID)}, true
 }
 
 // maxIdle is how long a connection to the target may have been idle.
@@ -121,11 +130,13 @@
 	return z == nil || now.Sub(z.heard) > peerLoadFor
 }
 
-// Ended counts an attempt out.
-func (k *Knowledge) Ended(id fleet.TargetID) {
+// Ended counts an attempt out, unless its target has started again since.
+func (k *Knowledge) Ended(p Placed) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.target(id).own--
+	if t := k.target(p.ID); t.restarts == p.restarts {
+		t.own--
+	}
 }
 
 // Utilization is the part of the targets' slots that all instances have in use.
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -45,6 +45,9 @@
 		// nothing of them to others.
 		return
 	}
+	if k.ofEarlierProcess(id, began) {
+		return
+	}
 	k.observe(now, e, began, fromSelf)
 	k.tally(e, began)
 	if o == suspicion.Good {
@@ -71,6 +74,9 @@
 const fromSelf = "self"
 
 func (k *Knowledge) observe(now time.Time, e mesh.Evidence, began time.Time, from string) {
+	if k.ofEarlierProcess(e.Target, began) {
+		return
+	}
 	s := k.service(e.Service)
 	before, after, change := k.estimate(now, s, &e, began, from)
 	if arrived(e.What) {
@@ -90,6 +96,14 @@
 	}
 }
 
+// ofEarlierProcess tells whether an attempt that began at the given time was made at a
+// process that another has followed. A peer that does not know that yet may still make
+// some for the fraction of a second in which a change spreads.
+func (k *Knowledge) ofEarlierProcess(id fleet.TargetID, began time.Time) bool {
+	t := k.targets[id]
+	return t != nil && began.Before(t.restartedAt)
+}
+
 // estimate moves the estimate of the evidence's target.
 func (k *Knowledge) estimate(now time.Time, s *service, e *mesh.Evidence, began time.Time, from string) (before, after float64, c suspicion.Change) {
 	if e.What != suspicion.Rested {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone, Random: rand.Float64}, s.Retry)
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
 	g.state.LeaveWithin(s.LeaveWithin)
+	g.state.OnRestart(func(ids []fleet.TargetID) { g.knowledge.Restarted(time.Now(), ids) })
 	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer}
 	if err := g.listen(); err != nil {
 		return nil, err
@@ -242,7 +243,10 @@
 	unknown := targets.Len() == 0
 	inUse := func(id fleet.TargetID) bool { return unknown || targets.Target(id) != nil }
 	g.knowledge.Tick(now, inUse)
-	g.client.Cache.Sweep(now, inUse)
+	g.client.Cache.Sweep(now, func(t exchange.Target) bool {
+		rt := targets.Target(t.ID)
+		return unknown || (rt != nil && at(rt) == t)
+	})
 	if t := g.state.Table(); t != nil && !g.leaving.Load() {
 		g.front.closeIdle(t.Document.Limits.IdleTimeout)
 	}
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -62,6 +62,10 @@
 	began     time.Time
 	service   document.ServiceName
 	reuse     idleBound
+	// restarts counts the processes that were followed by another under the target's
+	// ID, and restartedAt is when this instance learned of the last.
+	restarts    int
+	restartedAt time.Time
 }
 
 // NewKnowledge returns the knowledge of an instance that has seen nothing.
@@ -94,6 +98,26 @@
 	return t
 }
 
+// Restarted forgets what was seen of targets that have started again under their ID:
+// whether they fail, what they have in flight, which paths to them are cut and how long
+// their connections rest. What comes later of attempts that began before is passed over.
+func (k *Knowledge) Restarted(now time.Time, ids []fleet.TargetID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range ids {
+		k.targets[id] = &target{restarts: k.target(id).restarts + 1, restartedAt: now}
+		for _, p := range k.peers {
+			delete(p.load, id)
+		}
+		for _, z := range k.zones {
+			delete(z.load, id)
+		}
+		for _, s := range k.services {
+			s.estimator.Forget(func(other fleet.TargetID) bool { return other != id })
+		}
+	}
+}
+
 // Tick drops what is old.
 func (k *Knowledge) Tick(now time.Time, inUse func(fleet.TargetID) bool) {
 	k.mu.Lock()
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/placement"
@@ -27,7 +28,7 @@
 }
 
 // cold tells that no connection is at hand.
-func cold(fleet.TargetID, time.Duration) bool { return false }
+func cold(exchange.Target, time.Duration) bool { return false }
 
 func viewOf(members ...mesh.Member) mesh.View {
 	v := mesh.View{At: start, Zone: "a", Members: members}
@@ -103,7 +104,7 @@
 	place := func() fleet.TargetID {
 		p, ok := k.Place(start, "s", ts, nil, placement.Work{}, cold)
 		assert.Assert(t, ok)
-		k.Ended(p.ID)
+		k.Ended(p)
 		return p.ID
 	}
 	first := place()
@@ -180,7 +181,7 @@
 		}
 		p, ok := k.Place(now, "s", ts, nil, placement.Work{}, cold)
 		assert.Assert(t, ok)
-		k.Ended(p.ID)
+		k.Ended(p)
 		return p.ForFloor
 	}
 	assert.Assert(t, !forFloor(start))
@@ -196,7 +197,7 @@
 		k.Observe(start, "s", id, suspicion.Good, start, time.Millisecond)
 	}
 	ts = append(ts, &registry.Target{Entry: registry.Entry{ID: "new", Zone: "a", Slots: 2}, WarmAt: start.Add(3 * time.Second)})
-	warm := func(id fleet.TargetID, _ time.Duration) bool { return id != "new" }
+	warm := func(to exchange.Target, _ time.Duration) bool { return to.ID != "new" }
 	p, _ := k.Place(start, "s", ts, nil, placement.Work{}, warm)
 	assert.Equal(t, p.ID, fleet.TargetID("new"))
 	p, _ = k.Place(start, "s", ts, nil, placement.Work{}, warm)
@@ -248,3 +249,41 @@
 	assert.Equal(t, len(told), beliefEntries)
 	assert.Equal(t, told[0].Target, fleet.TargetID("sick"))
 }
+
+// TestATargetThatStartedAgainIsMetAnew: what was seen of its earlier process says nothing
+// of the later one, whoever tells it and however late.
+func TestATargetThatStartedAgainIsMetAnew(t *testing.T) {
+	k := newKnowledge()
+	ts := targets("t1")
+	earlier, ok := k.Place(start, "s", ts, nil, placement.Work{}, cold)
+	assert.Assert(t, ok)
+	bad := func(age time.Duration) *mesh.Packet {
+		return &mesh.Packet{
+			Addr: "p", Zone: "a", Boot: 1, Load: []mesh.Load{{Target: "t1", InFlight: 3}},
+			Evidence: []mesh.Evidence{{Service: "s", Target: "t1", What: suspicion.Bad, AgeMillis: age.Milliseconds()}},
+		}
+	}
+	k.Take(start, bad(0))
+	k.Observe(start, "s", "t1", suspicion.Unreachable, start, 0)
+	unknown := k.service("s").estimator.Sick(start, "other")
+	assert.Assert(t, k.service("s").estimator.Sick(start, "t1") > unknown)
+
+	again := start.Add(time.Second)
+	k.Restarted(again, []fleet.TargetID{"t1"})
+	k.Ended(earlier)
+	k.Observe(again.Add(time.Second), "s", "t1", suspicion.Bad, start, 0)
+	packet := bad(1500 * time.Millisecond)
+	packet.Load = nil
+	k.Take(again.Add(time.Second), packet)
+	k.Take(again.Add(time.Second), &mesh.Packet{Addr: "q", Zone: "a", Boot: 1, Beliefs: []mesh.Belief{{Service: "s", Target: "t1", Permille: 900}}})
+	known := k.service("s").estimator.Sick(again, "t1")
+	assert.Assert(t, known <= unknown, "%v, of an unknown one %v", known, unknown)
+	p, ok := k.Place(again.Add(time.Second), "s", ts, nil, placement.Work{}, cold)
+	assert.Assert(t, ok)
+	assert.Equal(t, p.InFlight, 0)
+	assert.Assert(t, !again.Before(k.target("t1").cutUntil), "the path is not cut")
+
+	k.Take(again.Add(2*time.Second), bad(10*time.Millisecond))
+	assert.Assert(t, k.service("s").estimator.Sick(again.Add(2*time.Second), "t1") > unknown, "what is seen of the later process counts")
+	assert.Equal(t, k.target("t1").others, 3)
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -145,6 +145,10 @@
 // about 1.4 KB beside the names of other instances.
 const beliefEntries = 24
 
+// beliefAge is for how long after a target has started again a peer may still tell of the
+// earlier process: as long as a change may take to be in force everywhere.
+const beliefAge = 2 * time.Second
+
 // permille is the unit in which beliefs are told.
 const permille = 1000
 
@@ -167,6 +171,9 @@
 // nothing.
 func (k *Knowledge) adopt(now time.Time, bs []mesh.Belief, from string) {
 	for _, b := range bs {
+		if k.ofEarlierProcess(b.Target, now.Add(-beliefAge)) {
+			continue
+		}
 		sick := float64(b.Permille) / permille
 		if k.service(b.Service).estimator.Adopt(now, b.Target, sick) && sick >= suspicion.Suspected {
 			eventlog.Info(eventlog.TargetSuspected, "target", b.Target, "service", b.Service, "by", from, "evidence", "belief", "sick", eventlog.Share(sick))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
 )
@@ -28,6 +30,47 @@
 	// Warmup is how long the target stays slow after its start, counted from
 	// the renewal.
 	Warmup time.Duration
+	// Born is when the target's process started, in milliseconds since the Unix epoch; 0
+	// if it does not say. A later process under the ID knows nothing of the earlier one,
+	// and its sequence starts anew. It travels beside the entry: see Starts.
+	Born int64 `cbor:"-"`
+}
+
+// after tells whether the entry was written after another of the same ID.
+func (e *Entry) after(born, sequence int64) bool {
+	if e.Born != born {
+		return e.Born > born
+	}
+	return e.Sequence > sequence
+}
+
+// Starts returns when the processes of entries were born, in their order; nil if none says
+// so. It travels beside the entries, whose form stays that of instances that know nothing
+// of it.
+func Starts(entries []*Entry) []int64 {
+	starts, told := make([]int64, len(entries)), false
+	for i, e := range entries {
+		starts[i] = e.Born
+		told = told || e.Born != 0
+	}
+	if !told {
+		return nil
+	}
+	return starts
+}
+
+// SetStarts gives entries what Starts returned.
+func SetStarts(entries []*Entry, starts []int64) error {
+	if len(starts) == 0 {
+		return nil
+	}
+	if len(starts) != len(entries) {
+		return errors.Errorf("%d starts for %d entries", len(starts), len(entries))
+	}
+	for i, e := range entries {
+		e.Born = starts[i]
+	}
+	return nil
 }
 
 // Change is one record of the log. Entry is nil if the entry was removed.
@@ -89,7 +132,7 @@
 	// recentChanges bounds the changes that are kept for peers that lag. Each takes
 	// about 100 bytes, and a peer that lags by more gets the whole state.
 	recentChanges = 512
-	// sequenceMemory bounds for how many removed targets the last sequence is
+	// sequenceMemory bounds for how many removed targets the last renewal is
 	// remembered.
 	sequenceMemory = 4096
 )
@@ -99,9 +142,11 @@
 	next    Offset
 	entries map[fleet.TargetID]*Target
 	held    map[fleet.TargetID]held
-	// removed holds the last sequence of targets that are gone, so that a late
-	// write of an old renewal does not bring them back.
-	removed map[fleet.TargetID]int64
+	// removed holds the last renewal of targets that are gone, so that a late write of
+	// an old one does not bring them back.
+	removed map[fleet.TargetID]renewal
+	// restarted are targets that have started again since they were last taken.
+	restarted []fleet.TargetID
 	// recent are the last changes, without a gap up to next.
 	recent   []Change
 	awayFrom time.Time // zero while the log answers
@@ -111,6 +156,12 @@
 	calmHold time.Duration
 }
 
+// renewal is what is remembered of a target that has gone. Sequence is 0 if the target
+// gave no notice: the same process may come back.
+type renewal struct {
+	born, sequence int64
+}
+
 // held is an entry that vanished at a time and is in use until another.
 type held struct {
 	target *Target
@@ -132,7 +183,7 @@
 	r := &Registry{
 		entries: make(map[fleet.TargetID]*Target),
 		held:    make(map[fleet.TargetID]held),
-		removed: make(map[fleet.TargetID]int64),
+		removed: make(map[fleet.TargetID]renewal),
 		changed: true,
 
 		calmHold: CalmHold,
@@ -248,18 +299,48 @@
 }
 
 func (r *Registry) put(now time.Time, e Entry) {
-	if last, ok := r.removed[e.ID]; ok && e.Sequence <= last && last > 0 && e.Sequence > 0 {
+	if r.outdated(&e) {
 		return
 	}
-	old := r.entries[e.ID]
-	if old != nil && e.Sequence < old.Sequence {
-		return
+	if r.startsAgain(&e) {
+		r.restarted = append(r.restarted, e.ID)
 	}
 	delete(r.held, e.ID)
+	delete(r.removed, e.ID)
 	r.entries[e.ID] = &Target{Entry: e, WarmAt: now.Add(e.Warmup)}
 	r.changed = true
 }
 
+// outdated tells whether something newer than the entry is known of its target.
+func (r *Registry) outdated(e *Entry) bool {
+	if last, ok := r.removed[e.ID]; ok {
+		if e.Born < last.born {
+			return true
+		}
+		if e.Born == last.born && last.sequence > 0 && e.Sequence > 0 && !e.after(last.born, last.sequence) {
+			return true
+		}
+	}
+	old := r.entries[e.ID]
+	return old != nil && old.after(e.Born, e.Sequence)
+}
+
+// startsAgain tells whether the entry is that of a later process than the one known.
+func (r *Registry) startsAgain(e *Entry) bool {
+	if old := r.entries[e.ID]; old != nil {
+		return e.Born > old.Born
+	}
+	last, ok := r.removed[e.ID]
+	return ok && e.Born > last.born
+}
+
+// TakeRestarted returns the targets that have started again since the last call.
+func (r *Registry) TakeRestarted() []fleet.TargetID {
+	ids := r.restarted
+	r.restarted = nil
+	return ids
+}
+
 // remove takes out an entry whose removal was first learned of at the given time.
 func (r *Registry) remove(now time.Time, id fleet.TargetID, since time.Time) {
 	t := r.entries[id]
@@ -288,10 +369,13 @@
 
 func (r *Registry) remember(t *Target) {
 	if len(r.removed) >= sequenceMemory {
-		r.removed = make(map[fleet.TargetID]int64)
+		r.removed = make(map[fleet.TargetID]renewal)
 	}
-	if t.Leaving {
-		r.removed[t.ID] = t.Sequence
+	switch {
+	case t.Leaving:
+		r.removed[t.ID] = renewal{t.Born, t.Sequence}
+	case t.Born != 0:
+		r.removed[t.ID] = renewal{born: t.Born}
 	}
 }
 
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -170,3 +171,65 @@
 	put(t, r, start, entry("a", 6))
 	assert.Assert(t, !inUse(r, start, "a"))
 }
+
+func bornAt(id fleet.TargetID, born, sequence int64) Entry {
+	e := entry(id, sequence)
+	e.Born, e.Addr = born, fmt.Sprintf("10.0.0.%d:80", born)
+	return e
+}
+
+// TestATargetThatStartsAgainIsKnownByItsLaterProcess: its sequence starts anew, so that
+// its entries looked older than those of its earlier process, and it stayed what that had
+// been: leaving, or at another address.
+func TestATargetThatStartsAgainIsKnownByItsLaterProcess(t *testing.T) {
+	for name, before := range map[string]func(*Registry){
+		"in use":  func(r *Registry) { put(t, r, start, bornAt("a", 1, 50)) },
+		"leaving": func(r *Registry) { e := bornAt("a", 1, 50); e.Leaving = true; put(t, r, start, e) },
+		"gone with a notice": func(r *Registry) {
+			e := bornAt("a", 1, 50)
+			e.Leaving = true
+			put(t, r, start, e)
+			drop(t, r, start, "a")
+		},
+		"gone without a notice":     func(r *Registry) { put(t, r, start, bornAt("a", 1, 50)); drop(t, r, start, "a") },
+		"earlier one does not tell": func(r *Registry) { put(t, r, start, entry("a", 50)) },
+	} {
+		r := New()
+		before(r)
+		r.TakeRestarted()
+		put(t, r, start, bornAt("a", 2, 1))
+		assert.Equal(t, r.View().Target("a").Addr, "10.0.0.2:80", name)
+		assert.DeepEqual(t, r.TakeRestarted(), []fleet.TargetID{"a"})
+		assert.Equal(t, len(r.Vanished(start)), 0, name)
+	}
+}
+
+// TestALateEntryOfAnEarlierProcessChangesNothing: neither as a change, nor in a snapshot, nor
+// after the later process has gone.
+func TestALateEntryOfAnEarlierProcessChangesNothing(t *testing.T) {
+	late := bornAt("a", 1, 70)
+	r := New()
+	put(t, r, start, bornAt("a", 2, 1))
+	put(t, r, start, late)
+	assert.Equal(t, r.View().Target("a").Born, int64(2))
+	assert.Assert(t, r.Replace(start, r.Next()+5, []Entry{late}, nil))
+	assert.Equal(t, r.View().Target("a").Born, int64(2))
+	drop(t, r, start, "a")
+	put(t, r, start, late)
+	assert.Assert(t, !inUse(r, start.Add(time.Minute), "a"))
+	put(t, r, start, bornAt("a", 2, 9))
+	assert.Assert(t, inUse(r, start.Add(time.Minute), "a"), "the process itself may come back")
+	assert.Equal(t, len(r.TakeRestarted()), 0)
+}
+
+func TestStartsTravelBesideEntries(t *testing.T) {
+	a, b := bornAt("a", 7, 1), entry("b", 1)
+	assert.Assert(t, Starts([]*Entry{&b}) == nil)
+	starts := Starts([]*Entry{&a, &b})
+	a.Born = 0
+	assert.NilError(t, SetStarts([]*Entry{&a, &b}, starts))
+	assert.Equal(t, a.Born, int64(7))
+	assert.Equal(t, b.Born, int64(0))
+	assert.NilError(t, SetStarts([]*Entry{&a}, nil), "from an instance that knows of none")
+	assert.ErrorContains(t, SetStarts([]*Entry{&a}, starts), "2 starts for 1")
+}
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -76,5 +76,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return w, errors.Errorf("peer answered %d: %.80s", resp.StatusCode, body)
 	}
-	return w, errors.WithStack(cbor.Unmarshal(body, &w))
+	if err := cbor.Unmarshal(body, &w); err != nil {
+		return w, errors.WithStack(err)
+	}
+	return w, registry.SetStarts(w.entries(), w.Starts)
 }
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/registry"
 )
 
@@ -15,8 +16,10 @@
 type State struct {
 	seed     uint64
 	onChange func()
-	table    atomic.Pointer[document.Table]
-	targets  atomic.Pointer[registry.View]
+	// onRestart may be nil.
+	onRestart func([]fleet.TargetID)
+	table     atomic.Pointer[document.Table]
+	targets   atomic.Pointer[registry.View]
 
 	mu       sync.Mutex
 	registry *registry.Registry
@@ -35,6 +38,10 @@
 	return s
 }
 
+// OnRestart sets what is called with targets that have started again under their ID. It
+// must be set before the state is in use.
+func (s *State) OnRestart(f func([]fleet.TargetID)) { s.onRestart = f }
+
 // LeaveWithin sets within which time a target that has gone must get no more work.
 func (s *State) LeaveWithin(bound time.Duration) {
 	s.mu.Lock()
@@ -203,9 +210,9 @@
 	}
 	s.targets.Store(after)
 	after.Each(func(t *registry.Target) {
-		if before.Target(t.ID) == nil {
+		if old := before.Target(t.ID); old == nil || old.Born != t.Born {
 			eventlog.Info(eventlog.TargetAdded, "target", t.ID, "service", t.Service, "addr", t.Addr, "zone", t.Zone,
-				"slots", t.Slots, "warmup_ms", t.Warmup.Milliseconds(), "offset", after.Next, "from", from)
+				"slots", t.Slots, "warmup_ms", t.Warmup.Milliseconds(), "born", t.Born, "again", old != nil, "offset", after.Next, "from", from)
 		}
 	})
 	before.Each(func(t *registry.Target) {
@@ -215,7 +222,14 @@
 	})
 }
 
+// changed tells of changes; the lock is not held.
 func (s *State) changed(yes bool) {
+	s.mu.Lock()
+	again := s.registry.TakeRestarted()
+	s.mu.Unlock()
+	if len(again) > 0 && s.onRestart != nil {
+		s.onRestart(again)
+	}
 	if yes && s.onChange != nil {
 		s.onChange()
 	}
@@ -232,6 +246,22 @@
 	Changes      []registry.Change  `cbor:"6,keyasint,omitempty"`
 	// Vanished are entries that were removed lately without a notice.
 	Vanished []registry.Vanished `cbor:"5,keyasint,omitempty"`
+	// Starts are when the processes of the entries were born.
+	Starts []int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// entries are those that the state carries, by themselves or in changes.
+func (w *Whole) entries() []*registry.Entry {
+	var es []*registry.Entry
+	for i := range w.Entries {
+		es = append(es, &w.Entries[i])
+	}
+	for i := range w.Changes {
+		if e := w.Changes[i].Entry; e != nil {
+			es = append(es, e)
+		}
+	}
+	return es
 }
 
 // whole returns what is newer than the given versions.
@@ -250,6 +280,7 @@
 		} else {
 			w.Entries = s.registry.Entries()
 		}
+		w.Starts = registry.Starts(w.entries())
 	}
 	return w
 }
--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -267,3 +267,35 @@
 		assert.Assert(t, !reads || i >= bridges)
 	}
 }
+
+// TestPeersTellWhenTargetsStarted: as changes and as the whole state, and the instance
+// learns which have started again.
+func TestPeersTellWhenTargetsStarted(t *testing.T) {
+	for _, lag := range []registry.Offset{0, 1} {
+		old := NewState(0, nil)
+		e := registry.Entry{ID: "a", Service: "s", Sequence: 40, Born: 1}
+		old.applyBatch(Targets, Batch{Records: []Record{{Offset: 0, ID: "a", Entry: &e}}}, "store")
+		fresh := NewState(0, nil)
+		var again []fleet.TargetID
+		fresh.OnRestart(func(ids []fleet.TargetID) { again = append(again, ids...) })
+		catchUp := func() {
+			srv := httptest.NewServer(old)
+			defer srv.Close()
+			addr := strings.TrimPrefix(srv.URL, "http://")
+			_, o := fresh.Versions()
+			w, err := newPuller().pull(t.Context(), addr, 0, o)
+			assert.NilError(t, err)
+			fresh.applyWhole(w, addr)
+		}
+		if lag == 0 {
+			old.applySnapshot(Targets, Batch{Next: 9, Records: []Record{{Offset: 0, ID: "a", Entry: &e}}}, "store")
+		}
+		catchUp()
+		assert.Equal(t, fresh.Targets().Target("a").Born, int64(1))
+		later := registry.Entry{ID: "a", Service: "s", Sequence: 1, Born: 2}
+		old.applyBatch(Targets, Batch{Records: []Record{{Offset: old.next(Targets), ID: "a", Entry: &later}}}, "store")
+		catchUp()
+		assert.Equal(t, fresh.Targets().Target("a").Born, int64(2))
+		assert.DeepEqual(t, again, []fleet.TargetID{"a"})
+	}
+}
