platform, statesync: an entry of another writer names no target, and stops no other

Change: each field of an entry must be there and of its type; a record that cannot be read is refused by itself; refused records are counted by cause and logged once for each key and cause. Test that was wrong: TestMalformedRecordsAreRefused wanted a whole reply refused for a record without a key and for one whose key is too long. TestMalformedFramesAreRefused keeps the frames that are broken, with two more, and TestARecordThatCannotBeReadStopsNoOther wants those two refused and what follows read. Ruled out: keeping the last sound entry (a fresh process does not know it).

--- /dev/null
+++ b/fuzz.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Runs each fuzz target for a while: ./fuzz.sh [TIME], as 3s or 5m. Whatever a target
+# finds, Go writes to its package's testdata/fuzz, where it stays as a test.
+set -euo pipefail
+cd "$(dirname "$0")"
+time=${1:-1m}
+for package in ./platform ./mesh ./gateway ./statesync; do
+  for target in $(go test "$package" -list '^Fuzz' | grep '^Fuzz'); do
+    printf '%s %s: ' "$package" "$target"
+    go test "$package" -run '^$' -fuzz "^$target\$" -fuzztime "$time" | tail -1
+  done
+done
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -60,6 +60,9 @@
 	for _, k := range mesh.Kinds() {
 		m.Registry.Gauge("gateway.mesh.bytes.sent", telemetry.Label{Key: "kind", Value: k.String()}).Update(stats.SentBytes[k])
 	}
+	for cause, n := range g.state.Refused() {
+		m.Registry.Gauge("gateway.records.refused", telemetry.Label{Key: "cause", Value: string(cause)}).Update(n)
+	}
 	for name, n := range g.knowledge.Suspects() {
 		m.Registry.Gauge("gateway.targets.suspected", telemetry.Label{Key: "service", Value: string(name)}).Update(int64(n))
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -261,16 +261,6 @@
 	return since
 }
 
-// Skip passes over a change that could not be decoded; what is known of its target
-// stays in force. It tells false if changes before it are missing.
-func (r *Registry) Skip(o Offset) bool {
-	if o == r.next {
-		r.next++
-		r.recent = nil // peers must not take the gap for nothing
-	}
-	return o < r.next
-}
-
 // Replace takes in the whole state of the log before offset next, if that is
 // ahead of what was applied. Vanished are removals that the sender learned of lately.
 func (r *Registry) Replace(now time.Time, next Offset, entries []Entry, vanished []Vanished) bool {
--- /dev/null
+++ b/statesync/fuzz_test.go
@@ -0,0 +1,36 @@
+package statesync
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/clementinereel/clementinereel/registry"
+)
+
+// FuzzWhole: whatever a peer answers to a pull is refused or taken in.
+func FuzzWhole(f *testing.F) {
+	e := registry.Entry{ID: "a", Service: "s", Sequence: 4}
+	for _, w := range []Whole{
+		{Document: documentOf(7), NextDocument: 1, Registry: 2, Entries: []registry.Entry{e}, Starts: []int64{9}},
+		{Registry: 2, Changes: []registry.Change{{Offset: 0, ID: "a", Entry: &e}, {Offset: 1, ID: "a"}}, Vanished: []registry.Vanished{{ID: "a", AgeMillis: 3}}},
+	} {
+		b, err := cbor.Marshal(&w)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		w, err := decodeWhole(data)
+		if err != nil {
+			return
+		}
+		s := NewState(0, nil)
+		s.applyWhole(w, "peer")
+		s.whole(0, 0)
+		if table := s.Table(); table != nil && table.Document.Check() != nil {
+			t.Fatal("a document is in force that fails its check")
+		}
+	})
+}
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -76,6 +76,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return w, errors.Errorf("peer answered %d: %.80s", resp.StatusCode, body)
 	}
+	return decodeWhole(body)
+}
+
+func decodeWhole(body []byte) (Whole, error) {
+	var w Whole
 	if err := cbor.Unmarshal(body, &w); err != nil {
 		return w, errors.WithStack(err)
 	}
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -18,6 +18,7 @@
 	onChange func()
 	// onRestart may be nil.
 	onRestart func([]fleet.TargetID)
+	refusals  refusals
 	table     atomic.Pointer[document.Table]
 	targets   atomic.Pointer[registry.View]
 
@@ -133,18 +134,18 @@
 		}
 		s.nextDocument = max(s.nextDocument, b.Next)
 	case Targets:
-		changed = s.registry.Replace(time.Now(), b.Next, entriesOf(b.Records), nil)
+		changed = s.registry.Replace(time.Now(), b.Next, s.entriesOf(b.Records), nil)
 		s.publish(from)
 	}
 	s.mu.Unlock()
 	s.changed(changed)
 }
 
-func entriesOf(records []Record) []registry.Entry {
+func (s *State) entriesOf(records []Record) []registry.Entry {
 	var entries []registry.Entry
 	for _, r := range records {
 		if r.Err != nil {
-			eventlog.Error(eventlog.EntryRefused, r.Err, "offset", r.Offset, "target", r.ID)
+			s.refusals.note(eventlog.EntryRefused, Targets, string(r.ID), r.Offset, r.Err)
 			continue
 		}
 		if r.Entry != nil {
@@ -175,16 +176,18 @@
 
 func (s *State) applyRecordDocument(r Record, from string) bool {
 	if r.Err != nil {
-		eventlog.Error(eventlog.DocumentRefused, r.Err, "offset", r.Offset, "from", from, "in_force", s.version())
+		s.refusals.note(eventlog.DocumentRefused, Documents, string(r.ID), r.Offset, r.Err)
 		return false
 	}
 	return r.Document != nil && s.applyDocument(r.Document, from)
 }
 
+// applyRecordTarget takes in a change of a target's entry. One that cannot be used names no
+// target, as if the entry had been removed without a notice: every instance, whether it
+// reads changes or a snapshot, comes to the same targets.
 func (s *State) applyRecordTarget(r Record) bool {
 	if r.Err != nil {
-		eventlog.Error(eventlog.EntryRefused, r.Err, "offset", r.Offset, "target", r.ID)
-		return s.registry.Skip(r.Offset)
+		s.refusals.note(eventlog.EntryRefused, Targets, string(r.ID), r.Offset, r.Err)
 	}
 	return s.registry.Apply(time.Now(), registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry})
 }
--- a/statesync/store.go
+++ b/statesync/store.go
@@ -25,9 +25,9 @@
 // String names the stream in logs and metrics.
 func (s Stream) String() string { return [...]string{"documents", "targets"}[s] }
 
-// Record is a change of a stream, decoded. One of Document and ID is set, or
-// Err if the record could not be decoded, or none if it does not concern the
-// instance.
+// Record is a change of a stream, decoded. One of Document and ID is set, or none if it
+// does not concern the instance. Err is set if the record could not be decoded; it then has
+// neither a Document nor an Entry, and ID where the key could be read.
 type Record struct {
 	Offset   registry.Offset
 	Document *document.Document
