mesh, gateway: news has a file of its own; loads told between a heartbeat's parts are kept

A load that was told between the filling of a heartbeat and the clearing of what it supersedes was dropped until the next one; and an attempt that outlived its target's restart and its place in the table could count the requests in flight below zero. Change: news.go has what waits for the link; what a heartbeat supersedes is cleared before it is filled; the count of requests in flight does not fall below zero. Ruled out: nothing else changes.

--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -134,7 +134,7 @@
 func (k *Knowledge) Ended(p Placed) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if t := k.target(p.ID); t.restarts == p.restarts {
+	if t := k.target(p.ID); t.restarts == p.restarts && t.own > 0 {
 		t.own--
 	}
 }
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -12,6 +12,10 @@
 // time. Whoever gets a packet from another zone passes it on, so that views of who
 // the bridges are may differ; a packet that comes twice is taken once.
 //
+// News grows with the load of callers, and bridges get that of all zones. It is paced by a
+// part of the instance's link, and what gathers meanwhile leaves together; heartbeats and
+// announcements of changes do not wait.
+//
 // A datagram may be lost; nothing depends on a single one. An instance becomes
 // known by its seeds, by the store's list of addresses, or by being named in a
 // heartbeat, and counts once it was heard. The interval of heartbeats grows with
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -13,7 +13,6 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/registry"
-	"github.com/clementinereel/clementinereel/suspicion"
 	"github.com/clementinereel/clementinereel/wait"
 )
 
@@ -199,10 +198,12 @@
 	now := time.Now()
 	p := n.packet()
 	p.Heartbeat = true
+	n.mu.Lock()
+	n.outbox.superseded()
+	n.mu.Unlock()
 	n.calls.Fill(now, p)
 	n.mu.Lock()
 	n.versions = versions{p.Document, p.Registry, p.Log}
-	n.outbox.superseded()
 	p.Known = n.members.sample(now)
 	to := n.members.beats(now)
 	place := n.members.place(now)
@@ -251,101 +252,6 @@
 	n.send(Announcements, q, to)
 }
 
-// Tell sends a packet with the given evidence, load and usage, at once where the link
-// allows. Other zones get the evidence only, without successes: those, load and usage are
-// in the digests.
-func (n *Node) Tell(p Packet) {
-	n.mu.Lock()
-	n.versions = versions{p.Document, p.Registry, p.Log}
-	n.outbox.add(time.Now(), &p)
-	n.mu.Unlock()
-	n.flush()
-}
-
-// flush sends the news that waits, as far as the link allows, and the rest later.
-func (n *Node) flush() {
-	for n.flushOnce() {
-	}
-}
-
-// flushOnce sends one datagram's news. It tells false if there is none, or if it must
-// wait.
-func (n *Node) flushOnce() bool {
-	now := time.Now()
-	n.mu.Lock()
-	if n.outbox.empty() {
-		n.mu.Unlock()
-		return false
-	}
-	if wait := n.outbox.wait(now); wait > 0 {
-		n.flushAfter(wait)
-		n.mu.Unlock()
-		return false
-	}
-	news, digest := n.outbox.next(now)
-	near, far := n.members.neighbours(now), n.members.bridges(now)
-	n.mu.Unlock()
-	if news != nil {
-		n.sendNews(news, near, far)
-	}
-	if digest != nil {
-		digest.Relayed = true
-		n.send(Passed, digest, near)
-	}
-	return true
-}
-
-// flushAfter arranges for a later flush; the lock is held.
-func (n *Node) flushAfter(wait time.Duration) {
-	if n.outbox.armed {
-		return
-	}
-	n.outbox.armed = true
-	time.AfterFunc(wait, func() {
-		n.mu.Lock()
-		n.outbox.armed = false
-		n.mu.Unlock()
-		n.flush()
-	})
-}
-
-// sendNews sends own news and that of other zones to the own zone, and own evidence to
-// the other zones.
-func (n *Node) sendNews(news *Packet, near, far []netip.AddrPort) {
-	own := len(news.Evidence)+len(news.Load)+len(news.Usage) > 0
-	if !own && len(news.Passed) == 1 {
-		alone := news.Passed[0]
-		alone.Relayed = true
-		n.send(Passed, alone, near)
-		return
-	}
-	q := n.packet()
-	n.mu.Lock()
-	n.versions.stamp(q)
-	n.mu.Unlock()
-	q.Evidence, q.Load, q.Usage, q.Passed = news.Evidence, news.Load, news.Usage, news.Passed
-	kind := News
-	if !own {
-		kind = Passed
-	}
-	n.send(kind, q, near)
-	if urgent := withoutSuccesses(news.Evidence); len(urgent) > 0 {
-		across := n.packet()
-		across.Evidence = urgent
-		n.send(News, across, far)
-	}
-}
-
-func withoutSuccesses(es []Evidence) []Evidence {
-	var out []Evidence
-	for _, e := range es {
-		if e.What != suspicion.Good {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
 func (n *Node) packet() *Packet {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -454,17 +360,6 @@
 	n.send(Greetings, p, []netip.AddrPort{to})
 }
 
-// relay passes a packet of another zone on within the own one.
-func (n *Node) relay(now time.Time, p *Packet) {
-	if p.Zone == n.cfg.Zone || p.Relayed || (len(p.Evidence) == 0 && p.Digest == nil) {
-		return
-	}
-	n.mu.Lock()
-	n.outbox.pass(now, p)
-	n.mu.Unlock()
-	n.flush()
-}
-
 func (n *Node) expire() {
 	n.mu.Lock()
 	lost := n.members.expire(time.Now())
--- a/mesh/outbox.go
+++ b/mesh/outbox.go
@@ -141,7 +141,7 @@
 	return items[over:]
 }
 
-// superseded drops what a heartbeat tells.
+// superseded drops what the heartbeat that is about to be filled tells.
 func (o *outbox) superseded() {
 	clear(o.load)
 	clear(o.usage)
