--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -13,13 +13,8 @@
 	"github.com/clementinereel/clementinereel/suspicion"
 )
 
-const (
-	// smallLink is what the smallest links of a fleet carry, in bytes a second
-	// (10 Mbit/s).
-	smallLink = 1_250_000
-	// headers are the bytes that IP and UDP add to a datagram.
-	headers = 28
-)
+// smallLink is what the smallest links of a fleet carry, in bytes a second (10 Mbit/s).
+const smallLink = 1_250_000
 
 // link is how much a node's link has still to carry, worked out from what it sends.
 type link struct {
@@ -34,7 +29,7 @@
 func (l *link) look() {
 	now := time.Now()
 	s := l.node.Stats()
-	sent := headers * s.Sent
+	sent := headerBytes * s.Sent
 	for _, b := range s.SentBytes {
 		sent += b
 	}
--- a/mesh/outbox.go
+++ b/mesh/outbox.go
@@ -15,18 +15,18 @@
 	// news waits once they do. The rest is for callers and targets, whose bodies take
 	// up to half of a small link at twice the usual load, and for changes of the
 	// configuration: with bridges that sent without a bound, 1.8 times what their
-	// links carry, a change was in force 2 s late. At 134 instances the digests that a
-	// bridge passes on take half of this share.
+	// links carry, a change was in force 2 s late. The digests that a bridge passes on
+	// take half of this share at most, since they alternate with news.
 	newsShare = 0.4
 	// newsBurst is for how long a time's share may be sent ahead, so that a few
-	// pieces of news leave at once. It holds up other packets for 30 ms at most.
+	// pieces of news leave at once. It holds up other packets for 40 ms at most.
 	newsBurst = 100 * time.Millisecond
 	// headerBytes are those that IP and UDP add to a datagram.
 	headerBytes = 28
 )
 
 // Bounds of the news that waits: each is about as much as goes to 44 neighbours over a small
-// link within 1.3 s. What is older when more comes is dropped, since it says less of the
+// link within 1 s. What is older when more comes is dropped, since it says less of the
 // present.
 const (
 	waitingEvidence = 256
