retry/pooled, gateway, mesh: the retry budget is shares and loans, and rests on no news

Cause: at 293 instances 3,254 attempts were added within a window whose bound was 2,930, while a sixth of them lost power. The budget was one pool less what others were heard to have spent: by heartbeats every 2.3 s, by digests of zones that wait for the link, and at processes that had not seen the window. Which of these led to the overdraft was not told apart; the mend takes away all of them. Weighed: (a) the pool with a reserve for what can be unheard: 150 at 293 instances was not enough, and any figure rests on delays; (b) credits granted by a chosen instance of each zone: its successor does not know what was granted within the window; (c) shares by demand, moving: news again. Shares that add up to the bound need none; loans between neighbours bring them where the failures are. Token buckets that start empty, half of the bound in full ones, make restarts lose attempts instead of gaining them; a share counted over a sliding window was tried first and overdrawn by restarts in the test.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -48,6 +48,7 @@
 	RequestRefused Event = "request-refused"
 	RequestFailed  Event = "request-failed"
 	CallerLeft     Event = "caller-left"
+	BudgetLent     Event = "budget-lent"
 )
 
 // Share is a probability or a part of a whole, which lines write with three digits.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/placement"
 	"github.com/clementinereel/clementinereel/suspicion"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 // outcomeKind tells how a request ended.
@@ -259,19 +260,35 @@
 
 // spend takes a further attempt out of the budget.
 func (r *race) spend(why string) bool {
-	left, ok := r.c.h.Knowledge.Spend(time.Now(), r.c.service, r.c.h.Peers(), r.c.route.Priority <= urgentPriority)
+	left, ok := r.c.h.Knowledge.Spend(time.Now(), r.c.service, r.c.urgent())
+	if !ok && r.borrow() {
+		left, ok = r.c.h.Knowledge.Spend(time.Now(), r.c.service, r.c.urgent())
+	}
 	event := eventlog.AttemptAdded
 	if !ok {
 		event = eventlog.AttemptRefused
 		r.c.h.Metrics.BudgetRefused.Inc(1)
 	}
-	eventlog.Info(event, "request", r.c.id, "service", r.c.service, "why", why, "budget_left", int(left), "attempts", len(r.tried))
+	eventlog.Info(event, "request", r.c.id, "service", r.c.service, "why", why, "budget_left", eventlog.Share(left), "attempts", len(r.tried))
 	return ok
 }
 
+// borrow asks neighbours for a loan and waits for it, unless they were asked a moment ago.
+func (r *race) borrow() bool {
+	asks := r.c.h.Knowledge.Short(time.Now(), r.c.service)
+	if asks == nil {
+		return false
+	}
+	r.c.h.AskForLoans(asks, lenders)
+	return wait.For(r.ctx, loanWait)
+}
+
 // urgentPriority is the rank up to which a route may use the whole budget.
 const urgentPriority = 1
 
+// urgent tells whether less urgent requests of the service leave it a part of the budget.
+func (c *call) urgent() bool { return c.route.Priority <= urgentPriority }
+
 // begin starts an attempt at the target that is expected to cost least.
 func (r *race) begin() bool {
 	c := r.c
@@ -291,13 +308,12 @@
 	return true
 }
 
-// tell tells others of an attempt that was begun: all of the zone where that is a trial, fills
-// the target's slots or was added to the request, and else those that may choose the target
-// too.
+// tell tells others of an attempt that was begun: all of the zone where that is a trial or
+// fills the target's slots, and else those that may choose the target too.
 func (r *race) tell(now time.Time, p Placed) {
 	h := r.c.h
-	if p.Doubtful || p.crowded() || len(r.tried) > 1 {
-		h.Tell(h.Knowledge.News(now, r.c.service, p.ID))
+	if p.Doubtful || p.crowded() {
+		h.Tell(h.Knowledge.News(now, p.ID))
 		return
 	}
 	h.TellLoad(h.Knowledge.InFlight(p.ID), func(addr string) bool { return h.Knowledge.Concerns(addr, &p) })
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -4,48 +4,88 @@
 	"time"
 
 	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/mesh"
-	"github.com/clementinereel/clementinereel/retry/pooled"
 )
 
 const (
-	// accountAfter is how long an instance spends only its own part of the retry
-	// budgets: heartbeats and digests must have told it first what the others
-	// spent, and which zones there are. An instance is known by its first packet,
-	// which says nothing of that.
-	accountAfter = 2 * time.Second
+	// lenders is how many neighbours are asked for a loan. Each lends half of what it has
+	// at most, so that three together have an attempt where buckets hold one or less.
+	lenders = 3
+	// askEvery is the least time between askings for one service: where a whole service
+	// fails nobody has anything to lend.
+	askEvery = 200 * time.Millisecond
+	// loanWait is how long a request waits for a loan; a neighbour answers within 1 to 2 ms.
+	loanWait = 8 * time.Millisecond
+	// countedAfter is how long a process takes no part of the slack: it knows only some of
+	// those that share it.
+	countedAfter = 2 * time.Second
 )
 
 // Request records a request for a service, for its retry budget.
-func (k *Knowledge) Request(now time.Time, name document.ServiceName) {
+func (k *Knowledge) Request(now time.Time, name document.ServiceName, urgent bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.service(name).budget.Request(now)
+	k.service(name).budget.Request(now, urgent)
 }
 
 // Spend takes an attempt out of the service's retry budget, if there is one.
-func (k *Knowledge) Spend(now time.Time, name document.ServiceName, v mesh.View, urgent bool) (left float64, ok bool) {
+func (k *Knowledge) Spend(now time.Time, name document.ServiceName, urgent bool) (left float64, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	f := k.fleet(now, name, v)
 	b := k.service(name).budget
-	left = b.Left(now, f)
-	return left, b.Spend(now, f, urgent)
+	left = b.Left(now, k.instances(now))
+	return left, b.Spend(now, k.instances(now), urgent)
 }
 
-func (k *Knowledge) fleet(now time.Time, name document.ServiceName, v mesh.View) pooled.Fleet {
-	f := pooled.Fleet{Instances: k.most.note(now, v.Instances()), Complete: v.Complete() && !k.fresh(now)}
-	k.addMembers(&f, name, v)
-	for _, z := range k.zones {
-		f.Requests += z.claims[name].Requests
-		f.Claimed += z.claims[name].Claimed
+// Short returns what others are to be asked for, nil if they were asked a moment ago.
+func (k *Knowledge) Short(now time.Time, name document.ServiceName) []mesh.Loan {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.service(name)
+	if now.Sub(s.askedAt) < askEvery {
+		return nil
+	}
+	s.askedAt = now
+	s.budget.Asked(now)
+	return []mesh.Loan{{Service: name, Permille: permille}}
+}
+
+// Lend returns what this instance lends to one that asked.
+func (k *Knowledge) Lend(now time.Time, to string, asks []mesh.Loan) []mesh.Loan {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var loans []mesh.Loan
+	for _, a := range asks {
+		lent := k.service(a.Service).budget.Lend(now, k.instances(now), float64(a.Permille)/permille)
+		if part := int(lent * permille); part > 0 {
+			loans = append(loans, mesh.Loan{Service: a.Service, Permille: part})
+			eventlog.Info(eventlog.BudgetLent, "service", a.Service, "to", to, "permille", part)
+		}
+	}
+	return loans
+}
+
+// borrow takes in what another instance has lent.
+func (k *Knowledge) borrow(now time.Time, loans []mesh.Loan) {
+	for _, l := range loans {
+		k.service(l.Service).budget.Borrow(now, float64(l.Permille)/permille)
 	}
-	return f
 }
 
-// fresh tells whether the instance cannot know yet what the others spent.
-func (k *Knowledge) fresh(now time.Time) bool {
-	return !k.born.IsZero() && now.Sub(k.born) < accountAfter
+// Count takes in how many instances there are, which share the slack of the budgets.
+func (k *Knowledge) Count(now time.Time, instances int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.most.note(now, instances)
+}
+
+// instances is how many share the slack; 0 if that is not known.
+func (k *Knowledge) instances(now time.Time) int {
+	if now.Sub(k.booted) < countedAfter {
+		return 0
+	}
+	return k.most.number()
 }
 
 // pastMost remembers the largest number of instances of the last while: those
@@ -58,10 +98,12 @@
 // mostWindow is half of the time for which a number is remembered.
 const mostWindow = 15 * time.Second
 
-func (m *pastMost) note(now time.Time, n int) int {
+func (m *pastMost) note(now time.Time, n int) {
 	if now.Sub(m.since) > mostWindow {
 		m.before, m.now, m.since = m.now, 0, now
 	}
 	m.now = max(m.now, n)
-	return max(m.now, m.before)
 }
+
+// number is the largest number; 0 if none was noted.
+func (m *pastMost) number() int { return max(m.now, m.before) }
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -3,10 +3,8 @@
 import (
 	"time"
 
-	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/mesh"
-	"github.com/clementinereel/clementinereel/retry/pooled"
 	"github.com/clementinereel/clementinereel/suspicion"
 )
 
@@ -22,7 +20,6 @@
 // zone is what another zone's bridges told of all its instances.
 type zone struct {
 	peer
-	claims map[document.ServiceName]mesh.ZoneUsage
 }
 
 // takeDigest takes in what another zone does.
@@ -41,10 +38,6 @@
 			k.observe(now, mesh.Evidence{Service: g.Service, Target: g.Target, What: suspicion.Good}, began, string(name))
 		}
 	}
-	z.claims = make(map[document.ServiceName]mesh.ZoneUsage, len(d.Usage))
-	for _, u := range d.Usage {
-		z.claims[u.Service] = u
-	}
 }
 
 // Digest sums up the own zone, of which v is the view, with its successes if this
@@ -53,15 +46,6 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d := &mesh.Digest{Instances: v.InZone(), Complete: v.ZoneComplete()}
-	instances := k.most.note(now, v.Instances())
-	for name, s := range k.services {
-		f := pooled.Fleet{Instances: instances}
-		f.Add(k.retry, s.budget.Usage(now))
-		k.addMembers(&f, name, v)
-		if f.Requests > 0 {
-			d.Usage = append(d.Usage, mesh.ZoneUsage{Service: name, Requests: f.Requests, Claimed: f.Claimed})
-		}
-	}
 	for id, t := range k.targets {
 		n := t.own + t.others
 		for _, z := range k.zones {
@@ -82,18 +66,3 @@
 	}
 	return d
 }
-
-func (k *Knowledge) addMembers(f *pooled.Fleet, name document.ServiceName, v mesh.View) {
-	for i := range k.ended {
-		if e := &k.ended[i]; e.service == name {
-			f.Requests += e.usage.Requests
-			f.Claimed += float64(e.usage.Added)
-		}
-	}
-	for i := range v.Members {
-		m := &v.Members[i]
-		if p := k.peers[m.Addr]; p != nil && m.Zone == v.Zone {
-			f.Add(k.retry, p.usage[name])
-		}
-	}
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,7 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	g := &Gateway{settings: s, booted: time.Now(), metrics: NewMetrics()}
-	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone, Random: rand.Float64}, s.Retry)
+	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone, Random: rand.Float64}, s.Retry, g.booted)
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
 	g.state.LeaveWithin(s.LeaveWithin)
 	g.state.OnRestart(func(ids []fleet.TargetID) { g.knowledge.Restarted(time.Now(), ids) })
@@ -91,7 +91,7 @@
 		return errors.WithStack(err)
 	}
 	g.handler = &Handler{
-		State: g.state, Knowledge: g.knowledge, Client: g.client, Peers: g.node.View, Tell: g.tell, TellLoad: g.node.TellLoad, Metrics: g.metrics,
+		State: g.state, Knowledge: g.knowledge, Client: g.client, Tell: g.tell, TellLoad: g.node.TellLoad, AskForLoans: g.node.AskForLoans, Metrics: g.metrics,
 		Booted: g.booted, Bodies: &Bodies{Bound: int64(bodiesShare * float64(s.MemoryBytes))},
 	}
 	g.front, err = listenFront(s.Listen, g.handler)
@@ -137,11 +137,21 @@
 // take takes in a packet.
 func (g *Gateway) take(now time.Time, p *mesh.Packet) {
 	g.knowledge.Take(now, p)
+	if len(p.Asks) > 0 {
+		g.lend(now, p)
+	}
 	if g.state.Behind(now, p.Document, p.Registry) {
 		g.follower.Ahead()
 	}
 }
 
+// lend answers an instance of the zone that is short of a retry budget.
+func (g *Gateway) lend(now time.Time, p *mesh.Packet) {
+	if loans := g.knowledge.Lend(now, p.Addr, p.Asks); len(loans) > 0 {
+		g.node.Lend(p.Addr, loans)
+	}
+}
+
 // Run serves until ctx ends, then stops without cutting a request.
 func (g *Gateway) Run(ctx context.Context) error {
 	s := &g.settings
@@ -242,6 +252,7 @@
 	// Before the targets are known, what others told of them is kept.
 	unknown := targets.Len() == 0
 	inUse := func(id fleet.TargetID) bool { return unknown || targets.Target(id) != nil }
+	g.knowledge.Count(now, view.Instances())
 	g.knowledge.Tick(now, inUse)
 	g.client.Cache.Sweep(now, func(t exchange.Target) bool {
 		rt := targets.Target(t.ID)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -56,10 +56,11 @@
 	State     *statesync.State
 	Knowledge *Knowledge
 	Client    *exchange.Client
-	Peers     func() mesh.View
 	Tell      func(mesh.Packet)
 	TellLoad  func(l mesh.Load, concerns func(addr string) bool)
-	Metrics   *Metrics
+	// AskForLoans asks a number of neighbours for parts of their retry budgets.
+	AskForLoans func(asks []mesh.Loan, neighbours int)
+	Metrics     *Metrics
 	// Bodies bounds the bytes of all requests' bodies that are held.
 	Bodies *Bodies
 	// Booted is when the process started.
@@ -138,7 +139,7 @@
 		Body: body, HasBody: c.r.ContentLength != 0,
 	}
 	c.service = c.route.Backend()
-	c.h.Knowledge.Request(time.Now(), c.service)
+	c.h.Knowledge.Request(time.Now(), c.service, c.urgent())
 	return c.answer(c.attempts())
 }
 
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -15,11 +14,15 @@
 // peerLoadFor is how long a silent peer's load is counted.
 const peerLoadFor = 3 * time.Second
 
+// peerForgottenAfter is when a silent peer or zone is dropped from the tables.
+const peerForgottenAfter = 20 * time.Second
+
 // Knowledge is what one instance knows of targets and budgets, from its own
 // attempts and from what others told. It is safe for concurrent use.
 type Knowledge struct {
 	chooser *placement.Chooser
 	retry   pooled.Config
+	booted  time.Time
 
 	mu       sync.Mutex
 	services map[document.ServiceName]*service
@@ -27,7 +30,6 @@
 	peers    map[string]*peer
 	zones    map[fleet.Zone]*zone
 	pending  []gathered
-	ended    []endedUsage
 	most     pastMost
 	// born is when the first target was chosen.
 	born time.Time
@@ -47,6 +49,8 @@
 	answerKB float64
 	answers  int
 	reuse    reuse
+	// askedAt is when others were last asked for a part of their budgets.
+	askedAt time.Time
 }
 
 // target is what is known of a target beside its estimate.
@@ -68,9 +72,11 @@
 	restartedAt time.Time
 }
 
-// NewKnowledge returns the knowledge of an instance that has seen nothing.
-func NewKnowledge(c *placement.Chooser, retry pooled.Config) *Knowledge {
+// NewKnowledge returns the knowledge of an instance that has seen nothing, and whose process
+// started at the given time.
+func NewKnowledge(c *placement.Chooser, retry pooled.Config, booted time.Time) *Knowledge {
 	return &Knowledge{
+		booted:   booted,
 		chooser:  c,
 		retry:    retry,
 		services: make(map[document.ServiceName]*service),
@@ -83,7 +89,7 @@
 func (k *Knowledge) service(name document.ServiceName) *service {
 	s := k.services[name]
 	if s == nil {
-		s = &service{estimator: suspicion.New(), budget: pooled.New(k.retry), answerKB: guessedAnswerKB}
+		s = &service{estimator: suspicion.New(), budget: pooled.New(k.retry, k.booted), answerKB: guessedAnswerKB}
 		k.services[name] = s
 	}
 	return s
@@ -126,16 +132,15 @@
 		if now.Sub(p.heard) > peerLoadFor {
 			k.dropLoad(p)
 		}
-		if now.Sub(p.heard) > 2*k.retry.Window {
+		if now.Sub(p.heard) > peerForgottenAfter {
 			delete(k.peers, addr)
 		}
 	}
-	k.ended = slices.DeleteFunc(k.ended, func(e endedUsage) bool { return now.After(e.until) })
 	for name, z := range k.zones {
 		if now.Sub(z.heard) > peerLoadFor {
 			k.dropLoad(&z.peer)
 		}
-		if now.Sub(z.heard) > 2*k.retry.Window {
+		if now.Sub(z.heard) > peerForgottenAfter {
 			delete(k.zones, name)
 		}
 	}
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -64,6 +64,6 @@
 	now := time.Now()
 	c.h.Knowledge.Observe(now, c.service, p.ID, o, began, took)
 	if o != suspicion.Good || p.Doubtful || p.crowded() {
-		c.h.Tell(c.h.Knowledge.News(now, c.service, p.ID))
+		c.h.Tell(c.h.Knowledge.News(now, p.ID))
 	}
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,11 +4,9 @@
 	"slices"
 	"time"
 
-	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/mesh"
-	"github.com/clementinereel/clementinereel/retry/pooled"
 	"github.com/clementinereel/clementinereel/suspicion"
 )
 
@@ -17,14 +15,6 @@
 	boot  int64
 	heard time.Time
 	load  map[fleet.TargetID]int
-	usage map[document.ServiceName]pooled.Usage
-}
-
-// endedUsage is what a process that has ended spent of a service's budget.
-type endedUsage struct {
-	service document.ServiceName
-	usage   pooled.Usage
-	until   time.Time
 }
 
 // gathered is an observation that was not told yet.
@@ -71,24 +61,20 @@
 		}
 	}
 	if p.Zone != k.chooser.Zone {
-		return // its load and usage are in its zone's digest
+		return // its load is in its zone's digest
 	}
 	pr := k.peers[p.Addr]
 	if pr == nil || pr.boot != p.Boot {
 		k.dropLoad(pr)
-		k.bury(now, pr)
-		pr = &peer{boot: p.Boot, load: make(map[fleet.TargetID]int), usage: make(map[document.ServiceName]pooled.Usage)}
+		pr = &peer{boot: p.Boot, load: make(map[fleet.TargetID]int)}
 		k.peers[p.Addr] = pr
 	}
 	pr.heard = now
 	if p.Heartbeat {
 		k.dropLoad(pr)
-		clear(pr.usage)
 	}
 	pr.takeLoad(k, p.Load)
-	for _, u := range p.Usage {
-		pr.usage[u.Service] = pooled.Usage{Requests: u.Requests, Added: u.Added}
-	}
+	k.borrow(now, p.Loans)
 }
 
 // takeLoad takes in the peer's load at some targets.
@@ -100,20 +86,6 @@
 	}
 }
 
-// bury keeps what an ended process had spent of the budgets until it has left the
-// window: the process that follows it does not know of it.
-func (k *Knowledge) bury(now time.Time, p *peer) {
-	if p == nil {
-		return
-	}
-	for name, u := range p.usage {
-		if u.Added > 0 {
-			k.ended = append(k.ended, endedUsage{service: name, usage: u, until: now.Add(k.retry.Window)})
-		}
-	}
-	clear(p.usage)
-}
-
 func (k *Knowledge) dropLoad(p *peer) {
 	if p == nil {
 		return
@@ -133,11 +105,6 @@
 			p.Load = append(p.Load, mesh.Load{Target: id, InFlight: t.own})
 		}
 	}
-	for name, s := range k.services {
-		if u := s.budget.Usage(now); u != (pooled.Usage{}) {
-			p.Usage = append(p.Usage, mesh.Usage{Service: name, Requests: u.Requests, Added: u.Added})
-		}
-	}
 	p.Evidence = k.takePending(now)
 }
 
@@ -182,14 +149,12 @@
 }
 
 // News returns what cannot wait for the next heartbeat.
-func (k *Knowledge) News(now time.Time, name document.ServiceName, id fleet.TargetID) mesh.Packet {
+func (k *Knowledge) News(now time.Time, id fleet.TargetID) mesh.Packet {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	u := k.service(name).budget.Usage(now)
 	return mesh.Packet{
 		Evidence: k.takePending(now),
 		Load:     []mesh.Load{{Target: id, InFlight: k.target(id).own}},
-		Usage:    []mesh.Usage{{Service: name, Requests: u.Requests, Added: u.Added}},
 	}
 }
 
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -3,8 +3,8 @@
 //
 // Within a zone each instance talks to all. It sends a heartbeat several times a
 // second: its versions of the configuration, the load that it puts on targets,
-// what it spent of shared budgets, observations of targets. What cannot wait, such
-// as a failed attempt, is sent at once.
+// observations of targets. What cannot wait, such as a failed attempt, is sent at
+// once. An attempt that says little is told to those only that may choose its target.
 //
 // Bytes between zones have a price, so little crosses them: news go to two
 // instances of each other zone, the bridges, which pass them on within theirs, and
@@ -12,12 +12,13 @@
 // time. Whoever gets a packet from another zone passes it on, so that views of who
 // the bridges are may differ; a packet that comes twice is taken once.
 //
-// News grows with the load of callers, and bridges get that of all zones. It is paced by a
-// part of the instance's link, and what gathers meanwhile leaves together; heartbeats and
-// announcements of changes do not wait.
+// News grows with the load of callers, and bridges get that of all zones. They gather it
+// for some milliseconds, and the second of a zone passes on only what the first has not.
+// News is paced by a part of the instance's link, and what gathers meanwhile leaves
+// together; heartbeats, announcements of changes and loans do not wait.
 //
 // A datagram may be lost; nothing depends on a single one. An instance becomes
 // known by its seeds, by the store's list of addresses, or by being named in a
 // heartbeat, and counts once it was heard. The interval of heartbeats grows with
-// the zone, so that the number of datagrams stays bounded.
+// the zone, up to what freshness needs.
 package mesh
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -7,8 +7,8 @@
 	"github.com/clementinereel/clementinereel/suspicion"
 )
 
-// Tell sends a packet with the given evidence, load and usage, at once where the link
-// allows. Other zones get the evidence only, without successes: those, load and usage are
+// Tell sends a packet with the given evidence and load, at once where the link
+// allows. Other zones get the evidence only, without successes: those and the load are
 // in the digests.
 func (n *Node) Tell(p Packet) {
 	n.mu.Lock()
@@ -89,7 +89,7 @@
 // sendNews sends own news and that of other zones to the own zone, and own evidence to
 // the other zones.
 func (n *Node) sendNews(news *Packet, near, far []netip.AddrPort) {
-	own := len(news.Evidence)+len(news.Load)+len(news.Usage) > 0
+	own := len(news.Evidence)+len(news.Load) > 0
 	if !own && len(news.Passed) == 1 {
 		alone := news.Passed[0]
 		alone.Relayed = true
@@ -100,7 +100,7 @@
 	n.mu.Lock()
 	n.versions.stamp(q)
 	n.mu.Unlock()
-	q.Evidence, q.Load, q.Usage, q.Passed = news.Evidence, news.Load, news.Usage, news.Passed
+	q.Evidence, q.Load, q.Passed = news.Evidence, news.Load, news.Passed
 	kind := News
 	if !own {
 		kind = Passed
--- a/mesh/outbox.go
+++ b/mesh/outbox.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
@@ -51,7 +50,6 @@
 	roomBytes     = 1250 // of maxPacket, without the sender's part
 	evidenceBytes = 42
 	loadBytes     = 18
-	usageBytes    = 16
 	passedBytes   = 50 // without its evidence
 )
 
@@ -65,16 +63,9 @@
 	freeAt time.Time
 	// armedFor is when news will be sent later.
 	armedFor time.Time
-	// urgent tells that some news must not wait: an attempt was added that the others do
-	// not know of, and the budget of all would be overdrawn. There are one or two a second
-	// where a whole service sheds.
-	urgent bool
-	// added is what the others know of the attempts that this instance added.
-	added map[document.ServiceName]int
 
 	evidence []waitingItem[Evidence]
 	load     map[fleet.TargetID]int
-	usage    map[document.ServiceName]Usage
 	// passed and digests are other zones' packets that go on to the own one; of the
 	// digests of one zone only the latest counts.
 	passed  []waitingItem[*Packet]
@@ -98,8 +89,6 @@
 	return &outbox{
 		bytesPerSecond: newsShare * float64(linkBytes),
 		load:           make(map[fleet.TargetID]int),
-		usage:          make(map[document.ServiceName]Usage),
-		added:          make(map[document.ServiceName]int),
 	}
 }
 
@@ -113,7 +102,7 @@
 
 // wait is how long news must wait.
 func (o *outbox) wait(now time.Time) time.Duration {
-	if o.urgent || !o.freeAt.After(now) {
+	if !o.freeAt.After(now) {
 		return 0
 	}
 	return max(o.freeAt.Sub(now)-newsBurst, 0)
@@ -131,10 +120,6 @@
 		}
 		o.load[l.Target] = l.InFlight
 	}
-	for _, u := range p.Usage {
-		o.usage[u.Service] = u
-		o.urgent = o.urgent || u.Added > o.added[u.Service]
-	}
 }
 
 // gathers is how long until anything is to be sent, apart from what the link has to carry
@@ -191,8 +176,6 @@
 // superseded drops what the heartbeat that is about to be filled tells.
 func (o *outbox) superseded() {
 	clear(o.load)
-	clear(o.usage)
-	o.urgent = false
 }
 
 func (o *outbox) empty() bool {
@@ -203,7 +186,7 @@
 func (o *outbox) news() bool { return o.own() || len(o.passed) > 0 }
 
 // own tells whether news of this instance waits.
-func (o *outbox) own() bool { return len(o.evidence) > 0 || len(o.load) > 0 || len(o.usage) > 0 }
+func (o *outbox) own() bool { return len(o.evidence) > 0 || len(o.load) > 0 }
 
 // next takes out what fits into one datagram of news, and a digest if one waits. Either
 // may be nil.
@@ -221,13 +204,6 @@
 // fill puts as much news into a packet as a datagram takes.
 func (o *outbox) fill(now time.Time) *Packet {
 	p, room := new(Packet), roomBytes
-	o.urgent = false
-	for name, u := range o.usage {
-		p.Usage = append(p.Usage, u)
-		o.added[name] = u.Added
-		delete(o.usage, name)
-		room -= usageBytes
-	}
 	n := 0
 	for ; n < len(o.evidence) && room >= evidenceBytes; n++ {
 		e := o.evidence[n]
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -34,14 +34,12 @@
 	Registry registry.Offset  `cbor:"6,keyasint,omitempty"`
 	// Log tells what the sender knows of the store's log.
 	Log LogState `cbor:"7,keyasint,omitempty"`
-	// Heartbeat tells that Load and Usage are complete.
+	// Heartbeat tells that Load is complete.
 	Heartbeat bool `cbor:"8,keyasint,omitempty"`
 	// Known are some instances that the sender heard.
 	Known []Known `cbor:"9,keyasint,omitempty"`
 	// Load is what the sender has in flight.
 	Load []Load `cbor:"10,keyasint,omitempty"`
-	// Usage is what the sender added to its requests.
-	Usage []Usage `cbor:"11,keyasint,omitempty"`
 	// Evidence is what attempts said of targets.
 	Evidence []Evidence `cbor:"12,keyasint,omitempty"`
 	// Beliefs are what the sender believes of targets, for an instance that it hears
@@ -49,6 +47,9 @@
 	Beliefs []Belief `cbor:"16,keyasint,omitempty"`
 	// Passed are packets of other zones that the sender passes on together.
 	Passed []*Packet `cbor:"17,keyasint,omitempty"`
+	// Asks are for loans out of retry budgets, Loans what the sender lends.
+	Asks  []Loan `cbor:"18,keyasint,omitempty"`
+	Loans []Loan `cbor:"19,keyasint,omitempty"`
 }
 
 // Belief is how likely a target is sick.
@@ -76,7 +77,9 @@
 	// Complete tells that nearly all of them were heard from just now.
 	Complete bool
 	Load     []Load
-	Usage    []ZoneUsage
+	// Unused stands where earlier versions told what they spent of budgets; they take it
+	// for nothing.
+	Unused []any
 	// Successes are those that the zone's instances had since the last digest
 	// that carried any. Only one of the bridges sends them.
 	Successes []Successes
@@ -92,16 +95,6 @@
 	AgeMillis int64
 }
 
-// ZoneUsage is a zone's part of a service's retry budget.
-type ZoneUsage struct {
-	_        struct{} `cbor:",toarray"`
-	Service  document.ServiceName
-	Requests int
-	// Claimed is what the zone's instances have added or may add without
-	// asking.
-	Claimed float64
-}
-
 // LogState is what an instance knows of the store's log.
 type LogState uint8
 
@@ -121,12 +114,13 @@
 	InFlight int
 }
 
-// Usage is an instance's part of a service's retry budget.
-type Usage struct {
-	_        struct{} `cbor:",toarray"`
-	Service  document.ServiceName
-	Requests int
-	Added    int
+// Loan is a part of a service's retry budget.
+type Loan struct {
+	_       struct{} `cbor:",toarray"`
+	Service document.ServiceName
+	// Permille is in thousandths of an attempt, which take fewer bytes than a
+	// floating-point number.
+	Permille int
 }
 
 // Evidence is one observation of a target.
--- a/mesh/stats.go
+++ b/mesh/stats.go
@@ -18,12 +18,14 @@
 	Announcements
 	// Greetings answer an instance that was just found.
 	Greetings
+	// Loans are asked for and given, out of retry budgets.
+	Loans
 	kinds
 )
 
 // String names the kind in logs and metrics.
 func (k Kind) String() string {
-	return [...]string{"heartbeats", "news", "passed", "digests", "announcements", "greetings"}[k]
+	return [...]string{"heartbeats", "news", "passed", "digests", "announcements", "greetings", "loans"}[k]
 }
 
 // Kinds are all kinds of datagrams.
--- a/retry/pooled/budget.go
+++ b/retry/pooled/budget.go
@@ -15,114 +15,129 @@
 }
 
 const (
-	// slots divide the window; a slot is its resolution.
+	// burst is the part of the bound that the full buckets hold, to be spent at any speed;
+	// the rest flows in within a window. A larger part serves short spells of failures,
+	// a smaller one long ones: a spell of a window gets all of the bound, one that lasts on
+	// gets 1 - burst of it.
+	burst = 0.5
+	// safety lowers the bound, for attempts that take up to half a second to reach
+	// their target, and for loans that are on their way.
+	safety = 0.95
+	// urgentReserve is the part of a full bucket that less urgent requests leave to urgent
+	// ones of the same service, where there are any.
+	urgentReserve = 0.3
+	// slots divide the window in which requests are counted.
 	slots = 20
-	// assured is the part of its even share that an instance may always spend.
-	assured = 0.4
-	// lesserShare is the part of the slack that less urgent work may use.
-	lesserShare = 0.7
-	// safety lowers the whole bound, for windows that do not match exactly and
-	// for requests that leave the instance's count earlier than the judge's.
-	safety = 0.85
-	// reserve is what each instance may be adding at this moment without the
-	// others having heard of it, in attempts.
-	reserve = 0.5
+	// loanFor is for how long after it was asked for a loan is taken, and may be more than
+	// the bucket holds. It bounds what is in no bucket at a moment.
+	loanFor = 500 * time.Millisecond
 )
 
-// Usage is what an instance did within the window.
-type Usage struct {
-	Requests, Added int
-}
-
-// Fleet is what the other instances told.
-type Fleet struct {
-	// Instances is how many there are, this one included, by the most
-	// cautious count.
-	Instances int
-	// Requests is how many requests the others had.
-	Requests int
-	// Claimed is what the others have added, or may add without asking.
-	Claimed float64
-	// Complete tells that nearly all of them were heard from just now.
-	Complete bool
-}
-
-// Add takes in what another instance told.
-func (f *Fleet) Add(cfg Config, u Usage) {
-	f.Requests += u.Requests
-	f.Claimed += max(float64(u.Added), assured*cfg.share(u.Requests, f.Instances))
-}
-
-// share is an instance's even share of the bound.
-func (c Config) share(requests, instances int) float64 {
-	return (c.Ratio*float64(requests) + c.Slack/float64(max(instances, 1))) * safety
+// requests are those of a slot.
+type requests struct {
+	all, urgent int
 }
 
 // Budget is one service's budget at one instance. It belongs to one goroutine
 // at a time.
 type Budget struct {
-	cfg   Config
-	slots [slots]Usage
-	slot  int64
-	total Usage
+	cfg Config
+	// tokens are in the bucket, as of at.
+	tokens float64
+	at     time.Time
+	slots  [slots]requests
+	slot   int64
+	total  requests
+	// borrowed is what others have lent. It goes into the bucket when due.
+	borrowed float64
+	due      time.Time
 }
 
-// New returns an unspent budget.
-func New(cfg Config) *Budget { return &Budget{cfg: cfg} }
+// New returns the budget of a process that started at the given time.
+func New(cfg Config, started time.Time) *Budget { return &Budget{cfg: cfg, at: started} }
 
 // advance empties the slots that have left the window.
 func (b *Budget) advance(now time.Time) {
 	current := now.UnixNano() / int64(b.cfg.Window/slots)
-	steps := min(current-b.slot, slots)
-	for i := int64(0); i < steps; i++ {
-		s := &b.slots[(current-i)%slots]
-		b.total.Requests -= s.Requests
-		b.total.Added -= s.Added
-		*s = Usage{}
+	for steps := min(current-b.slot, slots); steps > 0; steps-- {
+		s := &b.slots[(current-steps+1)%slots]
+		b.total.all -= s.all
+		b.total.urgent -= s.urgent
+		*s = requests{}
 	}
 	b.slot = max(b.slot, current)
 }
 
 // Request records a request.
-func (b *Budget) Request(now time.Time) {
+func (b *Budget) Request(now time.Time, urgent bool) {
 	b.advance(now)
-	b.slots[b.slot%slots].Requests++
-	b.total.Requests++
-}
-
-// Usage is what this instance did within the window.
-func (b *Budget) Usage(now time.Time) Usage {
-	b.advance(now)
-	return b.total
+	s := &b.slots[b.slot%slots]
+	s.all++
+	b.total.all++
+	if urgent {
+		s.urgent++
+		b.total.urgent++
+	}
+	b.tokens += (1 - burst) * safety * b.cfg.Ratio
 }
 
-// Left is how many attempts may be added now.
-func (b *Budget) Left(now time.Time, f Fleet) float64 {
+// fill lets the slack of the time since the last call flow in, and returns what a full
+// bucket holds. Instances is how many there are at most; 0 if that is not known.
+func (b *Budget) fill(now time.Time, instances int) (full float64) {
 	b.advance(now)
-	added := float64(b.total.Added)
-	own := assured*b.cfg.share(b.total.Requests, f.Instances) - added
-	if f.Instances <= 1 {
-		return b.cfg.share(b.total.Requests, 1) - added
+	slack := 0.0
+	if instances > 0 {
+		slack = safety * b.cfg.Slack / float64(instances)
 	}
-	if !f.Complete {
-		return own
+	if passed := now.Sub(b.at); passed > 0 {
+		b.tokens += (1 - burst) * slack * passed.Seconds() / b.cfg.Window.Seconds()
+		b.at = now
 	}
-	bound := (b.cfg.Ratio*float64(b.total.Requests+f.Requests) + b.cfg.Slack) * safety
-	pool := bound - f.Claimed - added - reserve*float64(f.Instances)
-	return max(own, pool)
+	if now.After(b.due) {
+		b.tokens += b.borrowed
+		b.borrowed = 0
+	}
+	full = burst * (safety*b.cfg.Ratio*float64(b.total.all) + slack)
+	b.tokens = min(b.tokens, full)
+	return full
+}
+
+// Left is how many attempts may be added now, loans included.
+func (b *Budget) Left(now time.Time, instances int) float64 {
+	b.fill(now, instances)
+	return b.tokens + b.borrowed
 }
 
-// Spend records an added attempt if the budget allows it. Work that is less
-// urgent leaves a part of the budget to the rest.
-func (b *Budget) Spend(now time.Time, f Fleet, urgent bool) bool {
-	need := 1.0
-	if !urgent {
-		need = 1 + (1-lesserShare)*b.cfg.Slack/float64(max(f.Instances, 1))
+// Spend records an added attempt if the budget allows it.
+func (b *Budget) Spend(now time.Time, instances int, urgent bool) bool {
+	need, full := 1.0, b.fill(now, instances)
+	if !urgent && b.total.urgent > 0 {
+		need += urgentReserve * full
 	}
-	if b.Left(now, f) < need {
+	if b.tokens+b.borrowed < need {
 		return false
 	}
-	b.slots[b.slot%slots].Added++
-	b.total.Added++
+	lent := min(b.borrowed, 1)
+	b.borrowed -= lent
+	b.tokens -= 1 - lent
 	return true
 }
+
+// Lend gives up some of what is left, at most half of it and no more than asked for, and
+// returns how much the borrower may spend.
+func (b *Budget) Lend(now time.Time, instances int, asked float64) float64 {
+	b.fill(now, instances)
+	lent := max(min(asked, b.tokens/2), 0)
+	b.tokens -= lent
+	return lent
+}
+
+// Asked records that others are asked for a loan.
+func (b *Budget) Asked(now time.Time) { b.due = now.Add(loanFor) }
+
+// Borrow takes in what another instance has lent, unless it was asked too long ago.
+func (b *Budget) Borrow(now time.Time, lent float64) {
+	if !now.After(b.due) {
+		b.borrowed += lent
+	}
+}
