--- a/mesh/members.go
+++ b/mesh/members.go
@@ -220,6 +220,11 @@
 	return to
 }
 
+// interval is the time between heartbeats of members without a duty.
+func (ms *members) interval() time.Duration {
+	return min(max(minInterval, time.Duration(ms.inZone())*perMember), maxInterval)
+}
+
 // spokenFor tells whether digests of another zone arrive.
 func (ms *members) spokenFor(now time.Time, name fleet.Zone) bool {
 	z := ms.zones[name]
@@ -407,7 +412,7 @@
 	Zones   []Zone
 	// Known is how many other instances are known by name, heard or not.
 	Known int
-	// Interval is the time between heartbeats.
+	// Interval is the time between heartbeats of members without a duty.
 	Interval time.Duration
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -182,7 +182,7 @@
 func (n *Node) beatEvery() time.Duration {
 	every := minInterval
 	if n.versions.log == LogUnread && n.routes.place >= bridges {
-		every = min(max(minInterval, time.Duration(n.members.inZone())*perMember), maxInterval)
+		every = n.members.interval()
 	}
 	if justStarted(time.Now(), n.members.boot) {
 		every /= meetingSpeed
--- a/mesh/routes.go
+++ b/mesh/routes.go
@@ -47,7 +47,7 @@
 	now := time.Now()
 	if now.Sub(n.view.At) >= viewFor {
 		n.view = n.members.view(now)
-		n.view.Interval = n.beatEvery()
+		n.view.Interval = n.members.interval()
 	}
 	return n.view
 }
