gateway, placement: a target is in use by the requests that begin there

What is tried for the floor went by what is in flight at a target, told as it begins and as over only with a later heartbeat, and by when an observation was heard, up to a second after its attempt began: a target counted as in use for 2.5 s and more after its last request. Ruled out: late news of use by itself, which makes targets look unused and the floor try more of them. Before and after: TestATargetIsInUseByTheRequestsThatBegin fails on the code of before. TestAServiceInTroubleKeepsItsFloor and its neighbours name the time since an arrival in place of the time since use, and one more case: work that is still in flight does not count.

--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -86,6 +86,7 @@
 	c := &candidates[i]
 	chosen := k.target(c.ID)
 	chosen.own++
+	chosen.arrived(now)
 	return Placed{restarts: chosen.restarts, inItsZone: inZone(ts, c.Zone), Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor, MaxIdle: k.maxIdle(now, s, c.ID)}, true
 }
 
@@ -141,8 +142,11 @@
 		Cut:      now.Before(t.cutUntil),
 		Warming:  now.Before(rt.WarmAt),
 		SinceUse: now.Sub(t.lastUse),
-		Joined:   t.lastUse.IsZero() && now.Sub(rt.WarmAt) < joinedFor,
-		Near:     k.near(now, rt.Zone),
+
+		SinceArrival: now.Sub(t.arrivedAt),
+
+		Joined: t.lastUse.IsZero() && now.Sub(rt.WarmAt) < joinedFor,
+		Near:   k.near(now, rt.Zone),
 	}
 }
 
--- a/gateway/digest.go
+++ b/gateway/digest.go
@@ -30,7 +30,9 @@
 		k.zones[name] = z
 	}
 	k.dropLoad(&z.peer)
-	z.takeLoad(k, d.Load)
+	// What a digest leaves out takes its turn, so that each entry may be a request that
+	// has just begun.
+	z.takeLoad(now, k, d.Load, nil)
 	z.heard = now
 	for _, g := range d.Successes {
 		began := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -81,6 +81,7 @@
 	before, after, change := k.estimate(now, s, &e, began, from)
 	if arrived(e.What) {
 		k.target(e.Target).lastUse = now
+		k.target(e.Target).arrived(began)
 	}
 	if e.What == suspicion.Good {
 		s.latency.add(time.Duration(e.TookMillis) * time.Millisecond)
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -57,9 +57,11 @@
 type target struct {
 	own, others int // in flight
 	// lastUse is when any instance last told of a request that reached it.
-	lastUse  time.Time
-	cutUntil time.Time
-	cutFor   time.Duration
+	lastUse time.Time
+	// arrivedAt is when the latest request that is known began there.
+	arrivedAt time.Time
+	cutUntil  time.Time
+	cutFor    time.Duration
 	// successes are those of the own zone that other zones were not told of;
 	// began is when the latest began.
 	successes int
@@ -72,6 +74,13 @@
 	restartedAt time.Time
 }
 
+// arrived notes that a request began at the target.
+func (t *target) arrived(at time.Time) {
+	if at.After(t.arrivedAt) {
+		t.arrivedAt = at
+	}
+}
+
 // NewKnowledge returns the knowledge of an instance that has seen nothing, and whose process
 // started at the given time.
 func NewKnowledge(c *placement.Chooser, retry pooled.Config, booted time.Time) *Knowledge {
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -275,3 +275,40 @@
 	assert.Assert(t, k.service("s").estimator.Sick(again.Add(2*time.Second), "t1") > unknown, "what is seen of the later process counts")
 	assert.Equal(t, k.target("t1").others, 3)
 }
+
+// TestATargetIsInUseByTheRequestsThatBegin: on a day with a service in trouble 6 of 19 sound
+// targets got no request for 2 s. To the instances they were in use: what a peer had in flight
+// there is told as it begins and, where news waits for the link, told as over only with a
+// later heartbeat; the success that came then counted from when it was heard.
+func TestATargetIsInUseByTheRequestsThatBegin(t *testing.T) {
+	k := newKnowledge()
+	ts := targets("t0", "t1", "t2", "t3", "t4", "t5")
+	forFloor := func(now time.Time) bool {
+		for range 20 {
+			k.Observe(now, "s", "t0", suspicion.Good, now, time.Millisecond)
+			k.Observe(now, "s", "t1", suspicion.Bad, now, 0)
+		}
+		p, ok := k.Place(now, "s", ts, nil, placement.Work{}, cold)
+		assert.Assert(t, ok)
+		k.Ended(p)
+		return p.ForFloor
+	}
+	heartbeat := &mesh.Packet{Addr: "p", Zone: "a", Boot: 1, Heartbeat: true}
+	for _, target := range ts[2:] {
+		heartbeat.Load = append(heartbeat.Load, mesh.Load{Target: target.ID, InFlight: 1})
+	}
+	began := start.Add(floorAfter)
+	forFloor(start) // the first choice, from which an instance counts as fresh
+	k.Take(began, heartbeat)
+	assert.Assert(t, !forFloor(began.Add(time.Second)))
+	k.Take(began.Add(time.Second), heartbeat)
+	assert.Assert(t, forFloor(began.Add(1700*time.Millisecond)), "nothing has begun there since")
+
+	heartbeat.Load = nil
+	for _, target := range ts[2:] {
+		heartbeat.Evidence = append(heartbeat.Evidence, mesh.Evidence{Service: "s", Target: target.ID, What: suspicion.Good, AgeMillis: 1000, TookMillis: 700})
+	}
+	told := began.Add(2700 * time.Millisecond)
+	k.Take(told, heartbeat)
+	assert.Assert(t, forFloor(told.Add(600*time.Millisecond)), "what is told now began a second ago")
+}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -70,17 +71,23 @@
 		k.peers[p.Addr] = pr
 	}
 	pr.heard = now
+	known := pr.load
 	if p.Heartbeat {
+		known = maps.Clone(pr.load)
 		k.dropLoad(pr)
 	}
-	pr.takeLoad(k, p.Load)
+	pr.takeLoad(now, k, p.Load, known)
 	k.borrow(now, p.Loans)
 }
 
-// takeLoad takes in the peer's load at some targets.
-func (pr *peer) takeLoad(k *Knowledge, loads []mesh.Load) {
+// takeLoad takes in the peer's load at some targets. Where it is higher than what was known
+// before, a request has begun there.
+func (pr *peer) takeLoad(now time.Time, k *Knowledge, loads []mesh.Load, known map[fleet.TargetID]int) {
 	for _, l := range loads {
 		t := k.target(l.Target)
+		if l.InFlight > known[l.Target] {
+			t.arrived(now)
+		}
 		t.others += l.InFlight - pr.load[l.Target]
 		pr.load[l.Target] = l.InFlight
 	}
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -123,6 +123,9 @@
 	Warming bool
 	// SinceUse is the time since any instance sent it work.
 	SinceUse time.Duration
+	// SinceArrival is the time since the latest request that is known began there,
+	// at whichever instance.
+	SinceArrival time.Duration
 	// Joined tells that the target has just started and nobody sent it work yet.
 	Joined bool
 	// Near tells that this instance's zone looks after the target: what the
@@ -147,7 +150,9 @@
 // loaded by what was set aside. It returns -1 while the targets in use are enough of
 // the sound ones, of all or of those near by, each counted by the probability that it
 // is sound: trials of what is surely sick would only be failures. Among the unused
-// ones near by it is the one that is most likely sound.
+// ones near by it is the one that is most likely sound. A target is in use by the requests
+// that begin there: what is still at work may have begun long ago, and news of its end
+// comes later still.
 func Floor(failedLately float64, ts []Candidate) int {
 	if failedLately < troubled {
 		return -1
@@ -156,7 +161,7 @@
 	next := -1
 	for i := range ts {
 		t := &ts[i]
-		used := t.InFlight > 0 || t.SinceUse < floorWithin
+		used := t.SinceArrival < floorWithin
 		all.add(t, used)
 		if !t.Near {
 			continue
--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -88,14 +88,18 @@
 func TestAServiceInTroubleKeepsItsFloor(t *testing.T) {
 	ts := candidates(10)
 	for i := range 4 {
-		ts[i].Sick, ts[i].SinceUse = 0.4-0.1*float64(i), time.Duration(2+i)*time.Second
+		ts[i].Sick, ts[i].SinceArrival = 0.4-0.1*float64(i), time.Duration(2+i)*time.Second
 	}
 	assert.Equal(t, Floor(0.01, ts), -1, "no trouble")
 	assert.Equal(t, Floor(0.15, ts), 3, "the one that is most likely sound")
 	ts[3].Cut = true
 	assert.Equal(t, Floor(0.15, ts), 2)
-	ts[3].InFlight, ts[2].SinceUse = 1, 0
+	ts[3].SinceArrival, ts[2].SinceArrival = 0, 0
 	assert.Equal(t, Floor(0.15, ts), -1, "enough are in use")
+	ts[3].SinceArrival, ts[3].InFlight = 2*time.Second, 1
+	assert.Equal(t, Floor(0.15, ts), 1, "its path is cut")
+	ts[3].Cut = false
+	assert.Equal(t, Floor(0.15, ts), 3, "what is still at work there arrived too long ago")
 }
 
 // A target that nobody used for 2 s and that is likely sound is taken by some instance,
@@ -117,7 +121,7 @@
 func TestTheFloorCountsWhatIsLikelySound(t *testing.T) {
 	ts := candidates(10)
 	for i := range 5 {
-		ts[i].Sick, ts[i].SinceUse = 0.9, 3*time.Second
+		ts[i].Sick, ts[i].SinceArrival = 0.9, 3*time.Second
 	}
 	assert.Equal(t, Floor(0.15, ts), -1, "half of the targets are set aside and sick")
 	for i := range 5 {
@@ -129,7 +133,7 @@
 func TestOtherZonesKeepTheirOwnFloor(t *testing.T) {
 	ts := candidates(10)
 	for i := range 6 {
-		ts[i].SinceUse, ts[i].Near = 5*time.Second, false
+		ts[i].SinceArrival, ts[i].Near = 5*time.Second, false
 	}
 	assert.Equal(t, Floor(0.15, ts), -1)
 }
@@ -140,10 +144,10 @@
 	for i := range 12 {
 		ts[i].Near = i < 4
 	}
-	ts[0].SinceUse, ts[1].SinceUse = 3*time.Second, 3*time.Second
+	ts[0].SinceArrival, ts[1].SinceArrival = 3*time.Second, 3*time.Second
 	assert.Equal(t, Floor(0.15, ts), -1, "ten of twelve")
 	for i := 6; i < 10; i++ {
-		ts[i].SinceUse = 3 * time.Second
+		ts[i].SinceArrival = 3 * time.Second
 	}
 	assert.Assert(t, Floor(0.15, ts) >= 0, "six of twelve, two of four near by")
 }
