gateway: a trial and a full target are told to those whom they concern too

Cause: a third of the attempts were told to the whole zone, since their target was doubtful or had no slot free. Who does not have it among its homes is as unlikely to choose it then. How a doubtful attempt ends still goes to all.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -303,20 +303,16 @@
 	r.tried = append(r.tried, p.ID)
 	r.open = append(r.open, opened{p, now})
 	r.running++
-	r.tell(now, p)
+	c.tellLoad(p)
 	go r.attempt(p)
 	return true
 }
 
-// tell tells others of an attempt that was begun: all of the zone where that is a trial or
-// fills the target's slots, and else those that may choose the target too.
-func (r *race) tell(now time.Time, p Placed) {
-	h := r.c.h
-	if p.Doubtful || p.crowded() {
-		h.Tell(h.Knowledge.News(now, p.ID))
-		return
-	}
-	h.TellLoad(h.Knowledge.InFlight(p.ID), func(addr string) bool { return h.Knowledge.Concerns(addr, &p) })
+// tellLoad tells those that may choose the target too what this instance has in flight
+// there.
+func (c *call) tellLoad(p Placed) {
+	k := c.h.Knowledge
+	c.h.TellLoad(k.InFlight(p.ID), func(addr string) bool { return k.Concerns(addr, &p) })
 }
 
 // attempt sends the request to one target.
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -28,7 +28,7 @@
 	Cost, Fails float64
 	// InFlight is what all instances had there, this attempt left out.
 	InFlight int
-	// Doubtful tells that the others are to hear of the attempt at once.
+	// Doubtful tells that the others are to hear at once how the attempt ends.
 	Doubtful bool
 	// ForFloor tells that the target was chosen to keep enough targets in use.
 	ForFloor bool
--- a/gateway/learn.go
+++ b/gateway/learn.go
@@ -63,7 +63,10 @@
 func (c *call) observe(p Placed, o suspicion.Observation, began time.Time, took time.Duration) {
 	now := time.Now()
 	c.h.Knowledge.Observe(now, c.service, p.ID, o, began, took)
-	if o != suspicion.Good || p.Doubtful || p.crowded() {
+	switch {
+	case o != suspicion.Good || p.Doubtful:
 		c.h.Tell(c.h.Knowledge.News(now, p.ID))
+	case p.crowded():
+		c.tellLoad(p)
 	}
 }
