--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
@@ -164,3 +165,34 @@
 		assert.Assert(t, 2*bridge < freshFor, "%d neighbours: every %v", neighbours, bridge)
 	}
 }
+
+// TestLoansTellTheStandingOfAReader: a datagram without it would make the others take a reader
+// of the store for one that has stopped reading, and read themselves.
+func TestLoansTellTheStandingOfAReader(t *testing.T) {
+	other := startNode(t, "a")
+	reader, err := Listen(Config{Addr: "127.0.0.1:0", Zone: "a", Boot: time.Now(), Seeds: []string{other.Addr()}}, Callbacks{
+		Fill:   func(_ time.Time, p *Packet) { p.Document, p.Log = 9, LogAnswers },
+		Greet:  func(time.Time, *Packet) {},
+		Digest: func(time.Time, bool) *Digest { return new(Digest) },
+		Take:   func(time.Time, *Packet) {},
+	})
+	assert.NilError(t, err)
+	go reader.Run(t.Context())
+	eventually(t, "they know each other", func() bool { return len(other.View().Members) == 1 && len(reader.View().Members) == 1 })
+	loans := []Loan{{Service: "s", Permille: 500}}
+	reader.AskForLoans(loans, 1)
+	reader.Lend(other.Addr(), loans)
+	eventually(t, "loans arrive", func() bool {
+		other.mu.Lock()
+		defer other.mu.Unlock()
+		asked, lent := false, false
+		for _, p := range other.packets {
+			if len(p.Asks)+len(p.Loans) > 0 {
+				assert.Equal(t, p.Log, LogAnswers)
+				assert.Equal(t, p.Document, document.Version(9))
+			}
+			asked, lent = asked || len(p.Asks) > 0, lent || len(p.Loans) > 0
+		}
+		return asked && lent
+	})
+}
--- a/mesh/loans.go
+++ b/mesh/loans.go
@@ -9,7 +9,7 @@
 // AskForLoans asks some neighbours, as many as given, for parts of retry budgets. It does
 // not wait for the link: there are a few small datagrams a second at most.
 func (n *Node) AskForLoans(asks []Loan, neighbours int) {
-	p := n.packet()
+	p := n.stamped()
 	p.Asks = asks
 	n.send(Loans, p, n.someNeighbours(neighbours))
 }
@@ -20,7 +20,7 @@
 	if err != nil {
 		return // it asked under a name at which nobody is reached
 	}
-	p := n.packet()
+	p := n.stamped()
 	p.Loans = loans
 	n.send(Loans, p, []netip.AddrPort{addr})
 }
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -29,7 +29,7 @@
 		n.flush()
 		return
 	}
-	r, v := *n.routesAt(now), n.versions
+	r := *n.routesAt(now)
 	n.mu.Unlock()
 	var to []netip.AddrPort
 	for i, name := range r.names {
@@ -37,9 +37,8 @@
 			to = append(to, r.near[i])
 		}
 	}
-	p := n.packet()
+	p := n.stamped()
 	p.Load = []Load{l}
-	v.stamp(p)
 	n.send(News, p, to)
 }
 
@@ -96,10 +95,7 @@
 		n.send(Passed, alone, near)
 		return
 	}
-	q := n.packet()
-	n.mu.Lock()
-	n.versions.stamp(q)
-	n.mu.Unlock()
+	q := n.stamped()
 	q.Evidence, q.Load, q.Passed = news.Evidence, news.Load, news.Passed
 	kind := News
 	if !own {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -257,6 +257,16 @@
 	return &Packet{Addr: n.cfg.Addr, Zone: n.cfg.Zone, Boot: n.cfg.Boot.UnixMilli(), Leaving: n.leaving, Sequence: n.sequence}
 }
 
+// stamped is a packet with what this instance last told of its versions. One without them
+// would say that it does not read the store.
+func (n *Node) stamped() *Packet {
+	p := n.packet()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.versions.stamp(p)
+	return p
+}
+
 // send sends the packet in as many datagrams as its evidence needs.
 func (n *Node) send(k Kind, p *Packet, to []netip.AddrPort) {
 	b, err := encode(p)
@@ -361,7 +371,7 @@
 // others, so that a fleet that starts finds itself within a heartbeat or two, and with
 // what this instance believes.
 func (n *Node) greet(now time.Time, to netip.AddrPort) {
-	p := n.packet()
+	p := n.stamped()
 	n.mu.Lock()
 	p.Known = n.members.sample(now)
 	n.mu.Unlock()
