--- a/gateway/fleet_bench_test.go
+++ b/gateway/fleet_bench_test.go
@@ -105,8 +105,13 @@
 			},
 			"encode":    func(i int) { f.encoded(b, i%instances, &mesh.Packet{Load: loads[:1]}) },
 			"heartbeat": func(int) { f.node.Beat() },
-			"tell-load": func(i int) { f.node.Tell(mesh.Packet{Load: loads[i%5 : i%5+1]}) },
-			"view":      func(int) { f.node.View() },
+			"tell-load": func(i int) {
+				ts := f.byService["service-0"]
+				p := &Placed{Target: ts[i%len(ts)], inItsZone: len(ts) / benchZones}
+				f.node.TellLoad(mesh.Load{Target: p.ID, InFlight: 1}, func(addr string) bool { return f.knowledge.Concerns(addr, p) })
+			},
+			"tell-failure": func(int) { f.node.Tell(mesh.Packet{Evidence: failure}) },
+			"view":         func(int) { f.node.View() },
 			"tick": func(int) {
 				f.knowledge.Tick(time.Now())
 			},
@@ -117,7 +122,7 @@
 				f.knowledge.Ended(p)
 			},
 		}
-		for _, name := range []string{"hear-load", "hear-failure", "hear-heartbeat", "encode", "heartbeat", "tell-load", "view", "tick", "spend", "place"} {
+		for _, name := range []string{"hear-load", "hear-failure", "hear-heartbeat", "encode", "heartbeat", "tell-load", "tell-failure", "view", "tick", "spend", "place"} {
 			b.Run(fmt.Sprintf("%s/%d", name, instances), func(b *testing.B) {
 				b.ReportAllocs()
 				for i := range b.N {
