--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -1,10 +1,10 @@
 // Package mesh lets the instances of a gateway tell each other what they see, by
 // datagrams.
 //
-// Within a zone each instance talks to all. It sends a heartbeat several times a
-// second: its versions of the configuration, the load that it puts on targets,
-// observations of targets. What cannot wait, such as a failed attempt, is sent at
-// once. An attempt that says little is told to those only that may choose its target.
+// Within a zone each instance talks to all. It sends a heartbeat every 0.3 to 1.4 s:
+// its versions of the configuration, the load that it puts on targets, observations of
+// targets. What cannot wait, such as a failed attempt, is sent at once. A load that has
+// just changed is told to those only that mostly use the target.
 //
 // Bytes between zones have a price, so little crosses them: news go to two
 // instances of each other zone, the bridges, which pass them on within theirs, and
