--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -87,9 +87,20 @@
 	chosen := k.target(c.ID)
 	chosen.own++
 	chosen.arrived(now)
-	return Placed{restarts: chosen.restarts, inItsZone: inZone(ts, c.Zone), Target: from[i], Cost: cost, Fails: c.Fails, InFlight: c.InFlight, Doubtful: c.Fails >= placement.Doubtful, ForFloor: forFloor, MaxIdle: k.maxIdle(now, s, c.ID)}, true
+	return Placed{
+		Target:    from[i],
+		Cost:      cost,
+		Fails:     c.Fails,
+		InFlight:  c.InFlight,
+		Doubtful:  c.Fails >= placement.Doubtful,
+		ForFloor:  forFloor,
+		MaxIdle:   k.maxIdle(now, s, c.ID),
+		restarts:  chosen.restarts,
+		inItsZone: inZone(ts, c.Zone),
+	}, true
 }
 
+// inZone is how many of the targets are in the zone.
 func inZone(ts []*registry.Target, z fleet.Zone) int {
 	n := 0
 	for _, t := range ts {
@@ -142,11 +153,10 @@
 		Cut:      now.Before(t.cutUntil),
 		Warming:  now.Before(rt.WarmAt),
 		SinceUse: now.Sub(t.lastUse),
-
+		// An arrival may be known before any use is, which is told as an attempt ends.
 		SinceArrival: now.Sub(t.arrivedAt),
-
-		Joined: t.lastUse.IsZero() && now.Sub(rt.WarmAt) < joinedFor,
-		Near:   k.near(now, rt.Zone),
+		Joined:       t.lastUse.IsZero() && now.Sub(rt.WarmAt) < joinedFor,
+		Near:         k.near(now, rt.Zone),
 	}
 }
 
--- a/mesh/routes.go
+++ b/mesh/routes.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// routesFor is for how long it counts where news goes to, and viewFor how long a view of
-	// the other instances does: a member becomes silent, and a bridge is replaced, after
-	// seconds. Worked out for each datagram and each added attempt, both took 100 to 200 us
+	// routesFor is for how long routes are used before they are worked out anew, and viewFor
+	// the same of a view: a member becomes silent, and a bridge is replaced, only after
+	// seconds. Worked out for each datagram and each added attempt they took 70 and 92 us
 	// among 293 instances.
 	routesFor = 100 * time.Millisecond
 	viewFor   = 50 * time.Millisecond
@@ -17,8 +17,8 @@
 // routes is where this instance's datagrams go to.
 type routes struct {
 	at time.Time
-	// near are the neighbours in the own zone, of which names are the names, and far the
-	// bridges of the other zones.
+	// near are the neighbours in the own zone, names what they are known by, in the same
+	// order, and far the bridges of the other zones.
 	near, far []netip.AddrPort
 	names     []string
 	// place is this instance's place in the order of its zone; the first are its bridges.
