--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -33,9 +33,9 @@
 func (k *Knowledge) Spend(now time.Time, name document.ServiceName, urgent bool) (left float64, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b := k.service(name).budget
-	left = b.Left(now, k.instances(now))
-	return left, b.Spend(now, k.instances(now), urgent)
+	b, instances := k.service(name).budget, k.instances(now)
+	left = b.Left(now, instances)
+	return left, b.Spend(now, instances, urgent)
 }
 
 // Short returns what others are to be asked for, nil if they were asked a moment ago.
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -155,6 +155,19 @@
 	assert.Equal(t, len(k.Digest(start, v, true).Successes), 0, "told once")
 }
 
+// triesForFloor tells whether the next choice is for the floor, after half of the service's
+// attempts have just failed: those at one target are good, those at another bad.
+func triesForFloor(t *testing.T, k *Knowledge, ts []*registry.Target, now time.Time, good, bad fleet.TargetID) bool {
+	for range 20 {
+		k.Observe(now, "s", good, suspicion.Good, now, time.Millisecond)
+		k.Observe(now, "s", bad, suspicion.Bad, now, 0)
+	}
+	p, ok := k.Place(now, "s", ts, nil, placement.Work{}, cold)
+	assert.Assert(t, ok)
+	k.Ended(p)
+	return p.ForFloor
+}
+
 // TestAFreshInstanceTriesNothingForTheFloor: it knows of no use by the others.
 func TestAFreshInstanceTriesNothingForTheFloor(t *testing.T) {
 	k := newKnowledge()
@@ -162,16 +175,7 @@
 	for _, id := range []fleet.TargetID{"a", "b", "c", "d", "e", "f"} {
 		ts = append(ts, &registry.Target{Entry: registry.Entry{ID: id, Zone: "a", Slots: 2}})
 	}
-	forFloor := func(now time.Time) bool {
-		for range 20 {
-			k.Observe(now, "s", "a", suspicion.Good, now, time.Millisecond)
-			k.Observe(now, "s", "f", suspicion.Bad, now, 0)
-		}
-		p, ok := k.Place(now, "s", ts, nil, placement.Work{}, cold)
-		assert.Assert(t, ok)
-		k.Ended(p)
-		return p.ForFloor
-	}
+	forFloor := func(now time.Time) bool { return triesForFloor(t, k, ts, now, "a", "f") }
 	assert.Assert(t, !forFloor(start))
 	assert.Assert(t, forFloor(start.Add(floorAfter)))
 }
@@ -283,16 +287,7 @@
 func TestATargetIsInUseByTheRequestsThatBegin(t *testing.T) {
 	k := newKnowledge()
 	ts := targets("t0", "t1", "t2", "t3", "t4", "t5")
-	forFloor := func(now time.Time) bool {
-		for range 20 {
-			k.Observe(now, "s", "t0", suspicion.Good, now, time.Millisecond)
-			k.Observe(now, "s", "t1", suspicion.Bad, now, 0)
-		}
-		p, ok := k.Place(now, "s", ts, nil, placement.Work{}, cold)
-		assert.Assert(t, ok)
-		k.Ended(p)
-		return p.ForFloor
-	}
+	forFloor := func(now time.Time) bool { return triesForFloor(t, k, ts, now, "t0", "t1") }
 	heartbeat := &mesh.Packet{Addr: "p", Zone: "a", Boot: 1, Heartbeat: true}
 	for _, target := range ts[2:] {
 		heartbeat.Load = append(heartbeat.Load, mesh.Load{Target: target.ID, InFlight: 1})
--- a/mesh/fanout_test.go
+++ b/mesh/fanout_test.go
@@ -49,7 +49,7 @@
 	for _, m := range n.members.table {
 		m.rank.rank = max(m.rank.rank, 2)
 	}
-	n.members.rank.rank = 1
+	n.members.self.rank = 1
 	if !first {
 		for addr, m := range n.members.table {
 			if m.Zone == "a" {
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -140,7 +140,7 @@
 		for i := range bridges { // others that are before it in the zone's order
 			n.Take(encoded(t, &Packet{Addr: fmt.Sprintf("127.0.9.%d:9", i+1), Zone: "a", Boot: 1, Sequence: 1}))
 		}
-		n.members.rank.rank = math.MaxUint64
+		n.members.self.rank = math.MaxUint64
 		ctx, cancel := context.WithTimeout(t.Context(), lasts)
 		defer cancel()
 		n.Run(ctx)
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -112,8 +112,7 @@
 
 // members is the table of other instances and zones.
 type members struct {
-	self  string
-	rank  ranked
+	self  ranked
 	zone  fleet.Zone
 	boot  int64
 	table map[string]*member
@@ -124,12 +123,12 @@
 }
 
 func newMembers(self string, z fleet.Zone, boot int64) *members {
-	return &members{self: self, rank: rankedBy(self), zone: z, boot: boot, table: make(map[string]*member), zones: make(map[fleet.Zone]*zone)}
+	return &members{self: rankedBy(self), zone: z, boot: boot, table: make(map[string]*member), zones: make(map[fleet.Zone]*zone)}
 }
 
 // add makes an instance known. Zone may be empty.
 func (ms *members) add(now time.Time, addr string, z fleet.Zone) {
-	if addr == ms.self {
+	if addr == ms.self.addr {
 		return
 	}
 	if m := ms.table[addr]; m != nil {
@@ -306,7 +305,7 @@
 			continue
 		}
 		theirs := ms.young(now, m.Boot)
-		if (young && !theirs) || (young == theirs && m.rank.compare(ms.rank) < 0) {
+		if (young && !theirs) || (young == theirs && m.rank.compare(ms.self) < 0) {
 			before++
 		}
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -236,23 +236,27 @@
 // Announce tells the own zone which versions this instance has; a bridge tells the
 // other zones too. It does not wait for the link.
 func (n *Node) Announce(p Packet) {
-	q := n.packet()
 	now := time.Now()
 	n.mu.Lock()
 	n.versions = versions{p.Document, p.Registry, p.Log}
-	n.versions.stamp(q)
 	r := n.routesAt(now)
 	to := r.near
 	if r.place < bridges {
 		to = slices.Concat(to, r.far)
 	}
 	n.mu.Unlock()
-	n.send(Announcements, q, to)
+	n.send(Announcements, n.stamped(), to)
 }
 
+// packet is the next packet of this instance.
 func (n *Node) packet() *Packet {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.numbered()
+}
+
+// numbered is the same; the lock is held.
+func (n *Node) numbered() *Packet {
 	n.sequence++
 	return &Packet{Addr: n.cfg.Addr, Zone: n.cfg.Zone, Boot: n.cfg.Boot.UnixMilli(), Leaving: n.leaving, Sequence: n.sequence}
 }
@@ -260,9 +264,9 @@
 // stamped is a packet with what this instance last told of its versions. One without them
 // would say that it does not read the store.
 func (n *Node) stamped() *Packet {
-	p := n.packet()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	p := n.numbered()
 	n.versions.stamp(p)
 	return p
 }
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -193,7 +193,7 @@
 // does so goes on unless one before it succeeds too, or two would give way to each
 // other.
 func (f *Follower) takesOver(v mesh.View) bool {
-	if f.o.before(v, func(*mesh.Member) bool { return true }) >= readersPerZone+takeOverMost {
+	if f.o.earlier(v) >= readersPerZone+takeOverMost {
 		return false
 	}
 	own := readerRank(f.o.Self)
@@ -222,17 +222,21 @@
 
 // ranked tells whether the instance is among the first of its zone.
 func (o *Options) ranked(v mesh.View) bool {
-	before := o.before(v, func(*mesh.Member) bool { return true })
 	if len(v.Zones) == 0 {
-		return before < readersAlone
+		return o.earlier(v) < readersAlone
 	}
-	return before < readersPerZone
+	return o.earlier(v) < readersPerZone
 }
 
 // announces tells whether the instance is one of those of its zone that announce
 // themselves.
 func (o *Options) announces(v mesh.View) bool {
-	return o.before(v, func(*mesh.Member) bool { return true }) < announcedPerZone
+	return o.earlier(v) < announcedPerZone
+}
+
+// earlier is how many instances of the zone come before this one.
+func (o *Options) earlier(v mesh.View) int {
+	return o.before(v, func(*mesh.Member) bool { return true })
 }
 
 // place is how many instances of the zone come before this one that may still get
