statesync, suspicion, placement: tests of size take it as a parameter, at 293 and 920 instances

Cause: four tests of faults of size had that of one fleet only, so that the same fault further on would not be seen. Ruled out: nothing; the tests of mesh and retry/pooled take it already. Nothing of the product changes.

--- a/placement/cost_test.go
+++ b/placement/cost_test.go
@@ -190,11 +190,17 @@
 // Here three in ten targets are sick and each instance places bookings at the load of a usual
 // day, 1.3 in flight at a target, of which it knows. It hears little of other zones.
 func TestALargeZoneKeepsItsWork(t *testing.T) {
+	largeZone(t, 58, 71)   // of 293 instances
+	largeZone(t, 184, 225) // of 920
+}
+
+func largeZone(t *testing.T, instances, perZone int) {
+	t.Helper()
 	const (
-		instances, zones, perZone = 58, 5, 71
-		inFlight                  = 90 // of the zone's instances together
-		rounds                    = 4000
+		zones  = 5
+		rounds = 4000
 	)
+	inFlight := perZone * 90 / 71 // of the zone's instances together
 	rng := rand.New(rand.NewPCG(1, 2))
 	var ts []Candidate
 	for i := range zones * perZone {
--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -100,22 +100,34 @@
 
 func (s *announcedStore) Addresses(context.Context) ([]string, error) { return nil, nil }
 
+// zoneSizes are the instances of a zone in fleets of 293 and 920.
+var zoneSizes = []int{58, 184}
+
+// zoneOf is a zone with so many instances, all heard at the given time, and what each of them
+// sees of the others.
+func zoneOf(size int, now time.Time, log mesh.LogState) (members []mesh.Member, seenBy func(i int) mesh.View) {
+	for i := range size {
+		members = append(members, mesh.Member{Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Zone: "a", Log: log, Heard: now})
+	}
+	return members, func(i int) mesh.View {
+		return mesh.View{At: now, Zone: "a", Members: slices.Concat(members[:i], members[i+1:]), Zones: view(1).Zones}
+	}
+}
+
 // TestAFewInstancesOfAZoneAnnounceThemselves: whoever finds no peer does, and else the first of
 // the zone.
 func TestAFewInstancesOfAZoneAnnounceThemselves(t *testing.T) {
-	var zone []mesh.Member
-	for i := range 58 {
-		zone = append(zone, mesh.Member{Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Zone: "a", Heard: time.Now()})
-	}
-	announcing := 0
-	for i := range zone {
-		others := slices.Concat(zone[:i], zone[i+1:])
-		o := Options{Self: zone[i].Addr, Zone: "a"}
-		if o.announces(mesh.View{At: time.Now(), Zone: "a", Members: others}) {
-			announcing++
+	for _, size := range zoneSizes {
+		members, seenBy := zoneOf(size, time.Now(), mesh.LogUnread)
+		announcing := 0
+		for i := range members {
+			o := Options{Self: members[i].Addr, Zone: "a"}
+			if o.announces(seenBy(i)) {
+				announcing++
+			}
 		}
+		assert.Equal(t, announcing, announcedPerZone)
 	}
-	assert.Equal(t, announcing, announcedPerZone)
 
 	store := new(announcedStore)
 	f := NewFollower(Options{Self: "self", Zone: "a", Store: store, Know: func([]string) {}, Peers: func() mesh.View { return mesh.View{At: time.Now(), Zone: "a"} }})
@@ -235,21 +247,19 @@
 // instances of a fleet made 6,466 calls, three times as many as on others, since each took
 // over from those before it that had no answer.
 func TestAStoreThatRefusesAllIsNotAskedByAll(t *testing.T) {
-	now := time.Now()
-	var members []mesh.Member
-	for i := range 58 {
-		members = append(members, mesh.Member{Addr: fmt.Sprintf("10.0.0.%d:1", i+1), Zone: "a", Log: mesh.LogAway, Heard: now})
-	}
-	reading := 0
-	for i, m := range members {
-		v := mesh.View{At: now, Zone: "a", Members: slices.Concat(members[:i], members[i+1:]), Zones: view(1).Zones}
-		f := NewFollower(Options{Self: m.Addr, Zone: "a", Peers: func() mesh.View { return v }})
-		f.unserved = now.Add(-time.Hour)
-		if f.reads() {
-			reading++
+	for _, size := range zoneSizes {
+		now := time.Now()
+		members, seenBy := zoneOf(size, now, mesh.LogAway)
+		reading := 0
+		for i, m := range members {
+			f := NewFollower(Options{Self: m.Addr, Zone: "a", Peers: func() mesh.View { return seenBy(i) }})
+			f.unserved = now.Add(-time.Hour)
+			if f.reads() {
+				reading++
+			}
 		}
+		assert.Equal(t, reading, readersPerZone+takeOverMost)
 	}
-	assert.Equal(t, reading, readersPerZone+takeOverMost)
 }
 
 // TestANewReaderHasAnAnswerSoon: its first read must not wait for a change, or others
--- a/suspicion/estimator_test.go
+++ b/suspicion/estimator_test.go
@@ -146,10 +146,22 @@
 // Each target here gets 2.8 attempts a second until it is suspected, and three failures as that
 // happens, from instances that have not heard of each other.
 func TestBoutsThatAreNotOverYetDoNotLengthenTheOthers(t *testing.T) {
+	for _, targets := range []int{193, 358, 1124} { // of a service, at 134, 293 and 920 instances
+		r := ratesAfterManyOnsets(targets)
+		assert.Assert(t, r.Bout < 8*time.Second, "%d targets: %+v", targets, r)
+		assert.Assert(t, r.Spell < 4*seconds(learnedSpell), "%d targets: %+v", targets, r)
+	}
+}
+
+// learnedSpell is how long targets of ratesAfterManyOnsets are sound, in seconds.
+const learnedSpell = 7.0
+
+// ratesAfterManyOnsets returns what is learned of so many targets within 8 s.
+func ratesAfterManyOnsets(targets int) Rates {
 	const (
-		targets, bout, spell = 193, 3.0, 7.0
-		perSecond            = 2.8
-		step                 = 0.02
+		bout      = 3.0
+		perSecond = 2.8
+		step      = 0.02
 	)
 	rng := rand.New(rand.NewPCG(5, 6))
 	e := New()
@@ -157,7 +169,7 @@
 	for now := 0.0; now < 8; now += step {
 		for i := range sick {
 			id := fleet.TargetID(fmt.Sprint("t", i))
-			rate := 1 / spell
+			rate := 1 / learnedSpell
 			if sick[i] {
 				rate = 1 / bout
 			}
@@ -176,7 +188,5 @@
 			}
 		}
 	}
-	r := e.Rates()
-	assert.Assert(t, r.Bout < 8*time.Second, "%+v", r)
-	assert.Assert(t, r.Spell < 4*seconds(spell), "%+v", r)
+	return e.Rates()
 }
