gateway: a line tells by how many instances the slack of the retry budgets is divided

Cause: on-call engineers can't tell from the logs how many instances a process counted when it took its part of the slack; it is the one thing heard from others that the budget rests on. No change of logic: the count moves to a file of its own. Ruled out: a line at each change (a fleet that starts changes it ten times a second); one a second at most.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -36,7 +36,9 @@
 	TargetSuspected Event = "target-suspected"
 	TargetCleared   Event = "target-cleared"
 	PathCut         Event = "path-cut"
-	ConnectionsUsed Event = "connections-used"
+	// InstancesCounted tells by how many the slack of the retry budgets is divided.
+	InstancesCounted Event = "instances-counted"
+	ConnectionsUsed  Event = "connections-used"
 )
 
 // Events of requests.
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -17,9 +17,6 @@
 	askEvery = 200 * time.Millisecond
 	// loanWait is how long a request waits for a loan; a neighbour answers within 1 to 2 ms.
 	loanWait = 8 * time.Millisecond
-	// countedAfter is how long a process takes no part of the slack: it knows only some of
-	// those that share it.
-	countedAfter = 2 * time.Second
 )
 
 // Request records a request for a service, for its retry budget.
@@ -72,38 +69,3 @@
 		k.service(l.Service).budget.Borrow(now, float64(l.Permille)/permille)
 	}
 }
-
-// Count takes in how many instances there are, which share the slack of the budgets.
-func (k *Knowledge) Count(now time.Time, instances int) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.most.note(now, instances)
-}
-
-// instances is how many share the slack; 0 if that is not known.
-func (k *Knowledge) instances(now time.Time) int {
-	if now.Sub(k.booted) < countedAfter {
-		return 0
-	}
-	return k.most.number()
-}
-
-// pastMost remembers the largest number of instances of the last while: those
-// that are silent may still be spending.
-type pastMost struct {
-	now, before int
-	since       time.Time
-}
-
-// mostWindow is half of the time for which a number is remembered.
-const mostWindow = 15 * time.Second
-
-func (m *pastMost) note(now time.Time, n int) {
-	if now.Sub(m.since) > mostWindow {
-		m.before, m.now, m.since = m.now, 0, now
-	}
-	m.now = max(m.now, n)
-}
-
-// number is the largest number; 0 if none was noted.
-func (m *pastMost) number() int { return max(m.now, m.before) }
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -113,7 +113,7 @@
 	idle := time.Duration(e.TookMillis) * time.Millisecond
 	weight := 1.0
 	if from != fromSelf {
-		weight = 1 / float64(max(k.most.now, k.most.before, 1))
+		weight = 1 / float64(max(k.census.most.number(), 1))
 	}
 	targetFails := s.estimator.FailsAtOnce(now, e.Target)
 	before, after, c = s.estimator.ObserveRested(now, e.Target, s.reuse.stale(idle))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -260,7 +260,7 @@
 	targets := g.state.Targets()
 	// Before the targets are known, what others told of them is kept.
 	unknown := targets.Len() == 0
-	g.knowledge.Count(now, view.Instances())
+	g.knowledge.Count(now, view)
 	g.knowledge.Tick(now)
 	if targets != g.tidied || now.Sub(g.tidiedAt) > tidyEvery {
 		g.tidied, g.tidiedAt = targets, now
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -145,7 +145,7 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		g.knowledge.mu.Lock()
 		defer g.knowledge.mu.Unlock()
-		if g.ready.Load() && g.knowledge.most.number() > 0 {
+		if g.ready.Load() && g.knowledge.census.most.number() > 0 {
 			return poll.Success()
 		}
 		return poll.Continue("not ready")
@@ -167,7 +167,7 @@
 	assert.NilError(t, s.Complete())
 	g, err := New(s, store)
 	assert.NilError(t, err)
-	g.knowledge.booted = time.Now().Add(-time.Hour) // what it may add does not begin at nothing
+	g.knowledge.census.booted = time.Now().Add(-time.Hour) // what it may add does not begin at nothing
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -22,7 +22,6 @@
 type Knowledge struct {
 	chooser *placement.Chooser
 	retry   pooled.Config
-	booted  time.Time
 
 	mu       sync.Mutex
 	services map[document.ServiceName]*service
@@ -30,7 +29,7 @@
 	peers    map[string]*peer
 	zones    map[fleet.Zone]*zone
 	pending  []gathered
-	most     pastMost
+	census   census
 	// born is when the first target was chosen.
 	born time.Time
 	// lastCut is the last path that was found cut.
@@ -85,7 +84,7 @@
 // started at the given time.
 func NewKnowledge(c *placement.Chooser, retry pooled.Config, booted time.Time) *Knowledge {
 	return &Knowledge{
-		booted:   booted,
+		census:   census{booted: booted},
 		chooser:  c,
 		retry:    retry,
 		services: make(map[document.ServiceName]*service),
@@ -98,7 +97,7 @@
 func (k *Knowledge) service(name document.ServiceName) *service {
 	s := k.services[name]
 	if s == nil {
-		s = &service{estimator: suspicion.New(), budget: pooled.New(k.retry, k.booted), answerKB: guessedAnswerKB}
+		s = &service{estimator: suspicion.New(), budget: pooled.New(k.retry, k.census.booted), answerKB: guessedAnswerKB}
 		k.services[name] = s
 	}
 	return s
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -52,13 +52,13 @@
 // follows it at the address knows nothing of it.
 func TestARestartDoesNotRefillTheBudget(t *testing.T) {
 	settled := newKnowledge()
-	settled.Count(start, 1)
+	settled.Count(start, viewOf())
 	full := spendable(settled, start)
 	assert.Assert(t, full >= 4, full)
 
 	again := newKnowledge()
-	again.booted = start
-	again.Count(start, 1)
+	again.census.booted = start
+	again.Count(start, viewOf())
 	for _, after := range []time.Duration{0, countedAfter - time.Millisecond} {
 		assert.Equal(t, spendable(again, start.Add(after)), 0)
 	}
@@ -71,7 +71,7 @@
 	var ks []*Knowledge
 	for range 1 + lenders {
 		k := newKnowledge()
-		k.Count(start, 6)
+		k.Count(start, mesh.View{Known: 5})
 		ks = append(ks, k)
 	}
 	short := ks[0]
