gateway, mesh: a process takes its part of the retry budget's slack once it has reason to know all that share it

Cause of what is mended: an even part of the slack is the slack divided by the instances that a process knows, and one that has just started may know few. Why it holds: a process takes no part before someone who is sure told it the number, or before it has heard a seed or another zone and found nobody new for 1 s; after 30 s without any of these its seeds are taken to be gone. What it tells others rests on its own hearing alone.

--- a/gateway/census.go
+++ b/gateway/census.go
@@ -11,6 +11,13 @@
 	// countedAfter is how long a process takes no part of the slack: it knows only some of
 	// those that share it.
 	countedAfter = 2 * time.Second
+	// settledAfter is for how long no instance may have been found before a process relies on
+	// its own count: who has met a seed is told the names of all others within some heartbeats.
+	settledAfter = time.Second
+	// unmetFor is how long a process that hears none of its seeds, no other zone and nobody who
+	// is sure of a number takes no part of the slack. After that its seeds are taken to be
+	// gone for good, and those that it found by the store's addresses to be all.
+	unmetFor = 30 * time.Second
 	// mostWindow is half of the time for which a number of instances is remembered.
 	mostWindow = 15 * time.Second
 	// censusLogEvery is the least time between lines on the number: while a fleet starts it
@@ -19,9 +26,20 @@
 )
 
 // census is how many instances share the slack of the retry budgets, as one of them knows.
+//
+// A number that is too low makes the fleet spend more than its bound: each process of 130 that
+// knew one in fifty took fifty parts. So a process takes none until it has reason to
+// know all: someone who is sure told it, or it has met the fleet and finds nobody new. What that
+// costs is the slack of a few seconds after a start, about 1 in 100 of a window's bound a second.
 type census struct {
 	booted time.Time
 	most   pastMost
+	// found is the most that were counted so far, and grewAt when that last rose.
+	found  int
+	grewAt time.Time
+	// settled tells that it met the fleet and, at some moment, found nobody new for a while.
+	settled bool
+	told    int
 	// logged is the number that was last logged, and loggedAt when.
 	logged   int
 	loggedAt time.Time
@@ -38,7 +56,13 @@
 func (k *Knowledge) instances(now time.Time) int { return k.census.instances(now) }
 
 func (c *census) note(now time.Time, v mesh.View) {
-	c.most.note(now, v.Instances())
+	n := v.Instances()
+	if n > c.found {
+		c.found, c.grewAt = n, now
+	}
+	c.told = v.Told
+	c.settled = c.settled || (v.Met && now.Sub(c.grewAt) >= settledAfter)
+	c.most.note(now, n)
 	c.log(now, v)
 }
 
@@ -47,6 +71,15 @@
 	if now.Sub(c.booted) < countedAfter {
 		return 0
 	}
+	return max(c.own(now), c.told)
+}
+
+// own is how many there are by what this instance heard itself; 0 if it may know only some.
+// This alone is told to others: a number that went round would outlive the instances.
+func (c *census) own(now time.Time) int {
+	if !c.settled && now.Sub(c.booted) < unmetFor {
+		return 0
+	}
 	return c.most.number()
 }
 
@@ -57,7 +90,7 @@
 		return
 	}
 	eventlog.Info(eventlog.InstancesCounted, "instances", n, "before", c.logged, "heard", len(v.Members), "named", v.Known,
-		"zones", len(v.Zones), "age_ms", now.Sub(c.booted).Milliseconds())
+		"zones", len(v.Zones), "met", v.Met, "told", v.Told, "age_ms", now.Sub(c.booted).Milliseconds())
 	c.logged, c.loggedAt = n, now
 }
 
--- a/gateway/census_test.go
+++ b/gateway/census_test.go
@@ -172,3 +172,47 @@
 		}
 	}
 }
+
+// TestAProcessThatMeetsTheFleetTakesItsPart: where somebody who is sure is heard the number is
+// his at once; where all start together each is sure some seconds after its seeds are up. The
+// bound of the wait is the time in which seeds come up, 3 s, and two more.
+func TestAProcessThatMeetsTheFleetTakesItsPart(t *testing.T) {
+	for _, fleet := range []int{130, 300, 920} {
+		young := census{booted: start}
+		alone := mesh.View{Known: 3}
+		young.note(start, alone)
+		young.note(start.Add(5*time.Second), alone)
+		assert.Equal(t, young.instances(start.Add(5*time.Second)), 0, "it has met nobody")
+
+		told := alone
+		told.Told = fleet
+		young.note(start.Add(6*time.Second), told)
+		assert.Equal(t, young.instances(start.Add(6*time.Second)), fleet)
+		assert.Equal(t, young.own(start.Add(6*time.Second)), 0, "what others told goes no further")
+
+		together := census{booted: start}
+		for ms := 0; ms <= 5000; ms += 100 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			v := alone
+			if ms >= 3000 {
+				v = viewOfMany(now, min(fleet, fleet*(ms-2900)/500))
+				v.Met = true
+			}
+			together.note(now, v)
+			n := together.instances(now)
+			assert.Assert(t, n == 0 || n == fleet, "%d of %d counted after %d ms", n, fleet, ms)
+		}
+		assert.Equal(t, together.own(start.Add(5*time.Second)), fleet)
+	}
+}
+
+// TestSeedsThatAreGoneForGoodDoNotTakeTheSlackAway: a process whose seeds never answer relies
+// on those that it found otherwise.
+func TestSeedsThatAreGoneForGoodDoNotTakeTheSlackAway(t *testing.T) {
+	c := census{booted: start}
+	for s := range 32 {
+		c.note(start.Add(time.Duration(s)*time.Second), viewOfMany(start, 12))
+	}
+	assert.Equal(t, c.instances(start.Add(unmetFor-time.Second)), 0)
+	assert.Equal(t, c.instances(start.Add(unmetFor+time.Second)), 12)
+}
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -31,7 +31,7 @@
 func cold(exchange.Target, time.Duration) bool { return false }
 
 func viewOf(members ...mesh.Member) mesh.View {
-	v := mesh.View{At: start, Zone: "a", Members: members}
+	v := mesh.View{At: start, Zone: "a", Members: members, Met: true}
 	for i := range v.Members {
 		v.Members[i].Zone = "a"
 		v.Members[i].Heard = start
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -113,6 +113,7 @@
 		}
 	}
 	p.Evidence = k.takePending(now)
+	p.Instances = k.census.own(now)
 }
 
 // beliefEntries bounds the beliefs of a greeting, so that it stays within a datagram of
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -149,3 +149,31 @@
 	assert.Assert(t, heartbeats(LogAnswers) >= 4)
 	assert.Equal(t, heartbeats(LogUnread), 1+int(lasts/maxInterval))
 }
+
+// TestAProcessHasMetTheFleetOnceASeedOrAnotherZoneIsHeard: others that started behind the same
+// cut are a few of many, whatever they say.
+func TestAProcessHasMetTheFleetOnceASeedOrAnotherZoneIsHeard(t *testing.T) {
+	const seed, other = "10.0.0.1:1", "10.0.0.2:1"
+	now := time.Now()
+	fresh := func(seeds ...string) *members {
+		ms := newMembers("10.0.0.9:1", "a", now.UnixMilli())
+		ms.seeds = seeds
+		return ms
+	}
+	assert.Assert(t, fresh().met(), "there are no seeds to meet")
+	assert.Assert(t, fresh("10.0.0.9:1").met(), "it is the only seed")
+
+	ms := fresh(seed, "10.0.0.9:1")
+	ms.heard(now, &Packet{Addr: other, Zone: "a", Boot: 1, Sequence: 1, Heartbeat: true, Instances: 130})
+	assert.Assert(t, !ms.view(now).Met)
+	assert.Equal(t, ms.view(now).Told, 130)
+	ms.heard(now, &Packet{Addr: seed, Zone: "a", Boot: 1, Sequence: 1})
+	assert.Assert(t, ms.view(now).Met)
+
+	ms = fresh(seed)
+	ms.heard(now, &Packet{Addr: other, Zone: "b", Boot: 1, Sequence: 1, Relayed: true, Digest: &Digest{Instances: 40}})
+	assert.Assert(t, ms.view(now).Met)
+
+	later := now.Add(freshFor + time.Second)
+	assert.Equal(t, ms.view(later).Told, 0)
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -63,6 +63,8 @@
 	Document document.Version
 	Registry registry.Offset
 	Log      LogState
+	// Instances is how many instances it counts; 0 if it may know only some of them.
+	Instances int
 	// Heard is when the last datagram came from it directly; zero if none did.
 	Heard time.Time
 }
@@ -117,6 +119,7 @@
 	boot  int64
 	table map[string]*member
 	zones map[fleet.Zone]*zone
+	seeds []string
 	// moved tells that a member has told of another version or standing since it was
 	// last false.
 	moved bool
@@ -192,7 +195,10 @@
 	}
 	m.silent = false
 	if later {
-		m.Document, m.Registry = 0, 0
+		m.Document, m.Registry, m.Instances = 0, 0, 0
+	}
+	if p.Heartbeat {
+		m.Instances = p.Instances
 	}
 	if m.moves(p) {
 		ms.moved = true
@@ -363,14 +369,33 @@
 	return lost
 }
 
+// met tells whether the instance has met the fleet that it was started in: one of its seeds,
+// at which all others announce themselves too, or a bridge of another zone.
+func (ms *members) met() bool {
+	others := 0
+	for _, addr := range ms.seeds {
+		if addr == ms.self.addr {
+			continue
+		}
+		others++
+		if m := ms.table[addr]; m != nil && !m.Heard.IsZero() {
+			return true
+		}
+	}
+	return others == 0 || len(ms.zones) > 0
+}
+
 // view copies what counts.
 func (ms *members) view(now time.Time) View {
-	v := View{At: now, Zone: ms.zone, Known: len(ms.table)}
+	v := View{At: now, Zone: ms.zone, Known: len(ms.table), Met: ms.met()}
 	for _, m := range ms.table {
 		if m.Heard.IsZero() || now.Sub(m.Heard) > lapsedAfter {
 			continue
 		}
 		v.Members = append(v.Members, m.Member)
+		if m.Fresh(now) {
+			v.Told = max(v.Told, m.Instances)
+		}
 	}
 	for name, z := range ms.zones {
 		if now.Sub(z.heard) < lapsedAfter {
@@ -422,6 +447,11 @@
 	Zones   []Zone
 	// Known is how many other instances are known by name, heard or not.
 	Known int
+	// Met tells whether this instance has heard a seed or of another zone, or has no seeds.
+	// One that has not may know a few of many.
+	Met bool
+	// Told is the largest number of instances that a member counts; 0 if none is sure.
+	Told int
 	// Interval is the time between heartbeats of members without a duty.
 	Interval time.Duration
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -109,6 +109,7 @@
 		cfg.Addr = conn.LocalAddr().String()
 	}
 	n := &Node{cfg: cfg, conn: conn, calls: calls, members: newMembers(cfg.Addr, cfg.Zone, cfg.Boot.UnixMilli()), outbox: newOutbox(cfg.LinkBytes)}
+	n.members.seeds = cfg.Seeds
 	n.Know(cfg.Seeds)
 	return n, nil
 }
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -50,6 +50,9 @@
 	// Asks are for loans out of retry budgets, Loans what the sender lends.
 	Asks  []Loan `cbor:"18,keyasint,omitempty"`
 	Loans []Loan `cbor:"19,keyasint,omitempty"`
+	// Instances is how many instances the sender counts by what it heard itself; 0 if it
+	// may know only some of them.
+	Instances int `cbor:"20,keyasint,omitempty"`
 }
 
 // Belief is how likely a target is sick.
