placement, gateway: targets are kept in use by the few instances that hear of their use at once, and from 2 s of a process on

What callers saw: while four tenths of a large fleet were killed as traffic began, half of the sound targets of a service got nothing for 2 s and a fifth of its requests was not served. Cause: each instance stays with the one or two preferred targets that answered first; no instance sought unused targets in the 5 s after its first request, since it would have tried all that it had not heard of; in a large zone heartbeats tell of others' use 1.4 s late. Why it holds: an instance looks only after targets that it considers, about eight instances each, and these tell each other at once of each request that begins there; so it needs no time to learn, and one trial suffices. Equals are tried in each instance's own order.

--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -16,9 +16,10 @@
 	// joinedFor is for how long after its start-up a target that nobody used is sought
 	// out.
 	joinedFor = 8 * time.Second
-	// floorAfter is how long an instance only learns before it tries targets for the
-	// floor: it does not know yet what the others use, and would try them all.
-	floorAfter = 5 * time.Second
+	// floorAfter is how long after its start a process only learns before it tries targets
+	// for the floor: by then each other instance of its zone has sent a heartbeat, with
+	// what it has in flight, even where these are 1.4 s apart.
+	floorAfter = 2 * time.Second
 )
 
 // Placed is a target that was chosen and why.
@@ -78,7 +79,7 @@
 	if i < 0 {
 		return Placed{}, false
 	}
-	next := k.floor(now, s, candidates)
+	next := k.floor(now, s, w.InZone, candidates)
 	forFloor := next >= 0 && len(excluded) == 0
 	if forFloor {
 		i, cost = next, k.chooser.Cost(w, &candidates[next])
@@ -130,14 +131,11 @@
 }
 
 // floor returns the target to be tried so that enough are in use; -1 if none is.
-func (k *Knowledge) floor(now time.Time, s *service, candidates []placement.Candidate) int {
-	if k.born.IsZero() {
-		k.born = now
-	}
-	if now.Sub(k.born) < floorAfter {
+func (k *Knowledge) floor(now time.Time, s *service, inZone int, candidates []placement.Candidate) int {
+	if now.Sub(k.census.booted) < floorAfter {
 		return -1
 	}
-	return placement.Floor(s.estimator.FailedLately(), candidates)
+	return k.chooser.Floor(s.estimator.FailedLately(), inZone, candidates)
 }
 
 func (k *Knowledge) candidate(now time.Time, s *service, rt *registry.Target, warm bool) placement.Candidate {
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -30,8 +30,6 @@
 	zones    map[fleet.Zone]*zone
 	pending  []gathered
 	census   census
-	// born is when the first target was chosen.
-	born time.Time
 	// lastCut is the last path that was found cut.
 	lastCut struct {
 		id fleet.TargetID
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -145,40 +145,65 @@
 	// that are taken for sound and are not.
 	floorShare  = 0.8
 	floorWithin = 1500 * time.Millisecond
+	// alike is the difference of two probabilities that says nothing: what one instance heard
+	// and another did not.
+	alike = 0.02
 )
 
 // Floor returns the target that is to be tried next so that a service in trouble does
 // not shrink to a few targets: what looked sick may be sound again, and the rest is
-// loaded by what was set aside. It returns -1 while the targets in use are enough of
-// the sound ones, of all or of those near by, each counted by the probability that it
-// is sound: trials of what is surely sick would only be failures. Among the unused
-// ones near by it is the one that is most likely sound. A target is in use by the requests
-// that begin there: what is still at work may have begun long ago, and news of its end
-// comes later still.
-func Floor(failedLately float64, ts []Candidate) int {
+// loaded by what was set aside. InZone is how many of the candidates are in the chooser's zone.
+//
+// It returns -1 while the targets in use are enough of the sound ones, of all or of those that
+// the instance considers, each counted by the probability that it is sound: trials of what is
+// surely sick would only be failures. Among the considered ones that are not used it is the one
+// that is most likely sound, and of equals the first in the instance's own order.
+//
+// Each target is considered by about as many instances as one has homes, which tell each other
+// at once of the requests that begin there. So one trial suffices, where all of a zone tried what they
+// had not heard of for a second; and an instance needs no time to learn what others use.
+//
+// A target is in use by the requests that begin there: what is still at work may have begun
+// long ago, and news of its end comes later still.
+func (c *Chooser) Floor(failedLately float64, inZone int, ts []Candidate) int {
 	if failedLately < troubled {
 		return -1
 	}
-	var all, near tally
+	var all, own tally
 	next := -1
 	for i := range ts {
 		t := &ts[i]
 		used := t.SinceArrival < floorWithin
 		all.add(t, used)
-		if !t.Near {
+		if !t.Near || !c.looksAfter(t, inZone) {
 			continue
 		}
-		near.add(t, used)
-		if !used && !t.Cut && (next < 0 || t.Sick < ts[next].Sick) {
+		own.add(t, used)
+		if !used && !t.Cut && (next < 0 || c.likelierSound(t, &ts[next])) {
 			next = i
 		}
 	}
-	if all.suffices() || near.suffices() {
+	if all.suffices() || own.suffices() {
 		return -1
 	}
 	return next
 }
 
+// looksAfter tells whether the instance keeps the target in use where that is needed: those
+// that it considers in its own zone, and those of zones that nobody else is heard to look after.
+func (c *Chooser) looksAfter(t *Candidate, inZone int) bool {
+	return t.Zone != c.Zone || c.Considers(c.Self, t.ID, inZone)
+}
+
+// likelierSound compares targets for a trial. Instances that know the same would otherwise all
+// try the same one.
+func (c *Chooser) likelierSound(a, b *Candidate) bool {
+	if math.Abs(a.Sick-b.Sick) > alike {
+		return a.Sick < b.Sick
+	}
+	return order(c.Self, a.ID) < order(c.Self, b.ID)
+}
+
 // tally is how many targets are expected to be sound, and of these in use.
 type tally struct{ sound, used float64 }
 
