--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -14,6 +14,7 @@
 	SettingsRefused  Event = "settings-refused"
 	StoreLost        Event = "store-lost"
 	StoreBack        Event = "store-back"
+	StoreRestored    Event = "store-restored"
 	StoreCallFailed  Event = "store-call-failed"
 	ReaderRole       Event = "reader-role"
 	PeerFound        Event = "peer-found"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -124,7 +124,8 @@
 }
 
 func (g *Gateway) versions(p *mesh.Packet) {
-	p.Document, p.Registry = g.state.Versions()
+	version, position := g.state.Versions()
+	p.Document, p.Registry, p.Epoch = version, position.Offset, position.Epoch
 	if g.follower != nil {
 		p.Log = g.follower.Log()
 	}
@@ -149,7 +150,7 @@
 	if len(p.Asks) > 0 {
 		g.lend(now, p)
 	}
-	if g.state.Behind(now, p.Document, p.Registry) {
+	if g.state.Behind(now, p.Document, p.Position()) {
 		g.follower.Ahead()
 	}
 }
@@ -281,8 +282,8 @@
 func (g *Gateway) setReady() {
 	ready := g.state.Table() != nil && g.state.Targets().Len() > 0
 	if g.ready.Swap(ready) != ready {
-		version, offset := g.state.Versions()
-		eventlog.Info(eventlog.ReadyChanged, "ready", ready, "document", version, "registry", offset,
+		version, position := g.state.Versions()
+		eventlog.Info(eventlog.ReadyChanged, "ready", ready, "document", version, "epoch", position.Epoch, "registry", position.Offset,
 			"targets", g.state.Targets().Len(), "after_ms", time.Since(g.booted).Milliseconds())
 	}
 }
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -105,7 +105,7 @@
 
 func (s *storeOf) Addresses(context.Context) ([]string, error) { return nil, nil }
 
-func (s *storeOf) Announce(context.Context, string) error { return nil }
+func (s *storeOf) Announce(context.Context, string) (registry.Epoch, error) { return 0, nil }
 
 const (
 	routeTimeout = 400 * time.Millisecond
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -41,10 +41,14 @@
 
 // set brings the gauges up to date.
 func (m *Metrics) set(g *Gateway) {
-	version, offset := g.state.Versions()
+	version, position := g.state.Versions()
 	gauge := func(name string, v int64) { m.Registry.Gauge(name).Update(v) }
 	gauge("gateway.document.version", int64(version))
-	gauge("gateway.registry.offset", int64(offset))
+	gauge("gateway.registry.offset", int64(position.Offset))
+	gauge("gateway.registry.epoch", int64(position.Epoch))
+	restores, kept := g.state.Restores()
+	gauge("gateway.store.restores", restores)
+	gauge("gateway.store.kept-on-trust", kept)
 	gauge("gateway.targets", int64(g.state.Targets().Len()))
 	gauge("gateway.peers", int64(len(g.node.View().Members)))
 	gauge("gateway.store.calls", g.follower.Calls())
--- a/mesh/load_test.go
+++ b/mesh/load_test.go
@@ -110,7 +110,7 @@
 		}
 		l.look()
 	}
-	n.Announce(Packet{Document: 8})
+	n.Announce(Packet{Versions: Versions{Document: 8}})
 	l.look()
 	assert.Assert(t, l.longest < wait, "an announcement waits for %v", l.longest.Round(time.Millisecond))
 }
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -61,7 +61,7 @@
 	Boot     int64
 	Leaving  bool
 	Document document.Version
-	Registry registry.Offset
+	Registry registry.Position
 	Log      LogState
 	// Instances is how many instances it counts; 0 if it may know only some of them.
 	Instances int
@@ -195,7 +195,7 @@
 	}
 	m.silent = false
 	if later {
-		m.Document, m.Registry, m.Instances = 0, 0, 0
+		m.Document, m.Registry, m.Instances = 0, registry.Position{}, 0
 	}
 	if p.Heartbeat {
 		m.Instances = p.Instances
@@ -204,14 +204,14 @@
 		ms.moved = true
 	}
 	// Packets to other zones carry no versions.
-	m.Document, m.Registry = max(m.Document, p.Document), max(m.Registry, p.Registry)
+	m.Document, m.Registry = max(m.Document, p.Document), registry.Later(m.Registry, p.Position())
 	m.Log, m.Heard = p.Log, now
 	return s
 }
 
 // moves tells whether the packet changes what counts of its sender beside when it was heard.
 func (m *member) moves(p *Packet) bool {
-	return p.Document > m.Document || p.Registry > m.Registry || p.Log != m.Log
+	return p.Document > m.Document || p.Position().After(m.Registry) || p.Log != m.Log
 }
 
 // beats returns the members that a heartbeat goes to: all of the own zone, and now
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -12,7 +12,7 @@
 // in the digests.
 func (n *Node) Tell(p Packet) {
 	n.mu.Lock()
-	n.versions = versions{p.Document, p.Registry, p.Log}
+	n.versions = p.Versions
 	n.outbox.add(time.Now(), &p)
 	n.mu.Unlock()
 	n.flush()
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -10,10 +10,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/wait"
 )
 
@@ -79,22 +77,11 @@
 	digestAt time.Time
 	meter    meter
 	outbox   *outbox
-	versions versions
+	versions Versions // that the instance last told of itself
 	routes   routes
 	view     View
 }
 
-// versions are what the instance last told of itself.
-type versions struct {
-	document document.Version
-	registry registry.Offset
-	log      LogState
-}
-
-func (v versions) stamp(p *Packet) {
-	p.Document, p.Registry, p.Log = v.document, v.registry, v.log
-}
-
 // Listen opens the socket.
 func Listen(cfg Config, calls Callbacks) (*Node, error) {
 	addr, err := net.ResolveUDPAddr("udp4", cfg.Addr)
@@ -182,7 +169,7 @@
 // silent.
 func (n *Node) beatEvery() time.Duration {
 	every := minInterval
-	if n.versions.log == LogUnread && n.routes.place >= bridges {
+	if n.versions.Log == LogUnread && n.routes.place >= bridges {
 		every = n.members.interval()
 	}
 	if justStarted(time.Now(), n.members.boot) {
@@ -201,7 +188,7 @@
 	n.mu.Unlock()
 	n.calls.Fill(now, p)
 	n.mu.Lock()
-	n.versions = versions{p.Document, p.Registry, p.Log}
+	n.versions = p.Versions
 	p.Known = n.members.sample(now)
 	to := n.members.beats(now)
 	place := n.routesAt(now).place
@@ -229,7 +216,7 @@
 		return
 	}
 	p := n.packet()
-	p.Document, p.Registry, p.Log, p.Known = beat.Document, beat.Registry, beat.Log, beat.Known
+	p.Versions, p.Known = beat.Versions, beat.Known
 	p.Digest = n.calls.Digest(now, first)
 	n.send(Digests, p, across)
 }
@@ -239,7 +226,7 @@
 func (n *Node) Announce(p Packet) {
 	now := time.Now()
 	n.mu.Lock()
-	n.versions = versions{p.Document, p.Registry, p.Log}
+	n.versions = p.Versions
 	r := n.routesAt(now)
 	to := r.near
 	if r.place < bridges {
@@ -268,7 +255,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.numbered()
-	n.versions.stamp(p)
+	p.Versions = n.versions
 	return p
 }
 
@@ -282,7 +269,7 @@
 	if len(b) > maxPacket && len(p.Evidence) > 1 {
 		half := len(p.Evidence) / 2
 		first, rest := *p, n.packet()
-		rest.Document, rest.Registry, rest.Log = p.Document, p.Registry, p.Log
+		rest.Versions = p.Versions
 		first.Evidence, rest.Evidence = p.Evidence[:half], p.Evidence[half:]
 		n.send(k, &first, to)
 		n.send(k, rest, to)
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -164,7 +164,7 @@
 	a := startNode(t, "a")
 	b := startNode(t, "b", a.Addr())
 	eventually(t, "a digest of zone b", func() bool { return len(a.View().Zones) == 1 })
-	b.Announce(Packet{Document: 9})
+	b.Announce(Packet{Versions: Versions{Document: 9}})
 	eventually(t, "the version that b announced", func() bool {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -257,7 +257,7 @@
 // BenchmarkHeartbeat gives the size and the cost of a heartbeat with its load and
 // evidence.
 func BenchmarkHeartbeat(b *testing.B) {
-	p := &Packet{Addr: "10.1.0.34:7540", Zone: "riga-a", Boot: time.Now().UnixMilli(), Sequence: 1000, Heartbeat: true, Document: 60, Registry: 90}
+	p := &Packet{Addr: "10.1.0.34:7540", Zone: "riga-a", Boot: time.Now().UnixMilli(), Sequence: 1000, Heartbeat: true, Versions: Versions{Document: 60, Registry: 90}}
 	for range 4 {
 		p.Load = append(p.Load, Load{Target: "i-7f3a91c2ab", InFlight: 1})
 		p.Evidence = append(p.Evidence, Evidence{Service: "huvo11a", Target: "i-7f3a91c2ab", What: suspicion.Good, AgeMillis: 300, TookMillis: 300})
@@ -302,7 +302,7 @@
 	registryOf := func() registry.Offset {
 		var most registry.Offset
 		for _, m := range n.View().Members {
-			most = max(most, m.Registry)
+			most = max(most, m.Registry.Offset)
 		}
 		return most
 	}
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -29,11 +29,7 @@
 	Relayed bool `cbor:"14,keyasint,omitempty"`
 	// Digest sums up the sender's zone.
 	Digest *Digest `cbor:"15,keyasint,omitempty"`
-	// Document and Registry are the sender's versions.
-	Document document.Version `cbor:"5,keyasint,omitempty"`
-	Registry registry.Offset  `cbor:"6,keyasint,omitempty"`
-	// Log tells what the sender knows of the store's log.
-	Log LogState `cbor:"7,keyasint,omitempty"`
+	Versions
 	// Heartbeat tells that Load is complete.
 	Heartbeat bool `cbor:"8,keyasint,omitempty"`
 	// Known are some instances that the sender heard.
@@ -55,6 +51,22 @@
 	Instances int `cbor:"20,keyasint,omitempty"`
 }
 
+// Versions are what an instance tells of its state. Packets to other zones may carry none.
+type Versions struct {
+	Document document.Version `cbor:"5,keyasint,omitempty"`
+	// Registry and Epoch are the position up to which it knows the targets. Instances of
+	// earlier versions tell no epoch.
+	Registry registry.Offset `cbor:"6,keyasint,omitempty"`
+	Epoch    registry.Epoch  `cbor:"21,keyasint,omitempty"`
+	// Log tells what it knows of the store's log.
+	Log LogState `cbor:"7,keyasint,omitempty"`
+}
+
+// Position is the position up to which the instance knows the targets.
+func (v Versions) Position() registry.Position {
+	return registry.Position{Epoch: v.Epoch, Offset: v.Registry}
+}
+
 // Belief is how likely a target is sick.
 type Belief struct {
 	_       struct{} `cbor:",toarray"`
--- a/registry/doc.go
+++ b/registry/doc.go
@@ -6,6 +6,8 @@
 // nothing was lost. A target that announced that it leaves gets no new work from
 // that moment on.
 //
-// Changes carry the log's offsets and are applied in order, whoever tells them.
+// Changes carry the log's offsets and are applied in order, whoever tells them. The log may be
+// restored from an older copy: a position then is of a later epoch, and what is known of
+// each target, by its start and sequence, goes before what the copy shows.
 // The package reads no clock and does no I/O.
 package registry
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -10,10 +10,6 @@
 	"github.com/clementinereel/clementinereel/fleet"
 )
 
-// Offset counts the changes of the log: a registry at offset n has applied all
-// changes before n.
-type Offset int64
-
 // Entry is what a target registered.
 type Entry struct {
 	_       struct{} `cbor:",toarray"`
@@ -73,7 +69,8 @@
 	return nil
 }
 
-// Change is one record of the log. Entry is nil if the entry was removed.
+// Change is one record of the log, of the epoch that the registry is in. Entry is nil if the
+// entry was removed.
 type Change struct {
 	_      struct{} `cbor:",toarray"`
 	Offset Offset
@@ -90,7 +87,7 @@
 
 // View is an immutable snapshot.
 type View struct {
-	Next     Offset
+	Next     Position
 	Services map[document.ServiceName][]*Target
 	byID     map[fleet.TargetID]*Target
 }
@@ -139,12 +136,16 @@
 
 // Registry is the state of one instance. It belongs to one goroutine.
 type Registry struct {
-	next    Offset
+	next    Position
 	entries map[fleet.TargetID]*Target
 	held    map[fleet.TargetID]held
 	// removed holds the last renewal of targets that are gone, so that a late write of
 	// an old one does not bring them back.
 	removed map[fleet.TargetID]renewal
+	// restored tells of the last restore of the log until it is taken; restoredAt is when
+	// the fleet first learned of it.
+	restored   *Restored
+	restoredAt time.Time
 	// restarted are targets that have started again since they were last taken.
 	restarted []fleet.TargetID
 	// recent are the last changes, without a gap up to next.
@@ -156,10 +157,29 @@
 	calmHold time.Duration
 }
 
-// renewal is what is remembered of a target that has gone. Sequence is 0 if the target
-// gave no notice: the same process may come back.
+// renewal is what is remembered of a target that has gone.
 type renewal struct {
 	born, sequence int64
+	// noticed tells that the target said that it leaves. Else the same process may come back.
+	noticed bool
+	// epoch is that of the removal, and at when it was learned.
+	epoch Epoch
+	at    time.Time
+}
+
+// outdates tells whether an entry is older than the removal, in a log of the given epoch.
+//
+// Of a target that left without a notice an entry that follows in the log is news, whatever its
+// sequence. An entry of a copy that is older than the removal follows in nothing, so that the
+// sequence decides: else the copy would bring back what has gone.
+func (l *renewal) outdates(e *Entry, epoch Epoch) bool {
+	if e.Born != l.born {
+		return e.Born < l.born
+	}
+	if !l.noticed && l.epoch == epoch {
+		return false
+	}
+	return l.sequence > 0 && e.Sequence > 0 && e.Sequence <= l.sequence
 }
 
 // held is an entry that vanished at a time and is in use until another.
@@ -198,8 +218,8 @@
 	r.calmHold = min(CalmHold, time.Duration(holdShare*float64(bound)))
 }
 
-// Next is the offset of the first change that was not applied yet.
-func (r *Registry) Next() Offset { return r.next }
+// Next is the position of the first change that was not applied yet.
+func (r *Registry) Next() Position { return r.next }
 
 // Apply takes in the next change. It tells false, and does nothing, if changes
 // before it are missing; a change that was applied before is passed over.
@@ -209,13 +229,13 @@
 
 // apply takes in a change; since is when its removal was first learned of.
 func (r *Registry) apply(now time.Time, c Change, since time.Time) bool {
-	if c.Offset > r.next {
+	if c.Offset > r.next.Offset {
 		return false
 	}
-	if c.Offset < r.next {
+	if c.Offset < r.next.Offset {
 		return true
 	}
-	r.next++
+	r.next.Offset++
 	if len(r.recent) >= 2*recentChanges {
 		r.recent = append(r.recent[:0], r.recent[recentChanges:]...)
 	}
@@ -228,10 +248,10 @@
 	return true
 }
 
-// Since returns the changes from an offset on, and false if not all are kept.
-func (r *Registry) Since(o Offset) ([]Change, bool) {
-	missing := int(r.next - o)
-	if missing < 0 || missing > len(r.recent) {
+// Since returns the changes from a position on, and false if not all are kept.
+func (r *Registry) Since(p Position) ([]Change, bool) {
+	missing := int(r.next.Offset - p.Offset)
+	if p.Epoch != r.next.Epoch || missing < 0 || missing > len(r.recent) {
 		return nil, false
 	}
 	return slices.Clone(r.recent[len(r.recent)-missing:]), true
@@ -249,7 +269,7 @@
 		}
 		r.apply(now, c, from)
 	}
-	return r.next > before
+	return r.next.After(before)
 }
 
 // firstLearned is when peers first learned of removals.
@@ -261,17 +281,21 @@
 	return since
 }
 
-// Replace takes in the whole state of the log before offset next, if that is
-// ahead of what was applied. Vanished are removals that the sender learned of lately.
-func (r *Registry) Replace(now time.Time, next Offset, entries []Entry, vanished []Vanished) bool {
-	if next <= r.next {
+// Replace takes in the whole state of the log, if that is ahead of what was applied.
+func (r *Registry) Replace(now time.Time, s Snapshot) bool {
+	if !s.Next.After(r.next) {
 		return false
 	}
-	r.next = next
+	before := r.next
+	r.next = s.Next
 	r.recent = nil
-	since := firstLearned(now, vanished)
-	listed := make(map[fleet.TargetID]bool, len(entries))
-	for _, e := range entries {
+	restored := s.Next.Epoch != before.Epoch && len(r.entries)+len(r.held) > 0
+	if restored {
+		r.restore(now, before, s)
+	}
+	since := firstLearned(now, s.Vanished)
+	listed := make(map[fleet.TargetID]bool, len(s.Entries))
+	for _, e := range s.Entries {
 		listed[e.ID] = true
 		r.put(now, e)
 	}
@@ -283,13 +307,19 @@
 		if !told {
 			from = now
 		}
+		if restored && !r.entries[id].Leaving {
+			r.trust(id)
+			continue
+		}
 		r.remove(now, id, from)
 	}
+	r.forget(now, s.Removed)
 	return true
 }
 
 func (r *Registry) put(now time.Time, e Entry) {
 	if r.outdated(&e) {
+		r.countOutdated(&e)
 		return
 	}
 	if r.startsAgain(&e) {
@@ -303,13 +333,8 @@
 
 // outdated tells whether something newer than the entry is known of its target.
 func (r *Registry) outdated(e *Entry) bool {
-	if last, ok := r.removed[e.ID]; ok {
-		if e.Born < last.born {
-			return true
-		}
-		if e.Born == last.born && last.sequence > 0 && e.Sequence > 0 && !e.after(last.born, last.sequence) {
-			return true
-		}
+	if last, ok := r.removed[e.ID]; ok && last.outdates(e, r.next.Epoch) {
+		return true
 	}
 	old := r.entries[e.ID]
 	return old != nil && old.after(e.Born, e.Sequence)
@@ -338,7 +363,7 @@
 		return
 	}
 	delete(r.entries, id)
-	r.remember(t)
+	r.remember(now, t)
 	r.changed = true
 	if t.Leaving {
 		return
@@ -357,16 +382,11 @@
 	return until
 }
 
-func (r *Registry) remember(t *Target) {
+func (r *Registry) remember(now time.Time, t *Target) {
 	if len(r.removed) >= sequenceMemory {
 		r.removed = make(map[fleet.TargetID]renewal)
 	}
-	switch {
-	case t.Leaving:
-		r.removed[t.ID] = renewal{t.Born, t.Sequence}
-	case t.Born != 0:
-		r.removed[t.ID] = renewal{born: t.Born}
-	}
+	r.removed[t.ID] = renewal{born: t.Born, sequence: t.Sequence, noticed: t.Leaving, epoch: r.next.Epoch, at: now}
 }
 
 // LogAway notes that the log does not answer.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -18,12 +18,19 @@
 
 func put(t *testing.T, r *Registry, now time.Time, e Entry) {
 	t.Helper()
-	assert.Assert(t, r.Apply(now, Change{Offset: r.Next(), ID: e.ID, Entry: &e}))
+	assert.Assert(t, r.Apply(now, Change{Offset: r.Next().Offset, ID: e.ID, Entry: &e}))
 }
 
 func drop(t *testing.T, r *Registry, now time.Time, id fleet.TargetID) {
 	t.Helper()
-	assert.Assert(t, r.Apply(now, Change{Offset: r.Next(), ID: id}))
+	assert.Assert(t, r.Apply(now, Change{Offset: r.Next().Offset, ID: id}))
+}
+
+// moved is the registry's position, moved by some changes.
+func moved(r *Registry, by Offset) Position {
+	p := r.Next()
+	p.Offset += by
+	return p
 }
 
 func inUse(r *Registry, now time.Time, id fleet.TargetID) bool {
@@ -93,7 +100,7 @@
 	}
 	drop(t, first, start, "a")
 	told := start.Add(700 * time.Millisecond)
-	assert.Assert(t, late.Replace(told, first.Next(), first.Entries(), first.Vanished(told)))
+	assert.Assert(t, late.Replace(told, Snapshot{Next: first.Next(), Entries: first.Entries(), Vanished: first.Vanished(told)}))
 	assert.Assert(t, inUse(late, told, "a"))
 	for _, r := range []*Registry{first, late} {
 		assert.Assert(t, !inUse(r, start.Add(CalmHold+time.Millisecond), "a"))
@@ -116,18 +123,18 @@
 	assert.Equal(t, behind.Next(), ahead.Next())
 	assert.DeepEqual(t, behind.Entries(), ahead.Entries())
 	assert.Assert(t, !behind.Catch(start, changes, nil), "no news")
-	_, kept = ahead.Since(ahead.Next() + 1)
+	_, kept = ahead.Since(moved(ahead, 1))
 	assert.Assert(t, !kept, "the peer is ahead")
 	for range 3 * recentChanges {
 		put(t, ahead, start, entry("c", 1))
 	}
 	_, kept = ahead.Since(behind.Next())
 	assert.Assert(t, !kept)
-	changes, kept = ahead.Since(ahead.Next() - recentChanges)
+	changes, kept = ahead.Since(moved(ahead, -recentChanges))
 	assert.Assert(t, kept)
 	assert.Equal(t, len(changes), recentChanges)
-	assert.Assert(t, ahead.Replace(start, ahead.Next()+5, nil, nil))
-	_, kept = ahead.Since(ahead.Next() - 1)
+	assert.Assert(t, ahead.Replace(start, Snapshot{Next: moved(ahead, 5)}))
+	_, kept = ahead.Since(moved(ahead, -1))
 	assert.Assert(t, !kept, "a snapshot hides what came before it")
 }
 
@@ -156,9 +163,9 @@
 	put(t, r, start, entry("a", 2))
 	assert.Assert(t, r.Apply(start, Change{Offset: 0, ID: "a"}), "applied before")
 	assert.Assert(t, inUse(r, start, "a"))
-	assert.Assert(t, !r.Replace(start, 1, nil, nil), "not ahead")
-	assert.Assert(t, r.Replace(start, 9, []Entry{entry("b", 1)}, nil))
-	assert.Equal(t, r.Next(), Offset(9))
+	assert.Assert(t, !r.Replace(start, Snapshot{Next: Position{Offset: 1}}), "not ahead")
+	assert.Assert(t, r.Replace(start, Snapshot{Next: Position{Offset: 9}, Entries: []Entry{entry("b", 1)}}))
+	assert.Equal(t, r.Next(), Position{Offset: 9})
 	assert.Assert(t, inUse(r, start, "b"))
 	assert.Assert(t, !inUse(r, start.Add(time.Minute), "a"))
 }
@@ -212,7 +219,7 @@
 	put(t, r, start, bornAt("a", 2, 1))
 	put(t, r, start, late)
 	assert.Equal(t, r.View().Target("a").Born, int64(2))
-	assert.Assert(t, r.Replace(start, r.Next()+5, []Entry{late}, nil))
+	assert.Assert(t, r.Replace(start, Snapshot{Next: moved(r, 5), Entries: []Entry{late}}))
 	assert.Equal(t, r.View().Target("a").Born, int64(2))
 	drop(t, r, start, "a")
 	put(t, r, start, late)
--- /dev/null
+++ b/registry/restore.go
@@ -0,0 +1,162 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/clementinereel/clementinereel/fleet"
+)
+
+// Snapshot is a whole state of the log, as the log or a peer hands it over.
+type Snapshot struct {
+	Next    Position
+	Entries []Entry
+	// Vanished are removals that the sender learned of lately, Removed targets of which
+	// older entries must not be taken. The log knows neither.
+	Vanished []Vanished
+	Removed  []Removed
+	// RestoreAge is how long ago the sender learned of the epoch; 0 if it is the log itself.
+	RestoreAge time.Duration
+}
+
+// Removed tells peers of a target that has gone, so that an older copy of the log does not bring
+// it back.
+type Removed struct {
+	_              struct{} `cbor:",toarray"`
+	ID             fleet.TargetID
+	Born, Sequence int64
+	Noticed        bool
+	Epoch          Epoch
+}
+
+// Restored is what a restore of the log from an older copy did to the targets.
+type Restored struct {
+	From, To Position
+	// Kept is how many targets that the copy lacks are in use until Until, unless their
+	// entries are back by then. Outdated is how many entries of the copy were older than what
+	// was known.
+	Kept, Outdated int
+	Until          time.Time
+}
+
+// removedFor is for how long a removal is told to peers: longer than a copy of the log is old.
+const removedFor = time.Minute
+
+// restore notes that the log was restored from an older copy.
+func (r *Registry) restore(now time.Time, from Position, s Snapshot) {
+	r.restoredAt = now.Add(-s.RestoreAge)
+	r.backAt = later(r.backAt, r.restoredAt)
+	r.restored = &Restored{From: from, To: s.Next, Until: r.restoredAt.Add(OutageHold)}
+	// What the earlier epoch's outage or restore left on trust gets the whole time anew:
+	// its writers may have to write once more.
+	for id, h := range r.held {
+		h.until = later(h.until, r.restored.Until)
+		r.held[id] = h
+		r.restored.Kept++
+	}
+}
+
+// trust keeps a target in use that the copy lacks: it has registered since, and writes its entry
+// again within about 2 s if it lives, as after an outage.
+func (r *Registry) trust(id fleet.TargetID) {
+	r.held[id] = held{target: r.entries[id], since: r.restoredAt, until: r.restored.Until}
+	delete(r.entries, id)
+	r.changed = true
+	r.restored.Kept++
+}
+
+func (r *Registry) countOutdated(e *Entry) {
+	if r.restored != nil && !e.Leaving {
+		r.restored.Outdated++
+	}
+}
+
+// TakeRestored returns what a restore did since the last call, nil if there was none.
+func (r *Registry) TakeRestored() *Restored {
+	restored := r.restored
+	r.restored = nil
+	return restored
+}
+
+// RestoreAge is how long ago the fleet learned of the last restore; 0 if there was none.
+func (r *Registry) RestoreAge(now time.Time) time.Duration {
+	if r.restoredAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.restoredAt)
+}
+
+// Removed returns the targets that went lately.
+func (r *Registry) Removed(now time.Time) []Removed {
+	var rs []Removed
+	for id, l := range r.removed {
+		if now.Sub(l.at) < removedFor {
+			rs = append(rs, Removed{ID: id, Born: l.born, Sequence: l.sequence, Noticed: l.noticed, Epoch: l.epoch})
+		}
+	}
+	return rs
+}
+
+// forget takes out targets of which a peer knows that they have gone, while the older copy still
+// shows them.
+func (r *Registry) forget(now time.Time, removed []Removed) {
+	for _, x := range removed {
+		l := renewal{born: x.Born, sequence: x.Sequence, noticed: x.Noticed, epoch: x.Epoch, at: now}
+		if t := r.entries[x.ID]; t != nil {
+			if !l.outdates(&t.Entry, r.next.Epoch) {
+				continue
+			}
+			delete(r.entries, x.ID)
+			r.changed = true
+		}
+		if _, known := r.removed[x.ID]; !known {
+			r.removed[x.ID] = l
+		}
+	}
+}
+
+// Learn takes in what a peer knows of targets beside its position: what it had heard before the
+// log was restored. The peer may be at the same position, or in an earlier epoch. It tells
+// whether there was any news.
+func (r *Registry) Learn(now time.Time, s Snapshot) bool {
+	if s.Next.After(r.next) {
+		return r.Replace(now, s)
+	}
+	before := r.changed
+	r.changed = false
+	r.forget(now, s.Removed)
+	for i := range s.Entries {
+		r.learn(now, &s.Entries[i], s.Next.Epoch)
+	}
+	news := r.changed
+	r.changed = before || news
+	return news
+}
+
+// learn takes in a peer's entry of the given epoch.
+func (r *Registry) learn(now time.Time, e *Entry, epoch Epoch) {
+	if own := r.entries[e.ID]; own != nil {
+		if e.after(own.Born, own.Sequence) {
+			r.put(now, *e)
+		}
+		return
+	}
+	if epoch == r.next.Epoch || r.outdated(e) {
+		return // it was removed since
+	}
+	t := &Target{Entry: *e, WarmAt: now.Add(e.Warmup)}
+	if e.Leaving {
+		r.remember(now, t)
+		return
+	}
+	if _, ok := r.held[e.ID]; !ok {
+		r.held[e.ID] = held{target: t, since: now, until: now.Add(OutageHold)}
+		r.changed = true
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -11,6 +11,7 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/wait"
 )
 
@@ -52,6 +53,8 @@
 	// of the fleet's calls to the store was this.
 	announcedPerZone = 3
 	introEvery       = 5 * time.Second
+	// introSpread is the time over which instances announce themselves again after a restore.
+	introSpread = time.Second
 	// roleEvery is how often an instance looks whether it is a reader.
 	roleEvery = 200 * time.Millisecond
 	// takeOverStep is for how long an instance leaves it to each of those before it
@@ -99,13 +102,45 @@
 	lost  bool
 	role  bool
 	calls int64
+	// hanging ends the reads that wait for changes.
+	hanging [streams]context.CancelCauseFunc
+	// moved tells that the store was restored, to whoever has to announce the instance again.
+	moved chan struct{}
 	// unserved is since when no other instance of the zone reads with success.
 	unserved time.Time
 }
 
 // NewFollower returns a follower that does nothing yet.
 func NewFollower(o Options) *Follower {
-	return &Follower{o: o, puller: newPuller(), ahead: make(chan struct{}, 1), started: time.Now()}
+	f := &Follower{o: o, puller: newPuller(), ahead: make(chan struct{}, 1), moved: make(chan struct{}, 1), started: time.Now()}
+	if o.State != nil {
+		o.State.OnRestore(f.restored)
+	}
+	return f
+}
+
+// errEarlierEpoch is an answer of the store from before it was restored: one that was long on its
+// way, or that of a part that does not know yet.
+var errEarlierEpoch = errors.New("an answer of an earlier epoch of the store")
+
+// errRestored ends a read that waits for changes of an epoch that is over.
+var errRestored = errors.New("the store was restored from an older copy")
+
+// restored ends what belongs to an earlier epoch of the store: a read on a connection that the
+// store has forgotten would hang for seconds.
+func (f *Follower) restored() {
+	f.mu.Lock()
+	hanging := f.hanging
+	f.mu.Unlock()
+	for _, end := range hanging {
+		if end != nil {
+			end(errRestored)
+		}
+	}
+	select {
+	case f.moved <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows store and peers until ctx ends.
@@ -177,9 +212,13 @@
 // reads tells whether this instance reads the store at present.
 func (f *Follower) reads() bool {
 	v := f.o.Peers()
+	var epoch registry.Epoch
+	if f.o.State != nil {
+		epoch = f.o.State.epoch()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	role := f.o.ranked(v) || f.takesOver(v)
+	role := f.o.ranked(v) || f.takesOver(v, epoch)
 	if role != f.role {
 		eventlog.Info(eventlog.ReaderRole, "reads", role, "peers", len(v.Members))
 		f.role = role
@@ -191,13 +230,16 @@
 
 // takesOver tells whether the instance reads in place of its zone's readers. One that
 // does so goes on unless one before it succeeds too, or two would give way to each
-// other.
-func (f *Follower) takesOver(v mesh.View) bool {
+// other. Readers that know of no epoch of the store, or of an earlier one, are no source: they
+// are of the version before, or about to notice.
+func (f *Follower) takesOver(v mesh.View, epoch registry.Epoch) bool {
 	if f.o.earlier(v) >= readersPerZone+takeOverMost {
 		return false
 	}
 	own := readerRank(f.o.Self)
-	yields := func(m *mesh.Member) bool { return !f.role || readerRank(m.Addr) < own }
+	yields := func(m *mesh.Member) bool {
+		return m.Registry.Epoch >= epoch && (!f.role || readerRank(m.Addr) < own)
+	}
 	if served(v, yields) {
 		f.unserved = time.Time{}
 		return false
@@ -281,6 +323,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errRestored) {
+			continue
+		}
 		f.note(s, err)
 		if err != nil {
 			b.Max = f.backOffMost()
@@ -305,24 +350,49 @@
 // step makes one call for the stream and returns how many changes it brought.
 func (f *Follower) step(ctx context.Context, s Stream) (int, error) {
 	next := f.o.State.next(s)
-	if next == 0 && !f.begun(s) {
+	if next.Offset == 0 && !f.begun(s) {
 		return 0, f.snapshot(ctx, s)
 	}
-	held := f.wait(s)
-	f.count()
-	call, cancel := context.WithTimeout(ctx, held+callSlack)
-	defer cancel()
-	b, err := f.o.Store.Read(call, s, next, held)
-	if errors.Is(err, ErrExpired) {
+	b, err := f.readChanges(ctx, s, next)
+	// What a later epoch holds at this offset does not follow what is known.
+	if errors.Is(err, ErrExpired) || b.Epoch > next.Epoch {
 		return 0, f.snapshot(ctx, s)
 	}
 	if err != nil {
 		return 0, err
 	}
+	if b.earlierThan(next.Epoch) {
+		return 0, errEarlierEpoch
+	}
 	f.o.State.applyBatch(s, b, "store")
 	return len(b.Records), nil
 }
 
+// readChanges waits for changes from a position on, until the store is known to be in a later
+// epoch.
+func (f *Follower) readChanges(ctx context.Context, s Stream, next registry.Position) (Batch, error) {
+	held := f.wait(s)
+	f.count()
+	waits, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	call, cancel := context.WithTimeout(waits, held+callSlack)
+	defer cancel()
+	f.hang(s, end)
+	defer f.hang(s, nil)
+	b, err := f.o.Store.Read(call, s, next.Offset, held)
+	if err != nil && errors.Is(context.Cause(waits), errRestored) {
+		return Batch{}, errRestored
+	}
+	return b, err
+}
+
+// hang remembers how the stream's read is ended.
+func (f *Follower) hang(s Stream, end context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hanging[s] = end
+}
+
 func (f *Follower) snapshot(ctx context.Context, s Stream) error {
 	f.count()
 	call, cancel := context.WithTimeout(ctx, 2*callSlack)
@@ -331,6 +401,9 @@
 	if err != nil {
 		return err
 	}
+	if b.earlierThan(f.o.State.next(s).Epoch) {
+		return errEarlierEpoch
+	}
 	f.o.State.applySnapshot(s, b, "store snapshot")
 	f.mu.Lock()
 	f.read[s] = true
@@ -393,34 +466,49 @@
 
 // introduce makes the instance and its peers known to each other through the
 // store, where the seeds do not suffice. Where they do, a few instances of each zone announce
-// themselves for those that come later.
+// themselves for those that come later, and again when the store was restored from a copy that
+// may lack that.
 func (f *Follower) introduce(ctx context.Context) {
 	wait.For(ctx, introWait)
 	b := wait.Backoff{Min: backOffMin, Max: introBackOffMax}
+	announcedIn := registry.Epoch(-1) // in none
 	for ctx.Err() == nil {
-		if !f.o.announces(f.o.Peers()) {
-			wait.For(ctx, introEvery)
+		if announcedIn >= f.o.State.epoch() || !f.o.announces(f.o.Peers()) {
+			f.waitForRestore(ctx, introEvery)
 			continue
 		}
-		err := f.introduceOnce(ctx)
+		epoch, err := f.introduceOnce(ctx)
 		if err == nil {
-			return
+			announcedIn = epoch
+			b.Reset()
+			continue
 		}
 		eventlog.Error(eventlog.StoreCallFailed, err, "call", "introduce")
 		b.Pause(ctx)
 	}
 }
 
-// introduceOnce announces the instance; one that has met no peer asks for theirs
-// first.
-func (f *Follower) introduceOnce(ctx context.Context) error {
+// waitForRestore waits until the store was restored, for a while at most, and a moment longer
+// then, that instances do not ask the store all at once.
+func (f *Follower) waitForRestore(ctx context.Context, most time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(most):
+	case <-f.moved:
+		wait.For(ctx, rand.N(introSpread))
+	}
+}
+
+// introduceOnce announces the instance and returns the store's epoch; one that has met no peer
+// asks for theirs first.
+func (f *Follower) introduceOnce(ctx context.Context) (registry.Epoch, error) {
 	call, cancel := context.WithTimeout(ctx, 2*callSlack)
 	defer cancel()
 	if len(f.o.Peers().Members) == 0 {
 		f.count()
 		addrs, err := f.o.Store.Addresses(call)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		f.o.Know(addrs)
 	}
@@ -446,22 +534,31 @@
 // pullOnce fetches the state of the peer that is furthest ahead. It tells false if that
 // failed, and true if there is none.
 func (f *Follower) pullOnce(ctx context.Context) bool {
-	version, offset := f.o.State.Versions()
+	version, position := f.o.State.Versions()
+	r := request{document: version, registry: position, all: f.o.State.asksPeers()}
 	best := f.best(f.o.Peers())
-	if best == nil || (best.Document <= version && best.Registry <= offset) {
+	if best == nil || !r.wants(best) {
 		return true
 	}
 	began := time.Now()
-	w, err := f.puller.pull(ctx, best.Addr, version, offset)
+	w, err := f.puller.pull(ctx, best.Addr, r)
 	if err != nil {
-		eventlog.Error(eventlog.PullFailed, err, "peer", best.Addr, "document", version, "theirs", best.Document, "registry", offset,
-			"their_registry", best.Registry, "behind_ms", f.o.State.behind().Milliseconds(), "took_ms", time.Since(began).Milliseconds())
+		eventlog.Error(eventlog.PullFailed, err, "peer", best.Addr, "document", version, "theirs", best.Document, "epoch", position.Epoch, "registry", position.Offset,
+			"their_epoch", best.Registry.Epoch, "their_registry", best.Registry.Offset, "behind_ms", f.o.State.behind().Milliseconds(), "took_ms", time.Since(began).Milliseconds())
 		return false
 	}
-	f.o.State.applyWhole(w, best.Addr)
+	f.o.State.applyWhole(w, best.Addr, r.all)
 	return true
 }
 
+// wants tells whether a peer may have what is asked for.
+func (r *request) wants(m *mesh.Member) bool {
+	if r.all && m.Registry != (registry.Position{}) {
+		return true
+	}
+	return m.Document > r.document || m.Registry.After(r.registry)
+}
+
 // best is the peer that is furthest ahead: one of the own zone before others, and
 // any of the equals.
 func (f *Follower) best(v mesh.View) *mesh.Member {
@@ -493,7 +590,7 @@
 	case a.Document != b.Document:
 		return sign(a.Document > b.Document)
 	case a.Registry != b.Registry:
-		return sign(a.Registry > b.Registry)
+		return a.Registry.Compare(b.Registry)
 	case (a.Zone == f.o.Zone) != (b.Zone == f.o.Zone):
 		return sign(a.Zone == f.o.Zone)
 	}
--- a/statesync/fuzz_test.go
+++ b/statesync/fuzz_test.go
@@ -13,6 +13,7 @@
 	e := registry.Entry{ID: "a", Service: "s", Sequence: 4}
 	for _, w := range []Whole{
 		{Document: documentOf(7), NextDocument: 1, Registry: 2, Entries: []registry.Entry{e}, Starts: []int64{9}},
+		{Registry: 2, Epoch: 3, Entries: []registry.Entry{e}, Removed: []registry.Removed{{ID: "b", Sequence: 2, Noticed: true}}, RestoreAgeMillis: 7},
 		{Registry: 2, Changes: []registry.Change{{Offset: 0, ID: "a", Entry: &e}, {Offset: 1, ID: "a"}}, Vanished: []registry.Vanished{{ID: "a", AgeMillis: 3}}},
 	} {
 		b, err := cbor.Marshal(&w)
@@ -27,8 +28,10 @@
 			return
 		}
 		s := NewState(0, nil)
-		s.applyWhole(w, "peer")
-		s.whole(0, 0)
+		s.applyWhole(w, "peer", false)
+		s.applyWhole(w, "peer", true)
+		s.whole(request{})
+		s.whole(request{all: true})
 		if table := s.Table(); table != nil && table.Document.Check() != nil {
 			t.Fatal("a document is in force that fails its check")
 		}
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -31,11 +32,16 @@
 func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	version, err1 := strconv.ParseInt(r.FormValue("document"), 10, 64)
 	offset, err2 := strconv.ParseInt(r.FormValue("registry"), 10, 64)
-	if err1 != nil || err2 != nil {
-		http.Error(w, "document and registry are numbers", http.StatusBadRequest)
+	epoch, err3 := strconv.ParseInt(cmp.Or(r.FormValue("epoch"), "0"), 10, 64)
+	if err1 != nil || err2 != nil || err3 != nil {
+		http.Error(w, "document, registry and epoch are numbers", http.StatusBadRequest)
 		return
 	}
-	body, err := cbor.Marshal(s.whole(document.Version(version), registry.Offset(offset)))
+	body, err := cbor.Marshal(s.whole(request{
+		document: document.Version(version),
+		registry: registry.Position{Epoch: registry.Epoch(epoch), Offset: registry.Offset(offset)},
+		all:      r.FormValue("all") != "",
+	}))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -57,9 +63,16 @@
 	}}
 }
 
-func (p *puller) pull(ctx context.Context, addr string, v document.Version, o registry.Offset) (Whole, error) {
+func (p *puller) pull(ctx context.Context, addr string, r request) (Whole, error) {
 	var w Whole
-	q := url.Values{"document": {strconv.FormatInt(int64(v), 10)}, "registry": {strconv.FormatInt(int64(o), 10)}}
+	q := url.Values{
+		"document": {strconv.FormatInt(int64(r.document), 10)},
+		"registry": {strconv.FormatInt(int64(r.registry.Offset), 10)},
+		"epoch":    {strconv.FormatInt(int64(r.registry.Epoch), 10)},
+	}
+	if r.all {
+		q.Set("all", "1")
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+Path+"?"+q.Encode(), nil)
 	if err != nil {
 		return w, errors.WithStack(err)
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,17 +17,26 @@
 type State struct {
 	seed     uint64
 	onChange func()
-	// onRestart may be nil.
+	// onRestart and onRestore may be nil.
 	onRestart func([]fleet.TargetID)
+	onRestore func()
 	refusals  refusals
 	table     atomic.Pointer[document.Table]
 	targets   atomic.Pointer[registry.View]
 
 	mu       sync.Mutex
 	registry *registry.Registry
-	// nextDocument is the offset to read Documents from; that of Targets is the
+	// nextDocument is the position to read Documents from; that of Targets is the
 	// registry's.
-	nextDocument registry.Offset
+	nextDocument registry.Position
+	// alone tells that the targets are known from the store alone, or not at all: peers may
+	// know more than a copy from which the store was restored.
+	alone bool
+	// restores counts how often the store was restored, kept the targets that were then kept
+	// on trust.
+	restores, kept int64
+	// moved tells that a later epoch was learned of since it was last false.
+	moved bool
 	// behindSince is when a peer first told of a newer document than the one in force;
 	// zero if none did.
 	behindSince time.Time
@@ -34,7 +44,7 @@
 
 // NewState returns an empty state. OnChange is called after each change.
 func NewState(seed uint64, onChange func()) *State {
-	s := &State{seed: seed, onChange: onChange, registry: registry.New()}
+	s := &State{seed: seed, onChange: onChange, registry: registry.New(), alone: true}
 	s.targets.Store(s.registry.View())
 	return s
 }
@@ -43,6 +53,10 @@
 // must be set before the state is in use.
 func (s *State) OnRestart(f func([]fleet.TargetID)) { s.onRestart = f }
 
+// OnRestore sets what is called when a later epoch of the store was learned of. It must be set
+// before the state is in use.
+func (s *State) OnRestore(f func()) { s.onRestore = f }
+
 // LeaveWithin sets within which time a target that has gone must get no more work.
 func (s *State) LeaveWithin(bound time.Duration) {
 	s.mu.Lock()
@@ -56,23 +70,23 @@
 // Targets returns the targets in use.
 func (s *State) Targets() *registry.View { return s.targets.Load() }
 
-// Versions returns the document's version and the registry's offset.
-func (s *State) Versions() (document.Version, registry.Offset) {
+// Versions returns the document's version and the registry's position.
+func (s *State) Versions() (document.Version, registry.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.version(), s.registry.Next()
 }
 
-// Behind tells whether a peer's versions are ahead, and remembers since when one has a
-// newer document.
-func (s *State) Behind(now time.Time, v document.Version, o registry.Offset) bool {
+// Behind tells whether a peer's versions are ahead, or the peer may know more than the store,
+// and remembers since when one has a newer document.
+func (s *State) Behind(now time.Time, v document.Version, p registry.Position) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newer := v > s.version()
 	if newer && s.behindSince.IsZero() {
 		s.behindSince = now
 	}
-	return newer || o > s.registry.Next()
+	return newer || s.alone || p.After(s.registry.Next())
 }
 
 // behind is for how long peers have had a newer document; 0 if none has.
@@ -96,8 +110,8 @@
 	return 0
 }
 
-// next is the offset from which the stream is to be read.
-func (s *State) next(stream Stream) registry.Offset {
+// next is the position from which the stream is to be read.
+func (s *State) next(stream Stream) registry.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if stream == Targets {
@@ -106,6 +120,29 @@
 	return s.nextDocument
 }
 
+// epoch is the latest epoch of the store that is known.
+func (s *State) epoch() registry.Epoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.registry.Next().Epoch, s.nextDocument.Epoch)
+}
+
+// asksPeers tells whether peers may know more than the store.
+func (s *State) asksPeers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alone
+}
+
+// after is the position after a batch's records. A store that tells no epoch is in the one
+// that is known.
+func (b *Batch) after(known registry.Epoch) registry.Position {
+	return registry.Position{Epoch: cmp.Or(b.Epoch, known), Offset: b.Next}
+}
+
+// earlierThan tells whether the batch is of an epoch before the given one.
+func (b *Batch) earlierThan(known registry.Epoch) bool { return b.Epoch != 0 && b.Epoch < known }
+
 // applyDocument takes a document into force if it is newer. From names its
 // source in the log.
 func (s *State) applyDocument(d *document.Document, from string) bool {
@@ -132,15 +169,40 @@
 		for _, r := range b.Records {
 			changed = s.applyRecordDocument(r, from) || changed
 		}
-		s.nextDocument = max(s.nextDocument, b.Next)
+		s.moved = s.moved || b.Epoch > s.nextDocument.Epoch
+		s.nextDocument = registry.Later(s.nextDocument, b.after(s.nextDocument.Epoch))
 	case Targets:
-		changed = s.registry.Replace(time.Now(), b.Next, s.entriesOf(b.Records), nil)
+		before := s.registry.Next()
+		changed = s.registry.Replace(time.Now(), registry.Snapshot{Next: b.after(before.Epoch), Entries: s.entriesOf(b.Records)})
+		s.alone = s.alone || s.registry.Next().Epoch != before.Epoch
+		s.noteRestore(from)
 		s.publish(from)
 	}
 	s.mu.Unlock()
 	s.changed(changed)
 }
 
+// noteRestore logs and counts a restore of the store that the registry has just taken in.
+func (s *State) noteRestore(from string) {
+	r := s.registry.TakeRestored()
+	if r == nil {
+		return
+	}
+	s.restores++
+	s.kept += int64(r.Kept)
+	s.moved = true
+	eventlog.Info(eventlog.StoreRestored, "epoch", r.To.Epoch, "offset", r.To.Offset, "epoch_before", r.From.Epoch, "offset_before", r.From.Offset,
+		"kept_on_trust", r.Kept, "outdated", r.Outdated, "trust_ms", time.Until(r.Until).Milliseconds(), "document", s.version(), "from", from)
+}
+
+// Restores is how often the store was restored from an older copy, and how many targets were kept
+// in use then though the copy lacked them.
+func (s *State) Restores() (restores, kept int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restores, s.kept
+}
+
 func (s *State) entriesOf(records []Record) []registry.Entry {
 	var entries []registry.Entry
 	for _, r := range records {
@@ -155,9 +217,15 @@
 	return entries
 }
 
-// applyBatch takes in changes of a stream.
+// applyBatch takes in changes of a stream. Those of another epoch than the one that is known
+// are passed over: an answer of an earlier one may come late, and those of a later one follow
+// what is not known yet.
 func (s *State) applyBatch(stream Stream, b Batch, from string) {
 	s.mu.Lock()
+	if known := s.knownEpoch(stream); b.Epoch != 0 && b.Epoch != known {
+		s.mu.Unlock()
+		return
+	}
 	changed := false
 	for _, r := range b.Records {
 		if stream == Documents {
@@ -167,13 +235,21 @@
 		changed = s.applyRecordTarget(r) || changed
 	}
 	if stream == Documents {
-		s.nextDocument = max(s.nextDocument, b.Next)
+		s.nextDocument = registry.Later(s.nextDocument, b.after(s.nextDocument.Epoch))
 	}
 	s.publish(from)
 	s.mu.Unlock()
 	s.changed(changed)
 }
 
+// knownEpoch is the epoch of the stream's position; the lock is held.
+func (s *State) knownEpoch(stream Stream) registry.Epoch {
+	if stream == Targets {
+		return s.registry.Next().Epoch
+	}
+	return s.nextDocument.Epoch
+}
+
 func (s *State) applyRecordDocument(r Record, from string) bool {
 	if r.Err != nil {
 		s.refusals.note(eventlog.DocumentRefused, Documents, string(r.ID), r.Offset, r.Err)
@@ -215,12 +291,12 @@
 	after.Each(func(t *registry.Target) {
 		if old := before.Target(t.ID); old == nil || old.Born != t.Born {
 			eventlog.Info(eventlog.TargetAdded, "target", t.ID, "service", t.Service, "addr", t.Addr, "zone", t.Zone,
-				"slots", t.Slots, "warmup_ms", t.Warmup.Milliseconds(), "born", t.Born, "again", old != nil, "offset", after.Next, "from", from)
+				"slots", t.Slots, "warmup_ms", t.Warmup.Milliseconds(), "born", t.Born, "again", old != nil, "epoch", after.Next.Epoch, "offset", after.Next.Offset, "from", from)
 		}
 	})
 	before.Each(func(t *registry.Target) {
 		if after.Target(t.ID) == nil {
-			eventlog.Info(eventlog.TargetGone, "target", t.ID, "service", t.Service, "offset", after.Next, "from", from)
+			eventlog.Info(eventlog.TargetGone, "target", t.ID, "service", t.Service, "epoch", after.Next.Epoch, "offset", after.Next.Offset, "from", from)
 		}
 	})
 }
@@ -228,8 +304,12 @@
 // changed tells of changes; the lock is not held.
 func (s *State) changed(yes bool) {
 	s.mu.Lock()
-	again := s.registry.TakeRestarted()
+	again, moved := s.registry.TakeRestarted(), s.moved
+	s.moved = false
 	s.mu.Unlock()
+	if moved && s.onRestore != nil {
+		s.onRestore()
+	}
 	if len(again) > 0 && s.onRestart != nil {
 		s.onRestart(again)
 	}
@@ -251,6 +331,24 @@
 	Vanished []registry.Vanished `cbor:"5,keyasint,omitempty"`
 	// Starts are when the processes of the entries were born.
 	Starts []int64 `cbor:"7,keyasint,omitempty"`
+	// Epoch and DocumentEpoch are those of Registry and NextDocument.
+	Epoch         registry.Epoch `cbor:"8,keyasint,omitempty"`
+	DocumentEpoch registry.Epoch `cbor:"9,keyasint,omitempty"`
+	// RestoreAgeMillis is how long ago the sender learned of the epoch; 0 if it knows no other.
+	RestoreAgeMillis int64 `cbor:"10,keyasint,omitempty"`
+	// Removed are targets that have gone lately, for who knows the store's copy alone.
+	Removed []registry.Removed `cbor:"11,keyasint,omitempty"`
+}
+
+func (w *Whole) position() registry.Position {
+	return registry.Position{Epoch: w.Epoch, Offset: w.Registry}
+}
+
+func (w *Whole) snapshot() registry.Snapshot {
+	return registry.Snapshot{
+		Next: w.position(), Entries: w.Entries, Vanished: w.Vanished, Removed: w.Removed,
+		RestoreAge: time.Duration(w.RestoreAgeMillis) * time.Millisecond,
+	}
 }
 
 // entries are those that the state carries, by themselves or in changes.
@@ -267,49 +365,70 @@
 	return es
 }
 
-// whole returns what is newer than the given versions.
-func (s *State) whole(v document.Version, o registry.Offset) Whole {
+// request is what a peer asks for.
+type request struct {
+	// document and registry are what the peer has.
+	document document.Version
+	registry registry.Position
+	// all tells that it wants to know all of the targets whatever its position.
+	all bool
+}
+
+// whole returns what a peer lacks.
+func (s *State) whole(r request) Whole {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := Whole{NextDocument: s.nextDocument, Registry: s.registry.Next()}
-	if t := s.table.Load(); t != nil && t.Document.Version > v {
+	now, next := time.Now(), s.registry.Next()
+	w := Whole{
+		NextDocument: s.nextDocument.Offset, DocumentEpoch: s.nextDocument.Epoch,
+		Registry: next.Offset, Epoch: next.Epoch, RestoreAgeMillis: s.registry.RestoreAge(now).Milliseconds(),
+	}
+	if t := s.table.Load(); t != nil && t.Document.Version > r.document {
 		w.Document = t.Document
 	}
-	if w.Registry > o {
-		w.Vanished = s.registry.Vanished(time.Now())
-		changes, kept := s.registry.Since(o)
-		if kept {
-			w.Changes = changes
-		} else {
-			w.Entries = s.registry.Entries()
-		}
-		w.Starts = registry.Starts(w.entries())
+	if !r.all && !next.After(r.registry) {
+		return w
+	}
+	w.Vanished = s.registry.Vanished(now)
+	changes, kept := s.registry.Since(r.registry)
+	if kept && !r.all {
+		w.Changes = changes
+	} else {
+		w.Entries = s.registry.Entries()
+		w.Removed = s.registry.Removed(now)
 	}
+	w.Starts = registry.Starts(w.entries())
 	return w
 }
 
-// applyWhole takes in a peer's state as far as it is newer.
-func (s *State) applyWhole(w Whole, from string) {
+// applyWhole takes in a peer's state as far as it is newer. All tells that the peer was asked for
+// all that it knows.
+func (s *State) applyWhole(w Whole, from string, all bool) {
 	s.mu.Lock()
 	changed := false
 	if w.Document != nil {
 		changed = s.applyDocument(w.Document, from)
 	}
 	if w.Document == nil || s.version() >= w.Document.Version {
-		s.nextDocument = max(s.nextDocument, w.NextDocument)
+		s.nextDocument = registry.Later(s.nextDocument, registry.Position{Epoch: w.DocumentEpoch, Offset: w.NextDocument})
 	}
-	if w.Registry > s.registry.Next() {
+	if all || w.position().After(s.registry.Next()) {
 		changed = s.catchUp(w) || changed
+		s.noteRestore(from)
 		s.publish(from)
 	}
+	if all {
+		s.alone = false
+	}
 	s.mu.Unlock()
 	s.changed(changed)
 }
 
-// catchUp takes in a peer's targets.
+// catchUp takes in a peer's targets. Changes follow only in the epoch that both know: a peer of
+// the version before does not know of epochs.
 func (s *State) catchUp(w Whole) bool {
-	if len(w.Changes) > 0 {
+	if len(w.Changes) > 0 && w.Epoch == s.registry.Next().Epoch {
 		return s.registry.Catch(time.Now(), w.Changes, w.Vanished)
 	}
-	return s.registry.Replace(time.Now(), w.Registry, w.Entries, w.Vanished)
+	return s.registry.Learn(time.Now(), w.snapshot())
 }
--- a/statesync/state_test.go
+++ b/statesync/state_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
@@ -39,19 +40,19 @@
 	s := NewState(0, func() { changes++ })
 	s.applyBatch(Documents, Batch{Next: 5, Records: []Record{{Offset: 4, Document: documentOf(7)}}}, "store")
 	s.applySnapshot(Documents, Batch{Next: 3, Records: []Record{{Document: documentOf(6)}}}, "a lagging store")
-	s.applyWhole(Whole{Document: documentOf(5), NextDocument: 2}, "peer")
+	s.applyWhole(Whole{Document: documentOf(5), NextDocument: 2}, "peer", false)
 	v, _ := s.Versions()
 	assert.Equal(t, v, document.Version(7))
-	assert.Equal(t, s.next(Documents), registry.Offset(5))
+	assert.Equal(t, s.next(Documents), registry.Position{Offset: 5})
 	assert.Equal(t, changes, 1)
 
 	s.applyBatch(Targets, Batch{Records: []Record{record(0, "a"), record(1, "b")}}, "store")
 	s.applySnapshot(Targets, Batch{Next: 1, Records: []Record{record(0, "a")}}, "a lagging store")
-	s.applyWhole(Whole{Registry: 1}, "peer")
+	s.applyWhole(Whole{Registry: 1}, "peer", false)
 	assert.Equal(t, s.Targets().Len(), 2)
-	s.applyWhole(Whole{Registry: 9, Entries: []registry.Entry{{ID: "c", Service: "s"}, {ID: "a", Service: "s", Sequence: 2}, {ID: "b", Service: "s", Sequence: 2}}}, "peer")
+	s.applyWhole(Whole{Registry: 9, Entries: []registry.Entry{{ID: "c", Service: "s"}, {ID: "a", Service: "s", Sequence: 2}, {ID: "b", Service: "s", Sequence: 2}}}, "peer", false)
 	assert.Equal(t, s.Targets().Len(), 3)
-	assert.Equal(t, s.next(Targets), registry.Offset(9))
+	assert.Equal(t, s.next(Targets), registry.Position{Offset: 9})
 }
 
 func TestWhatCannotBeReadLeavesTheLastGoodState(t *testing.T) {
@@ -64,7 +65,7 @@
 	assert.Equal(t, v, document.Version(7))
 	s.applyBatch(Targets, Batch{Records: []Record{record(0, "a"), {Offset: 1, ID: "a", Err: errors.New("cut")}, record(2, "b")}}, "store")
 	assert.Equal(t, s.Targets().Len(), 2)
-	assert.Equal(t, s.next(Targets), registry.Offset(3), "the reading goes on behind it")
+	assert.Equal(t, s.next(Targets), registry.Position{Offset: 3}, "the reading goes on behind it")
 }
 
 func TestAPeerBringsAFreshInstanceUpToDate(t *testing.T) {
@@ -76,13 +77,13 @@
 	addr := strings.TrimPrefix(srv.URL, "http://")
 
 	fresh := NewState(0, nil)
-	w, err := newPuller().pull(t.Context(), addr, 0, 0)
+	w, err := newPuller().pull(t.Context(), addr, request{})
 	assert.NilError(t, err)
-	fresh.applyWhole(w, addr)
+	fresh.applyWhole(w, addr, false)
 	v, o := fresh.Versions()
 	assert.Equal(t, v, document.Version(7))
-	assert.Equal(t, o, registry.Offset(1))
-	w, err = newPuller().pull(t.Context(), addr, v, o)
+	assert.Equal(t, o, registry.Position{Offset: 1})
+	w, err = newPuller().pull(t.Context(), addr, request{document: v, registry: o})
 	assert.NilError(t, err)
 	assert.Assert(t, w.Document == nil && len(w.Entries) == 0, "nothing that it has already")
 }
@@ -91,11 +92,12 @@
 type announcedStore struct {
 	Store
 	announced atomic.Int32
+	epoch     atomic.Int64
 }
 
-func (s *announcedStore) Announce(context.Context, string) error {
+func (s *announcedStore) Announce(context.Context, string) (registry.Epoch, error) {
 	s.announced.Add(1)
-	return nil
+	return registry.Epoch(s.epoch.Load()), nil
 }
 
 func (s *announcedStore) Addresses(context.Context) ([]string, error) { return nil, nil }
@@ -129,10 +131,27 @@
 		assert.Equal(t, announcing, announcedPerZone)
 	}
 
-	store := new(announcedStore)
-	f := NewFollower(Options{Self: "self", Zone: "a", Store: store, Know: func([]string) {}, Peers: func() mesh.View { return mesh.View{At: time.Now(), Zone: "a"} }})
-	f.introduce(t.Context())
-	assert.Equal(t, store.announced.Load(), int32(1))
+	store, state := new(announcedStore), NewState(0, nil)
+	f := NewFollower(Options{State: state, Self: "self", Zone: "a", Store: store, Know: func([]string) {}, Peers: func() mesh.View { return mesh.View{At: time.Now(), Zone: "a"} }})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.introduce(ctx)
+	announced := func(times int32) {
+		t.Helper()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n := store.announced.Load(); n != times {
+				return poll.Continue("announced %d times", n)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+	}
+	announced(1)
+	state.applySnapshot(Targets, Batch{Next: 1, Epoch: 1, Records: []Record{record(0, "a")}}, "store")
+	store.epoch.Store(2)
+	state.applySnapshot(Targets, Batch{Next: 1, Epoch: 2, Records: []Record{record(0, "a")}}, "store")
+	announced(2)
+	time.Sleep(300 * time.Millisecond)
+	announced(2)
 }
 
 // TestAPullThatFailedIsMadeAgain: the peer that was chosen cannot be reached, and nobody tells of
@@ -383,9 +402,9 @@
 			defer srv.Close()
 			addr := strings.TrimPrefix(srv.URL, "http://")
 			_, o := fresh.Versions()
-			w, err := newPuller().pull(t.Context(), addr, 0, o)
+			w, err := newPuller().pull(t.Context(), addr, request{registry: o})
 			assert.NilError(t, err)
-			fresh.applyWhole(w, addr)
+			fresh.applyWhole(w, addr, false)
 		}
 		if lag == 0 {
 			old.applySnapshot(Targets, Batch{Next: 9, Records: []Record{{Offset: 0, ID: "a", Entry: &e}}}, "store")
@@ -393,7 +412,7 @@
 		catchUp()
 		assert.Equal(t, fresh.Targets().Target("a").Born, int64(1))
 		later := registry.Entry{ID: "a", Service: "s", Sequence: 1, Born: 2}
-		old.applyBatch(Targets, Batch{Records: []Record{{Offset: old.next(Targets), ID: "a", Entry: &later}}}, "store")
+		old.applyBatch(Targets, Batch{Records: []Record{{Offset: old.next(Targets).Offset, ID: "a", Entry: &later}}}, "store")
 		catchUp()
 		assert.Equal(t, fresh.Targets().Target("a").Born, int64(2))
 		assert.DeepEqual(t, again, []fleet.TargetID{"a"})
--- a/statesync/store.go
+++ b/statesync/store.go
@@ -38,13 +38,15 @@
 }
 
 // Batch is what the store answered. Next is the offset after the records that
-// it holds, or after the snapshot.
+// it holds, or after the snapshot, in the store's epoch.
 type Batch struct {
 	Next    registry.Offset
+	Epoch   registry.Epoch // 0 if the store tells none
 	Records []Record
 }
 
-// ErrExpired tells that the store no longer has the records asked for.
+// ErrExpired tells that the store does not have the records asked for: it no longer has them, or
+// it was restored from an older copy that lacks them.
 var ErrExpired = errors.New("records expired")
 
 // Store is what the fleet needs of the platform.
@@ -56,6 +58,6 @@
 	Read(ctx context.Context, s Stream, from registry.Offset, wait time.Duration) (Batch, error)
 	// Addresses returns the addresses that instances announced.
 	Addresses(ctx context.Context) ([]string, error)
-	// Announce adds an instance's address.
-	Announce(ctx context.Context, addr string) error
+	// Announce adds an instance's address, and returns the epoch that it is in.
+	Announce(ctx context.Context, addr string) (registry.Epoch, error)
 }
