registry, statesync: entries of a copy that show what had gone are doubted; exploration of writes, restores and late answers

After a second restore a target that had gone was used again, or a peer's late answer began anew the time for which what the copy lacks is kept. Cause: what was kept on trust in vain was not remembered as gone; an entry of the same sequence in a whole state may be the copy's or one that was written again, and was always taken; a late peer's entries counted from when they arrived. Why it holds: trust that ends is remembered as a removal; an entry of a later epoch with the sequence of the removal gets no work until it is written in the log or outlives 8 s; trust counts from when the epoch was learned. Narrowed: an instance that never heard of a target's last entry may use it once more when the copy shows it; a trace showed that nothing it knows speaks against that.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -142,10 +142,13 @@
 	// removed holds the last renewal of targets that are gone, so that a late write of
 	// an old one does not bring them back.
 	removed map[fleet.TargetID]renewal
+	// doubted are entries of targets that had gone before the log was restored.
+	doubted map[fleet.TargetID]*Target
 	// restored tells of the last restore of the log until it is taken; restoredAt is when
-	// the fleet first learned of it.
+	// the fleet first learned of it, and epochSince when this instance learned of the epoch.
 	restored   *Restored
 	restoredAt time.Time
+	epochSince time.Time
 	// restarted are targets that have started again since they were last taken.
 	restarted []fleet.TargetID
 	// recent are the last changes, without a gap up to next.
@@ -170,16 +173,25 @@
 // outdates tells whether an entry is older than the removal, in a log of the given epoch.
 //
 // Of a target that left without a notice an entry that follows in the log is news, whatever its
-// sequence. An entry of a copy that is older than the removal follows in nothing, so that the
-// sequence decides: else the copy would bring back what has gone.
+// sequence. One of a later epoch follows in nothing, so that the sequence decides: else a copy
+// that is older than the removal would bring back what has gone.
 func (l *renewal) outdates(e *Entry, epoch Epoch) bool {
 	if e.Born != l.born {
 		return e.Born < l.born
 	}
-	if !l.noticed && l.epoch == epoch {
+	if l.sequence == 0 || e.Sequence == 0 {
 		return false
 	}
-	return l.sequence > 0 && e.Sequence > 0 && e.Sequence <= l.sequence
+	if l.noticed {
+		return e.Sequence <= l.sequence
+	}
+	return l.epoch != epoch && e.Sequence < l.sequence
+}
+
+// doubts tells whether an entry of a whole state may be what the log's older copy shows of the
+// target, or what the target has written again since.
+func (l *renewal) doubts(e *Entry, epoch Epoch) bool {
+	return !l.noticed && l.epoch != epoch && e.Born == l.born && e.Sequence == l.sequence && e.Sequence > 0
 }
 
 // held is an entry that vanished at a time and is in use until another.
@@ -204,6 +216,7 @@
 		entries: make(map[fleet.TargetID]*Target),
 		held:    make(map[fleet.TargetID]held),
 		removed: make(map[fleet.TargetID]renewal),
+		doubted: make(map[fleet.TargetID]*Target),
 		changed: true,
 
 		calmHold: CalmHold,
@@ -289,14 +302,22 @@
 	before := r.next
 	r.next = s.Next
 	r.recent = nil
+	if s.Next.Epoch != before.Epoch || r.epochSince.IsZero() {
+		r.epochSince = now.Add(-s.RestoreAge)
+	}
 	restored := s.Next.Epoch != before.Epoch && len(r.entries)+len(r.held) > 0
 	if restored {
 		r.restore(now, before, s)
 	}
 	since := firstLearned(now, s.Vanished)
 	listed := make(map[fleet.TargetID]bool, len(s.Entries))
+	clear(r.doubted)
 	for _, e := range s.Entries {
 		listed[e.ID] = true
+		if r.doubts(&e) {
+			r.doubted[e.ID] = newTarget(now, e)
+			continue
+		}
 		r.put(now, e)
 	}
 	for id := range r.entries {
@@ -325,9 +346,19 @@
 	if r.startsAgain(&e) {
 		r.restarted = append(r.restarted, e.ID)
 	}
-	delete(r.held, e.ID)
-	delete(r.removed, e.ID)
-	r.entries[e.ID] = &Target{Entry: e, WarmAt: now.Add(e.Warmup)}
+	r.use(newTarget(now, e))
+}
+
+func newTarget(now time.Time, e Entry) *Target {
+	return &Target{Entry: e, WarmAt: now.Add(e.Warmup)}
+}
+
+// use takes a target's entry for what the log says of it now.
+func (r *Registry) use(t *Target) {
+	delete(r.held, t.ID)
+	delete(r.removed, t.ID)
+	delete(r.doubted, t.ID)
+	r.entries[t.ID] = t
 	r.changed = true
 }
 
@@ -358,6 +389,7 @@
 
 // remove takes out an entry whose removal was first learned of at the given time.
 func (r *Registry) remove(now time.Time, id fleet.TargetID, since time.Time) {
+	delete(r.doubted, id)
 	t := r.entries[id]
 	if t == nil {
 		return
@@ -409,9 +441,13 @@
 	}
 }
 
-// Tick ends the holds that are over. While the log is away none ends.
+// Tick ends the holds and doubts that are over. While the log is away none ends.
 func (r *Registry) Tick(now time.Time) {
-	if !r.awayFrom.IsZero() || len(r.held) == 0 {
+	if !r.awayFrom.IsZero() {
+		return
+	}
+	r.endDoubts(now)
+	if len(r.held) == 0 {
 		return
 	}
 	lapsed := r.lapsed()
@@ -423,6 +459,9 @@
 		if now.After(until) {
 			delete(r.held, id)
 			r.changed = true
+			if _, known := r.removed[id]; !known { // it was kept on trust
+				r.remember(now, h.target)
+			}
 		}
 	}
 }
@@ -448,10 +487,13 @@
 
 // Entries returns what the log holds, held entries left out.
 func (r *Registry) Entries() []Entry {
-	entries := make([]Entry, 0, len(r.entries))
+	entries := make([]Entry, 0, len(r.entries)+len(r.doubted))
 	for _, t := range r.entries {
 		entries = append(entries, t.Entry)
 	}
+	for _, t := range r.doubted {
+		entries = append(entries, t.Entry)
+	}
 	return entries
 }
 
--- a/registry/restore.go
+++ b/registry/restore.go
@@ -38,6 +38,11 @@
 	Until          time.Time
 }
 
+// doubtFor is for how long after a restore an entry gets no work that the copy shows of a target
+// that had gone: a target that does not live loses it by then, for it has not renewed it for
+// three intervals, about a second each.
+const doubtFor = 8 * time.Second
+
 // removedFor is for how long a removal is told to peers: longer than a copy of the log is old.
 const removedFor = time.Minute
 
@@ -102,11 +107,15 @@
 	for _, x := range removed {
 		l := renewal{born: x.Born, sequence: x.Sequence, noticed: x.Noticed, epoch: x.Epoch, at: now}
 		if t := r.entries[x.ID]; t != nil {
-			if !l.outdates(&t.Entry, r.next.Epoch) {
+			doubted := l.doubts(&t.Entry, r.next.Epoch)
+			if !doubted && !l.outdates(&t.Entry, r.next.Epoch) {
 				continue
 			}
 			delete(r.entries, x.ID)
 			r.changed = true
+			if doubted {
+				r.doubted[x.ID] = t
+			}
 		}
 		if _, known := r.removed[x.ID]; !known {
 			r.removed[x.ID] = l
@@ -114,6 +123,22 @@
 	}
 }
 
+// doubts tells whether an entry may be that of a target that had gone before the log was restored.
+func (r *Registry) doubts(e *Entry) bool {
+	l, ok := r.removed[e.ID]
+	return ok && l.doubts(e, r.next.Epoch)
+}
+
+// endDoubts takes the entries for true that have outlived the copy.
+func (r *Registry) endDoubts(now time.Time) {
+	if len(r.doubted) == 0 || now.Sub(r.epochSince) < doubtFor {
+		return
+	}
+	for _, t := range r.doubted {
+		r.use(t)
+	}
+}
+
 // Learn takes in what a peer knows of targets beside its position: what it had heard before the
 // log was restored. The peer may be at the same position, or in an earlier epoch. It tells
 // whether there was any news.
@@ -140,16 +165,17 @@
 		}
 		return
 	}
-	if epoch == r.next.Epoch || r.outdated(e) {
+	if epoch == r.next.Epoch || r.outdated(e) || r.doubts(e) {
 		return // it was removed since
 	}
-	t := &Target{Entry: *e, WarmAt: now.Add(e.Warmup)}
+	t := newTarget(now, *e)
 	if e.Leaving {
 		r.remember(now, t)
 		return
 	}
-	if _, ok := r.held[e.ID]; !ok {
-		r.held[e.ID] = held{target: t, since: now, until: now.Add(OutageHold)}
+	until := r.epochSince.Add(OutageHold)
+	if _, ok := r.held[e.ID]; !ok && now.Before(until) {
+		r.held[e.ID] = held{target: t, since: now, until: until}
 		r.changed = true
 	}
 }
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -16,6 +16,7 @@
 // use; Table and Targets do not wait.
 type State struct {
 	seed     uint64
+	clock    func() time.Time
 	onChange func()
 	// onRestart and onRestore may be nil.
 	onRestart func([]fleet.TargetID)
@@ -44,7 +45,7 @@
 
 // NewState returns an empty state. OnChange is called after each change.
 func NewState(seed uint64, onChange func()) *State {
-	s := &State{seed: seed, onChange: onChange, registry: registry.New(), alone: true}
+	s := &State{seed: seed, clock: time.Now, onChange: onChange, registry: registry.New(), alone: true}
 	s.targets.Store(s.registry.View())
 	return s
 }
@@ -100,7 +101,7 @@
 	if s.behindSince.IsZero() {
 		return 0
 	}
-	return time.Since(s.behindSince)
+	return s.clock().Sub(s.behindSince)
 }
 
 func (s *State) version() document.Version {
@@ -173,7 +174,7 @@
 		s.nextDocument = registry.Later(s.nextDocument, b.after(s.nextDocument.Epoch))
 	case Targets:
 		before := s.registry.Next()
-		changed = s.registry.Replace(time.Now(), registry.Snapshot{Next: b.after(before.Epoch), Entries: s.entriesOf(b.Records)})
+		changed = s.registry.Replace(s.clock(), registry.Snapshot{Next: b.after(before.Epoch), Entries: s.entriesOf(b.Records)})
 		s.alone = s.alone || s.registry.Next().Epoch != before.Epoch
 		s.noteRestore(from)
 		s.publish(from)
@@ -192,7 +193,7 @@
 	s.kept += int64(r.Kept)
 	s.moved = true
 	eventlog.Info(eventlog.StoreRestored, "epoch", r.To.Epoch, "offset", r.To.Offset, "epoch_before", r.From.Epoch, "offset_before", r.From.Offset,
-		"kept_on_trust", r.Kept, "outdated", r.Outdated, "trust_ms", time.Until(r.Until).Milliseconds(), "document", s.version(), "from", from)
+		"kept_on_trust", r.Kept, "outdated", r.Outdated, "trust_ms", r.Until.Sub(s.clock()).Milliseconds(), "document", s.version(), "from", from)
 }
 
 // Restores is how often the store was restored from an older copy, and how many targets were kept
@@ -265,7 +266,7 @@
 	if r.Err != nil {
 		s.refusals.note(eventlog.EntryRefused, Targets, string(r.ID), r.Offset, r.Err)
 	}
-	return s.registry.Apply(time.Now(), registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry})
+	return s.registry.Apply(s.clock(), registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry})
 }
 
 // Tick ends what is over by time. Away tells that the store's log answers nobody.
@@ -378,7 +379,7 @@
 func (s *State) whole(r request) Whole {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, next := time.Now(), s.registry.Next()
+	now, next := s.clock(), s.registry.Next()
 	w := Whole{
 		NextDocument: s.nextDocument.Offset, DocumentEpoch: s.nextDocument.Epoch,
 		Registry: next.Offset, Epoch: next.Epoch, RestoreAgeMillis: s.registry.RestoreAge(now).Milliseconds(),
@@ -428,7 +429,7 @@
 // the version before does not know of epochs.
 func (s *State) catchUp(w Whole) bool {
 	if len(w.Changes) > 0 && w.Epoch == s.registry.Next().Epoch {
-		return s.registry.Catch(time.Now(), w.Changes, w.Vanished)
+		return s.registry.Catch(s.clock(), w.Changes, w.Vanished)
 	}
-	return s.registry.Learn(time.Now(), w.snapshot())
+	return s.registry.Learn(s.clock(), w.snapshot())
 }
