--- a/registry/restore.go
+++ b/registry/restore.go
@@ -51,9 +51,12 @@
 	r.restoredAt = now.Add(-s.RestoreAge)
 	r.backAt = later(r.backAt, r.restoredAt)
 	r.restored = &Restored{From: from, To: s.Next, Until: r.restoredAt.Add(OutageHold)}
-	// What the earlier epoch's outage or restore left on trust gets the whole time anew:
-	// its writers may have to write once more.
+	// What an earlier restore left on trust gets the whole time anew: its writers may have to
+	// write once more. What was removed has gone, whether or not the copy shows it.
 	for id, h := range r.held {
+		if _, removed := r.removed[id]; removed {
+			continue
+		}
 		h.until = later(h.until, r.restored.Until)
 		r.held[id] = h
 		r.restored.Kept++
--- a/registry/restore_test.go
+++ b/registry/restore_test.go
@@ -181,3 +181,14 @@
 	r.Learn(after, before)
 	assert.Assert(t, !inUse(r, after, "a"))
 }
+
+// TestARestoreDoesNotProlongTheHoldOfWhatWasRemoved: work must end within the users' bound after the
+// removal, which is known.
+func TestARestoreDoesNotProlongTheHoldOfWhatWasRemoved(t *testing.T) {
+	r := known(t, entry("a", 1), entry("stays", 1))
+	drop(t, r, start, "a")
+	soon := start.Add(CalmHold / 2)
+	assert.Assert(t, r.Replace(soon, Snapshot{Next: Position{2, 480}, Entries: []Entry{entry("a", 1), entry("stays", 1)}}))
+	assert.Assert(t, inUse(r, start.Add(CalmHold-time.Millisecond), "a"))
+	assert.Assert(t, !inUse(r, start.Add(CalmHold+time.Millisecond), "a"))
+}
