statesync: pulls, introductions and what is handed to peers have files of their own; a restore where a third is refused, by a test

The test: nine instances follow one store in one process, which refuses a third of them; after a restore all are in the new epoch within 2.5 s, the users' bound for changes.

--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -45,16 +44,6 @@
 	backOffMin      = 130 * time.Millisecond
 	backOffMax      = 930 * time.Millisecond
 	introBackOffMax = 4 * backOffMax
-	// introWait is how long a fresh instance waits to be heard through its seeds.
-	introWait = time.Second
-	// announcedPerZone is how many instances of a zone have their addresses in the store, for
-	// processes that none of their seeds answers; introEvery is how often the others look
-	// whether they have become one of these. Where all of 293 announced themselves, a fifth
-	// of the fleet's calls to the store was this.
-	announcedPerZone = 3
-	introEvery       = 5 * time.Second
-	// introSpread is the time over which instances announce themselves again after a restore.
-	introSpread = time.Second
 	// roleEvery is how often an instance looks whether it is a reader.
 	roleEvery = 200 * time.Millisecond
 	// takeOverStep is for how long an instance leaves it to each of those before it
@@ -67,11 +56,6 @@
 	takeOverMost = 12
 	// backOffOthers is backOffMax for instances that read in place of others.
 	backOffOthers = 4 * time.Second
-	// pullJitter spreads the pulls of all instances after a change.
-	pullJitter = 30 * time.Millisecond
-	// pullAgain is the pause after a pull that failed. The path to one peer may be cut,
-	// and in a large fleet the next news that tells of a newer state may be a second away.
-	pullAgain = 50 * time.Millisecond
 )
 
 // Options are what a Follower works with.
@@ -270,12 +254,6 @@
 	return o.earlier(v) < readersPerZone
 }
 
-// announces tells whether the instance is one of those of its zone that announce
-// themselves.
-func (o *Options) announces(v mesh.View) bool {
-	return o.earlier(v) < announcedPerZone
-}
-
 // earlier is how many instances of the zone come before this one.
 func (o *Options) earlier(v mesh.View) int {
 	return o.before(v, func(*mesh.Member) bool { return true })
@@ -463,143 +441,3 @@
 	}
 	f.lost = lost
 }
-
-// introduce makes the instance and its peers known to each other through the
-// store, where the seeds do not suffice. Where they do, a few instances of each zone announce
-// themselves for those that come later, and again when the store was restored from a copy that
-// may lack that.
-func (f *Follower) introduce(ctx context.Context) {
-	wait.For(ctx, introWait)
-	b := wait.Backoff{Min: backOffMin, Max: introBackOffMax}
-	announcedIn := registry.Epoch(-1) // in none
-	for ctx.Err() == nil {
-		if announcedIn >= f.o.State.epoch() || !f.o.announces(f.o.Peers()) {
-			f.waitForRestore(ctx, introEvery)
-			continue
-		}
-		epoch, err := f.introduceOnce(ctx)
-		if err == nil {
-			announcedIn = epoch
-			b.Reset()
-			continue
-		}
-		eventlog.Error(eventlog.StoreCallFailed, err, "call", "introduce")
-		b.Pause(ctx)
-	}
-}
-
-// waitForRestore waits until the store was restored, for a while at most, and a moment longer
-// then, that instances do not ask the store all at once.
-func (f *Follower) waitForRestore(ctx context.Context, most time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(most):
-	case <-f.moved:
-		wait.For(ctx, rand.N(introSpread))
-	}
-}
-
-// introduceOnce announces the instance and returns the store's epoch; one that has met no peer
-// asks for theirs first.
-func (f *Follower) introduceOnce(ctx context.Context) (registry.Epoch, error) {
-	call, cancel := context.WithTimeout(ctx, 2*callSlack)
-	defer cancel()
-	if len(f.o.Peers().Members) == 0 {
-		f.count()
-		addrs, err := f.o.Store.Addresses(call)
-		if err != nil {
-			return 0, err
-		}
-		f.o.Know(addrs)
-	}
-	f.count()
-	return f.o.Store.Announce(call, f.o.Self)
-}
-
-// pull fetches the state of peers that are ahead.
-func (f *Follower) pull(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.ahead:
-		}
-		wait.For(ctx, rand.N(pullJitter))
-		for !f.pullOnce(ctx) && wait.For(ctx, pullAgain) {
-			// Until a peer has answered, or none is ahead.
-		}
-	}
-}
-
-// pullOnce fetches the state of the peer that is furthest ahead. It tells false if that
-// failed, and true if there is none.
-func (f *Follower) pullOnce(ctx context.Context) bool {
-	version, position := f.o.State.Versions()
-	r := request{document: version, registry: position, all: f.o.State.asksPeers()}
-	best := f.best(f.o.Peers())
-	if best == nil || !r.wants(best) {
-		return true
-	}
-	began := time.Now()
-	w, err := f.puller.pull(ctx, best.Addr, r)
-	if err != nil {
-		eventlog.Error(eventlog.PullFailed, err, "peer", best.Addr, "document", version, "theirs", best.Document, "epoch", position.Epoch, "registry", position.Offset,
-			"their_epoch", best.Registry.Epoch, "their_registry", best.Registry.Offset, "behind_ms", f.o.State.behind().Milliseconds(), "took_ms", time.Since(began).Milliseconds())
-		return false
-	}
-	f.o.State.applyWhole(w, best.Addr, r.all)
-	return true
-}
-
-// wants tells whether a peer may have what is asked for.
-func (r *request) wants(m *mesh.Member) bool {
-	if r.all && m.Registry != (registry.Position{}) {
-		return true
-	}
-	return m.Document > r.document || m.Registry.After(r.registry)
-}
-
-// best is the peer that is furthest ahead: one of the own zone before others, and
-// any of the equals.
-func (f *Follower) best(v mesh.View) *mesh.Member {
-	var best *mesh.Member
-	ties := 1
-	for i := range v.Members {
-		m := &v.Members[i]
-		if !m.Fresh(v.At) {
-			continue
-		}
-		switch c := f.compare(m, best); {
-		case c > 0:
-			best, ties = m, 1
-		case c == 0:
-			ties++
-			if rand.IntN(ties) == 0 {
-				best = m
-			}
-		}
-	}
-	return best
-}
-
-func (f *Follower) compare(a, b *mesh.Member) int {
-	if b == nil {
-		return 1
-	}
-	switch {
-	case a.Document != b.Document:
-		return sign(a.Document > b.Document)
-	case a.Registry != b.Registry:
-		return a.Registry.Compare(b.Registry)
-	case (a.Zone == f.o.Zone) != (b.Zone == f.o.Zone):
-		return sign(a.Zone == f.o.Zone)
-	}
-	return 0
-}
-
-func sign(more bool) int {
-	if more {
-		return 1
-	}
-	return -1
-}
--- a/statesync/restore_test.go
+++ b/statesync/restore_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -216,3 +217,96 @@
 		assert.Equal(t, announcing, announcedPerZone)
 	}
 }
+
+// refusing is a store that refuses the calls of one instance.
+type refusing struct{ Store }
+
+func (refusing) Snapshot(context.Context, Stream) (Batch, error) { return Batch{}, errAway }
+
+func (refusing) Read(context.Context, Stream, registry.Offset, time.Duration) (Batch, error) {
+	return Batch{}, errAway
+}
+
+var errAway = errors.New("refused")
+
+// follower is an instance that follows a store, and its peers through what they serve.
+type follower struct {
+	addr  string
+	state *State
+	f     *Follower
+}
+
+// startZone starts the instances of a zone. Each sees what the others tell at that moment; where
+// refused is true the store refuses an instance's calls.
+func startZone(t *testing.T, size int, store Store, refused func(i int) bool) []*follower {
+	zone := make([]*follower, size)
+	see := func(self int) mesh.View {
+		v := mesh.View{At: time.Now(), Zone: "a"}
+		for i, other := range zone {
+			if i == self {
+				continue
+			}
+			m := mesh.Member{Addr: other.addr, Zone: "a", Log: other.f.Log(), Heard: v.At}
+			m.Document, m.Registry = other.state.Versions()
+			v.Members = append(v.Members, m)
+		}
+		return v
+	}
+	for i := range zone {
+		s := NewState(0, nil)
+		srv := httptest.NewServer(s)
+		t.Cleanup(srv.Close)
+		zone[i] = &follower{addr: strings.TrimPrefix(srv.URL, "http://"), state: s}
+	}
+	for i, x := range zone {
+		mine := store
+		if refused(i) {
+			mine = refusing{store}
+		}
+		x.f = NewFollower(Options{State: x.state, Store: mine, Self: x.addr, Zone: "a", Peers: func() mesh.View { return see(i) }, Know: func([]string) {}})
+	}
+	for i, x := range zone {
+		go x.f.Run(t.Context())
+		go heartbeats(t.Context(), x, func() mesh.View { return see(i) })
+	}
+	return zone
+}
+
+// heartbeats lets an instance hear what the others tell.
+func heartbeats(ctx context.Context, x *follower, see func() mesh.View) {
+	for ctx.Err() == nil {
+		for _, m := range see().Members {
+			if x.state.Behind(time.Now(), m.Document, m.Registry) {
+				x.f.Ahead()
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestARestoreIsNoticedWhereTheStoreRefusesAThird: these learn from the others, within the users' bound
+// for changes.
+func TestARestoreIsNoticedWhereTheStoreRefusesAThird(t *testing.T) {
+	const within = 2500 * time.Millisecond
+	store := &restoredStore{epoch: 1, end: 500}
+	zone := startZone(t, 9, store, func(i int) bool { return i%3 == 0 })
+	for _, x := range zone {
+		pollEpoch(t, x.state, 1, 5*time.Second)
+	}
+	store.restore(2, 480)
+	since := time.Now()
+	for _, x := range zone {
+		pollEpoch(t, x.state, 2, within-time.Since(since))
+	}
+}
+
+// pollEpoch waits until the targets are known in an epoch.
+func pollEpoch(t *testing.T, s *State, epoch registry.Epoch, within time.Duration) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if next := s.next(Targets); next.Epoch != epoch {
+			return poll.Continue("targets at %v", next)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(within), poll.WithDelay(5*time.Millisecond))
+}
