--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -37,6 +37,8 @@
 	// what it names is none.
 	RateNamed   Event = "rate-named"
 	RateRefused Event = "rate-refused"
+	// TargetLeaving tells that a target says in an answer that it leaves.
+	TargetLeaving Event = "target-leaving"
 	// TargetHeld tells that a target stays in use though its entry has vanished.
 	TargetHeld Event = "target-held"
 	// StoreAway tells that the store is believed to answer nobody, or no longer.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -30,6 +30,8 @@
 	NotRun string
 	// Rate is set by a target in need: the requests a second that it takes from all instances.
 	Rate string
+	// Leaving is set to 1 by a target that is about to end.
+	Leaving string
 }
 
 // Target is where a request goes: a process that registered under an ID at an address. A
@@ -89,6 +91,14 @@
 	Sealed bool
 }
 
+// Head is the head of an answer, which is there before its body.
+type Head struct {
+	Status int
+	Header http.Header
+	// Sealed tells whether the answer carries the target's seal.
+	Sealed bool
+}
+
 // Success tells whether the answer is a success that may reach a caller.
 func (a *Answer) Success() bool { return a.Status/100 == 2 && a.Sealed }
 
@@ -113,6 +123,9 @@
 	Headers Headers
 	// MaxAnswer bounds an answer's body in bytes.
 	MaxAnswer int64
+	// OnHead, if set, is called with the head of each answer of the target that was meant to the
+	// request of the given ID. What it says holds whatever becomes of the body and of the caller.
+	OnHead func(t Target, request string, h Head)
 }
 
 var (
@@ -171,8 +184,8 @@
 		res.Kind, res.Err = Unsent, err
 		return false
 	}
-	written := cn.send(c.head(t, r, time.Until(wanted)), r.Body)
-	answer, closing, err := c.read(cn, r)
+	written := cn.send(c.requestHead(t, r, time.Until(wanted)), r.Body)
+	answer, closing, err := c.read(cn, t, r)
 	if err != nil {
 		res.Kind, res.Err = kindOf(err), err
 		if nothingLeft(written) {
@@ -252,8 +265,8 @@
 	return Broken
 }
 
-// head prints the request's first line and header.
-func (c *Client) head(t Target, r *Request, left time.Duration) []byte {
+// requestHead prints the request's first line and header.
+func (c *Client) requestHead(t Target, r *Request, left time.Duration) []byte {
 	h := r.Header.Clone()
 	h.Set(c.Headers.RequestID, r.ID)
 	h.Set(c.Headers.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
@@ -278,11 +291,12 @@
 const maxForeign = 3
 
 // read returns the answer to r, and whether the connection ends with it.
-func (c *Client) read(cn *conn, r *Request) (*Answer, bool, error) {
+func (c *Client) read(cn *conn, t Target, r *Request) (*Answer, bool, error) {
 	fresh := cn.served == 0
 	foreign := false
+	onHead := func(h Head) { c.handOn(t, r, h) }
 	for range maxForeign {
-		answer, closing, err := c.readOne(cn.reader, r.Method)
+		answer, closing, err := c.readOne(cn.reader, r.Method, onHead)
 		if err != nil {
 			return nil, true, err
 		}
@@ -308,19 +322,28 @@
 	return nil
 }
 
+// handOn passes the head of an answer to OnHead, unless it is that of another request or another target.
+func (c *Client) handOn(t Target, r *Request, h Head) {
+	if c.OnHead == nil || h.Header.Get(c.Headers.RequestID) != r.ID || h.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	c.OnHead(t, r.ID, h)
+}
+
 // readOne reads the next whole answer, interim ones left out.
-func (c *Client) readOne(br *bufio.Reader, method string) (*Answer, bool, error) {
+func (c *Client) readOne(br *bufio.Reader, method string, onHead func(Head)) (*Answer, bool, error) {
 	resp, err := readFinal(br, method)
 	if err != nil {
 		return nil, true, errors.WithStack(err)
 	}
 	defer resp.Body.Close()
+	h := Head{Status: resp.StatusCode, Header: resp.Header, Sealed: resp.Header.Get(c.Headers.Seal) != ""}
+	onHead(h)
 	body, err := readBody(resp.Body, c.MaxAnswer, resp.ContentLength)
 	if err != nil {
 		return nil, true, err
 	}
-	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Sealed: resp.Header.Get(c.Headers.Seal) != ""}
-	return a, resp.Close, nil
+	return &Answer{Status: h.Status, Header: h.Header, Body: body, Sealed: h.Sealed}, resp.Close, nil
 }
 
 func readFinal(br *bufio.Reader, method string) (*http.Response, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,7 @@
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
 	g.state.LeaveWithin(s.LeaveWithin)
 	g.state.OnRestart(func(ids []fleet.TargetID) { g.knowledge.Restarted(time.Now(), ids) })
-	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer}
+	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer, OnHead: g.heard}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
