registry, statesync, gateway: a target that says in an answer that it leaves gets no new work

Callers saw nothing: requests went on to a target that had said so, for as long as the store, which answered nobody, listed it as ready; once it has gone they would have been lost. Cause: the only word that took a target out of use was its entry. What it says of itself in its answers went on to the caller and was not heard.

Ruled out: that it was heard and its entry brought it back (no renewal could be read from 6 to 19 s, and nothing read the field), and that what arrived late had been chosen before (it arrived 5 ms after it was sent).

Now the head of an answer is handed on as soon as it is read, before the answer goes on to the caller. A departure belongs to a process (ID and start) and goes before whatever the store says of it; the registry leaves it out of the view, so that no way of choosing knows the target any more, and its rested connections are closed with the next tick. The client asks once more before the first byte is written, so that what was chosen before and still dials or waits for a grant goes to another target, at no cost to the retry budget. The others are told at once, again with heartbeats and digests for as long as the store does not confirm it, and by pulls.

Why it holds: there is no way to a target but through the view.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -39,6 +39,8 @@
 	RateRefused Event = "rate-refused"
 	// TargetLeaving tells that a target says in an answer that it leaves.
 	TargetLeaving Event = "target-leaving"
+	// AdviceRefused tells that a field by which targets say something of themselves says nothing.
+	AdviceRefused Event = "advice-refused"
 	// TargetHeld tells that a target stays in use though its entry has vanished.
 	TargetHeld Event = "target-held"
 	// StoreAway tells that the store is believed to answer nobody, or no longer.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -73,15 +73,24 @@
 	Overdue
 	// Abandoned means that the caller left.
 	Abandoned
+	// Withheld means that nothing was sent since the target is to get no request any more.
+	Withheld
 )
 
 var kindNames = map[Kind]string{
 	Answered: "answered", Refused: "refused", Unsent: "unsent", Broken: "broken", Overdue: "overdue", Abandoned: "abandoned",
+	Withheld: "withheld",
 }
 
 // String names the kind as logs and metrics write it.
 func (k Kind) String() string { return kindNames[k] }
 
+// Unrun tells whether the target certainly did not run the request, and never will.
+func (k Kind) Unrun() bool { return k == Refused || !k.MayHaveArrived() }
+
+// MayHaveArrived tells whether any part of the request may have reached the target.
+func (k Kind) MayHaveArrived() bool { return k != Unsent && k != Withheld }
+
 // Answer is a target's whole answer.
 type Answer struct {
 	Status int
@@ -126,6 +135,9 @@
 	// OnHead, if set, is called with the head of each answer of the target that was meant to the
 	// request of the given ID. What it says holds whatever becomes of the body and of the caller.
 	OnHead func(t Target, request string, h Head)
+	// Admit, if set, is asked before the first byte of a request is written whether the target takes requests:
+	// it may have said otherwise since it was chosen.
+	Admit func(t Target) bool
 }
 
 var (
@@ -144,6 +156,10 @@
 	if err != nil {
 		return Result{Kind: Unsent, Err: err, Took: time.Since(start)}
 	}
+	if c.Admit != nil && !c.Admit(t) {
+		_ = cn.Close()
+		return Result{Kind: Withheld, Took: time.Since(start)}
+	}
 	res := Result{Reused: cn.served > 0}
 	if res.Reused {
 		res.IdleFor = start.Sub(cn.idleSince)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -318,3 +318,55 @@
 	assert.Assert(t, second.Reused)
 	assert.Equal(t, rt.conns.Load(), int32(1))
 }
+
+// TestHeadsAreHandedOn: what the head of an answer says of its target is known whatever becomes of its body, and only from
+// the target that was meant and of the request that was sent.
+func TestHeadsAreHandedOn(t *testing.T) {
+	const word = "X-Word: 1\r\n"
+	says := func(answer string) string { return strings.Replace(answer, "X-Id", word+"X-Id", 1) }
+	for _, tc := range []struct {
+		name string
+		step string
+		want bool
+	}{
+		{"whole", says(sealed), true},
+		{"a failure", says("HTTP/1.1 500 No\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n"), true},
+		{"a refusal", says("HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), true},
+		{"cut in the body", says("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 9\r\n\r\nbody") + reset, true},
+		{"a body that does not come", says("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 9\r\n\r\nbody"), true},
+		{"bytes after the answer", says(sealed) + "more", true},
+		{"another request's answer first", other + says(sealed), true},
+		{"cut in the head", says(sealed)[:40] + reset, false},
+		{"another request's answer", says(other) + sealed, false},
+		{"an extra answer", sealed + says(other), false},
+		{"another target's", says("HTTP/1.1 421 No\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n"), false},
+		{"without an ID", strings.Replace(says("HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"), "X-Id: %s\r\n", "", 1), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			rt := newRawTarget(t, script{tc.step})
+			c, said := client(), false
+			c.OnHead = func(target Target, request string, h Head) {
+				assert.Check(t, target == rt.Target)
+				assert.Check(t, request == "r1")
+				said = said || h.Header.Get("X-Word") != ""
+			}
+			do(c, rt.Target, request("r1"))
+			assert.Equal(t, said, tc.want)
+		})
+	}
+}
+
+// TestAWithheldRequestIsNotSent: a target that takes no requests since it was chosen gets none.
+func TestAWithheldRequestIsNotSent(t *testing.T) {
+	rt := newRawTarget(t, script{sealed, sealed})
+	c := client()
+	takes := true
+	c.Admit = func(Target) bool { return takes }
+	assert.Equal(t, do(c, rt.Target, request("r1")).Kind, Answered)
+	takes = false
+	res := do(c, rt.Target, request("r2"))
+	assert.Equal(t, res.Kind, Withheld)
+	assert.Assert(t, res.Kind.Unrun() && !res.Kind.MayHaveArrived())
+	assert.Equal(t, rt.requests.Load(), int32(1))
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -132,6 +132,8 @@
 		return "it refused the request unrun with " + l.Get("status")
 	case "unsent":
 		return "it was not reached: " + l.Get("err")
+	case "withheld":
+		return "it was to get no request any more, so that nothing was sent"
 	case "overdue":
 		return "it did not answer in " + l.Get("took_ms") + " ms"
 	}
--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -1,26 +1,75 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/registry"
 )
 
-// This file takes in what targets say of themselves in the heads of their answers.
+// This file takes in what targets say of themselves in the heads of their answers, and what other instances
+// were told.
 
-// leavingValue is what a target that leaves sets its field to.
-const leavingValue = "1"
+const (
+	// leavingValue is what a target that leaves sets its field to.
+	leavingValue = "1"
+	// departuresInPacket bounds the departures in one heartbeat, about 30 bytes each; which ones changes
+	// from one to the next.
+	departuresInPacket = 8
+)
 
 // heard takes in what the head of an answer says of its target.
 func (g *Gateway) heard(t exchange.Target, request string, h exchange.Head) {
-	if leaves(h.Header.Values(g.settings.Headers.Leaving)) {
-		g.state.Depart(registry.Departure{ID: t.ID, Born: t.Born}, time.Now(), fromSelf)
+	fields := h.Header.Values(g.settings.Headers.Leaving)
+	switch {
+	case len(fields) == 0:
+	case leaves(fields):
+		g.depart(registry.Departure{ID: t.ID, Born: t.Born})
+	default:
+		g.metrics.AdviceRefused(g.settings.Headers.Leaving)
+		eventlog.Info(eventlog.AdviceRefused, "request", request, "target", t.ID, "field", g.settings.Headers.Leaving, "values", len(fields))
 	}
 }
 
-// leaves tells whether the fields by which a target may say that it leaves say so.
+// leaves tells whether the fields by which a target says that it leaves say so.
 func leaves(fields []string) bool {
-	return len(fields) > 0 && !slices.ContainsFunc(fields, func(f string) bool { return f != leavingValue })
+	return !slices.ContainsFunc(fields, func(f string) bool { return f != leavingValue })
+}
+
+// depart takes a target out of use that said to this instance that it leaves, before its answer goes on to
+// the caller, and tells the others.
+func (g *Gateway) depart(d registry.Departure) {
+	if news := g.state.Depart([]registry.Departure{d}, fromSelf); len(news) > 0 {
+		g.node.TellDepartures(news, true)
+	}
+}
+
+// takeDepartures takes in what another instance tells of targets that leave. What is news from another zone
+// is passed on to the own one.
+func (g *Gateway) takeDepartures(p *mesh.Packet) {
+	if len(p.Departures) == 0 {
+		return
+	}
+	news := g.state.Depart(p.Departures, p.Addr)
+	if len(news) > 0 && p.Zone != g.settings.Zone && !p.Relayed {
+		g.node.TellDepartures(news, false)
+	}
+}
+
+// fillDepartures puts into a packet some of the targets that leave of which others may not know.
+func (g *Gateway) fillDepartures(now time.Time, p *mesh.Packet) {
+	ds := g.state.DeparturesToTell(now)
+	rand.Shuffle(len(ds), func(i, j int) { ds[i], ds[j] = ds[j], ds[i] })
+	p.Departures = ds[:min(len(ds), departuresInPacket)]
+}
+
+// admits tells whether a target may still get a request: it may have left, started again or moved since it was
+// chosen.
+func (g *Gateway) admits(t exchange.Target) bool {
+	rt := g.state.Targets().Target(t.ID)
+	return rt != nil && at(rt) == t
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -192,6 +192,8 @@
 		o.kind, o.why = notRun, "targets refused it"
 	case exchange.Unsent:
 		o.kind, o.why = notRun, "targets were out of reach"
+	case exchange.Withheld:
+		o.kind, o.why = notRun, "targets take no more requests"
 	case exchange.Overdue:
 		r.sent++
 		o.kind, o.why = late, noAnswerInTime
@@ -223,7 +225,7 @@
 
 // again begins a further attempt after one that failed, if that is allowed.
 func (r *race) again(e ended) bool {
-	unrun := e.result.Kind == exchange.Refused || e.result.Kind == exchange.Unsent
+	unrun := e.result.Kind.Unrun()
 	why := ""
 	switch {
 	case r.c.r.Context().Err() != nil:
@@ -240,7 +242,7 @@
 		why = "its content may crash targets"
 	case !unrun && r.c.atFault():
 		why = "it fails at each target"
-	case e.result.Kind != exchange.Unsent && !r.spend("again"):
+	case e.result.Kind.MayHaveArrived() && !r.spend("again"):
 		return false
 	}
 	if why == "" && r.begin() {
@@ -364,7 +366,11 @@
 	watch := time.AfterFunc(slow, func() { c.observeSlow(p, began) })
 	res := c.h.Client.Do(r.ctx, at(p.Target), c.request, c.targetDeadline, c.deadline, p.MaxIdle)
 	watch.Stop()
-	c.h.Knowledge.Ended(p)
+	if res.Kind == exchange.Withheld {
+		c.h.Knowledge.Withdraw(p)
+	} else {
+		c.h.Knowledge.Ended(p)
+	}
 	r.results <- ended{p, res}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,7 +83,7 @@
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announce)
 	g.state.LeaveWithin(s.LeaveWithin)
 	g.state.OnRestart(func(ids []fleet.TargetID) { g.knowledge.Restarted(time.Now(), ids) })
-	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer, OnHead: g.heard}
+	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxAnswer: maxAnswer, OnHead: g.heard, Admit: g.admits}
 	if err := g.listen(); err != nil {
 		return nil, err
 	}
@@ -124,6 +124,7 @@
 	g.fillUntold(now, p)
 	g.fillContents(now, p)
 	g.rates.fill(now, p)
+	g.fillDepartures(now, p)
 }
 
 // greet tells an instance that was just found what this one believes of targets and contents.
@@ -131,6 +132,7 @@
 	p.Beliefs = g.knowledge.Beliefs(now)
 	g.fillContents(now, p)
 	g.rates.fill(now, p)
+	g.fillDepartures(now, p)
 }
 
 // digest sums up the own zone.
@@ -169,6 +171,7 @@
 	g.knowledge.Take(now, p)
 	g.takeContents(now, p)
 	g.rates.take(now, p)
+	g.takeDepartures(p)
 	if len(p.Asks) > 0 {
 		g.lend(now, p)
 	}
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -24,7 +24,7 @@
 	"github.com/clementinereel/clementinereel/statesync"
 )
 
-var names = exchange.Headers{RequestID: "X-Id", Deadline: "X-Deadline", Seal: "X-Seal", Target: "X-Target", NotRun: "X-Not-Run"}
+var names = exchange.Headers{RequestID: "X-Id", Deadline: "X-Deadline", Seal: "X-Seal", Target: "X-Target", NotRun: "X-Not-Run", Leaving: "X-Leaving"}
 
 // backend is a target that counts runs and those that were given up.
 type backend struct {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -47,6 +47,11 @@
 	m.Registry.Counter("gateway.rates.refused", telemetry.Label{Key: "cause", Value: string(c)}).Inc(1)
 }
 
+// AdviceRefused counts a field by which a target says something of itself, and that says nothing.
+func (m *Metrics) AdviceRefused(field string) {
+	m.Registry.Counter("gateway.advice.refused", telemetry.Label{Key: "field", Value: field}).Inc(1)
+}
+
 // Token counts a request at a target that names a rate: whether the rate allowed it.
 func (m *Metrics) Token(granted bool) {
 	m.Registry.Counter("gateway.rates.tokens", telemetry.Label{Key: "granted", Value: strconv.FormatBool(granted)}).Inc(1)
@@ -80,6 +85,7 @@
 	for cause, n := range g.state.Refused() {
 		m.Registry.Gauge("gateway.records.refused", telemetry.Label{Key: "cause", Value: string(cause)}).Update(n)
 	}
+	gauge("gateway.targets.departed", int64(g.state.Departures()))
 	gauge("gateway.targets.rated", int64(g.rates.table.Len()))
 	for s, n := range g.contents.Counts() {
 		m.Registry.Gauge("gateway.contents", telemetry.Label{Key: "standing", Value: s.String()}).Update(int64(n))
--- a/losses/request.go
+++ b/losses/request.go
@@ -106,6 +106,8 @@
 		return "shed"
 	case "unsent":
 		return "no connection"
+	case "withheld":
+		return "withheld"
 	case "overdue":
 		return "no answer"
 	}
--- a/mesh/outbox.go
+++ b/mesh/outbox.go
@@ -263,6 +263,10 @@
 	for i := range q.Rates {
 		q.Rates[i].AgeMillis += waited.Milliseconds()
 	}
+	q.Departures = slices.Clone(p.Departures)
+	for i := range q.Departures {
+		q.Departures[i].AgeMillis += waited.Milliseconds()
+	}
 	if p.Digest == nil {
 		return &q
 	}
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -62,6 +62,9 @@
 	Rates     []TargetRate `cbor:"24,keyasint,omitempty"`
 	TokenAsks []TokenAsk   `cbor:"25,keyasint,omitempty"`
 	Tokens    []Token      `cbor:"26,keyasint,omitempty"`
+	// Departures are processes of targets that said in answers that they leave. Earlier versions pass
+	// them over.
+	Departures []registry.Departure `cbor:"27,keyasint,omitempty"`
 }
 
 // TargetRate is the rate that a target names, or that it names none any more.
--- a/mesh/rates.go
+++ b/mesh/rates.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -8,16 +9,20 @@
 // TellRates tells the own zone at once of rates that targets name, and the bridges of the other zones
 // too if far is set. It does not wait for the link: rates change seldom.
 func (n *Node) TellRates(rates []TargetRate, far bool) {
+	p := n.stamped()
+	p.Rates = rates
+	n.send(Rates, p, n.neighbours(far))
+}
+
+// neighbours are the instances of the own zone, with the bridges of the other zones if far is set.
+func (n *Node) neighbours(far bool) []netip.AddrPort {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	r := n.routesAt(time.Now())
-	to := r.near
-	if far {
-		to = slices.Concat(to, r.far)
+	if !far {
+		return r.near
 	}
-	n.mu.Unlock()
-	p := n.stamped()
-	p.Rates = rates
-	n.send(Rates, p, to)
+	return slices.Concat(r.near, r.far)
 }
 
 // AskToken asks an instance, by its address, for a request out of a rate that it holds.
--- a/mesh/stats.go
+++ b/mesh/stats.go
@@ -22,12 +22,14 @@
 	Loans
 	// Rates are those that targets name, and what is asked for and given of them.
 	Rates
+	// Departures are targets that said that they leave.
+	Departures
 	kinds
 )
 
 // String names the kind in logs and metrics.
 func (k Kind) String() string {
-	return [...]string{"heartbeats", "news", "passed", "digests", "announcements", "greetings", "loans", "rates"}[k]
+	return [...]string{"heartbeats", "news", "passed", "digests", "announcements", "greetings", "loans", "rates", "departures"}[k]
 }
 
 // Kinds are all kinds of datagrams.
--- a/registry/holds.go
+++ b/registry/holds.go
@@ -112,6 +112,7 @@
 // Tick ends the holds and doubts that are over.
 func (r *Registry) Tick(now time.Time) {
 	r.contact.forget(now)
+	r.forgetDepartures(now)
 	if !r.contact.away {
 		r.endDoubts(now)
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -124,6 +124,8 @@
 	removed map[fleet.TargetID]renewal
 	// doubted are entries of targets that had gone before the log was restored.
 	doubted map[fleet.TargetID]*Target
+	// departures are processes that said in answers that they leave.
+	departures map[fleet.TargetID]departure
 	// restored tells of the last restore of the log until it is taken; restoredAt is when
 	// the fleet first learned of it, and epochSince when this instance learned of the epoch.
 	restored   *Restored
@@ -146,7 +148,7 @@
 // renewal is what is remembered of a target that has gone.
 type renewal struct {
 	born, sequence int64
-	// noticed tells that the target said that it leaves. Else the same process may come back.
+	// noticed tells that the target announced that it leaves. Else the same process may come back.
 	noticed bool
 	// epoch is that of the removal, at when this instance learned of it, since when the first of
 	// all did.
@@ -186,6 +188,8 @@
 		removed: make(map[fleet.TargetID]renewal),
 		doubted: make(map[fleet.TargetID]*Target),
 		changed: true,
+
+		departures: make(map[fleet.TargetID]departure),
 	}
 	r.LeaveWithin(defaultBound)
 	r.View()
@@ -359,7 +363,7 @@
 	delete(r.entries, id)
 	r.remember(now, t, since)
 	r.changed = true
-	if t.Leaving {
+	if r.leaving(t) {
 		return
 	}
 	h := held{target: t, since: since}
@@ -373,7 +377,7 @@
 	if len(r.removed) >= sequenceMemory {
 		r.removed = make(map[fleet.TargetID]renewal)
 	}
-	r.removed[t.ID] = renewal{born: t.Born, sequence: t.Sequence, noticed: t.Leaving, epoch: r.next.Epoch, at: now, since: since}
+	r.removed[t.ID] = renewal{born: t.Born, sequence: t.Sequence, noticed: r.leaving(t), epoch: r.next.Epoch, at: now, since: since}
 }
 
 // Entries returns what the log holds, held entries left out.
@@ -400,17 +404,22 @@
 		byID:     make(map[fleet.TargetID]*Target),
 	}
 	for _, t := range r.entries {
-		if !t.Leaving {
+		if !r.leaving(t) {
 			v.add(t)
 		}
 	}
 	for _, h := range r.held {
-		v.add(h.target)
+		if !r.leaving(h.target) {
+			v.add(h.target)
+		}
 	}
 	r.view = v
 	return v
 }
 
+// leaving tells whether a target has announced that it leaves, by its entry or in an answer.
+func (r *Registry) leaving(t *Target) bool { return t.Leaving || r.departed(&t.Entry) }
+
 func (v *View) add(t *Target) {
 	v.Services[t.Service] = append(v.Services[t.Service], t)
 	v.byID[t.ID] = t
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -12,6 +12,9 @@
 
 var start = time.Unix(1000, 0)
 
+// at is so many seconds after the start.
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
 func entry(id fleet.TargetID, sequence int64) Entry {
 	return Entry{ID: id, Service: "s", Slots: 4, Sequence: sequence}
 }
@@ -328,3 +331,47 @@
 		assert.Assert(t, !inUse(r, start.Add(bound-600*time.Millisecond), "a"), "%d of %d", gone, all)
 	}
 }
+
+// TestADepartureHoldsForItsProcess: what the log says of a process that said that it leaves changes nothing, and the
+// next one under its ID is used.
+func TestADepartureHoldsForItsProcess(t *testing.T) {
+	r := New()
+	write := func(s float64, born, sequence int64, leaving bool) {
+		e := Entry{ID: "a", Service: "s", Addr: "x", Born: born, Sequence: sequence, Leaving: leaving}
+		assert.Assert(t, r.Apply(at(s), Change{Offset: r.Next().Offset, ID: "a", Entry: &e}))
+	}
+	used := func() bool { return r.View().Target("a") != nil }
+	write(0, 5, 1, false)
+	assert.Assert(t, !r.Depart(at(1), Departure{ID: "a", Born: 4}), "an earlier process")
+	assert.Assert(t, !r.Depart(at(1), Departure{ID: "a", Born: 5, AgeMillis: -1}))
+	assert.Assert(t, !r.Depart(at(1), Departure{ID: "a", Born: 5, AgeMillis: 1 << 40}))
+	assert.Assert(t, used())
+	assert.Assert(t, r.Depart(at(1), Departure{ID: "a", Born: 5, AgeMillis: 200}))
+	assert.Assert(t, !r.Depart(at(1), Departure{ID: "a", Born: 5}), "it is known")
+	assert.Assert(t, !used())
+	write(2, 5, 2, false)
+	assert.Assert(t, !used())
+	assert.DeepEqual(t, r.DeparturesToTell(at(8)), []Departure{{ID: "a", Born: 5, AgeMillis: 7200}})
+	write(9, 5, 3, true)
+	assert.Equal(t, len(r.DeparturesToTell(at(9))), 0, "the log confirms it")
+	assert.Equal(t, len(r.Departures(at(9))), 1)
+	assert.Assert(t, r.Apply(at(10), Change{Offset: r.Next().Offset, ID: "a"}))
+	assert.Assert(t, !used(), "it is not held")
+	write(11, 5, 4, false)
+	assert.Assert(t, !used())
+	write(12, 6, 1, false)
+	assert.Assert(t, used())
+	r.Tick(at(13))
+	assert.Equal(t, len(r.Departures(at(13))), 0)
+}
+
+// TestDeparturesAreBounded: those of unknown targets are kept for a minute, and only so many.
+func TestDeparturesAreBounded(t *testing.T) {
+	r := New()
+	for n := range 2 * departuresMost {
+		r.Depart(at(0), Departure{ID: fleet.TargetID(fmt.Sprint(n))})
+	}
+	assert.Equal(t, len(r.Departures(at(0))), departuresMost)
+	r.Tick(at(61))
+	assert.Equal(t, len(r.Departures(at(61))), 0)
+}
--- a/statesync/departures.go
+++ b/statesync/departures.go
@@ -7,11 +7,43 @@
 	"github.com/clementinereel/clementinereel/registry"
 )
 
-// This file takes in that targets say that they leave, other than by their entries.
+// Depart takes processes of targets out of use that said in answers that they leave, and returns
+// those of which that is news. From names who tells it.
+func (s *State) Depart(ds []registry.Departure, from string) []registry.Departure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news := s.depart(ds, from)
+	if len(news) > 0 {
+		s.publish(from)
+	}
+	return news
+}
+
+// depart is the same before the view is published; the lock is held.
+func (s *State) depart(ds []registry.Departure, from string) []registry.Departure {
+	now := s.clock()
+	var news []registry.Departure
+	for _, d := range ds {
+		if !s.registry.Depart(now, d) {
+			continue
+		}
+		news = append(news, d)
+		t := s.Targets().Target(d.ID)
+		eventlog.Info(eventlog.TargetLeaving, "target", d.ID, "born", d.Born, "by", from, "age_ms", d.AgeMillis, "in_use", t != nil && t.Born == d.Born)
+	}
+	return news
+}
+
+// DeparturesToTell returns the departures that others may not know.
+func (s *State) DeparturesToTell(now time.Time) []registry.Departure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.DeparturesToTell(now)
+}
 
-// Depart takes in that a process of a target says that it leaves, which was first heard of at the given
-// time. From names who heard it.
-func (s *State) Depart(d registry.Departure, since time.Time, from string) {
-	t := s.Targets().Target(d.ID)
-	eventlog.Info(eventlog.TargetLeaving, "target", d.ID, "born", d.Born, "by", from, "age_ms", s.clock().Sub(since).Milliseconds(), "in_use", t != nil && t.Born == d.Born)
+// Departures is how many processes are known that said in answers that they leave.
+func (s *State) Departures() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.registry.Departures(s.clock()))
 }
--- a/statesync/departures_test.go
+++ b/statesync/departures_test.go
@@ -16,6 +16,25 @@
 	f.store.put(id, &registry.Entry{ID: id, Service: service, Slots: 2, Sequence: sequence, Born: born})
 }
 
+// answered lets an answer tell the instance that a target leaves, and the instance tell the others.
+func (m *instanceModel) answered(d registry.Departure) {
+	if news := m.state.Depart([]registry.Departure{d}, "self"); len(news) > 0 {
+		m.tellDepartures(news, true)
+	}
+}
+
+// tellDepartures tells the own zone, and the bridges of the others if far is set.
+func (m *instanceModel) tellDepartures(ds []registry.Departure, far bool) {
+	p := m.packet()
+	p.Departures = ds
+	m.tell(p)
+	for _, o := range m.fleet.members {
+		if far && o.zone != m.zone && o.bridges() && !m.fleet.chance(lostShare) {
+			time.AfterFunc(peerLatency+o.late, func() { o.hear(p) })
+		}
+	}
+}
+
 // TestNoTargetIsUsedAfterItSaidThatItLeaves: the store's word that a target is ready kept it in use, and brought it back,
 // after the target had said otherwise in an answer.
 func TestNoTargetIsUsedAfterItSaidThatItLeaves(t *testing.T) {
@@ -34,7 +53,7 @@
 			f.store.setDown(true, f.chance(0.5), f.chance(0.5))
 			time.Sleep(time.Second)
 			told, heard := time.Now(), f.members[f.pick(len(f.members))]
-			heard.state.Depart(registry.Departure{ID: "leaver", Born: born}, told, "self")
+			heard.answered(registry.Departure{ID: "leaver", Born: born})
 			assert.Check(t, !heard.uses("leaver"), "the instance that was told uses it")
 			last, by := f.lastUse(told, watched, "leaver")
 			t.Logf("last used %v after", last)
--- a/statesync/path_model_test.go
+++ b/statesync/path_model_test.go
@@ -334,6 +334,7 @@
 func (m *instanceModel) packet() *mesh.Packet {
 	p := &mesh.Packet{Addr: m.addr, Zone: m.zone}
 	m.follower.Fill(p)
+	p.Departures = m.state.DeparturesToTell(time.Now())
 	return p
 }
 
@@ -388,17 +389,26 @@
 	o.Hear(now, p)
 	m.heard[p.Addr] = o
 	m.mu.Unlock()
+	m.takeDepartures(p, p.Zone != m.zone)
 	if m.state.Behind(now, p.Document, p.Position()) {
 		m.follower.Ahead()
 	}
 }
 
+// takeDepartures takes in which targets leave, and passes on what is news from another zone.
+func (m *instanceModel) takeDepartures(p *mesh.Packet, pass bool) {
+	if news := m.state.Depart(p.Departures, p.Addr); pass && len(news) > 0 {
+		m.tellDepartures(news, false)
+	}
+}
+
 // hearZone takes in a digest that was on its way for some time.
 func (m *instanceModel) hearZone(p *mesh.Packet, waited time.Duration) {
 	now := time.Now()
 	m.mu.Lock()
 	m.zones[p.Zone] = mesh.Zone{Name: p.Zone, Instances: 1, Log: p.Log, Heard: now, Answered: p.Answered.Span(now.Add(-waited))}
 	m.mu.Unlock()
+	m.takeDepartures(p, false)
 	if m.state.Behind(now, p.Document, p.Position()) {
 		m.follower.Ahead()
 	}
--- a/statesync/whole.go
+++ b/statesync/whole.go
@@ -27,6 +27,8 @@
 	RestoreAgeMillis int64 `cbor:"10,keyasint,omitempty"`
 	// Removed are targets that have gone lately, for who knows the store's copy alone.
 	Removed []registry.Removed `cbor:"11,keyasint,omitempty"`
+	// Departures are processes that said in answers that they leave, of which the log may not tell.
+	Departures []registry.Departure `cbor:"12,keyasint,omitempty"`
 }
 
 func (w *Whole) position() registry.Position {
@@ -71,6 +73,7 @@
 	w := Whole{
 		NextDocument: s.nextDocument.Offset, DocumentEpoch: s.nextDocument.Epoch,
 		Registry: next.Offset, Epoch: next.Epoch, RestoreAgeMillis: s.registry.RestoreAge(now).Milliseconds(),
+		Departures: s.registry.Departures(now),
 	}
 	if t := s.table.Load(); t != nil && t.Document.Version > r.document {
 		w.Document = t.Document
@@ -100,9 +103,13 @@
 	if w.Document == nil || s.version() >= w.Document.Version {
 		s.nextDocument = registry.Later(s.nextDocument, registry.Position{Epoch: w.DocumentEpoch, Offset: w.NextDocument})
 	}
-	if all || w.position().After(s.registry.Next()) {
+	departed := len(s.depart(w.Departures, from)) > 0
+	ahead := all || w.position().After(s.registry.Next())
+	if ahead {
 		changed = s.catchUp(w) || changed
 		s.noteRestore(from)
+	}
+	if ahead || departed {
 		s.publish(from)
 	}
 	if all {
