header, exchange, gateway: a line tells for how long a target that turns requests away wants no others

Sight only: no choice knows of it. The contract path and the gateway read Retry-After by one function now: seconds with fractions, dates by the server's own clock, and a bound; what names no time counts as refused. Heads of refusals without an ID are handed on too, marked as such: they may be another target's, which matters for leaving and not for rest.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -106,6 +106,9 @@
 	Header http.Header
 	// Sealed tells whether the answer carries the target's seal.
 	Sealed bool
+	// Named tells whether the answer names the request. One without may be a refusal by whoever listens
+	// at the address.
+	Named bool
 }
 
 // Success tells whether the answer is a success that may reach a caller.
@@ -132,8 +135,8 @@
 	Headers Headers
 	// MaxAnswer bounds an answer's body in bytes.
 	MaxAnswer int64
-	// OnHead, if set, is called with the head of each answer of the target that was meant to the
-	// request of the given ID. What it says holds whatever becomes of the body and of the caller.
+	// OnHead, if set, is called with the head of each answer to the request of the given ID, unless another
+	// target gave it. What it says holds whatever becomes of the body and of the caller.
 	OnHead func(t Target, request string, h Head)
 	// Admit, if set, is asked before the first byte of a request is written whether the target takes requests:
 	// it may have said otherwise since it was chosen.
@@ -310,27 +313,39 @@
 func (c *Client) read(cn *conn, t Target, r *Request) (*Answer, bool, error) {
 	fresh := cn.served == 0
 	foreign := false
-	onHead := func(h Head) { c.handOn(t, r, h) }
 	for range maxForeign {
-		answer, closing, err := c.readOne(cn.reader, r.Method, onHead)
-		if err != nil {
+		named, unnamed := false, false
+		answer, closing, err := c.readOne(cn.reader, r.Method, func(h Head) {
+			id := h.Header.Get(c.Headers.RequestID)
+			named = id == r.ID
+			unnamed = id == "" && fresh && !foreign && h.Header.Get(c.Headers.NotRun) != ""
+			if named || unnamed {
+				h.Named = named
+				c.handOn(t, r, h)
+			}
+		})
+		switch {
+		case err != nil:
 			return nil, true, err
-		}
-		id := answer.Header.Get(c.Headers.RequestID)
-		if id == r.ID {
+		case named:
 			return answer, closing || foreign, verify(answer)
-		}
-		if id == "" && fresh && !foreign && answer.Header.Get(c.Headers.NotRun) != "" {
+		case unnamed:
 			return answer, true, nil
-		}
-		if closing {
-			return nil, true, errors.Wrapf(errForeign, "id %q, status %d", id, answer.Status)
+		case closing:
+			return nil, true, errors.Wrapf(errForeign, "id %q, status %d", answer.Header.Get(c.Headers.RequestID), answer.Status)
 		}
 		foreign = true
 	}
 	return nil, true, errForeign
 }
 
+// handOn passes the head of an answer to OnHead, unless it is another target's.
+func (c *Client) handOn(t Target, r *Request, h Head) {
+	if c.OnHead != nil && h.Status != http.StatusMisdirectedRequest {
+		c.OnHead(t, r.ID, h)
+	}
+}
+
 func verify(a *Answer) error {
 	if enc := a.Header.Get("Content-Encoding"); enc != "" && !strings.EqualFold(enc, "identity") {
 		return errors.Wrap(errEncoded, enc)
@@ -338,14 +353,6 @@
 	return nil
 }
 
-// handOn passes the head of an answer to OnHead, unless it is that of another request or another target.
-func (c *Client) handOn(t Target, r *Request, h Head) {
-	if c.OnHead == nil || h.Header.Get(c.Headers.RequestID) != r.ID || h.Status == http.StatusMisdirectedRequest {
-		return
-	}
-	c.OnHead(t, r.ID, h)
-}
-
 // readOne reads the next whole answer, interim ones left out.
 func (c *Client) readOne(br *bufio.Reader, method string, onHead func(Head)) (*Answer, bool, error) {
 	resp, err := readFinal(br, method)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -349,10 +349,10 @@
 			c.OnHead = func(target Target, request string, h Head) {
 				assert.Check(t, target == rt.Target)
 				assert.Check(t, request == "r1")
-				said = said || h.Header.Get("X-Word") != ""
+				said = said || h.Header.Get("X-Word") != "" && h.Named
 			}
 			do(c, rt.Target, request("r1"))
-			assert.Equal(t, said, tc.want)
+			assert.Equal(t, said, tc.want, "named")
 		})
 	}
 }
--- a/fuzz.sh
+++ b/fuzz.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 time=${1:-1m}
-for package in ./platform ./mesh ./gateway ./statesync; do
+for package in ./platform ./mesh ./gateway ./statesync ./header; do
   for target in $(go test "$package" -list '^Fuzz' | grep '^Fuzz'); do
     printf '%s %s: ' "$package" "$target"
     go test "$package" -run '^$' -fuzz "^$target\$" -fuzztime "$time" | tail -1
--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/registry"
 )
@@ -20,19 +22,49 @@
 	// departuresInPacket bounds the departures in one heartbeat, about 30 bytes each; which ones changes
 	// from one to the next.
 	departuresInPacket = 8
+	// longestRest bounds for how long a target is left alone that asks for it.
+	longestRest = 5 * time.Minute
 )
 
 // heard takes in what the head of an answer says of its target.
 func (g *Gateway) heard(t exchange.Target, request string, h exchange.Head) {
-	fields := h.Header.Values(g.settings.Headers.Leaving)
+	g.heardLeaving(t, request, h)
+	g.heardRest(t, request, h)
+}
+
+// heardLeaving takes in whether the target says that it leaves. An answer that does not name the request may
+// be another target's.
+func (g *Gateway) heardLeaving(t exchange.Target, request string, h exchange.Head) {
+	name := g.settings.Headers.Leaving
+	fields := h.Header.Values(name)
 	switch {
-	case len(fields) == 0:
+	case len(fields) == 0 || !h.Named:
 	case leaves(fields):
 		g.depart(registry.Departure{ID: t.ID, Born: t.Born})
 	default:
-		g.metrics.AdviceRefused(g.settings.Headers.Leaving)
-		eventlog.Info(eventlog.AdviceRefused, "request", request, "target", t.ID, "field", g.settings.Headers.Leaving, "values", len(fields))
+		g.refuseAdvice(t, request, name, fields)
+	}
+}
+
+// heardRest takes in for how long a target that turns the request away wants no others.
+func (g *Gateway) heardRest(t exchange.Target, request string, h exchange.Head) {
+	if h.Status != http.StatusServiceUnavailable && h.Status != http.StatusTooManyRequests {
+		return
 	}
+	rest, err := header.ParseRetryAfter(h.Header, time.Now(), longestRest)
+	if err != nil {
+		g.refuseAdvice(t, request, header.RetryAfter, h.Header.Values(header.RetryAfter))
+		return
+	}
+	if rest > 0 {
+		eventlog.Info(eventlog.TargetRests, "request", request, "target", t.ID, "status", h.Status, "rest_ms", rest.Milliseconds())
+	}
+}
+
+// refuseAdvice notes a field by which a target says something of itself, and that says nothing.
+func (g *Gateway) refuseAdvice(t exchange.Target, request, name string, fields []string) {
+	g.metrics.AdviceRefused(name)
+	eventlog.Info(eventlog.AdviceRefused, "request", request, "target", t.ID, "field", name, "values", len(fields))
 }
 
 // leaves tells whether the fields by which a target says that it leaves say so.
--- a/gateway/advice_test.go
+++ b/gateway/advice_test.go
@@ -41,7 +41,7 @@
 	for i, c := range cases {
 		id := fleet.TargetID(fmt.Sprint("t", i))
 		h := http.Header{names.Leaving: c.fields}
-		g.heard(exchange.Target{ID: id}, "r", exchange.Head{Status: http.StatusOK, Header: h})
+		g.heard(exchange.Target{ID: id}, "r", exchange.Head{Status: http.StatusOK, Header: h, Named: true})
 		assert.Equal(t, g.state.Targets().Target(id) == nil, c.want, c.name)
 	}
 }
--- a/upstream/try.go
+++ b/upstream/try.go
@@ -66,6 +66,9 @@
 	Err        error
 }
 
+// maxRetryAfter bounds for how long a target is left alone that asks for it.
+const maxRetryAfter = 5 * time.Minute
+
 // Unrun tells whether the target certainly did not run the request.
 func (r *Result) Unrun() bool { return !r.Sent || r.Try.RefusedUnrun() }
 
@@ -156,7 +159,8 @@
 		return
 	}
 	res.Try = classifyAnswer(resp)
-	res.RetryAfter = retryAfter(resp.Header)
+	// A field that names no time asks for none.
+	res.RetryAfter, _ = header.ParseRetryAfter(resp.Header, time.Now(), maxRetryAfter)
 	res.Answer = &Answer{Status: resp.StatusCode, Header: header.Strip(resp.Header), Body: body}
 }
 
@@ -184,12 +188,3 @@
 	}
 	return fleet.TryOK
 }
-
-// retryAfter reads the seconds form of Retry-After.
-func retryAfter(h http.Header) time.Duration {
-	s, err := strconv.Atoi(h.Get(header.RetryAfter))
-	if err != nil || s < 0 {
-		return 0
-	}
-	return time.Duration(s) * time.Second
-}
