--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -56,8 +56,9 @@
 		g.refuseAdvice(t, request, header.RetryAfter, h.Header.Values(header.RetryAfter))
 		return
 	}
-	if rest > 0 {
-		eventlog.Info(eventlog.TargetRests, "request", request, "target", t.ID, "status", h.Status, "rest_ms", rest.Milliseconds())
+	rt := g.state.Targets().Target(t.ID)
+	if rest > 0 && rt != nil && at(rt) == t {
+		g.knowledge.TurnedAway(time.Now(), rt.Service, t.ID, rest)
 	}
 }
 
