gateway, placement, mesh: a target that asks for rest gets it, and its work goes to others

Callers saw refusals: from 6 to 15 s 12 to 20 bookings of about 50 a second were refused while ten of 15 targets had slots. Five turned all work away and asked for rest; nothing read that, so that a refusal changed nothing of what was known of the target, which, with nothing in flight, was the cheapest one the next time. What it turned away was paid out of the retry budget until that was spent.

Ruled out: that the time was read and kept per request only (its only reader was on the contract path); that further attempts are the cause (58 were refused for the budget, which explains why callers were refused, not why the same targets were chosen again).

Now the instance that was turned away sends the target nothing until the time is over, whichever way it chooses: it leaves the target out of every choice and asks once more before the first byte. The others of the zone that mostly use the target are told, and take it into its cost: they prefer others, and still use it where these are worse. All targets of a service at rest: callers are refused at once, with the time at which the first is back.

--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -22,8 +22,6 @@
 	// departuresInPacket bounds the departures in one heartbeat, about 30 bytes each; which ones changes
 	// from one to the next.
 	departuresInPacket = 8
-	// longestRest bounds for how long a target is left alone that asks for it.
-	longestRest = 5 * time.Minute
 )
 
 // heard takes in what the head of an answer says of its target.
@@ -56,10 +54,21 @@
 		g.refuseAdvice(t, request, header.RetryAfter, h.Header.Values(header.RetryAfter))
 		return
 	}
-	rt := g.state.Targets().Target(t.ID)
-	if rest > 0 && rt != nil && at(rt) == t {
-		g.knowledge.TurnedAway(time.Now(), rt.Service, t.ID, rest)
+	if rest > 0 {
+		g.rest(t, rest)
+	}
+}
+
+// rest leaves a target alone that turned this instance away, and tells the others of the zone that mostly use
+// it: each of them would have to be turned away too to learn it.
+func (g *Gateway) rest(t exchange.Target, lasts time.Duration) {
+	targets := g.state.Targets()
+	rt := targets.Target(t.ID)
+	if rt == nil || at(rt) != t || !g.knowledge.TurnedAway(time.Now(), rt.Service, t.ID, lasts) {
+		return
 	}
+	concerned := func(addr string) bool { return g.knowledge.ConcernedBy(addr, rt, targets.Services[rt.Service]) }
+	g.node.TellRest(mesh.TargetRest{Target: t.ID, ForMillis: lasts.Milliseconds()}, concerned)
 }
 
 // refuseAdvice notes a field by which a target says something of itself, and that says nothing.
@@ -100,9 +109,9 @@
 	p.Departures = ds[:min(len(ds), departuresInPacket)]
 }
 
-// admits tells whether a target may still get a request: it may have left, started again or moved since it was
-// chosen.
+// admits tells whether a target may still get a request: it may have left, started again, moved or asked for rest
+// since it was chosen.
 func (g *Gateway) admits(t exchange.Target) bool {
 	rt := g.state.Targets().Target(t.ID)
-	return rt != nil && at(rt) == t
+	return rt != nil && at(rt) == t && !g.knowledge.Rests(time.Now(), t.ID)
 }
--- a/gateway/advice_test.go
+++ b/gateway/advice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/registry"
 )
 
@@ -97,3 +99,84 @@
 	assert.Equal(t, totalRuns(backends...), 1)
 	assert.Equal(t, g.metrics.BudgetRefused.Count(), int64(0))
 }
+
+// TestWhoMayAskForRest: any refusal may, with or without a proof, for it is only this instance that leaves the target alone, and for
+// a bounded time; a process that has started since asked for nothing.
+func TestWhoMayAskForRest(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		fields []string
+		want   bool
+	}{
+		{"full", http.StatusServiceUnavailable, []string{"2"}, true},
+		{"too many", http.StatusTooManyRequests, []string{"0.5"}, true},
+		{"a failure", http.StatusInternalServerError, []string{"2"}, false},
+		{"a success", http.StatusOK, []string{"2"}, false},
+		{"no field", http.StatusServiceUnavailable, nil, false},
+		{"no time", http.StatusServiceUnavailable, []string{"0"}, false},
+		{"nonsense", http.StatusServiceUnavailable, []string{"1e300"}, false},
+		{"two fields", http.StatusServiceUnavailable, []string{"2", "2"}, false},
+		{"very long", http.StatusServiceUnavailable, []string{"99999999999"}, true},
+	}
+	var backends []*backend
+	for range cases {
+		backends = append(backends, newBackend(t, answer(http.StatusOK)))
+	}
+	_, g, _ := launch(t, 200*time.Millisecond, &storeOf{document: routes()}, backends...)
+	waitReady(t, g)
+	for i, c := range cases {
+		target := at(g.state.Targets().Target(fleet.TargetID(fmt.Sprint("t", i))))
+		earlier := target
+		earlier.Born--
+		h := exchange.Head{Status: c.status, Header: http.Header{header.RetryAfter: c.fields}}
+		g.heard(earlier, "r", h)
+		assert.Assert(t, g.admits(target), c.name)
+		g.heard(target, "r", h)
+		now := time.Now()
+		assert.Equal(t, g.knowledge.Rests(now, target.ID), c.want, c.name)
+		assert.Equal(t, g.admits(target), !c.want, c.name)
+		assert.Assert(t, !g.knowledge.Rests(now.Add(longestRest+restJitterMost), target.ID), c.name)
+		g.knowledge.Restarted(now, []fleet.TargetID{target.ID})
+		assert.Assert(t, !g.knowledge.Rests(now, target.ID), c.name)
+	}
+}
+
+// TestCallersLearnWhenTheFirstTargetIsBack: a service all targets of which rest refuses at once, and says when the first takes
+// requests again.
+func TestCallersLearnWhenTheFirstTargetIsBack(t *testing.T) {
+	var backends []*backend
+	for _, rest := range []string{"2", "1.2"} {
+		backends = append(backends, newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(names.NotRun, "1")
+			w.Header().Set(header.RetryAfter, rest)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}))
+	}
+	url := startGateway(t, backends...)
+	began := time.Now()
+	for range 5 {
+		r, took := askOnce(t, url+"/get/a")
+		assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+		assert.Assert(t, took < 100*time.Millisecond, took)
+		seconds, err := strconv.ParseFloat(r.Header.Get(header.RetryAfter), 64)
+		assert.NilError(t, err)
+		back := time.Duration(seconds * float64(time.Second))
+		assert.Assert(t, back > 1200*time.Millisecond-time.Since(began) && back < 1200*time.Millisecond*11/10+comeBack, back)
+	}
+	assert.Equal(t, totalRuns(backends...), 2)
+}
+
+// askOnce asks and returns the answer without its body.
+func askOnce(t *testing.T, url string) (*http.Response, time.Duration) {
+	t.Helper()
+	began := time.Now()
+	req, err := http.NewRequest(http.MethodGet, url, http.NoBody)
+	assert.NilError(t, err)
+	req.Host = "h"
+	req.Header.Set(names.RequestID, "r1")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	return resp, time.Since(began)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -29,6 +30,9 @@
 	late outcomeKind = "late"
 )
 
+// noRequestsNow is why a request is refused of which all targets asked to be left alone.
+const noRequestsNow = "targets take no more requests now"
+
 // noAnswerInTime is why a request is late.
 const noAnswerInTime = "no answer in time"
 
@@ -262,7 +266,7 @@
 	}
 	targets := r.c.h.State.Targets().Services[r.c.service]
 	slots := func(t *registry.Target) float64 { return r.c.h.Rates.slots(t, median) }
-	if time.Until(r.c.targetDeadline) < median/2 || r.c.h.Knowledge.Utilization(targets, slots) > hedgeUtilization {
+	if time.Until(r.c.targetDeadline) < median/2 || r.c.h.Knowledge.Utilization(time.Now(), targets, slots) > hedgeUtilization {
 		return
 	}
 	r.hedged = true
@@ -343,10 +347,19 @@
 	return Placed{}, false
 }
 
-// noteWithheld says why there is no target, if rates are the cause.
+// noteWithheld says why there is no target, if all that there are take no requests now: by their rates, of
+// which n withheld one, or since they asked for rest.
 func (r *race) noteWithheld(now time.Time, targets []*registry.Target, n int) {
+	if r.fallback.kind != notRun {
+		return
+	}
+	if first := r.c.h.Knowledge.firstBack(now, targets); first > 0 {
+		r.fallback.why = noRequestsNow
+		r.fallback.comeBack = min(first, comeBackMost) + rand.N(comeBack)
+		return
+	}
 	if n > 0 && len(r.tried) == 0 {
-		r.fallback.why = "targets take no more requests now"
+		r.fallback.why = noRequestsNow
 		r.fallback.comeBack = r.c.h.Rates.comeBackAfter(now, r.c.service, targets)
 	}
 }
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -27,6 +27,8 @@
 	restCounts = 100 * time.Millisecond
 	// refusalTakes is how long a target takes to turn work away.
 	refusalTakes = 3 * time.Millisecond
+	// restAim is the most requests of an instance that reach a target in the rest that it asked for.
+	restAim = 1
 	// restUsage is the part of all targets' slots that the work takes.
 	restUsage = 0.35
 )
@@ -43,14 +45,18 @@
 type restRun struct {
 	*zoneRun
 	rests map[fleet.TargetID]time.Duration
-	met   []arrivalAt
+	// turnsAway is the part of the work that they turn away.
+	turnsAway float64
+	// silent tells that they ask for nothing as they do so.
+	silent bool
+	met    []arrivalAt
 	// asked and served are requests from when targets rest on.
 	asked, served int
 }
 
 // newRestRun is a zone of which the given part of the targets asks for rest.
 func newRestRun(seed uint64, instances, targets int, share float64) *restRun {
-	z := &restRun{zoneRun: newZoneRun(seed, instances, targets, 0), rests: make(map[fleet.TargetID]time.Duration)}
+	z := &restRun{zoneRun: newZoneRun(seed, instances, targets, 0), rests: make(map[fleet.TargetID]time.Duration), turnsAway: 1}
 	var members []mesh.Member
 	for _, in := range z.instances {
 		members = append(members, mesh.Member{Addr: in.addr})
@@ -67,9 +73,9 @@
 	return z
 }
 
-// resting is for how long a target wants nothing at a moment; 0 if it takes work.
+// resting is for how long a target that gets a request wants nothing; 0 if it takes the work.
 func (z *restRun) resting(now time.Time, id fleet.TargetID) time.Duration {
-	if now.Before(start.Add(restsAfter)) || now.After(start.Add(restsAfter+restsFor)) {
+	if z.rng.Float64() >= z.turnsAway || now.Before(start.Add(restsAfter)) || now.After(start.Add(restsAfter+restsFor)) {
 		return 0
 	}
 	return z.rests[id]
@@ -110,9 +116,30 @@
 	}
 	z.at(now.Add(refusalTakes), func(now time.Time) {
 		in.k.Ended(p)
-		in.k.TurnedAway(now, "s", p.ID, rest)
+		if !z.silent && in.k.TurnedAway(now, "s", p.ID, rest) {
+			told := &mesh.Packet{Rests: []mesh.TargetRest{{Target: p.ID, ForMillis: rest.Milliseconds()}}}
+			z.tell(in, now, told, func(addr string) bool { return in.k.ConcernedBy(addr, p.Target, z.targets) })
+		}
+		z.again(in, asked, now, append(slices.Clone(tried), p.ID))
+	})
+}
+
+// again tries another target, if the retry budget allows that, or a loan of neighbours does.
+func (z *restRun) again(in *zoneInstance, asked, now time.Time, tried []fleet.TargetID) {
+	if _, ok := in.k.Spend(now, "s", true); ok {
+		z.attempt(in, asked, now, tried)
+		return
+	}
+	asks := in.k.Short(now, "s")
+	for _, i := range z.rng.Perm(len(z.instances))[:lenders] {
+		if other := z.instances[i]; other != in && asks != nil {
+			loans := other.k.Lend(now, in.addr, asks)
+			in.k.Take(now, &mesh.Packet{Addr: other.addr, Zone: "a", Boot: other.boot, Loans: loans})
+		}
+	}
+	z.at(now.Add(loanWait), func(now time.Time) {
 		if _, ok := in.k.Spend(now, "s", true); ok {
-			z.attempt(in, asked, now, append(slices.Clone(tried), p.ID))
+			z.attempt(in, asked, now, tried)
 		}
 	})
 }
@@ -156,7 +183,7 @@
 // TestTargetsThatAskForRestAreLeftAlone: a refusal changed nothing of what was known of a target, which, with nothing in
 // flight, was chosen again at once, and what it turned away used up the retry budget.
 func TestTargetsThatAskForRestAreLeftAlone(t *testing.T) {
-	const share, leastServed, aim = 0.375, 0.99, 1
+	const share, leastServed = 0.375, 0.99
 	for _, size := range zoneSizes {
 		for seed := range *restSeeds {
 			z := newRestRun(seed, size.instances, max(size.targets, 8), share)
@@ -164,8 +191,33 @@
 			most, served := z.mostInRest(), float64(z.served)/float64(z.asked)
 			what := fmt.Sprintf("%d instances, seed %d", size.fleet, seed)
 			t.Logf("%s: %.4f served, at most %d requests of an instance in one rest", what, served, most)
-			assert.Check(t, most <= aim, "%s: %d requests of an instance in one rest", what, most)
+			assert.Check(t, most <= restAim, "%s: %d requests of an instance in one rest", what, most)
 			assert.Check(t, served >= leastServed, "%s: %.4f served", what, served)
 		}
 	}
 }
+
+// TestTargetsThatTurnSomeAwayStayInUse: all targets of a service turn away a third of what arrives; that they ask whom they
+// turned away for rest costs callers nothing, for nobody else leaves them alone.
+func TestTargetsThatTurnSomeAwayStayInUse(t *testing.T) {
+	const (
+		alike     = 0.03
+		leastSeen = 3000 // requests, in as many seeds as it takes
+	)
+	for _, size := range zoneSizes {
+		var asked, served [2]int // where targets ask for rest, and where they do not
+		for seed := uint64(0); asked[0] < leastSeen; seed++ {
+			for i, silent := range []bool{false, true} {
+				z := newRestRun(seed, size.instances, max(size.targets, 8), 1)
+				z.turnsAway, z.silent = 1.0/3, silent
+				z.play()
+				asked[i] += z.asked
+				served[i] += z.served
+				assert.Check(t, silent || z.mostInRest() <= restAim, "%d instances, seed %d: %d requests of an instance in one rest", size.fleet, seed, z.mostInRest())
+			}
+		}
+		share := func(i int) float64 { return float64(served[i]) / float64(asked[i]) }
+		t.Logf("%d instances: %.4f served, %.4f where targets ask for nothing", size.fleet, share(0), share(1))
+		assert.Check(t, share(0) >= share(1)-alike, "%d instances: %.4f served, %.4f where targets ask for nothing", size.fleet, share(0), share(1))
+	}
+}
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -31,15 +31,20 @@
 	}
 	r := *n.routesAt(now)
 	n.mu.Unlock()
-	var to []netip.AddrPort
-	for i, name := range r.names {
-		if concerns(name) {
-			to = append(to, r.near[i])
-		}
-	}
 	p := n.stamped()
 	p.Load = []Load{l}
-	n.send(News, p, to)
+	n.send(News, p, r.concerned(concerns))
+}
+
+// TellRest tells the neighbours for which concerns is true at once of a target that wants no requests. It
+// does not wait for the link: what it spares is more than the datagram.
+func (n *Node) TellRest(t TargetRest, concerns func(addr string) bool) {
+	n.mu.Lock()
+	r := *n.routesAt(time.Now())
+	n.mu.Unlock()
+	p := n.stamped()
+	p.Rests = []TargetRest{t}
+	n.send(News, p, r.concerned(concerns))
 }
 
 // flush sends the news that waits, as far as the link allows, and the rest later.
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -65,6 +65,17 @@
 	// Departures are processes of targets that said in answers that they leave. Earlier versions pass
 	// them over.
 	Departures []registry.Departure `cbor:"27,keyasint,omitempty"`
+	// Rests are targets that turned the sender away and want no requests of it for a time. Earlier
+	// versions pass them over.
+	Rests []TargetRest `cbor:"28,keyasint,omitempty"`
+}
+
+// TargetRest is a target that wants no requests of the sender.
+type TargetRest struct {
+	_      struct{} `cbor:",toarray"`
+	Target fleet.TargetID
+	// ForMillis is for how long, from the datagram on.
+	ForMillis int64
 }
 
 // TargetRate is the rate that a target names, or that it names none any more.
--- a/mesh/routes.go
+++ b/mesh/routes.go
@@ -24,6 +24,17 @@
 	place int
 }
 
+// concerned are the neighbours for whose addresses concerns is true.
+func (r *routes) concerned(concerns func(addr string) bool) []netip.AddrPort {
+	var to []netip.AddrPort
+	for i, name := range r.names {
+		if concerns(name) {
+			to = append(to, r.near[i])
+		}
+	}
+	return to
+}
+
 // routesAt returns the routes of this moment, which must not be changed; the lock is held.
 func (n *Node) routesAt(now time.Time) *routes {
 	if now.Sub(n.routes.at) >= routesFor {
