gateway, registry, reelctl: operators list and lift what targets say of themselves

A target that says by mistake that it leaves was lost for the lifetime of its process, and nobody could see which targets want rest or name a rate but in the lines of each instance. A lifted departure is told as departures are; the later word counts in whichever order instances hear them, and what the target says afterwards holds. registry.TestADepartureMayBeLifted, gateway.TestAnOperatorListsAndLiftsWhatTargetsSay.

--- a/gateway/advice_test.go
+++ b/gateway/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/clementinereel/clementinereel/advice"
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
@@ -180,3 +182,43 @@
 	resp.Body.Close()
 	return resp, time.Since(began)
 }
+
+// TestAnOperatorListsAndLiftsWhatTargetsSay: what was lifted no longer holds, and what the target says afterwards does.
+func TestAnOperatorListsAndLiftsWhatTargetsSay(t *testing.T) {
+	_, g, _ := launch(t, 200*time.Millisecond, &storeOf{document: routes()}, newBackend(t, answer(http.StatusOK)), newBackend(t, answer(http.StatusOK)))
+	waitReady(t, g)
+	admin := "http://" + g.settings.ReadyListen
+	first, second := at(g.state.Targets().Target("t0")), at(g.state.Targets().Target("t1"))
+	leaving := exchange.Head{Status: http.StatusOK, Named: true, Header: http.Header{names.Leaving: {"1"}}}
+	resting := exchange.Head{Status: http.StatusServiceUnavailable, Header: http.Header{header.RetryAfter: {"9"}}}
+	g.heard(first, "r", leaving)
+	g.heard(second, "r", resting)
+
+	var reports []advice.Report
+	resp, err := http.Get(admin + advice.Path)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&reports))
+	assert.Equal(t, len(reports), 2)
+	assert.Assert(t, reports[0].Target == "t0" && reports[0].LeavingSince != nil && reports[0].RestsUntil == nil)
+	assert.Assert(t, reports[1].Target == "t1" && reports[1].Service == "s" && reports[1].RestsUntil != nil)
+
+	lift := func(id fleet.TargetID) int {
+		req, err := http.NewRequest(http.MethodDelete, admin+advice.Path+"/"+string(id), http.NoBody)
+		assert.NilError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	time.Sleep(2 * time.Millisecond) // what is lifted was said earlier
+	for _, target := range []exchange.Target{first, second} {
+		assert.Assert(t, !g.admits(target))
+		assert.Equal(t, lift(target.ID), http.StatusNoContent)
+		assert.Assert(t, g.admits(target))
+		assert.Equal(t, lift(target.ID), http.StatusNotFound)
+	}
+	time.Sleep(2 * time.Millisecond)
+	g.heard(first, "r", leaving)
+	assert.Assert(t, !g.admits(first))
+}
--- /dev/null
+++ b/gateway/advicereport.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/clementinereel/clementinereel/advice"
+	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/targetrate"
+)
+
+// adviceReports lists what targets say of themselves, by target.
+func (g *Gateway) adviceReports(now time.Time) []advice.Report {
+	reports := make(map[fleet.TargetID]*advice.Report)
+	of := func(id fleet.TargetID) *advice.Report {
+		r := reports[id]
+		if r == nil {
+			r = &advice.Report{Target: id}
+			if t := g.state.Targets().Target(id); t != nil {
+				r.Service = t.Service
+			}
+			reports[id] = r
+		}
+		return r
+	}
+	for _, d := range g.state.Departures() {
+		since := now.Add(-millis(d.AgeMillis))
+		of(d.ID).LeavingSince = &since
+	}
+	for id, until := range g.knowledge.restsUntil(now) {
+		of(id).RestsUntil = &until
+	}
+	for _, n := range g.rates.table.InForce() {
+		r := of(n.Target)
+		r.Rate, r.RateHolder = float64(n.Rate), g.rates.holder(now, n.Target)
+	}
+	all := make([]advice.Report, 0, len(reports))
+	for _, r := range reports {
+		all = append(all, *r)
+	}
+	slices.SortFunc(all, func(a, b advice.Report) int { return strings.Compare(string(a.Target), string(b.Target)) })
+	return all
+}
+
+// listAdvice answers an operator who asks what targets say of themselves.
+func (g *Gateway) listAdvice(c echo.Context) error {
+	return c.JSON(http.StatusOK, g.adviceReports(time.Now()))
+}
+
+// liftAdvice ends what a target said of itself, at an operator's word: that it leaves and its rate on all
+// instances, its rest on this one. What the target says afterwards holds.
+func (g *Gateway) liftAdvice(c echo.Context) error {
+	id := fleet.TargetID(c.Param("target"))
+	now := time.Now()
+	lifted := g.knowledge.endRest(now, id)
+	for _, d := range g.state.Departures() {
+		if d.ID == id {
+			lifted = g.liftDeparture(d) || lifted
+		}
+	}
+	if g.rates.table.Rate(id) > 0 {
+		g.rates.learn(targetrate.Naming{Target: id, At: now})
+		lifted = true
+	}
+	if !lifted {
+		return c.String(http.StatusNotFound, "the target says nothing of itself that this instance knows")
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+// liftDeparture takes a target into use again that said that it leaves, and tells the others.
+func (g *Gateway) liftDeparture(d registry.Departure) bool {
+	news := g.state.Depart([]registry.Departure{{ID: d.ID, Born: d.Born, Lifted: true}}, fromOperator)
+	if len(news) == 0 {
+		return false
+	}
+	g.node.TellDepartures(news, true)
+	return true
+}
--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -73,6 +73,9 @@
 // fromSelf names this instance as the source of an observation.
 const fromSelf = "self"
 
+// fromOperator names an operator as the source of a change.
+const fromOperator = "operator"
+
 func (k *Knowledge) observe(now time.Time, e mesh.Evidence, began time.Time, from string) {
 	if k.ofEarlierProcess(e.Target, began) {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/clementinereel/clementinereel/advice"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
@@ -216,7 +217,8 @@
 	}
 }
 
-// operatorRoutes answers the balancer's checks, serves metrics, and lists and lifts what is held against contents.
+// operatorRoutes answers the balancer's checks, serves metrics, and lists and lifts what is held against contents
+// and what targets say of themselves.
 func (g *Gateway) operatorRoutes() http.Handler {
 	e := echo.New()
 	e.GET(g.settings.ReadyPath, func(c echo.Context) error {
@@ -232,6 +234,8 @@
 	})
 	e.GET(quarantine.ReportPath, func(c echo.Context) error { return c.JSON(http.StatusOK, g.contents.Reports()) })
 	e.DELETE(quarantine.ReportPath+"/:content", g.liftContent)
+	e.GET(advice.Path, g.listAdvice)
+	e.DELETE(advice.Path+"/:target", g.liftAdvice)
 	return e
 }
 
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -73,17 +73,29 @@
 	return t != nil && now.Before(t.rest.until)
 }
 
-// Resting is how many targets want no request of this instance now.
-func (k *Knowledge) Resting(now time.Time) int {
+// restsUntil are the targets that want no request of this instance now, and until when.
+func (k *Knowledge) restsUntil(now time.Time) map[fleet.TargetID]time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	n := 0
-	for _, t := range k.targets {
+	resting := make(map[fleet.TargetID]time.Time)
+	for id, t := range k.targets {
 		if now.Before(t.rest.until) {
-			n++
+			resting[id] = t.rest.until
 		}
 	}
-	return n
+	return resting
+}
+
+// endRest ends a target's rest, and tells false if there is none.
+func (k *Knowledge) endRest(now time.Time, id fleet.TargetID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := k.targets[id]
+	if t == nil || !now.Before(t.rest.until) {
+		return false
+	}
+	t.rest = rest{}
+	return true
 }
 
 // firstBack is after which time the first of the targets takes requests again; 0 if one does now, or if
--- a/reelctl/content.go
+++ b/reelctl/content.go
@@ -85,13 +85,18 @@
 		return exit(ExitUsage, "%v", err)
 	}
 	status, body, err := c.call(a.Context, http.MethodDelete, quarantine.ReportPath+"/"+f.String())
+	return lifted(a, c.Admin, status, body, err)
+}
+
+// lifted tells how an instance answered a call that lifts something.
+func lifted(a *App, admin string, status int, body []byte, err error) error {
 	switch {
 	case err != nil:
-		return exit(ExitNotKnown, "the instance %s did not answer; whether it was lifted is not known: %v", c.Admin, err)
+		return exit(ExitNotKnown, "the instance %s did not answer; whether it was lifted is not known: %v", admin, err)
 	case status == http.StatusNotFound:
 		return exit(ExitRefused, "%s", body)
 	case status != http.StatusNoContent:
-		return exit(ExitNotKnown, "the instance %s answered %d: %s", c.Admin, status, body)
+		return exit(ExitNotKnown, "the instance %s answered %d: %s", admin, status, body)
 	}
 	fmt.Fprintln(a.Out, "lifted")
 	return nil
--- a/registry/departures.go
+++ b/registry/departures.go
@@ -25,12 +25,24 @@
 	Born int64
 	// AgeMillis is how long ago the first instance heard so.
 	AgeMillis int64
+	// Lifted tells that an operator ended it, so long ago: the process is used until it says so again.
+	Lifted bool
 }
 
 // departure is what is remembered of a Departure.
 type departure struct {
-	born  int64
-	since time.Time
+	born   int64
+	since  time.Time
+	lifted bool
+}
+
+// supersedes tells whether a departure, or the end of one, is news beside what is known: of a later process, or
+// the other of the two and later.
+func (d *departure) supersedes(known *departure) bool {
+	if d.born != known.born {
+		return d.born > known.born
+	}
+	return d.lifted != known.lifted && d.since.After(known.since)
 }
 
 // Depart takes in a departure, and tells whether it is news.
@@ -39,14 +51,16 @@
 	if age < 0 || age > oldestDeparture {
 		return false
 	}
-	if known, ok := r.departures[d.ID]; ok && known.born >= d.Born {
+	news := departure{born: d.Born, since: now.Add(-age), lifted: d.Lifted}
+	known, ok := r.departures[d.ID]
+	if ok && !news.supersedes(&known) || !ok && d.Lifted {
 		return false
 	}
 	t := r.entries[d.ID]
 	if t != nil && t.Born > d.Born || t == nil && len(r.departures) >= departuresMost {
 		return false
 	}
-	r.departures[d.ID] = departure{born: d.Born, since: now.Add(-age)}
+	r.departures[d.ID] = news
 	r.changed = true
 	return true
 }
@@ -54,7 +68,7 @@
 // departed tells whether the entry is that of a process that said that it leaves.
 func (r *Registry) departed(e *Entry) bool {
 	d, ok := r.departures[e.ID]
-	return ok && e.Born <= d.born
+	return ok && !d.lifted && e.Born <= d.born
 }
 
 // Departures returns all departures that are remembered.
@@ -75,7 +89,7 @@
 	var ds []Departure
 	for id, d := range r.departures {
 		if told(id, d) {
-			ds = append(ds, Departure{ID: id, Born: d.born, AgeMillis: now.Sub(d.since).Milliseconds()})
+			ds = append(ds, Departure{ID: id, Born: d.born, AgeMillis: now.Sub(d.since).Milliseconds(), Lifted: d.lifted})
 		}
 	}
 	return ds
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -375,3 +375,20 @@
 	r.Tick(at(61))
 	assert.Equal(t, len(r.Departures(at(61))), 0)
 }
+
+// TestADepartureMayBeLifted: the later word counts, in whichever order instances hear them, and the process may say again
+// that it leaves.
+func TestADepartureMayBeLifted(t *testing.T) {
+	said, lifted := Departure{ID: "a", Born: 5, AgeMillis: 900}, Departure{ID: "a", Born: 5, AgeMillis: 400, Lifted: true}
+	for _, order := range [][]Departure{{said, lifted}, {said, lifted, said}, {lifted, said, lifted}} {
+		r := New()
+		e := Entry{ID: "a", Service: "s", Addr: "x", Born: 5, Sequence: 1}
+		put(t, r, at(0), e)
+		for _, d := range order {
+			r.Depart(at(1), d)
+		}
+		assert.Assert(t, r.View().Target("a") != nil)
+		assert.Assert(t, r.Depart(at(2), Departure{ID: "a", Born: 5}))
+		assert.Assert(t, r.View().Target("a") == nil)
+	}
+}
--- a/statesync/departures.go
+++ b/statesync/departures.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementinereel/clementinereel/eventlog"
@@ -29,7 +30,7 @@
 		}
 		news = append(news, d)
 		t := s.Targets().Target(d.ID)
-		eventlog.Info(eventlog.TargetLeaving, "target", d.ID, "born", d.Born, "by", from, "age_ms", d.AgeMillis, "in_use", t != nil && t.Born == d.Born)
+		eventlog.Info(eventlog.TargetLeaving, "target", d.ID, "born", d.Born, "by", from, "age_ms", d.AgeMillis, "lifted", d.Lifted, "in_use", t != nil && t.Born == d.Born)
 	}
 	return news
 }
@@ -41,9 +42,9 @@
 	return s.registry.DeparturesToTell(now)
 }
 
-// Departures is how many processes are known that said in answers that they leave.
-func (s *State) Departures() int {
+// Departures returns the processes that said in answers that they leave, as far as that was not lifted.
+func (s *State) Departures() []registry.Departure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.registry.Departures(s.clock()))
+	return slices.DeleteFunc(s.registry.Departures(s.clock()), func(d registry.Departure) bool { return d.Lifted })
 }
--- a/targetrate/table.go
+++ b/targetrate/table.go
@@ -110,6 +110,19 @@
 	return n
 }
 
+// InForce are the rates that targets name now.
+func (t *Table) InForce() []Naming {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []Naming
+	for _, e := range t.targets {
+		if e.Rate > 0 {
+			all = append(all, e.Naming)
+		}
+	}
+	return all
+}
+
 // Told are the rates in force and those that have just ended, to be told to others.
 func (t *Table) Told(now time.Time) []Naming {
 	t.mu.Lock()
