gateway: the operator's limit of a header's size is kept to

Callers whose headers the operator allows were refused with 431 above 64 KB, and others let through below it, whatever the document said. Cause: the limit was checked as it arrived and then not read, found by listing who reads what is told. The document's limit counts now, up to 1 MB; the first line is not counted, so that nobody is refused for it. The test failed before at 90 KB of 100 KB (431).

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -18,8 +18,8 @@
 	// headerTimeout bounds the sending of a request's header where the document
 	// does not say.
 	headerTimeout = 10 * time.Second
-	// maxHeader bounds a request's header, in bytes.
-	maxHeader = 64 << 10
+	// maxHeader bounds what is read of a request's header, in bytes, whatever the document says.
+	maxHeader = 1 << 20
 	// keepAliveProbe finds callers that are gone without a word.
 	keepAliveProbe = 15 * time.Second
 )
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -132,6 +132,9 @@
 	}
 	c.version = table.Document.Version
 	uri := requestURI(c.r)
+	if headerBytes(c.r) > table.Document.Limits.HeaderBytes {
+		return c.fail(http.StatusRequestHeaderFieldsTooLarge, problem.HeaderTooLarge, "the header is above the limit")
+	}
 	path, _, _ := strings.Cut(uri, "?")
 	c.route = table.Match(c.r.Host, path)
 	if c.route == nil {
@@ -181,6 +184,18 @@
 	return r.URL.RequestURI()
 }
 
+// headerBytes is the size of a request's header fields, as they were sent but for spaces.
+func headerBytes(r *http.Request) int {
+	const fieldExtra = len(": \r\n")
+	n := len("Host") + len(r.Host) + fieldExtra
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + fieldExtra
+		}
+	}
+	return n
+}
+
 func (c *call) setDeadline() error {
 	left := fallbackWait
 	if v := c.r.Header.Get(c.h.Client.Headers.Deadline); v != "" {
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -391,3 +391,23 @@
 	status, _, _ := ask(t.Context(), t, "POST", url+"/buy/1")
 	assert.Equal(t, status, http.StatusOK)
 }
+
+// TestHeadersAreBoundedByTheDocument: the operator's limit had no effect, and headers of more than 64 KB were refused though it
+// allowed them.
+func TestHeadersAreBoundedByTheDocument(t *testing.T) {
+	doc := routes()
+	doc.Limits.HeaderBytes = 100 << 10
+	url, g, _ := launch(t, 200*time.Millisecond, &storeOf{document: doc}, newBackend(t, answer(http.StatusOK)))
+	waitReady(t, g)
+	for size, want := range map[int]int{1 << 10: http.StatusOK, 90 << 10: http.StatusOK, 101 << 10: http.StatusRequestHeaderFieldsTooLarge} {
+		req, err := http.NewRequest(http.MethodGet, url+"/get/a", http.NoBody)
+		assert.NilError(t, err)
+		req.Host = "h"
+		req.Header.Set(names.RequestID, "r1")
+		req.Header.Set("X-Large", strings.Repeat("x", size))
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, want, "%d bytes", size)
+	}
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -24,6 +24,7 @@
 	MethodRefused  Type = "urn:clementinereel:problem:method-not-allowed"
 	BadRequest     Type = "urn:clementinereel:problem:bad-request"
 	BodyTooLarge   Type = "urn:clementinereel:problem:body-too-large"
+	HeaderTooLarge Type = "urn:clementinereel:problem:header-too-large"
 	BodyTimeout    Type = "urn:clementinereel:problem:body-timeout"
 	RateLimited    Type = "urn:clementinereel:problem:rate-limited"
 	Overloaded     Type = "urn:clementinereel:problem:overloaded"
