--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -104,8 +104,6 @@
 type Head struct {
 	Status int
 	Header http.Header
-	// Sealed tells whether the answer carries the target's seal.
-	Sealed bool
 	// Named tells whether the answer names the request. One without may be a refusal by whoever listens
 	// at the address.
 	Named bool
@@ -360,13 +358,13 @@
 		return nil, true, errors.WithStack(err)
 	}
 	defer resp.Body.Close()
-	h := Head{Status: resp.StatusCode, Header: resp.Header, Sealed: resp.Header.Get(c.Headers.Seal) != ""}
-	onHead(h)
+	onHead(Head{Status: resp.StatusCode, Header: resp.Header})
 	body, err := readBody(resp.Body, c.MaxAnswer, resp.ContentLength)
 	if err != nil {
 		return nil, true, err
 	}
-	return &Answer{Status: h.Status, Header: h.Header, Body: body, Sealed: h.Sealed}, resp.Close, nil
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Sealed: resp.Header.Get(c.Headers.Seal) != ""}
+	return a, resp.Close, nil
 }
 
 func readFinal(br *bufio.Reader, method string) (*http.Response, error) {
