--- a/advice/report.go
+++ b/advice/report.go
@@ -18,8 +18,8 @@
 	Service document.ServiceName `json:"service,omitempty"`
 	// LeavingSince is since when some instance knows that the target leaves.
 	LeavingSince *time.Time `json:"leaving_since,omitempty"`
-	// RestsUntil is until when the target gets nothing from this instance.
-	RestsUntil *time.Time `json:"rests_until,omitempty"`
+	// BackoffUntil is until when this instance backs off from the target.
+	BackoffUntil *time.Time `json:"backoff_until,omitempty"`
 	// Rate is in requests a second from all instances together, 0 if the target names none.
 	Rate float64 `json:"rate,omitempty"`
 	// RateHolder is the instance that hands the rate out, if it is known.
--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -39,8 +39,8 @@
 	RateRefused Event = "rate-refused"
 	// TargetLeaving tells that a target says in an answer that it leaves.
 	TargetLeaving Event = "target-leaving"
-	// TargetRests tells that a target turned a request away and wants no others for a time.
-	TargetRests Event = "target-rests"
+	// TargetBackoff tells that a target turned a request away, and that the instance backs off from it.
+	TargetBackoff Event = "target-backoff"
 	// AdviceRefused tells that a field by which targets say something of themselves says nothing.
 	AdviceRefused Event = "advice-refused"
 	// TargetHeld tells that a target stays in use though its entry has vanished.
--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -27,7 +27,7 @@
 // heard takes in what the head of an answer says of its target.
 func (g *Gateway) heard(t exchange.Target, request string, h exchange.Head) {
 	g.heardLeaving(t, request, h)
-	g.heardRest(t, request, h)
+	g.heardRetryAfter(t, request, h)
 }
 
 // heardLeaving takes in whether the target says that it leaves. An answer that does not name the request may
@@ -44,31 +44,31 @@
 	}
 }
 
-// heardRest takes in for how long a target that turns the request away wants no others.
-func (g *Gateway) heardRest(t exchange.Target, request string, h exchange.Head) {
+// heardRetryAfter takes in for how long a target that turns the request away wants no others.
+func (g *Gateway) heardRetryAfter(t exchange.Target, request string, h exchange.Head) {
 	if h.Status != http.StatusServiceUnavailable && h.Status != http.StatusTooManyRequests {
 		return
 	}
-	rest, err := header.ParseRetryAfter(h.Header, time.Now(), longestRest)
+	lasts, err := header.ParseRetryAfter(h.Header, time.Now(), longestBackoff)
 	if err != nil {
 		g.refuseAdvice(t, request, header.RetryAfter, h.Header.Values(header.RetryAfter))
 		return
 	}
-	if rest > 0 {
-		g.rest(t, rest)
+	if lasts > 0 {
+		g.backOff(t, lasts)
 	}
 }
 
-// rest leaves a target alone that turned this instance away, and tells the others of the zone that mostly use
+// backOff backs off from a target that turned this instance away, and tells the others of the zone that mostly use
 // it: each of them would have to be turned away too to learn it.
-func (g *Gateway) rest(t exchange.Target, lasts time.Duration) {
+func (g *Gateway) backOff(t exchange.Target, lasts time.Duration) {
 	targets := g.state.Targets()
 	rt := targets.Target(t.ID)
 	if rt == nil || at(rt) != t || !g.knowledge.TurnedAway(time.Now(), rt.Service, t.ID, lasts) {
 		return
 	}
 	concerned := func(addr string) bool { return g.knowledge.ConcernedBy(addr, rt, targets.Services[rt.Service]) }
-	g.node.TellRest(mesh.TargetRest{Target: t.ID, ForMillis: lasts.Milliseconds()}, concerned)
+	g.node.TellBackoff(mesh.TargetBackoff{Target: t.ID, ForMillis: lasts.Milliseconds()}, concerned)
 }
 
 // refuseAdvice notes a field by which a target says something of itself, and that says nothing.
@@ -109,9 +109,9 @@
 	p.Departures = ds[:min(len(ds), departuresInPacket)]
 }
 
-// admits tells whether a target may still get a request: it may have left, started again, moved or asked for rest
+// admits tells whether a target may still get a request: it may have left, started again, moved or turned another request away
 // since it was chosen.
 func (g *Gateway) admits(t exchange.Target) bool {
 	rt := g.state.Targets().Target(t.ID)
-	return rt != nil && at(rt) == t && !g.knowledge.Rests(time.Now(), t.ID)
+	return rt != nil && at(rt) == t && !g.knowledge.BacksOff(time.Now(), t.ID)
 }
--- a/gateway/advice_test.go
+++ b/gateway/advice_test.go
@@ -36,10 +36,7 @@
 		{"both", []string{"1", "0"}, false},
 		{"long", []string{strings.Repeat("1", 1<<12)}, false},
 	}
-	var backends []*backend
-	for range cases {
-		backends = append(backends, newBackend(t, answer(http.StatusOK)))
-	}
+	backends := soundBackends(t, len(cases))
 	_, g, _ := launch(t, 200*time.Millisecond, &storeOf{document: routes()}, backends...)
 	waitReady(t, g)
 	for i, c := range cases {
@@ -50,6 +47,15 @@
 	}
 }
 
+// soundBackends are targets that serve.
+func soundBackends(t *testing.T, n int) []*backend {
+	var backends []*backend
+	for range n {
+		backends = append(backends, newBackend(t, answer(http.StatusOK)))
+	}
+	return backends
+}
+
 // saysLeaving serves, and says that the target leaves.
 func saysLeaving(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(names.Leaving, "1")
@@ -102,9 +108,9 @@
 	assert.Equal(t, g.metrics.BudgetRefused.Count(), int64(0))
 }
 
-// TestWhoMayAskForRest: any refusal may, with or without a proof, for it is only this instance that leaves the target alone, and for
+// TestWhichRetryAfterCounts: any refusal may, with or without a proof, for it is only this instance that leaves the target alone, and for
 // a bounded time; a process that has started since asked for nothing.
-func TestWhoMayAskForRest(t *testing.T) {
+func TestWhichRetryAfterCounts(t *testing.T) {
 	cases := []struct {
 		name   string
 		status int
@@ -121,10 +127,7 @@
 		{"two fields", http.StatusServiceUnavailable, []string{"2", "2"}, false},
 		{"very long", http.StatusServiceUnavailable, []string{"99999999999"}, true},
 	}
-	var backends []*backend
-	for range cases {
-		backends = append(backends, newBackend(t, answer(http.StatusOK)))
-	}
+	backends := soundBackends(t, len(cases))
 	_, g, _ := launch(t, 200*time.Millisecond, &storeOf{document: routes()}, backends...)
 	waitReady(t, g)
 	for i, c := range cases {
@@ -136,22 +139,22 @@
 		assert.Assert(t, g.admits(target), c.name)
 		g.heard(target, "r", h)
 		now := time.Now()
-		assert.Equal(t, g.knowledge.Rests(now, target.ID), c.want, c.name)
+		assert.Equal(t, g.knowledge.BacksOff(now, target.ID), c.want, c.name)
 		assert.Equal(t, g.admits(target), !c.want, c.name)
-		assert.Assert(t, !g.knowledge.Rests(now.Add(longestRest+restJitterMost), target.ID), c.name)
+		assert.Assert(t, !g.knowledge.BacksOff(now.Add(longestBackoff+backoffJitterMost), target.ID), c.name)
 		g.knowledge.Restarted(now, []fleet.TargetID{target.ID})
-		assert.Assert(t, !g.knowledge.Rests(now, target.ID), c.name)
+		assert.Assert(t, !g.knowledge.BacksOff(now, target.ID), c.name)
 	}
 }
 
-// TestCallersLearnWhenTheFirstTargetIsBack: a service all targets of which rest refuses at once, and says when the first takes
+// TestCallersLearnWhenTheFirstTargetIsBack: a service all targets of which turned this instance away refuses at once, and says when the first takes
 // requests again.
 func TestCallersLearnWhenTheFirstTargetIsBack(t *testing.T) {
 	var backends []*backend
-	for _, rest := range []string{"2", "1.2"} {
+	for _, after := range []string{"2", "1.2"} {
 		backends = append(backends, newBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(names.NotRun, "1")
-			w.Header().Set(header.RetryAfter, rest)
+			w.Header().Set(header.RetryAfter, after)
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}))
 	}
@@ -190,9 +193,9 @@
 	admin := "http://" + g.settings.ReadyListen
 	first, second := at(g.state.Targets().Target("t0")), at(g.state.Targets().Target("t1"))
 	leaving := exchange.Head{Status: http.StatusOK, Named: true, Header: http.Header{names.Leaving: {"1"}}}
-	resting := exchange.Head{Status: http.StatusServiceUnavailable, Header: http.Header{header.RetryAfter: {"9"}}}
+	turnsAway := exchange.Head{Status: http.StatusServiceUnavailable, Header: http.Header{header.RetryAfter: {"9"}}}
 	g.heard(first, "r", leaving)
-	g.heard(second, "r", resting)
+	g.heard(second, "r", turnsAway)
 
 	var reports []advice.Report
 	resp, err := http.Get(admin + advice.Path)
@@ -200,8 +203,8 @@
 	defer resp.Body.Close()
 	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&reports))
 	assert.Equal(t, len(reports), 2)
-	assert.Assert(t, reports[0].Target == "t0" && reports[0].LeavingSince != nil && reports[0].RestsUntil == nil)
-	assert.Assert(t, reports[1].Target == "t1" && reports[1].Service == "s" && reports[1].RestsUntil != nil)
+	assert.Assert(t, reports[0].Target == "t0" && reports[0].LeavingSince != nil && reports[0].BackoffUntil == nil)
+	assert.Assert(t, reports[1].Target == "t1" && reports[1].Service == "s" && reports[1].BackoffUntil != nil)
 
 	lift := func(id fleet.TargetID) int {
 		req, err := http.NewRequest(http.MethodDelete, admin+advice.Path+"/"+string(id), http.NoBody)
--- a/gateway/advicereport.go
+++ b/gateway/advicereport.go
@@ -32,8 +32,8 @@
 		since := now.Add(-millis(d.AgeMillis))
 		of(d.ID).LeavingSince = &since
 	}
-	for id, until := range g.knowledge.restsUntil(now) {
-		of(id).RestsUntil = &until
+	for id, until := range g.knowledge.backoffs(now) {
+		of(id).BackoffUntil = &until
 	}
 	for _, n := range g.rates.table.InForce() {
 		r := of(n.Target)
@@ -53,11 +53,11 @@
 }
 
 // liftAdvice ends what a target said of itself, at an operator's word: that it leaves and its rate on all
-// instances, its rest on this one. What the target says afterwards holds.
+// instances, the backoff on this one. What the target says afterwards holds.
 func (g *Gateway) liftAdvice(c echo.Context) error {
 	id := fleet.TargetID(c.Param("target"))
 	now := time.Now()
-	lifted := g.knowledge.endRest(now, id)
+	lifted := g.knowledge.endBackoff(now, id)
 	for _, d := range g.state.Departures() {
 		if d.ID == id {
 			lifted = g.liftDeparture(d) || lifted
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -348,7 +348,7 @@
 }
 
 // noteWithheld says why there is no target, if all that there are take no requests now: by their rates, of
-// which n withheld one, or since they asked for rest.
+// which n withheld one, or since this instance backs off from them.
 func (r *race) noteWithheld(now time.Time, targets []*registry.Target, n int) {
 	if r.fallback.kind != notRun {
 		return
--- a/gateway/rest_test.go
+++ b/gateway/backoff_test.go
@@ -17,23 +17,23 @@
 	"github.com/clementinereel/clementinereel/suspicion"
 )
 
-var restSeeds = flag.Uint64("rest-seeds", 2, "seeds of the model of targets that ask for rest")
+var backoffSeeds = flag.Uint64("backoff-seeds", 2, "seeds of the model of targets that send Retry-After")
 
 const (
-	// restsAfter is when targets begin to turn all work away, for restsFor.
-	restsAfter = 2 * time.Second
-	restsFor   = 6 * time.Second
-	// restCounts is from when after a refusal a target's rest counts.
-	restCounts = 100 * time.Millisecond
+	// turnsAwayAfter is when targets begin to turn all work away, for turnsAwayFor.
+	turnsAwayAfter = 2 * time.Second
+	turnsAwayFor   = 6 * time.Second
+	// backoffCounts is from when after a refusal a backoff counts.
+	backoffCounts = 100 * time.Millisecond
 	// refusalTakes is how long a target takes to turn work away.
 	refusalTakes = 3 * time.Millisecond
-	// restAim is the most requests of an instance that reach a target in the rest that it asked for.
-	restAim = 1
-	// restUsage is the part of all targets' slots that the work takes.
-	restUsage = 0.35
+	// backoffAim is the most requests of an instance that reach a target within a backoff.
+	backoffAim = 1
+	// usage is the part of all targets' slots that the work takes.
+	usage = 0.35
 )
 
-// arrivalAt is a request of one instance at one target; refused ones ask for rest until a time.
+// arrivalAt is a request of one instance at one target; refused ones were answered with Retry-After until a time.
 type arrivalAt struct {
 	instance string
 	target   fleet.TargetID
@@ -41,22 +41,22 @@
 	until    time.Time
 }
 
-// restRun is a zone of which some targets turn work away and ask for rest.
-type restRun struct {
+// backoffRun is a zone of which some targets turn work away and send Retry-After.
+type backoffRun struct {
 	*zoneRun
-	rests map[fleet.TargetID]time.Duration
+	sends map[fleet.TargetID]time.Duration
 	// turnsAway is the part of the work that they turn away.
 	turnsAway float64
 	// silent tells that they ask for nothing as they do so.
 	silent bool
 	met    []arrivalAt
-	// asked and served are requests from when targets rest on.
+	// asked and served are requests from when targets turn work away on.
 	asked, served int
 }
 
-// newRestRun is a zone of which the given part of the targets asks for rest.
-func newRestRun(seed uint64, instances, targets int, share float64) *restRun {
-	z := &restRun{zoneRun: newZoneRun(seed, instances, targets, 0), rests: make(map[fleet.TargetID]time.Duration), turnsAway: 1}
+// newBackoffRun is a zone of which the given part of the targets turns work away.
+func newBackoffRun(seed uint64, instances, targets int, share float64) *backoffRun {
+	z := &backoffRun{zoneRun: newZoneRun(seed, instances, targets, 0), sends: make(map[fleet.TargetID]time.Duration), turnsAway: 1}
 	var members []mesh.Member
 	for _, in := range z.instances {
 		members = append(members, mesh.Member{Addr: in.addr})
@@ -67,48 +67,48 @@
 	}
 	for i, t := range z.targets {
 		if float64(i) < share*float64(targets) {
-			z.rests[t.ID] = []time.Duration{3 * time.Second, 1500 * time.Millisecond, 800 * time.Millisecond}[i%3]
+			z.sends[t.ID] = []time.Duration{3 * time.Second, 1500 * time.Millisecond, 800 * time.Millisecond}[i%3]
 		}
 	}
 	return z
 }
 
-// resting is for how long a target that gets a request wants nothing; 0 if it takes the work.
-func (z *restRun) resting(now time.Time, id fleet.TargetID) time.Duration {
-	if z.rng.Float64() >= z.turnsAway || now.Before(start.Add(restsAfter)) || now.After(start.Add(restsAfter+restsFor)) {
+// retryAfter is what a target that gets a request sends as it turns it away; 0 if it takes the work.
+func (z *backoffRun) retryAfter(now time.Time, id fleet.TargetID) time.Duration {
+	if z.rng.Float64() >= z.turnsAway || now.Before(start.Add(turnsAwayAfter)) || now.After(start.Add(turnsAwayAfter+turnsAwayFor)) {
 		return 0
 	}
-	return z.rests[id]
+	return z.sends[id]
 }
 
 // request is a lookup at any instance.
-func (z *restRun) request(now time.Time) {
+func (z *backoffRun) request(now time.Time) {
 	in := z.instances[z.rng.IntN(len(z.instances))]
 	in.k.Request(now, "s", true)
-	if now.After(start.Add(restsAfter)) {
+	if now.After(start.Add(turnsAwayAfter)) {
 		z.asked++
 	}
 	z.attempt(in, now, now, nil)
 }
 
 // attempt tries a target; one that turns it away is followed by another, if the retry budget allows.
-func (z *restRun) attempt(in *zoneInstance, asked, now time.Time, tried []fleet.TargetID) {
+func (z *backoffRun) attempt(in *zoneInstance, asked, now time.Time, tried []fleet.TargetID) {
 	w := placement.Work{Objective: objective, KB: 1, Repeatable: true}
 	p, ok := in.k.Place(now, "s", z.targets, tried, nil, w, func(exchange.Target, time.Duration) bool { return true })
 	if !ok {
 		return
 	}
 	z.tellLoad(in, now, &p)
-	rest := z.resting(now, p.ID)
+	after := z.retryAfter(now, p.ID)
 	a := arrivalAt{instance: in.addr, target: p.ID, at: now}
-	if rest > 0 {
-		a.until = now.Add(rest)
+	if after > 0 {
+		a.until = now.Add(after)
 	}
 	z.met = append(z.met, a)
-	if rest == 0 {
+	if after == 0 {
 		z.at(now.Add(time.Duration((0.7+0.6*z.rng.Float64())*float64(workTakes))), func(now time.Time) {
 			z.learn(in, now, a.at, &p, suspicion.Good)
-			if asked.After(start.Add(restsAfter)) {
+			if asked.After(start.Add(turnsAwayAfter)) {
 				z.served++
 			}
 		})
@@ -116,8 +116,8 @@
 	}
 	z.at(now.Add(refusalTakes), func(now time.Time) {
 		in.k.Ended(p)
-		if !z.silent && in.k.TurnedAway(now, "s", p.ID, rest) {
-			told := &mesh.Packet{Rests: []mesh.TargetRest{{Target: p.ID, ForMillis: rest.Milliseconds()}}}
+		if !z.silent && in.k.TurnedAway(now, "s", p.ID, after) {
+			told := &mesh.Packet{Backoffs: []mesh.TargetBackoff{{Target: p.ID, ForMillis: after.Milliseconds()}}}
 			z.tell(in, now, told, func(addr string) bool { return in.k.ConcernedBy(addr, p.Target, z.targets) })
 		}
 		z.again(in, asked, now, append(slices.Clone(tried), p.ID))
@@ -125,7 +125,7 @@
 }
 
 // again tries another target, if the retry budget allows that, or a loan of neighbours does.
-func (z *restRun) again(in *zoneInstance, asked, now time.Time, tried []fleet.TargetID) {
+func (z *backoffRun) again(in *zoneInstance, asked, now time.Time, tried []fleet.TargetID) {
 	if _, ok := in.k.Spend(now, "s", true); ok {
 		z.attempt(in, asked, now, tried)
 		return
@@ -145,18 +145,18 @@
 }
 
 // play plays the traffic until some seconds after the last target takes work again.
-func (z *restRun) play() {
-	const until = restsAfter + restsFor + 4*time.Second
-	rate := restUsage * float64(len(z.targets)*z.targets[0].Slots) / workTakes.Seconds()
+func (z *backoffRun) play() {
+	const until = turnsAwayAfter + turnsAwayFor + 4*time.Second
+	rate := usage * float64(len(z.targets)*z.targets[0].Slots) / workTakes.Seconds()
 	for at := 0.0; at < until.Seconds(); at += z.rng.ExpFloat64() / rate {
 		z.at(start.Add(time.Duration(at*float64(time.Second))), z.request)
 	}
 	z.queue.Run(until + 2*time.Second)
 }
 
-// mostInRest is the most requests of one instance that met a target within a rest that it had asked that
-// instance for.
-func (z *restRun) mostInRest() int {
+// mostInBackoff is the most requests of one instance that met a target within a time that it had sent that
+// instance.
+func (z *backoffRun) mostInBackoff() int {
 	type pair struct {
 		instance string
 		target   fleet.TargetID
@@ -170,7 +170,7 @@
 		for i, refused := range as {
 			n := 0
 			for _, a := range as[i+1:] {
-				if a.at.Sub(refused.at) >= restCounts && a.at.Before(refused.until) {
+				if a.at.Sub(refused.at) >= backoffCounts && a.at.Before(refused.until) {
 					n++
 				}
 			}
@@ -180,40 +180,40 @@
 	return most
 }
 
-// TestTargetsThatAskForRestAreLeftAlone: a refusal changed nothing of what was known of a target, which, with nothing in
+// TestTargetsThatSendRetryAfterAreLeftAlone: a refusal changed nothing of what was known of a target, which, with nothing in
 // flight, was chosen again at once, and what it turned away used up the retry budget.
-func TestTargetsThatAskForRestAreLeftAlone(t *testing.T) {
+func TestTargetsThatSendRetryAfterAreLeftAlone(t *testing.T) {
 	const share, leastServed = 0.375, 0.99
 	for _, size := range zoneSizes {
-		for seed := range *restSeeds {
-			z := newRestRun(seed, size.instances, max(size.targets, 8), share)
+		for seed := range *backoffSeeds {
+			z := newBackoffRun(seed, size.instances, max(size.targets, 8), share)
 			z.play()
-			most, served := z.mostInRest(), float64(z.served)/float64(z.asked)
+			most, served := z.mostInBackoff(), float64(z.served)/float64(z.asked)
 			what := fmt.Sprintf("%d instances, seed %d", size.fleet, seed)
-			t.Logf("%s: %.4f served, at most %d requests of an instance in one rest", what, served, most)
-			assert.Check(t, most <= restAim, "%s: %d requests of an instance in one rest", what, most)
+			t.Logf("%s: %.4f served, at most %d requests of an instance in one backoff", what, served, most)
+			assert.Check(t, most <= backoffAim, "%s: %d requests of an instance in one backoff", what, most)
 			assert.Check(t, served >= leastServed, "%s: %.4f served", what, served)
 		}
 	}
 }
 
 // TestTargetsThatTurnSomeAwayStayInUse: all targets of a service turn away a third of what arrives; that they ask whom they
-// turned away for rest costs callers nothing, for nobody else leaves them alone.
+// turned away to stay away costs callers nothing, for nobody else leaves them alone.
 func TestTargetsThatTurnSomeAwayStayInUse(t *testing.T) {
 	const (
 		alike     = 0.03
 		leastSeen = 3000 // requests, in as many seeds as it takes
 	)
 	for _, size := range zoneSizes {
-		var asked, served [2]int // where targets ask for rest, and where they do not
+		var asked, served [2]int // where targets send Retry-After, and where they do not
 		for seed := uint64(0); asked[0] < leastSeen; seed++ {
 			for i, silent := range []bool{false, true} {
-				z := newRestRun(seed, size.instances, max(size.targets, 8), 1)
+				z := newBackoffRun(seed, size.instances, max(size.targets, 8), 1)
 				z.turnsAway, z.silent = 1.0/3, silent
 				z.play()
 				asked[i] += z.asked
 				served[i] += z.served
-				assert.Check(t, silent || z.mostInRest() <= restAim, "%d instances, seed %d: %d requests of an instance in one rest", size.fleet, seed, z.mostInRest())
+				assert.Check(t, silent || z.mostInBackoff() <= backoffAim, "%d instances, seed %d: %d requests of an instance in one backoff", size.fleet, seed, z.mostInBackoff())
 			}
 		}
 		share := func(i int) float64 { return float64(served[i]) / float64(asked[i]) }
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -57,8 +57,8 @@
 // crowded tells whether the attempt left no slot free, as far as known.
 func (p *Placed) crowded() bool { return p.InFlight+1 >= p.Slots }
 
-// Place chooses a target among those given, those that were tried, those that are withheld and those that want
-// no request of this instance now left out, and counts the attempt in. Warm tells whether a connection that was idle for at most the given time is
+// Place chooses a target among those given, those that were tried, those that are withheld and those that this
+// instance backs off from left out, and counts the attempt in. Warm tells whether a connection that was idle for at most the given time is
 // at hand. It returns false if there is no target.
 func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, tried, withheld []fleet.TargetID, w placement.Work, warm func(exchange.Target, time.Duration) bool) (Placed, bool) {
 	k.mu.Lock()
@@ -69,7 +69,7 @@
 	candidates := make([]placement.Candidate, 0, len(ts))
 	from := make([]*registry.Target, 0, len(ts))
 	for _, t := range ts {
-		if !slices.Contains(tried, t.ID) && !slices.Contains(withheld, t.ID) && !now.Before(k.target(t.ID).rest.until) {
+		if !slices.Contains(tried, t.ID) && !slices.Contains(withheld, t.ID) && !now.Before(k.target(t.ID).backoff.until) {
 			candidates = append(candidates, k.candidate(now, s, t, warm(at(t), k.maxIdle(now, s, t.ID))))
 			from = append(from, t)
 			if t.Zone == k.chooser.Zone {
@@ -145,17 +145,17 @@
 func (k *Knowledge) candidate(now time.Time, s *service, rt *registry.Target, warm bool) placement.Candidate {
 	t := k.target(rt.ID)
 	return placement.Candidate{
-		ID:       rt.ID,
-		Zone:     rt.Zone,
-		Slots:    rt.Slots,
-		Sick:     s.estimator.Sick(now, rt.ID),
-		Fails:    s.estimator.Fails(now, rt.ID),
-		InFlight: t.own + t.others,
-		Warm:     warm,
-		Cut:      now.Before(t.cutUntil),
-		Warming:  now.Before(rt.WarmAt),
-		Rests:    now.Before(t.rest.others),
-		SinceUse: now.Sub(t.lastUse),
+		ID:        rt.ID,
+		Zone:      rt.Zone,
+		Slots:     rt.Slots,
+		Sick:      s.estimator.Sick(now, rt.ID),
+		Fails:     s.estimator.Fails(now, rt.ID),
+		InFlight:  t.own + t.others,
+		Warm:      warm,
+		Cut:       now.Before(t.cutUntil),
+		Warming:   now.Before(rt.WarmAt),
+		BackedOff: now.Before(t.backoff.others),
+		SinceUse:  now.Sub(t.lastUse),
 		// An arrival may be known before any use is, which is told as an attempt ends.
 		SinceArrival: now.Sub(t.arrivedAt),
 		Joined:       t.lastUse.IsZero() && now.Sub(rt.WarmAt) < joinedFor,
@@ -193,14 +193,14 @@
 }
 
 // Utilization is the part of the targets' slots that all instances have in use; slots tells how many a target
-// has. Targets that want no request now have none to use.
+// has. Those that this instance backs off from have none to use.
 func (k *Knowledge) Utilization(now time.Time, ts []*registry.Target, slots func(*registry.Target) float64) float64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	used, all := 0, 0.0
 	for _, t := range ts {
 		x := k.target(t.ID)
-		if now.Before(x.rest.until) {
+		if now.Before(x.backoff.until) {
 			continue
 		}
 		used += x.own + x.others
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -65,7 +65,7 @@
 	began     time.Time
 	service   document.ServiceName
 	reuse     idleBound
-	rest      rest
+	backoff   backoff
 	// restarts counts the processes that were followed by another under the target's
 	// ID, and restartedAt is when this instance learned of the last.
 	restarts    int
--- a/gateway/ways_test.go
+++ b/gateway/ways_test.go
@@ -26,7 +26,7 @@
 
 var words = []word{
 	{"leaves by an answer", func(g *Gateway, id fleet.TargetID) { g.depart(registry.Departure{ID: id}) }},
-	{"wants rest", func(g *Gateway, id fleet.TargetID) { g.knowledge.TurnedAway(time.Now(), "s", id, time.Minute) }},
+	{"turned a request away", func(g *Gateway, id fleet.TargetID) { g.knowledge.TurnedAway(time.Now(), "s", id, time.Minute) }},
 	{"names a rate that nobody hands out", func(g *Gateway, id fleet.TargetID) {
 		g.rates.Leave()
 		g.rates.learn(targetrate.Naming{Target: id, Rate: 1, At: time.Now()})
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -37,14 +37,14 @@
 	n.send(News, p, r.concerned(concerns))
 }
 
-// TellRest tells the neighbours for which concerns is true at once of a target that wants no requests. It
+// TellBackoff tells the neighbours for which concerns is true at once of a target from which this instance backs off. It
 // does not wait for the link: what it spares is more than the datagram.
-func (n *Node) TellRest(t TargetRest, concerns func(addr string) bool) {
+func (n *Node) TellBackoff(t TargetBackoff, concerns func(addr string) bool) {
 	n.mu.Lock()
 	r := *n.routesAt(time.Now())
 	n.mu.Unlock()
 	p := n.stamped()
-	p.Rests = []TargetRest{t}
+	p.Backoffs = []TargetBackoff{t}
 	n.send(News, p, r.concerned(concerns))
 }
 
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -65,16 +65,16 @@
 	// Departures are processes of targets that said in answers that they leave. Earlier versions pass
 	// them over.
 	Departures []registry.Departure `cbor:"27,keyasint,omitempty"`
-	// Rests are targets that turned the sender away and want no requests of it for a time. Earlier
+	// Backoffs are targets that turned the sender away, and from which it backs off for a time. Earlier
 	// versions pass them over.
-	Rests []TargetRest `cbor:"28,keyasint,omitempty"`
+	Backoffs []TargetBackoff `cbor:"28,keyasint,omitempty"`
 	// Upheld are those of Contents whose quarantine had settled at instances that are gone. Earlier
 	// versions pass them over.
 	Upheld []quarantine.Fingerprint `cbor:"29,keyasint,omitempty"`
 }
 
-// TargetRest is a target that wants no requests of the sender.
-type TargetRest struct {
+// TargetBackoff is a target from which the sender backs off.
+type TargetBackoff struct {
 	_      struct{} `cbor:",toarray"`
 	Target fleet.TargetID
 	// ForMillis is for how long, from the datagram on.
--- a/placement/cost.go
+++ b/placement/cost.go
@@ -41,9 +41,9 @@
 	Crowd float64 `json:"crowd"`
 	// Warmup is the cost of a target that is still slow after its start.
 	Warmup float64 `json:"warmup"`
-	// Rest is the cost of a target that turned other instances away and asked them for rest: the request
-	// is likely turned away too, and needs another target out of the retry budget.
-	Rest float64 `json:"rest"`
+	// Backoff is the cost of a target from which other instances back off, since it turned them away: the
+	// request is likely turned away too, and needs another target out of the retry budget.
+	Backoff float64 `json:"backoff"`
 	// Unused is the gain of a target near by that nobody used lately: in a service in
 	// trouble each sound target must see some work within 2 s, also one that was
 	// doubted. Targets of other zones are left to their instances, for in a large fleet
@@ -79,7 +79,7 @@
 		CutPath:           0.8,
 		Crowd:             0.5,
 		Warmup:            0.1,
-		Rest:              0.5,
+		Backoff:           0.5,
 		Unused:            0.1,
 		Joined:            0.6,
 		Noise:             0.01,
@@ -125,8 +125,8 @@
 	Cut bool
 	// Warming tells that the target is still slow after its start.
 	Warming bool
-	// Rests tells that the target turned other instances away and asked them for rest.
-	Rests bool
+	// BackedOff tells that other instances back off from the target, since it turned them away.
+	BackedOff bool
 	// SinceUse is the time since any instance sent it work.
 	SinceUse time.Duration
 	// SinceArrival is the time since the latest request that is known began there,
@@ -167,7 +167,7 @@
 // at once of the requests that begin there. So one trial suffices, where all of a zone tried what they
 // had not heard of for a second; and an instance needs no time to learn what others use.
 //
-// A target that asked for rest counts neither way: it turns a trial away.
+// A target from which others back off counts neither way: it turns a trial away.
 //
 // A target is in use by the requests that begin there: what is still at work may have begun
 // long ago, and news of its end comes later still.
@@ -179,7 +179,7 @@
 	next := -1
 	for i := range ts {
 		t := &ts[i]
-		if t.Rests {
+		if t.BackedOff {
 			continue
 		}
 		used := t.SinceArrival < floorWithin
@@ -263,8 +263,8 @@
 	if t.Warming {
 		cost += k.Warmup
 	}
-	if t.Rests {
-		cost += k.Rest
+	if t.BackedOff {
+		cost += k.Backoff
 	}
 	return cost
 }
--- a/reelctl/advice.go
+++ b/reelctl/advice.go
@@ -14,7 +14,7 @@
 // AdviceCmd are the commands on what targets say of themselves.
 type AdviceCmd struct {
 	List AdviceListCmd `cmd:"" help:"List what targets say of themselves, as far as an instance acts on it."`
-	Lift AdviceLiftCmd `cmd:"" help:"End what a target said of itself: that it leaves and its rate on all instances, its rest on this one. What it says afterwards holds."`
+	Lift AdviceLiftCmd `cmd:"" help:"End what a target said of itself: that it leaves and its rate on all instances, the backoff on this one. What it says afterwards holds."`
 }
 
 // AdviceListCmd lists what targets say of themselves.
@@ -37,9 +37,9 @@
 }
 
 func printAdvice(w io.Writer, reports []advice.Report) {
-	table(w, "TARGET\tSERVICE\tLEAVING SINCE\tRESTS UNTIL\tRATE\tHELD BY", func(w io.Writer) {
+	table(w, "TARGET\tSERVICE\tLEAVING SINCE\tBACKOFF UNTIL\tRATE\tHELD BY", func(w io.Writer) {
 		for _, r := range reports {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", r.Target, r.Service, timeOrNone(r.LeavingSince), timeOrNone(r.RestsUntil), rateOrNone(r.Rate), r.RateHolder)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", r.Target, r.Service, timeOrNone(r.LeavingSince), timeOrNone(r.BackoffUntil), rateOrNone(r.Rate), r.RateHolder)
 		}
 	})
 }
