--- a/gateway/advice.go
+++ b/gateway/advice.go
@@ -84,10 +84,17 @@
 
 // depart takes a target out of use that said to this instance that it leaves, before its answer goes on to
 // the caller, and tells the others.
-func (g *Gateway) depart(d registry.Departure) {
-	if news := g.state.Depart([]registry.Departure{d}, fromSelf); len(news) > 0 {
-		g.node.TellDepartures(news, true)
+func (g *Gateway) depart(d registry.Departure) { g.takeAndTell(d, fromSelf) }
+
+// takeAndTell takes in that a target leaves, or that this was lifted, and tells the others. It tells false if it
+// is no news.
+func (g *Gateway) takeAndTell(d registry.Departure, from string) bool {
+	news := g.state.Depart([]registry.Departure{d}, from)
+	if len(news) == 0 {
+		return false
 	}
+	g.node.TellDepartures(news, true)
+	return true
 }
 
 // takeDepartures takes in what another instance tells of targets that leave. What is news from another zone
--- a/gateway/advicereport.go
+++ b/gateway/advicereport.go
@@ -10,7 +10,6 @@
 
 	"github.com/clementinereel/clementinereel/advice"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/targetrate"
 )
 
@@ -60,7 +59,8 @@
 	lifted := g.knowledge.endBackoff(now, id)
 	for _, d := range g.state.Departures() {
 		if d.ID == id {
-			lifted = g.liftDeparture(d) || lifted
+			d.Lifted, d.AgeMillis = true, 0
+			lifted = g.takeAndTell(d, fromOperator) || lifted
 		}
 	}
 	if g.rates.table.Rate(id) > 0 {
@@ -72,13 +72,3 @@
 	}
 	return c.NoContent(http.StatusNoContent)
 }
-
-// liftDeparture takes a target into use again that said that it leaves, and tells the others.
-func (g *Gateway) liftDeparture(d registry.Departure) bool {
-	news := g.state.Depart([]registry.Departure{{ID: d.ID, Born: d.Born, Lifted: true}}, fromOperator)
-	if len(news) == 0 {
-		return false
-	}
-	g.node.TellDepartures(news, true)
-	return true
-}
