--- a/fuzz.sh
+++ b/fuzz.sh
@@ -4,9 +4,16 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 time=${1:-1m}
+output=$(mktemp)
+trap 'rm -f "$output"' EXIT
 for package in ./platform ./mesh ./gateway ./statesync ./header; do
   for target in $(go test "$package" -list '^Fuzz' | grep '^Fuzz'); do
     printf '%s %s: ' "$package" "$target"
-    go test "$package" -run '^$' -fuzz "^$target\$" -fuzztime "$time" | tail -1
+    if ! go test "$package" -run '^$' -fuzz "^$target\$" -fuzztime "$time" > "$output" 2>&1; then
+      echo "FAIL"
+      cat "$output"
+      exit 1
+    fi
+    tail -1 "$output"
   done
 done
