statesync: no change waits on a connection that has gone silent

Callers: requests handled by an older configuration up to 5.5 s after a newer one was acknowledged, and requests to targets that had left for up to 6.0 s, once all open connections to the store had gone silent.

Cause: a read noticed a silent connection only 1.2 s after a long poll of 4 s (2 s for targets), a length that was not derived from the bounds that it is part of; the few readers wait in step; the next call took another kept connection that was silent too; and a time in which nobody was answered counted as an outage of the store. Ruled out: pulls between instances (the readers have no document either) and a document that is refused or matched wrongly (in force as soon as it is read on a new connection).

A late read is repeated on a new connection 0.3 s after its wait, and its wait is what the operator's bound leaves (1.1 s at 2 s, less the pause before it). A call that fails closes the idle connections. Pulls use a kept connection for their first query only. Servers for other instances end connections that take no answer or ask nothing. Lines store-read-late and pull-hedged and a gauge of the time without an answer tell a wait in vain from a calm store.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -18,15 +18,20 @@
 	StoreReachable   Event = "store-back"
 	StoreRestored    Event = "store-restored"
 	StoreCallFailed  Event = "store-call-failed"
-	ReaderRole       Event = "reader-role"
-	PeerFound        Event = "peer-found"
-	PeerLost         Event = "peer-lost"
-	PullFailed       Event = "pull-failed"
-	ReadyChanged     Event = "ready-changed"
-	LinesDropped     Event = "lines-dropped"
-	PacketRefused    Event = "packet-refused"
-	MeshTraffic      Event = "mesh-traffic"
-	ServerError      Event = "server-error"
+	// StoreReadLate is logged when a read of the store has no response after its wait and is
+	// repeated: its connection may have gone silent, or the store is slow or unavailable.
+	StoreReadLate Event = "store-read-late"
+	ReaderRole    Event = "reader-role"
+	PeerFound     Event = "peer-found"
+	PeerLost      Event = "peer-lost"
+	PullFailed    Event = "pull-failed"
+	// PullHedged is logged when peers do not respond to a pull and another query is made.
+	PullHedged    Event = "pull-hedged"
+	ReadyChanged  Event = "ready-changed"
+	LinesDropped  Event = "lines-dropped"
+	PacketRefused Event = "packet-refused"
+	MeshTraffic   Event = "mesh-traffic"
+	ServerError   Event = "server-error"
 )
 
 // Events that change the state of the instance.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,11 @@
 	// tickInterval is the interval at which expired entries are dropped. Removed targets may
 	// stay in use for this much longer.
 	tickInterval = 100 * time.Millisecond
+	// internalIdleTimeout and internalWriteTimeout bound how long the servers for other instances
+	// and for the balancer keep a connection without a request, and one that takes no response:
+	// both may have gone silent. Other instances keep theirs for half as long.
+	internalIdleTimeout  = time.Minute
+	internalWriteTimeout = 5 * time.Second
 	// pruneInterval is the interval at which the state of removed targets is dropped while
 	// the set of targets does not change, as peers may still report some of them.
 	pruneInterval = 5 * time.Second
@@ -91,6 +96,7 @@
 	}
 	g.follower = statesync.NewFollower(statesync.Options{
 		State: g.state, Store: store, Peers: g.node.View, Self: g.node.Addr(), Zone: s.Zone, OnAddresses: g.node.AddPeers, Announce: g.announceVersions,
+		DocumentTimeout: s.DocumentTimeout, RemovalTimeout: s.RemovalTimeout,
 	})
 	g.contentSync = &contentSyncer{table: g.contents, store: store, readEpoch: g.readsStore, announce: g.announceStoredContent, booted: g.booted}
 	return g, nil
@@ -203,8 +209,8 @@
 	go g.runTicker(background)
 	failed := make(chan error, 3)
 	go g.serve(failed, g.callerServer.listener, g.callerServer.server)
-	go g.serve(failed, g.adminListener, &http.Server{Handler: g.adminRoutes(), ReadHeaderTimeout: headerTimeout})
-	go g.serve(failed, g.peerListener, &http.Server{Handler: g.peerRoutes(), ReadHeaderTimeout: headerTimeout})
+	go g.serve(failed, g.adminListener, newInternalServer(g.adminRoutes()))
+	go g.serve(failed, g.peerListener, newInternalServer(g.peerRoutes()))
 	select {
 	case err := <-failed:
 		return err
@@ -214,6 +220,11 @@
 	return nil
 }
 
+// newInternalServer returns a server for other instances, the balancer and operators.
+func newInternalServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, WriteTimeout: internalWriteTimeout}
+}
+
 func (g *Gateway) serve(failed chan<- error, ln net.Listener, s *http.Server) {
 	if err := s.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		failed <- errors.WithStack(err)
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -108,6 +108,8 @@
 
 func (s *fakeStore) Announce(context.Context, string) (registry.Epoch, error) { return 0, nil }
 
+func (s *fakeStore) CloseIdleConnections() {}
+
 func (s *fakeStore) Contents(context.Context) ([]quarantine.Evidence, error) { return nil, nil }
 
 func (s *fakeStore) KeepContent(context.Context, quarantine.Evidence) error { return nil }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/statesync"
 	"github.com/clementinereel/clementinereel/targetrate"
 	"github.com/clementinereel/clementinereel/telemetry"
 )
@@ -71,6 +72,9 @@
 	gauge("gateway.peers", int64(len(g.node.View().Members)))
 	gauge("gateway.store.calls", g.follower.Calls())
 	gauge("gateway.store.state", int64(g.follower.LogState()))
+	for _, s := range statesync.Streams() {
+		m.Registry.Gauge("gateway.store.unanswered-ms", telemetry.Label{Key: "stream", Value: s.String()}).Update(g.follower.Unanswered(s).Milliseconds())
+	}
 	gauge("gateway.connections.opened", g.client.Cache.Opened())
 	gauge("gateway.log.dropped", eventlog.Dropped())
 	stats := g.node.Stats()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -39,6 +39,9 @@
 	// Grace is the time between the stop signal and the forced end of the process.
 	// Default 6 s.
 	Grace time.Duration
+	// DocumentTimeout is the time within which a new document must be in force on all
+	// instances. Default 2 s.
+	DocumentTimeout time.Duration
 	// RemovalTimeout is the time within which a removed target must stop receiving
 	// requests. Default 2 s.
 	RemovalTimeout time.Duration
@@ -53,9 +56,10 @@
 
 // Defaults of Settings.
 const (
-	DefaultGrace          = 6 * time.Second
-	DefaultRemovalTimeout = 2 * time.Second
-	DefaultMemoryBytes    = 256 << 20
+	DefaultGrace           = 6 * time.Second
+	DefaultDocumentTimeout = 2 * time.Second
+	DefaultRemovalTimeout  = 2 * time.Second
+	DefaultMemoryBytes     = 256 << 20
 )
 
 // Complete sets defaults and returns an error that names the first invalid field.
@@ -63,6 +67,9 @@
 	if s.Grace == 0 {
 		s.Grace = DefaultGrace
 	}
+	if s.DocumentTimeout == 0 {
+		s.DocumentTimeout = DefaultDocumentTimeout
+	}
 	if s.RemovalTimeout == 0 {
 		s.RemovalTimeout = DefaultRemovalTimeout
 	}
@@ -113,6 +120,8 @@
 		return errors.Errorf("retry.window: %v is not positive", s.Retry.Window)
 	case s.Grace <= 0:
 		return errors.Errorf("grace: %v is not positive", s.Grace)
+	case s.DocumentTimeout <= 0:
+		return errors.Errorf("document timeout: %v is not positive", s.DocumentTimeout)
 	case s.RemovalTimeout <= 0:
 		return errors.Errorf("leave within: %v is not positive", s.RemovalTimeout)
 	case s.Weights.Homes <= 0:
--- a/registry/graceperiod.go
+++ b/registry/graceperiod.go
@@ -25,9 +25,10 @@
 	drainReserve   = 700 * time.Millisecond
 	// defaultRemovalBound is the removal bound if none is set.
 	defaultRemovalBound = 2 * time.Second
-	// OutageGracePeriod counts from the end of an outage: live targets register again within about
-	// 2 s.
-	OutageGracePeriod = 2300 * time.Millisecond
+	// OutageGracePeriod counts from the end of an outage. Live targets register again within about
+	// 2 s; another 700 ms may pass until all instances know, 400 ms in which a reader of the log
+	// pauses after other changes and 300 ms until its next heartbeat if an announcement is lost.
+	OutageGracePeriod = 2700 * time.Millisecond
 	// OutageAttributionWindow is how long after the end of an outage a removal is still attributed
 	// to it.
 	OutageAttributionWindow = 2 * time.Second
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -50,20 +50,27 @@
 	_, _ = w.Write(body) // the peer retries a pull that failed
 }
 
-// puller fetches the state of peers.
+// puller holds the clients that fetch the state of peers.
 type puller struct {
-	http *http.Client
+	// kept reuses the connections of earlier pulls, fresh opens a new one for each: a kept one may
+	// have gone silent, which only a timeout shows.
+	kept, fresh *http.Client
 }
 
-func newPuller() *puller {
+func newPuller() *puller { return &puller{kept: newPullClient(true), fresh: newPullClient(false)} }
+
+func newPullClient(keepAlive bool) *http.Client {
 	dialer := &net.Dialer{Timeout: pullTimeout / 2}
-	return &puller{&http.Client{
-		Timeout:   pullTimeout,
-		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true},
-	}}
+	return &http.Client{
+		Timeout: pullTimeout,
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		},
+	}
 }
 
-func (p *puller) pull(ctx context.Context, addr string, r pullRequest) (PeerSnapshot, error) {
+// pull fetches what the peer has beyond the request.
+func pull(ctx context.Context, client *http.Client, addr string, r pullRequest) (PeerSnapshot, error) {
 	var w PeerSnapshot
 	q := url.Values{
 		"document": {strconv.FormatInt(int64(r.document), 10)},
@@ -77,7 +84,7 @@
 	if err != nil {
 		return w, errors.WithStack(err)
 	}
-	resp, err := p.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return w, errors.WithStack(err)
 	}
--- a/statesync/pull.go
+++ b/statesync/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
@@ -18,11 +19,11 @@
 	// pullRetryDelay is the pause after a failed pull. The path to one peer may be broken, and in
 	// a large fleet the next packet that announces newer state may be a second away.
 	pullRetryDelay = 50 * time.Millisecond
-	// pullHedgeDelay is the time after which one more peer is queried in parallel with those that
-	// have not responded, up to maxPullPeers in total: their paths may drop packets silently, and
-	// a change must take effect within seconds.
+	// pullHedgeDelay is the time after which one more query is made in parallel with those that have
+	// no response, up to maxPullQueries in total: paths may drop packets silently and connections
+	// may have gone silent, and a change must take effect within seconds.
 	pullHedgeDelay = 100 * time.Millisecond
-	maxPullPeers   = 4
+	maxPullQueries = 4
 )
 
 // pullLoop fetches the state of peers that are ahead until ctx is done.
@@ -40,20 +41,27 @@
 	}
 }
 
-// pullOnce fetches the state of the most advanced peer, and of others if it does not respond soon.
-// It returns false if none responded, and true if one did or no peer is ahead.
+// pullOnce fetches the state of the most advanced peer. If it does not respond soon, others are
+// queried too, and it again if no other peer is ahead, on new connections. pullOnce returns false if
+// no query succeeded, and true if one did or no peer is ahead.
 func (f *Follower) pullOnce(ctx context.Context) bool {
 	version, position := f.opts.State.Versions()
 	r := pullRequest{document: version, registry: position, full: f.opts.State.needsPeerState()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan bool, maxPullPeers)
+	done := make(chan bool, maxPullQueries)
+	client := f.puller.kept
 	var queried []string
 	for running := 0; ; {
-		if best := f.mostAdvancedPeer(f.opts.Peers(), queried); len(queried) < maxPullPeers && best != nil && r.mayBeServedBy(best) {
+		if best := f.nextPeer(r, queried); best != nil && len(queried) < maxPullQueries {
 			queried = append(queried, best.Addr)
+			if running > 0 {
+				eventlog.Info(eventlog.PullHedged, "queried", len(queried), "peer", best.Addr, "pending", running, "document", version, "registry", position.Offset,
+					"behind_ms", f.opts.State.lag().Milliseconds())
+			}
 			running++
-			go func() { done <- f.pullFrom(ctx, best, r) }()
+			go func(c *http.Client) { done <- f.pullFrom(ctx, c, best, r) }(client)
+			client = f.puller.fresh
 		}
 		if running == 0 {
 			return len(queried) == 0
@@ -69,10 +77,29 @@
 	}
 }
 
+// nextPeer returns the peer to query after the given ones: the most advanced other one or, if none
+// has newer state, the first one again. It returns nil if no peer is ahead, or if the first one was
+// queried again already.
+func (f *Follower) nextPeer(r pullRequest, queried []string) *mesh.Member {
+	v := f.opts.Peers()
+	if best := f.mostAdvancedPeer(v, queried); best != nil && r.mayBeServedBy(best) {
+		return best
+	}
+	if len(queried) == 0 || slices.Contains(queried[1:], queried[0]) {
+		return nil
+	}
+	for i := range v.Members {
+		if m := &v.Members[i]; m.Addr == queried[0] && m.Fresh(v.At) {
+			return m
+		}
+	}
+	return nil
+}
+
 // pullFrom fetches and applies the state of a peer, and reports whether that succeeded.
-func (f *Follower) pullFrom(ctx context.Context, m *mesh.Member, r pullRequest) bool {
+func (f *Follower) pullFrom(ctx context.Context, c *http.Client, m *mesh.Member, r pullRequest) bool {
 	began := time.Now()
-	w, err := f.puller.pull(ctx, m.Addr, r)
+	w, err := pull(ctx, c, m.Addr, r)
 	if ctx.Err() != nil {
 		return false // another peer has responded, or the instance is stopping
 	}
--- a/statesync/restore_test.go
+++ b/statesync/restore_test.go
@@ -73,6 +73,8 @@
 	return s.respond().Epoch, nil
 }
 
+func (s *restorableStore) CloseIdleConnections() {}
+
 func (s *restorableStore) Addresses(context.Context) ([]string, error) { return nil, nil }
 
 // waitForEpoch waits until both streams are at the epoch.
--- a/statesync/store.go
+++ b/statesync/store.go
@@ -25,6 +25,9 @@
 // String returns the name of the stream in logs and metrics.
 func (s Stream) String() string { return [...]string{"documents", "targets"}[s] }
 
+// Streams returns all streams.
+func Streams() []Stream { return []Stream{Documents, Targets} }
+
 // Record is a decoded change of a stream. Either Document or ID is set, or neither if the change
 // does not concern the instance. Err is set if the record could not be decoded; Document and Entry
 // are then nil, and ID is set if the key could be read.
@@ -63,4 +66,7 @@
 	Addresses(ctx context.Context) ([]string, error)
 	// Announce adds an instance's address and returns the store's current epoch.
 	Announce(ctx context.Context, addr string) (registry.Epoch, error)
+	// CloseIdleConnections closes the connections kept from earlier calls, so that the next call
+	// opens a new one.
+	CloseIdleConnections()
 }
