registry, statesync: targets whose entries vanished together stay in use until the last is back

Cause, two: whether most of a service had vanished together was asked anew each tick, so that the hold of the last ones shrank from 1.3 to 0.8 s once most were back; and a reader that got a part of the registrations paused for 400 ms, past the end of the hold.

TestSupersededReadIsRetried asked an offset of instances that had read for others for a moment and waited for nothing any more (traced: 475 ms after they knew, no read pending, and none 3 s later).

Ruled out for the second, which had been supposed: a lost announcement and a late heartbeat; the instance had known for 475 to 495 ms. For the first no single part is enough, by the two times of failure: 1.02 s is before the end of the longer hold, 1.32 s after it. Conclusion: how many have vanished is decided once, as they vanish; asked again later, the answer changes just for those that need it.

--- a/registry/graceperiod.go
+++ b/registry/graceperiod.go
@@ -42,6 +42,9 @@
 	// unconfirmedUntil is when an unconfirmed target, one that a restored log lacks, goes out of
 	// use; zero if the log reported its removal.
 	unconfirmedUntil time.Time
+	// massLapse is set once most entries of the service have vanished together. It stays set while
+	// the others register again, since this target may be the last to do so.
+	massLapse bool
 }
 
 // Vanished informs peers that an entry was removed.
@@ -120,10 +123,10 @@
 	if len(r.inGracePeriod) == 0 {
 		return
 	}
-	lapsed := r.massLapsed()
+	r.markMassLapses()
 	for id, h := range r.inGracePeriod {
 		until, _ := r.gracePeriodEnd(now, h)
-		if lapsed[h.target.Service] {
+		if h.massLapse {
 			until = later(until, h.firstLearnedAt.Add(r.massLapseGracePeriod))
 		}
 		if now.After(until) {
@@ -136,6 +139,31 @@
 	}
 }
 
+// markMassLapses marks the targets of services of which most entries vanished together. It does
+// nothing unless an entry has vanished since the last call.
+func (r *Registry) markMassLapses() {
+	if !r.vanishedSinceMark {
+		return
+	}
+	r.vanishedSinceMark = false
+	lapsed := r.massLapsed()
+	for id, h := range r.inGracePeriod {
+		h.massLapse = h.massLapse || lapsed[h.target.Service]
+		r.inGracePeriod[id] = h
+	}
+}
+
+// HasMassLapse reports whether targets are in use whose entries vanished together with most of their
+// service's, so that their registrations are urgent.
+func (r *Registry) HasMassLapse() bool {
+	for _, h := range r.inGracePeriod {
+		if h.massLapse {
+			return true
+		}
+	}
+	return false
+}
+
 // massLapsed returns the services of which most entries vanished together: nobody removes
 // so many targets at once without an announcement, so an outage of the log may have gone unnoticed.
 func (r *Registry) massLapsed() map[document.ServiceName]bool {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -118,6 +118,8 @@
 	next          Position
 	entries       map[fleet.TargetID]*Target
 	inGracePeriod map[fleet.TargetID]vanishedTarget
+	// vanishedSinceMark is set if an entry has vanished since markMassLapses was called.
+	vanishedSinceMark bool
 	// removed holds the last renewal of removed targets, so that a delayed write of an older one
 	// does not revive them.
 	removed map[fleet.TargetID]removal
@@ -323,6 +325,9 @@
 
 // activate makes a target's entry the current one.
 func (r *Registry) activate(t *Target) {
+	if _, vanished := r.inGracePeriod[t.ID]; vanished {
+		r.markMassLapses() // before this return hides that most had vanished
+	}
 	delete(r.inGracePeriod, t.ID)
 	delete(r.removed, t.ID)
 	delete(r.staleCandidates, t.ID)
@@ -371,6 +376,7 @@
 	}
 	h := vanishedTarget{target: t, firstLearnedAt: since}
 	r.inGracePeriod[id] = h
+	r.vanishedSinceMark = true
 	end, reason := r.gracePeriodEnd(now, h)
 	r.gracePeriods = append(r.gracePeriods, GracePeriod{Target: t, Age: now.Sub(since), Remaining: end.Sub(now), Reason: reason})
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -90,6 +90,30 @@
 	}
 }
 
+// TestMassLapseLastsWhileOthersReturn: the grace period of the last target to register again does not
+// shrink because most of the others have done so.
+func TestMassLapseLastsWhileOthersReturn(t *testing.T) {
+	ids := []fleet.TargetID{"a", "b", "c", "d"}
+	for _, ticks := range []bool{false, true} {
+		r := New()
+		for _, id := range ids {
+			put(t, r, start, entry(id, 1))
+		}
+		for _, id := range ids {
+			drop(t, r, start, id)
+		}
+		if ticks {
+			r.Tick(start.Add(time.Millisecond))
+		}
+		for _, id := range ids[1:] {
+			put(t, r, at(0.5), entry(id, 2))
+		}
+		end := start.Add(defaultRemovalBound - drainReserve)
+		assert.Assert(t, inUse(r, end, "a"), "ticks between: %t", ticks)
+		assert.Assert(t, !inUse(r, end.Add(time.Millisecond), "a"), "ticks between: %t", ticks)
+	}
+}
+
 func TestGracePeriodStaysBelowShortBound(t *testing.T) {
 	r := New()
 	r.SetRemovalBound(time.Second)
--- a/statesync/path_model_test.go
+++ b/statesync/path_model_test.go
@@ -554,6 +554,13 @@
 	m.calmSince = until
 }
 
+// reads reports whether the instance is a reader of the store.
+func (f *Follower) reads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isReader
+}
+
 // pendingReadOffset returns the offset from which the stream's pending read waits for changes.
 func (f *Follower) pendingReadOffset(s Stream) registry.Offset {
 	f.mu.Lock()
--- a/statesync/path_test.go
+++ b/statesync/path_test.go
@@ -409,10 +409,16 @@
 			time.Sleep(2 * coalesceDelay)
 			f.store.put(ids[1], nil)
 			time.Sleep(coalesceDelay + 100*time.Millisecond)
+			reading := 0
 			for _, m := range readers {
 				assert.Equal(t, m.follower.opts.State.next(Targets).Offset, registry.Offset(10))
+				if !m.follower.reads() {
+					continue // it read for others for a moment and waits for nothing
+				}
+				reading++
 				assert.Assert(t, m.follower.pendingReadOffset(Targets) == 10, "the pending read still starts at an outdated offset")
 			}
+			assert.Assert(t, reading >= readersPerZone, "%d of %d still read", reading, len(readers))
 		})
 	})
 }
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -45,6 +45,9 @@
 	// coalesceDelay is the pause after a read that returned changes, so that one call returns
 	// several of them.
 	coalesceDelay = 400 * time.Millisecond
+	// urgentCoalesceDelay replaces it while targets whose entries vanished together register again:
+	// all instances must know before their grace periods end.
+	urgentCoalesceDelay = 100 * time.Millisecond
 	// maxImmediateLatency is the response time below which the changes in a response were already
 	// present when the read began.
 	maxImmediateLatency = 100 * time.Millisecond
@@ -152,11 +155,19 @@
 		b.Reset()
 		f.idleSince[s] = time.Now()
 		if n > 0 {
-			wait.For(ctx, coalesceDelay)
+			wait.For(ctx, f.pauseAfterChanges(s))
 		}
 	}
 }
 
+// pauseAfterChanges returns the pause after a read of the stream that returned changes.
+func (f *Follower) pauseAfterChanges(s Stream) time.Duration {
+	if s == Targets && f.opts.State.hasMassLapse() {
+		return urgentCoalesceDelay
+	}
+	return coalesceDelay
+}
+
 // backoffLimit returns the upper bound of the backoff after an error.
 func (f *Follower) backoffLimit() time.Duration {
 	if f.opts.isRankedReader(f.opts.Peers()) {
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -297,6 +297,13 @@
 	return s.registry.LastAnswered()
 }
 
+// hasMassLapse reports whether targets are in use whose entries vanished together.
+func (s *State) hasMassLapse() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.HasMassLapse()
+}
+
 // tick records the store's status and ends grace periods that have expired.
 func (s *State) tick(now time.Time, status storeStatus) {
 	s.mu.Lock()
