targetrate, gateway: a rate does not become younger as instances repeat it

A rate that a target has named is told on by each instance with its age, and each report seemed younger by the transit of the one before, over and over: 0.2 s of 20 s at a transit of 1 ms, 4 s of 20 s at 20 ms, with heartbeats alone (gateway.TestRateKeepsItsAge). A response without a rate ends one only if its attempt began after the rate was named, so a rate outlives its need the longer the slower the network or the larger the fleet.

A report of the rate in force counts only if it is later by 250 ms, more than a report is under way. What an instance hears from the target itself counts as before.

Ruled out: relays between zones, which add the time that they hold a packet to its ages. After: within 100 ms at 1, 5 and 20 ms of transit. Conclusion: what is told on with an age must not be taken for newer by less than its transit.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -44,6 +44,9 @@
 	// RateRefused when the rate that it sends is invalid.
 	RateAnnounced Event = "rate-named"
 	RateRefused   Event = "rate-refused"
+	// RateEndOutdated is logged when a response without a rate limit does not end the one in force,
+	// since its attempt began before that was announced.
+	RateEndOutdated Event = "rate-end-outdated"
 	// TargetLeaving is logged when a target announces in a response that it is shutting down.
 	TargetLeaving Event = "target-leaving"
 	// TargetBackoff is logged when the instance backs off from a target that rejected a request.
--- a/gateway/rates_test.go
+++ b/gateway/rates_test.go
@@ -37,6 +37,8 @@
 	rates map[fleet.TargetID]targetrate.Rate
 	// arrivals has the arrival times of requests at each target.
 	arrivals map[fleet.TargetID][]time.Time
+	// latency is the transit time of a datagram within a zone; it is twice that between zones.
+	latency time.Duration
 	// partitioned has the zones that exchange no packets with others.
 	partitioned map[fleet.Zone]bool
 }
@@ -96,9 +98,9 @@
 	if f.chance(packetLoss) || in.zone != to.zone && (f.partitioned[in.zone] || f.partitioned[to.zone]) {
 		return
 	}
-	delay := time.Millisecond
+	delay := f.latency
 	if in.zone != to.zone {
-		delay = 2 * time.Millisecond
+		delay *= 2
 	}
 	time.AfterFunc(delay, func() { to.receive(p) })
 }
@@ -158,16 +160,21 @@
 	in.send(in.fleet.byAddr[requester], p)
 }
 
-// start starts a process without any state.
+// start starts a process without any state, which sends requests.
 func (in *rateInstance) start(ctx context.Context, perSecond float64) {
 	ctx, in.cancel = context.WithCancel(ctx)
+	in.startQuiet(ctx)
+	go in.sendRequests(ctx, perSecond)
+}
+
+// startQuiet starts a process without any state, which sends no requests.
+func (in *rateInstance) startQuiet(ctx context.Context) {
 	in.mu.Lock()
 	in.members, in.zones = make(map[string]mesh.Member), make(map[fleet.Zone]time.Time)
 	in.mu.Unlock()
 	in.booted = time.Now()
 	in.rates = NewRates(in, in.zone, in.booted, func() *registry.View { return in.fleet.targets }, NewMetrics())
 	go in.sendHeartbeats(ctx)
-	go in.sendRequests(ctx, perSecond)
 }
 
 func (in *rateInstance) sendHeartbeats(ctx context.Context) {
@@ -263,7 +270,7 @@
 	}
 	perZone := size / zones
 	f := &rateFleet{
-		random: rand.New(rand.NewPCG(seed, 2)), byAddr: make(map[string]*rateInstance), targets: ratedTargets(zones, 2),
+		random: rand.New(rand.NewPCG(seed, 2)), latency: time.Millisecond, byAddr: make(map[string]*rateInstance), targets: ratedTargets(zones, 2),
 		rates: make(map[fleet.TargetID]targetrate.Rate), arrivals: make(map[fleet.TargetID][]time.Time), partitioned: make(map[fleet.Zone]bool),
 	}
 	for _, id := range f.ids() {
@@ -341,6 +348,34 @@
 	}
 }
 
+// TestRateKeepsItsAge checks that a rate does not seem to become younger as instances tell each other
+// of it: an attempt that began since would then not end it.
+func TestRateKeepsItsAge(t *testing.T) {
+	const lasts, maxError = 20 * time.Second, 100 * time.Millisecond
+	for _, latency := range []time.Duration{time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+		t.Run(latency.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRateFleet(1, 12)
+				f.latency = latency
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(time.Hour) // until all goroutines have ended
+				defer cancel()
+				for _, in := range f.instances {
+					in.startQuiet(ctx)
+				}
+				id := f.ids()[0]
+				named := targetrate.Announcement{Target: id, Rate: 2.5, At: time.Now()}
+				f.instances[0].rates.recordNaming(named)
+				time.Sleep(lasts)
+				for _, in := range f.instances {
+					latest := in.rates.table.Latest(id)
+					assert.Check(t, latest.At.Sub(named.At) <= maxError, "%s: %v after it was named, the rate seems %v old", in.addr, lasts, time.Since(latest.At))
+				}
+			})
+		})
+	}
+}
+
 // injectFault restarts an instance, or partitions a zone or reconnects it.
 func (f *rateFleet) injectFault(ctx context.Context, perSecond float64) {
 	if f.chance(0.3) {
--- a/gateway/rateupdates.go
+++ b/gateway/rateupdates.go
@@ -21,7 +21,7 @@
 		rs.metrics.CountRateRefused(targetrate.OutOfRange)
 		return
 	}
-	change := rs.table.Apply(now, n)
+	change := rs.table.ApplyReported(now, n)
 	if r.Holder != "" && p.Zone != rs.zone {
 		rs.table.SetReportedHolder(now, r.Target, r.Holder)
 	}
@@ -70,6 +70,9 @@
 	now := time.Now()
 	change := rs.table.Apply(now, n)
 	if change == targetrate.Unchanged {
+		if inForce := rs.table.Latest(n.Target); n.Rate == 0 && inForce.Rate > 0 {
+			logOutdatedEnd(n, inForce, now)
+		}
 		return
 	}
 	logRateChange(n, change, sourceSelf, now)
@@ -109,6 +112,12 @@
 	eventlog.Info(eventlog.RateRefused, "request", c.id, "service", c.service, "target", e.placed.ID, "why", err.Error(), "in_force", c.h.Rates.table.Rate(e.placed.ID))
 }
 
+// logOutdatedEnd logs that a response without a rate did not end the rate in force, because that was
+// announced after the start of its attempt.
+func logOutdatedEnd(n, inForce targetrate.Announcement, now time.Time) {
+	eventlog.Info(eventlog.RateEndOutdated, "target", n.Target, "rate", float64(inForce.Rate), "age_ms", now.Sub(n.At).Milliseconds(), "in_force_age_ms", now.Sub(inForce.At).Milliseconds())
+}
+
 // logRateChange logs a change of a target's rate.
 func logRateChange(n targetrate.Announcement, change targetrate.Change, by string, now time.Time) {
 	eventlog.Info(eventlog.RateAnnounced, "target", n.Target, "change", change, "rate", float64(n.Rate), "by", by, "age_ms", now.Sub(n.At).Milliseconds())
--- a/targetrate/table.go
+++ b/targetrate/table.go
@@ -38,6 +38,12 @@
 // announcements that arrive late have no effect.
 const endedRetention = 10 * time.Second
 
+// minRefresh is the time by which a report of the rate in force must be later to replace the earlier
+// one. It exceeds the transit of a report: instances repeat reports to each other, and an
+// announcement that became younger with each repetition would outdate the response that ends the
+// rate.
+const minRefresh = 250 * time.Millisecond
+
 // entry is the state of one target.
 type entry struct {
 	Announcement
@@ -58,8 +64,17 @@
 // New returns an empty table.
 func New() *Table { return &Table{targets: make(map[fleet.TargetID]*entry)} }
 
-// Apply records an announcement and returns its effect.
-func (t *Table) Apply(now time.Time, n Announcement) Change {
+// Apply records an announcement that this instance received from the target and returns its effect.
+func (t *Table) Apply(now time.Time, n Announcement) Change { return t.apply(now, n, 0) }
+
+// ApplyReported records an announcement that another instance reported and returns its effect. Its
+// time includes the transit of the report.
+func (t *Table) ApplyReported(now time.Time, n Announcement) Change {
+	return t.apply(now, n, minRefresh)
+}
+
+// apply records an announcement. One of the rate in force counts only if it is later by minNewer.
+func (t *Table) apply(now time.Time, n Announcement, minNewer time.Duration) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.targets[n.Target]
@@ -67,10 +82,10 @@
 		e = &entry{Announcement: Announcement{Target: n.Target}}
 		t.targets[n.Target] = e
 	}
-	if !n.At.After(e.At) {
+	before := e.Rate
+	if !n.At.After(e.At) || before == n.Rate && n.At.Sub(e.At) < minNewer {
 		return Unchanged
 	}
-	before := e.Rate
 	e.Announcement = n
 	switch {
 	case before == n.Rate:
