statesync: the tests of a change's path share their beginning and how a target registers

No test asks for less: the assertions, times and sizes are those of before.

Ruled out: one proxy in place of tcpproxy and faults.Link. That one is a library's, in a module of its own; its faults apply to all connections, where only the open ones are to go silent. The other pairs of like lines are imports and constants.

--- a/statesync/path_test.go
+++ b/statesync/path_test.go
@@ -62,11 +62,14 @@
 	for i := range n {
 		id := fleet.TargetID(fmt.Sprint("t", i))
 		ids = append(ids, id)
-		f.store.put(id, &registry.Entry{ID: id, Service: service, Slots: 2, Sequence: 1})
+		f.register(id, 1)
 	}
 	return ids
 }
 
+// register registers a target, or renews its registration.
+func (f *fleetModel) register(id fleet.TargetID, sequence int64) { f.registerProcess(id, 0, sequence) }
+
 // run starts all instances in a synctest bubble and calls do after startupTime.
 func (f *fleetModel) run(t *testing.T, do func(t *testing.T, ctx context.Context)) {
 	t.Helper()
@@ -83,6 +86,17 @@
 	})
 }
 
+// runWithTargets is run with n registered targets that all instances know, and no pulls that hang.
+func (f *fleetModel) runWithTargets(t *testing.T, n int, do func(t *testing.T, ids []fleet.TargetID)) {
+	t.Helper()
+	f.pullsHang = false
+	f.run(t, func(t *testing.T, _ context.Context) {
+		ids := f.registerTargets(n)
+		time.Sleep(3 * time.Second)
+		do(t, ids)
+	})
+}
+
 // lastUse watches removed targets for a while. It returns the time after the removal at which an
 // undisturbed instance last used one of them, and that instance's address.
 func (f *fleetModel) lastUse(removedAt time.Time, duration time.Duration, ids ...fleet.TargetID) (last time.Duration, by string) {
@@ -170,7 +184,7 @@
 		if left := renewed.Add(entryTTL).Sub(start); left < duration {
 			time.AfterFunc(left, func() { f.store.put(id, nil) })
 			time.AfterFunc(duration+f.randomDuration(maxReregisterDelay), func() {
-				f.store.put(id, &registry.Entry{ID: id, Service: service, Slots: 2, Sequence: 2})
+				f.register(id, 2)
 			})
 		}
 	}
@@ -223,10 +237,7 @@
 func TestTargetsRegisteredLateAfterOutageStayInUse(t *testing.T) {
 	const outage = entryTTL + time.Second
 	forEachFleet(t, func(t *testing.T, f *fleetModel) {
-		f.pullsHang = false
-		f.run(t, func(t *testing.T, _ context.Context) {
-			ids := f.registerTargets(12)
-			time.Sleep(3 * time.Second)
+		f.runWithTargets(t, 12, func(t *testing.T, ids []fleet.TargetID) {
 			unused := make(chan string)
 			go func() { unused <- f.findUnusedTarget(outage+4*time.Second, ids) }()
 			f.store.setDown(true, false, true)
@@ -237,7 +248,7 @@
 				}
 				time.AfterFunc(entryTTL, func() { f.store.put(id, nil) })
 				time.AfterFunc(registers, func() {
-					f.store.put(id, &registry.Entry{ID: id, Service: service, Slots: 2, Sequence: 2})
+					f.register(id, 2)
 				})
 			}
 			time.Sleep(outage)
@@ -288,14 +299,11 @@
 func (f *fleetModel) checkGracePeriods(t *testing.T, gracePeriod time.Duration) {
 	t.Helper()
 	const step = 20 * time.Millisecond
-	f.pullsHang = false
-	f.run(t, func(t *testing.T, _ context.Context) {
-		ids := f.registerTargets(8)
-		time.Sleep(3 * time.Second)
+	f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
 		for pause := time.Duration(0); pause <= coalesceDelay; pause += coalesceDelay / 4 {
 			id, other := ids[0], ids[1]
 			ids = ids[1:]
-			f.store.put(other, &registry.Entry{ID: other, Service: service, Slots: 2, Sequence: 2})
+			f.register(other, 2)
 			time.Sleep(pause + 10*time.Millisecond)
 			removedAt := time.Now()
 			f.store.put(id, nil)
@@ -365,7 +373,7 @@
 		*next++
 		remaining = append(remaining, id)
 		time.AfterFunc(f.randomDuration(time.Second), func() {
-			f.store.put(id, &registry.Entry{ID: id, Service: service, Slots: 2, Sequence: 1})
+			f.register(id, 1)
 		})
 	}
 	return ids[:n], remaining
@@ -427,11 +435,8 @@
 // ends just before a late read is repeated. Nobody can tell then when their entries vanished.
 func TestLapsesDuringLateReadKeepTargets(t *testing.T) {
 	forEachFleet(t, func(t *testing.T, f *fleetModel) {
-		f.pullsHang = false
-		f.run(t, func(t *testing.T, _ context.Context) {
-			ids := f.registerTargets(8)
-			time.Sleep(3 * time.Second)
-			f.store.put(ids[7], &registry.Entry{ID: ids[7], Service: service, Slots: 2, Sequence: 2}) // the readers pause, then read
+		f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
+			f.register(ids[7], 2) // the readers pause, then read
 			time.Sleep(coalesceDelay + 100*time.Millisecond)
 			f.store.setDown(true, false, true)
 			time.Sleep(f.members[0].follower.opts.longWait(Targets) + lateReadDelay - 250*time.Millisecond)
@@ -443,7 +448,7 @@
 			go func() { unused <- f.findUnusedTarget(3*time.Second, ids) }()
 			time.Sleep(time.Second)
 			for _, id := range ids {
-				f.store.put(id, &registry.Entry{ID: id, Service: service, Slots: 2, Sequence: 3})
+				f.register(id, 3)
 			}
 			assert.Equal(t, <-unused, "")
 		})
@@ -455,10 +460,8 @@
 func TestStoreCallRateInCalm(t *testing.T) {
 	const watched = 30 * time.Second
 	forEachFleet(t, func(t *testing.T, f *fleetModel) {
-		f.packetLoss, f.pullsHang = 0, false
-		f.run(t, func(t *testing.T, _ context.Context) {
-			f.registerTargets(8)
-			time.Sleep(3 * time.Second)
+		f.packetLoss = 0
+		f.runWithTargets(t, 8, func(t *testing.T, _ []fleet.TargetID) {
 			before := f.storeCalls()
 			time.Sleep(watched)
 			calls := f.storeCalls() - before
@@ -495,10 +498,7 @@
 // readers after another one.
 func TestChangesTakeEffectWhenAllConnectionsGoSilent(t *testing.T) {
 	forEachFleet(t, func(t *testing.T, f *fleetModel) {
-		f.pullsHang = false
-		f.run(t, func(t *testing.T, _ context.Context) {
-			ids := f.registerTargets(8)
-			time.Sleep(3 * time.Second)
+		f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
 			const rounds = 5
 			for n := range rounds {
 				removed := ids[n : n+1]
@@ -506,7 +506,7 @@
 					removed = ids[n:7] // most of those that are left
 				}
 				f.store.putDocument(document.Version(2*n + 1))
-				f.store.put(ids[7], &registry.Entry{ID: ids[7], Service: service, Slots: 2, Sequence: int64(n) + 2})
+				f.register(ids[7], int64(n)+2)
 				time.Sleep(f.randomDuration(4 * time.Second))
 				f.silenceAll()
 				time.Sleep(f.randomDuration(1500 * time.Millisecond))
