statesync: the rest of a read's wait has a name that hides no package

In readChanges a variable named wait hid the package of that name, which the function's neighbours use. No logic: the same expressions under another name.

--- a/statesync/read.go
+++ b/statesync/read.go
@@ -202,19 +202,19 @@
 func (f *Follower) readChanges(ctx context.Context, s Stream, next registry.Position) (Batch, error) {
 	pollWait := f.readWait(s)
 	// A pause before the read is part of the time for which a change may have waited.
-	wait := max(min(pollWait, minLongWait), pollWait-time.Since(f.idleSince[s]))
+	remaining := max(min(pollWait, minLongWait), pollWait-time.Since(f.idleSince[s]))
 	f.countCall()
 	readCtx, cancelRead := context.WithCancelCause(ctx)
 	defer cancelRead(nil)
-	call, cancel := context.WithTimeout(readCtx, wait+callTimeoutMargin)
+	call, cancel := context.WithTimeout(readCtx, remaining+callTimeoutMargin)
 	defer cancel()
 	f.setPendingRead(s, next, cancelRead)
 	defer f.setPendingRead(s, next, nil)
 	start := time.Now()
 	b, err := f.hedge(call, s, hedgedCall{
-		call:   func(ctx context.Context) (Batch, error) { return f.opts.Store.Read(ctx, s, next.Offset, wait) },
+		call:   func(ctx context.Context) (Batch, error) { return f.opts.Store.Read(ctx, s, next.Offset, remaining) },
 		repeat: func(ctx context.Context) (Batch, error) { return f.opts.Store.Read(ctx, s, next.Offset, firstWait) },
-		after:  wait + lateReadDelay,
+		after:  remaining + lateReadDelay,
 	})
 	// The age of what a repetition returns is unknown: the store may have been unavailable until then.
 	if time.Since(start) < maxImmediateLatency {
