statesync: lines on the transfers of state between instances

Operators could not tell whether a document that is late waits for its first byte, is slow on its way, or arrives and is applied late; nor how many an instance sends it to at once. state-pulled and state-served have bytes and times, and the age of the application is the distance to document-applied.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -26,7 +26,11 @@
 	PeerLost      Event = "peer-lost"
 	PullFailed    Event = "pull-failed"
 	// PullHedged is logged when peers do not respond to a pull and another query is made.
-	PullHedged    Event = "pull-hedged"
+	PullHedged Event = "pull-hedged"
+	// StatePulled and StateServed are logged when a peer's state has arrived or broken off, unless
+	// it is small, and when this instance has written its state to a peer.
+	StatePulled   Event = "state-pulled"
+	StateServed   Event = "state-served"
 	ReadyChanged  Event = "ready-changed"
 	LinesDropped  Event = "lines-dropped"
 	PacketRefused Event = "packet-refused"
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/registry"
 )
 
@@ -26,6 +27,8 @@
 	// maxSnapshotBytes limits the size of a peer's state: 22,000 routes and 13,000 targets take
 	// about 4 MB.
 	maxSnapshotBytes = 32 << 20
+	// smallResponseBytes is the size up to which a response is not worth a log line.
+	smallResponseBytes = 16 << 10
 )
 
 // ServeHTTP answers a peer's pull with the state that is newer than the peer's.
@@ -47,7 +50,13 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
-	_, _ = w.Write(body) // the peer retries a pull that failed
+	serving := s.serving.Add(1)
+	defer s.serving.Add(-1)
+	began := time.Now()
+	_, err = w.Write(body) // the peer retries a pull that failed
+	if len(body) > smallResponseBytes {
+		eventlog.Info(eventlog.StateServed, "to", r.RemoteAddr, "bytes", len(body), "serving", serving, "took_ms", time.Since(began).Milliseconds(), "complete", err == nil)
+	}
 }
 
 // puller holds the clients that fetch the state of peers.
@@ -72,6 +81,7 @@
 // pull fetches what the peer has beyond the request.
 func pull(ctx context.Context, client *http.Client, addr string, r pullRequest) (PeerSnapshot, error) {
 	var w PeerSnapshot
+	began := time.Now()
 	q := url.Values{
 		"document": {strconv.FormatInt(int64(r.document), 10)},
 		"registry": {strconv.FormatInt(int64(r.registry.Offset), 10)},
@@ -89,7 +99,12 @@
 		return w, errors.WithStack(err)
 	}
 	defer resp.Body.Close()
+	waited := time.Since(began)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSnapshotBytes))
+	if err != nil || len(body) > smallResponseBytes {
+		eventlog.Info(eventlog.StatePulled, "peer", addr, "bytes", len(body), "waited_ms", waited.Milliseconds(), "took_ms", time.Since(began).Milliseconds(),
+			"document", r.document, "registry", r.registry.Offset, "complete", err == nil)
+	}
 	if err != nil {
 		return w, errors.WithStack(err)
 	}
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -24,6 +24,8 @@
 	refusals  refusals
 	table     atomic.Pointer[document.Table]
 	targets   atomic.Pointer[registry.View]
+	// serving is the number of responses to peers that are being written.
+	serving atomic.Int64
 
 	mu       sync.Mutex
 	registry *registry.Registry
