statesync, transfer: what a big document costs a link does not grow with those that wait for it

Callers: routed by an older configuration for seconds after a newer, big one had been acknowledged, while the instances that had it failed their readiness checks.

Cause: all instances of a zone pulled the document from the few that had it at the same moment, uncompressed, each asked up to four times while it waited (a repetition meant for silent connections cannot tell these from slow ones), and after 1 s in total it discarded what had arrived. So a sender's link carried size times pullers times repetitions, and each end of a second began it anew.

- A sender sends to two others at a time for each 10 Mbit/s of its link, 16 at most, and tells further ones at once when to ask again; those that have received it serve as well.
- A transfer ends when nothing arrives for 0.5 s, not after a total time; another query is made only while nothing has arrived.
The same holds for reads of the store: one of a big record over a small link could never end within 1.2 s of its wait.
- The document and the targets are pulled apart, so that neither waits for the other.

Peers of the previous version are asked as before.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -27,6 +27,8 @@
 	PullFailed    Event = "pull-failed"
 	// PullHedged is logged when peers do not respond to a pull and another query is made.
 	PullHedged Event = "pull-hedged"
+	// PullDeclined is logged when a peer sends its state to too many others to send it here too.
+	PullDeclined Event = "pull-declined"
 	// StatePulled and StateServed are logged when a peer's state has arrived or broken off, unless
 	// it is small, and when this instance has written its state to a peer.
 	StatePulled   Event = "state-pulled"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,6 +89,7 @@
 	g.poison = poison.New()
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announceVersions)
 	g.state.SetRemovalBound(s.RemovalTimeout)
+	g.state.SetLink(s.LinkBytes)
 	g.state.OnRestart(func(ids []fleet.TargetID) { g.knowledge.ResetRestarted(time.Now(), ids) })
 	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxResponseBytes: maxResponseBytes, OnResponseHeader: g.handleResponseHeader, Admit: g.admits}
 	if err := g.listen(); err != nil {
@@ -272,6 +273,7 @@
 func (g *Gateway) peerRoutes() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(statesync.Path, g.state)
+	mux.Handle(statesync.DocumentPath, g.state)
 	return mux
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -77,6 +77,10 @@
 	}
 	gauge("gateway.connections.opened", g.client.Cache.Opened())
 	gauge("gateway.log.dropped", eventlog.Dropped())
+	transfers := g.state.Transfers()
+	gauge("gateway.transfers.active", int64(transfers.Active))
+	gauge("gateway.transfers.started", transfers.Started)
+	gauge("gateway.transfers.declined", transfers.Declined)
 	stats := g.node.Stats()
 	gauge("gateway.mesh.sent", stats.Sent)
 	gauge("gateway.mesh.received", stats.Received)
--- /dev/null
+++ b/statesync/encoding.go
@@ -0,0 +1,77 @@
+package statesync
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/registry"
+)
+
+// DocumentTransfer is the response to a peer's request for a document.
+type DocumentTransfer struct {
+	Version document.Version `cbor:"1,keyasint"`
+	// Next and Epoch are the position in the store's stream after the document.
+	Next  registry.Offset `cbor:"2,keyasint"`
+	Epoch registry.Epoch  `cbor:"3,keyasint,omitempty"`
+	// Encoded is the document, encoded and compressed.
+	Encoded []byte `cbor:"4,keyasint"`
+}
+
+// encodedDocument is a document as it is sent to peers. An instance that received it from one passes
+// the same bytes on.
+type encodedDocument struct {
+	version document.Version
+	bytes   []byte
+}
+
+func encodeDocument(d *document.Document) (*encodedDocument, error) {
+	b, err := cbor.Marshal(d)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	compressed, err := compress(b)
+	return &encodedDocument{d.Version, compressed}, err
+}
+
+func (e *encodedDocument) decode() (*document.Document, error) {
+	b, err := decompress(e.bytes)
+	if err != nil {
+		return nil, err
+	}
+	d := new(document.Document)
+	return d, errors.WithStack(cbor.Unmarshal(b, d))
+}
+
+// compress trades size for speed: instances have a fraction of a core.
+func compress(b []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return out.Bytes(), nil
+}
+
+// decompress reverses compress. It fails if the result is larger than maxSnapshotBytes.
+func decompress(b []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(b))
+	out, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes+1))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if len(out) > maxSnapshotBytes {
+		return nil, errors.Errorf("decompressed to more than %d bytes", maxSnapshotBytes)
+	}
+	return out, nil
+}
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -33,8 +33,8 @@
 type Follower struct {
 	opts      Options
 	puller    *puller
+	pullKinds []*pullKind
 	started   time.Time
-	peerAhead chan struct{}
 
 	mu           sync.Mutex
 	logStates    [streamCount]mesh.LogState
@@ -64,7 +64,8 @@
 
 // NewFollower returns a follower that is started with Run.
 func NewFollower(o Options) *Follower {
-	f := &Follower{opts: o, puller: newPuller(), peerAhead: make(chan struct{}, 1), restoreNotify: make(chan struct{}, 1), started: time.Now()}
+	f := &Follower{opts: o, puller: newPuller(), restoreNotify: make(chan struct{}, 1), started: time.Now()}
+	f.pullKinds = f.newPullKinds()
 	if o.State != nil {
 		o.State.OnRestore(f.handleRestore)
 	}
@@ -78,7 +79,9 @@
 		wg.Go(func() { f.followStream(ctx, s) })
 	}
 	wg.Go(func() { f.introduce(ctx) })
-	wg.Go(func() { f.pullLoop(ctx) })
+	for _, k := range f.pullKinds {
+		wg.Go(func() { f.pullLoop(ctx, k) })
+	}
 	wg.Wait()
 }
 
@@ -166,8 +169,10 @@
 
 // NotifyAhead signals that a peer has newer state.
 func (f *Follower) NotifyAhead() {
-	select {
-	case f.peerAhead <- struct{}{}:
-	default:
+	for _, k := range f.pullKinds {
+		select {
+		case k.notify <- struct{}{}:
+		default:
+		}
 	}
 }
--- a/statesync/fuzz_test.go
+++ b/statesync/fuzz_test.go
@@ -1,10 +1,12 @@
 package statesync
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/registry"
 )
 
@@ -37,3 +39,28 @@
 		}
 	})
 }
+
+// FuzzDocumentTransfer checks that any response to a request for a document is either rejected or
+// applied, and then passed on as it came.
+func FuzzDocumentTransfer(f *testing.F) {
+	e, err := encodeDocument(documentOf(7))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(int64(7), int64(3), e.bytes)
+	f.Add(int64(8), int64(3), e.bytes)
+	f.Fuzz(func(t *testing.T, version, next int64, encoded []byte) {
+		s := NewState(0, nil)
+		sent := &DocumentTransfer{Version: document.Version(version), Next: registry.Offset(next), Encoded: encoded}
+		if s.applyDocumentTransfer(sent, "peer") != nil || s.Table() == nil {
+			return
+		}
+		if s.Table().Document.Check() != nil {
+			t.Fatal("the document in force fails its check")
+		}
+		passedOn, err := s.documentTransfer(0)
+		if err != nil || passedOn.Version != sent.Version || !bytes.Equal(passedOn.Encoded, encoded) {
+			t.Fatalf("passed on %+v, %v", passedOn, err)
+		}
+	})
+}
--- a/statesync/hedge.go
+++ b/statesync/hedge.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/transfer"
 )
 
 // hedgedCall is a call of the store that is repeated on a new connection if it has no response after
@@ -14,12 +15,17 @@
 	call, repeat func(context.Context) (Batch, error)
 	// after is the time from the start of call to that of repeat.
 	after time.Duration
+	// first is the time until the first byte of a response, stall the longest one without another:
+	// a big response may take any time over a small link.
+	first, stall time.Duration
 }
 
 // hedge makes a call for the stream and returns the result that is there first, of the call or its
-// repetition. ctx ends both. A call is not repeated while the store is unavailable: it has a
-// connection that was opened since, and each call has a cost.
+// repetition. ctx ends both. A call is not repeated once a response has begun, nor while the store is
+// unavailable: it has a connection that was opened since, and each call has a cost.
 func (f *Follower) hedge(ctx context.Context, s Stream, c hedgedCall) (Batch, error) {
+	watch, ctx := transfer.NewWatch(ctx, c.first, c.stall)
+	defer watch.Stop()
 	type result struct {
 		batch Batch
 		err   error
@@ -37,7 +43,7 @@
 		case r := <-results:
 			return r.batch, r.err
 		case <-late.C:
-			if f.logState(s) == mesh.LogUnavailable {
+			if watch.HasBegun() || f.logState(s) == mesh.LogUnavailable {
 				continue
 			}
 			eventlog.Info(eventlog.StoreReadLate, "stream", s.String(), "offset", f.opts.State.next(s).Offset, "pending_ms", c.after.Milliseconds(),
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -1,7 +1,6 @@
 package statesync
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"net"
@@ -13,52 +12,23 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/transfer"
 )
 
-// Path is the HTTP path at which instances serve their state to peers.
-const Path = "/peer/state"
-
 const (
-	// pullTimeout limits a pull from a peer.
-	pullTimeout = time.Second
+	// pullTimeout limits the time until the first byte of a pull, and pullStallTimeout the time
+	// without another one: long enough for the retransmissions of a link that loses packets, short
+	// enough for a second pull within the time in which a change must take effect.
+	pullTimeout      = time.Second
+	pullStallTimeout = 500 * time.Millisecond
 	// maxSnapshotBytes limits the size of a peer's state: 22,000 routes and 13,000 targets take
 	// about 4 MB.
 	maxSnapshotBytes = 32 << 20
-	// smallResponseBytes is the size up to which a response is not worth a log line.
-	smallResponseBytes = 16 << 10
 )
 
-// ServeHTTP answers a peer's pull with the state that is newer than the peer's.
-func (s *State) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	version, err1 := strconv.ParseInt(r.FormValue("document"), 10, 64)
-	offset, err2 := strconv.ParseInt(r.FormValue("registry"), 10, 64)
-	epoch, err3 := strconv.ParseInt(cmp.Or(r.FormValue("epoch"), "0"), 10, 64)
-	if err1 != nil || err2 != nil || err3 != nil {
-		http.Error(w, "document, registry and epoch are numbers", http.StatusBadRequest)
-		return
-	}
-	body, err := cbor.Marshal(s.peerSnapshot(pullRequest{
-		document: document.Version(version),
-		registry: registry.Position{Epoch: registry.Epoch(epoch), Offset: registry.Offset(offset)},
-		full:     r.FormValue("all") != "",
-	}))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/cbor")
-	serving := s.serving.Add(1)
-	defer s.serving.Add(-1)
-	began := time.Now()
-	_, err = w.Write(body) // the peer retries a pull that failed
-	if len(body) > smallResponseBytes {
-		eventlog.Info(eventlog.StateServed, "to", r.RemoteAddr, "bytes", len(body), "serving", serving, "took_ms", time.Since(began).Milliseconds(), "complete", err == nil)
-	}
-}
-
 // puller holds the clients that fetch the state of peers.
 type puller struct {
 	// kept reuses the connections of earlier pulls, fresh opens a new one for each: a kept one may
@@ -71,47 +41,108 @@
 func newPullClient(keepAlive bool) *http.Client {
 	dialer := &net.Dialer{Timeout: pullTimeout / 2}
 	return &http.Client{
-		Timeout: pullTimeout,
 		Transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		},
 	}
 }
 
-// pull fetches what the peer has beyond the request.
-func pull(ctx context.Context, client *http.Client, addr string, r pullRequest) (PeerSnapshot, error) {
-	var w PeerSnapshot
-	began := time.Now()
+// declinedError reports that a peer sends to too many others at the moment.
+type declinedError struct {
+	// after is the time after which the peer may be asked again.
+	after time.Duration
+}
+
+// Error implements error.
+func (e *declinedError) Error() string { return "the peer is busy for " + e.after.String() }
+
+// errNoDocumentPath reports that a peer of an earlier version does not serve DocumentPath.
+var errNoDocumentPath = errors.New("the peer serves no documents alone")
+
+// query returns the parameters of the request.
+func (r *pullRequest) query() url.Values {
 	q := url.Values{
-		"document": {strconv.FormatInt(int64(r.document), 10)},
-		"registry": {strconv.FormatInt(int64(r.registry.Offset), 10)},
-		"epoch":    {strconv.FormatInt(int64(r.registry.Epoch), 10)},
+		paramDocument: {strconv.FormatInt(int64(r.document), 10)},
+		paramRegistry: {strconv.FormatInt(int64(r.registry.Offset), 10)},
+		paramEpoch:    {strconv.FormatInt(int64(r.registry.Epoch), 10)},
 	}
 	if r.full {
-		q.Set("all", "1")
+		q.Set(paramFull, "1")
+	}
+	if r.targetsOnly {
+		q.Set(paramPart, partTargets)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+Path+"?"+q.Encode(), nil)
+	return q
+}
+
+// pull fetches what the peer has beyond the request.
+func pull(ctx context.Context, client *http.Client, addr string, r pullRequest) (PeerSnapshot, error) {
+	body, err := get(ctx, client, addr, Path, r.query())
 	if err != nil {
-		return w, errors.WithStack(err)
+		return PeerSnapshot{}, err
+	}
+	return decodePeerSnapshot(body)
+}
+
+// pullDocument fetches the peer's document; nil if it is not newer than the request's.
+func pullDocument(ctx context.Context, client *http.Client, addr string, r pullRequest) (*DocumentTransfer, error) {
+	body, err := get(ctx, client, addr, DocumentPath, r.query())
+	if err != nil || len(body) == 0 {
+		return nil, err
 	}
+	t := new(DocumentTransfer)
+	return t, errors.WithStack(cbor.Unmarshal(body, t))
+}
+
+// get returns the body that the peer serves. It ends when no byte arrives in time.
+func get(ctx context.Context, client *http.Client, addr, path string, q url.Values) ([]byte, error) {
+	began := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path+"?"+q.Encode(), nil)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	req.Header.Set("Accept-Encoding", contentEncoding)
 	resp, err := client.Do(req)
 	if err != nil {
-		return w, errors.WithStack(err)
+		return nil, errors.WithStack(err)
 	}
 	defer resp.Body.Close()
+	if err := checkStatus(resp, path); err != nil {
+		return nil, err
+	}
 	waited := time.Since(began)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxSnapshotBytes))
-	if err != nil || len(body) > smallResponseBytes {
-		eventlog.Info(eventlog.StatePulled, "peer", addr, "bytes", len(body), "waited_ms", waited.Milliseconds(), "took_ms", time.Since(began).Milliseconds(),
-			"document", r.document, "registry", r.registry.Offset, "complete", err == nil)
+	transfer.Progress(ctx)
+	body, err := io.ReadAll(io.LimitReader(transfer.NewReader(ctx, resp.Body), maxSnapshotBytes+1))
+	if err != nil || len(body) > transfer.SmallBytes {
+		eventlog.Info(eventlog.StatePulled, "peer", addr, "path", path, "bytes", len(body), "waited_ms", waited.Milliseconds(), "took_ms", time.Since(began).Milliseconds(),
+			"document", q.Get(paramDocument), "registry", q.Get(paramRegistry), "complete", err == nil)
 	}
-	if err != nil {
-		return w, errors.WithStack(err)
+	switch {
+	case err != nil:
+		return nil, errors.WithStack(err)
+	case len(body) > maxSnapshotBytes:
+		return nil, errors.Errorf("peer's state is larger than %d bytes", maxSnapshotBytes)
+	case resp.Header.Get("Content-Encoding") == contentEncoding:
+		return decompress(body)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return w, errors.Errorf("peer responded with status %d: %.80s", resp.StatusCode, body)
+	return body, nil
+}
+
+// checkStatus returns an error unless the response carries what was asked for, or says that there is
+// nothing newer.
+func checkStatus(resp *http.Response, path string) error {
+	switch {
+	case resp.StatusCode == http.StatusOK, resp.StatusCode == http.StatusNoContent:
+		return nil
+	case resp.StatusCode == http.StatusNotFound && path == DocumentPath:
+		return errors.WithStack(errNoDocumentPath)
 	}
-	return decodePeerSnapshot(body)
+	if seconds, err := strconv.ParseFloat(resp.Header.Get(header.RetryAfter), 64); err == nil && resp.StatusCode == http.StatusServiceUnavailable {
+		return &declinedError{min(time.Duration(seconds*float64(time.Second)), pullTimeout)}
+	}
+	const maxReasonBytes = 80
+	reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes)) // the status is reported without it
+	return errors.Errorf("peer responded with status %d: %s", resp.StatusCode, reason)
 }
 
 func decodePeerSnapshot(body []byte) (PeerSnapshot, error) {
--- a/statesync/peersnapshot.go
+++ b/statesync/peersnapshot.go
@@ -64,6 +64,8 @@
 	registry registry.Position
 	// full requests all targets regardless of the requester's position.
 	full bool
+	// targetsOnly leaves the document out.
+	targetsOnly bool
 }
 
 // peerSnapshot returns the state that the requester lacks.
@@ -72,12 +74,16 @@
 	defer s.mu.Unlock()
 	now, next := s.clock(), s.registry.Next()
 	w := PeerSnapshot{
-		NextDocument: s.nextDocument.Offset, DocumentEpoch: s.nextDocument.Epoch,
 		Registry: next.Offset, Epoch: next.Epoch, RestoreAgeMillis: s.registry.RestoreAge(now).Milliseconds(),
 		Departures: s.registry.Departures(now),
 	}
-	if t := s.table.Load(); t != nil && t.Document.Version > r.document {
-		w.Document = t.Document
+	// The position in the stream of documents is of use only to a requester that has the document.
+	newer := s.version() > r.document
+	if !newer || !r.targetsOnly {
+		w.NextDocument, w.DocumentEpoch = s.nextDocument.Offset, s.nextDocument.Epoch
+	}
+	if newer && !r.targetsOnly {
+		w.Document = s.table.Load().Document
 	}
 	if !r.full && !next.After(r.registry) {
 		return w
--- a/statesync/pull.go
+++ b/statesync/pull.go
@@ -7,9 +7,12 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/transfer"
 	"github.com/clementinereel/clementinereel/wait"
 )
 
@@ -19,70 +22,251 @@
 	// pullRetryDelay is the pause after a failed pull. The path to one peer may be broken, and in
 	// a large fleet the next packet that announces newer state may be a second away.
 	pullRetryDelay = 50 * time.Millisecond
-	// pullHedgeDelay is the time after which one more query is made in parallel with those that have
-	// no response, up to maxPullQueries in total: paths may drop packets silently and connections
-	// may have gone silent, and a change must take effect within seconds.
+	// pullHedgeDelay is the time after which one more query is made in parallel with those of which
+	// nothing has arrived, up to maxPullQueries in total: paths may drop packets silently and
+	// connections may have gone silent, and a change must take effect within seconds.
 	pullHedgeDelay = 100 * time.Millisecond
 	maxPullQueries = 4
 )
 
+// pullKind is a part of the state that is pulled by itself. A big document thus does not delay news of
+// targets.
+type pullKind struct {
+	name string
+	// notify is signaled when a peer has newer state of any kind.
+	notify chan struct{}
+	// ahead reports whether the peer may have newer state of this kind than the requester.
+	ahead func(r *pullRequest, m *mesh.Member) bool
+	// compare returns a positive number if a's state of this kind is newer than b's.
+	compare func(a, b *mesh.Member) int
+	// fetch fetches and applies the peer's state.
+	fetch func(ctx context.Context, c *http.Client, m *mesh.Member, r pullRequest) error
+}
+
+func (f *Follower) newPullKinds() []*pullKind {
+	return []*pullKind{
+		{name: Documents.String(), notify: make(chan struct{}, 1), ahead: hasNewerDocument, compare: compareDocuments, fetch: f.fetchDocument},
+		{name: Targets.String(), notify: make(chan struct{}, 1), ahead: mayHaveNewerTargets, compare: compareTargets, fetch: f.fetchTargets},
+	}
+}
+
+func hasNewerDocument(r *pullRequest, m *mesh.Member) bool { return m.Document > r.document }
+
+func mayHaveNewerTargets(r *pullRequest, m *mesh.Member) bool {
+	return r.full && m.Registry != (registry.Position{}) || m.Registry.After(r.registry)
+}
+
+func compareDocuments(a, b *mesh.Member) int {
+	if a.Document == b.Document {
+		return 0
+	}
+	return sign(a.Document > b.Document)
+}
+
+func compareTargets(a, b *mesh.Member) int { return a.Registry.Compare(b.Registry) }
+
+// fetchDocument fetches and applies the peer's document.
+func (f *Follower) fetchDocument(ctx context.Context, c *http.Client, m *mesh.Member, r pullRequest) error {
+	t, err := pullDocument(ctx, c, m.Addr, r)
+	switch {
+	case errors.Is(err, errNoDocumentPath):
+		r.targetsOnly = false
+		return f.fetchState(ctx, c, m, r)
+	case err != nil || t == nil:
+		return err
+	}
+	return f.opts.State.applyDocumentTransfer(t, m.Addr)
+}
+
+// fetchTargets fetches and applies the peer's targets.
+func (f *Follower) fetchTargets(ctx context.Context, c *http.Client, m *mesh.Member, r pullRequest) error {
+	r.targetsOnly = true
+	return f.fetchState(ctx, c, m, r)
+}
+
+func (f *Follower) fetchState(ctx context.Context, c *http.Client, m *mesh.Member, r pullRequest) error {
+	w, err := pull(ctx, c, m.Addr, r)
+	if err == nil {
+		f.opts.State.applyPeerSnapshot(w, m.Addr, r.full)
+	}
+	return err
+}
+
+// pullOutcome is the outcome of a pull from one or more peers.
+type pullOutcome uint8
+
+const (
+	// pullDone means that a peer has responded, or that none is ahead.
+	pullDone pullOutcome = iota
+	pullFailed
+	// pullDeclined means that the peers that were asked send to too many others.
+	pullDeclined
+)
+
 // pullLoop fetches the state of peers that are ahead until ctx is done.
-func (f *Follower) pullLoop(ctx context.Context) {
+func (f *Follower) pullLoop(ctx context.Context, k *pullKind) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-f.peerAhead:
+		case <-k.notify:
 		}
 		wait.For(ctx, rand.N(pullJitter))
-		for !f.pullOnce(ctx) && wait.For(ctx, pullRetryDelay) {
-			// Retry until a peer has responded or none is ahead.
+		for {
+			outcome, retryAfter := f.pullOnce(ctx, k)
+			if outcome == pullDone || !wait.For(ctx, f.pullPause(k, outcome, retryAfter)) {
+				break
+			}
+		}
+	}
+}
+
+// pullPause returns the pause before the next pull. After a peer has declined, it is a random part of
+// the time after which that one may be asked again. It is shorter where few instances are left that
+// lack the state: each of those that have it meanwhile can send it too.
+func (f *Follower) pullPause(k *pullKind, outcome pullOutcome, retryAfter time.Duration) time.Duration {
+	if outcome != pullDeclined {
+		return pullRetryDelay
+	}
+	r := f.pullRequest()
+	sources, behind := 0, 1
+	v := f.opts.Peers()
+	for i := range v.Members {
+		m := &v.Members[i]
+		switch {
+		case m.Zone != f.opts.Zone || !m.Fresh(v.At):
+		case k.ahead(&r, m):
+			sources++
+		default:
+			behind++
 		}
 	}
+	const askersPerSource = 4 // waiting instances that ask each source in the time that it names
+	share := min(1, float64(behind)/float64(askersPerSource*max(sources, 1)))
+	longest := time.Duration(share * float64(retryAfter))
+	return longest/2 + rand.N(longest/2+1)
 }
 
-// pullOnce fetches the state of the most advanced peer. If it does not respond soon, others are
-// queried too, and it again if no other peer is ahead, on new connections. pullOnce returns false if
-// no query succeeded, and true if one did or no peer is ahead.
-func (f *Follower) pullOnce(ctx context.Context) bool {
+// pullRequest returns the request for all that is newer than the current state.
+func (f *Follower) pullRequest() pullRequest {
 	version, position := f.opts.State.Versions()
-	r := pullRequest{document: version, registry: position, full: f.opts.State.needsPeerState()}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan bool, maxPullQueries)
+	return pullRequest{document: version, registry: position, full: f.opts.State.needsPeerState()}
+}
+
+// pullQuery is a query of one peer that is under way.
+type pullQuery struct {
+	peer  *mesh.Member
+	watch *transfer.Watch
+	err   error
+}
+
+// pullOnce fetches the state of the most advanced peer. While nothing has arrived, others are queried
+// too, and it again if no other peer is ahead, on new connections. Once something arrives, the other
+// queries end. If a peer has declined, pullOnce also returns the time after which it may be asked
+// again.
+func (f *Follower) pullOnce(ctx context.Context, k *pullKind) (pullOutcome, time.Duration) {
+	r := f.pullRequest()
+	done, begun := make(chan *pullQuery, maxPullQueries), make(chan *pullQuery, maxPullQueries)
 	client := f.puller.kept
 	var queried []string
-	for running := 0; ; {
-		if best := f.nextPeer(r, queried); best != nil && len(queried) < maxPullQueries {
+	running := make(map[*pullQuery]bool)
+	defer func() { stopOthers(running, nil) }()
+	var receiving *pullQuery
+	for {
+		if best := f.nextPeer(k, r, queried); best != nil && receiving == nil && len(queried) < maxPullQueries {
 			queried = append(queried, best.Addr)
-			if running > 0 {
-				eventlog.Info(eventlog.PullHedged, "queried", len(queried), "peer", best.Addr, "pending", running, "document", version, "registry", position.Offset,
+			if len(running) > 0 {
+				eventlog.Info(eventlog.PullHedged, "kind", k.name, "queried", len(queried), "peer", best.Addr, "pending", len(running), "document", r.document, "registry", r.registry.Offset,
 					"behind_ms", f.opts.State.lag().Milliseconds())
 			}
-			running++
-			go func(c *http.Client) { done <- f.pullFrom(ctx, c, best, r) }(client)
+			running[f.startQuery(ctx, k, client, best, r, begun, done)] = true
 			client = f.puller.fresh
 		}
-		if running == 0 {
-			return len(queried) == 0
+		switch {
+		case len(running) == 0 && len(queried) == 0:
+			return pullDone, 0
+		case len(running) == 0:
+			return pullFailed, 0
 		}
 		select {
-		case ok := <-done:
-			running--
-			if ok {
-				return true
+		case q := <-begun:
+			if receiving == nil {
+				receiving = q
+				stopOthers(running, q)
+			}
+		case q := <-done:
+			q.watch.Stop()
+			delete(running, q)
+			if q == receiving {
+				receiving = nil
+			}
+			declined := new(declinedError)
+			switch {
+			case q.err == nil:
+				f.cancelSupersededReads()
+				return pullDone, 0
+			case errors.As(q.err, &declined) && receiving == nil:
+				return pullDeclined, declined.after
 			}
 		case <-time.After(pullHedgeDelay):
 		}
 	}
 }
 
+// stopOthers ends all queries but one.
+func stopOthers(running map[*pullQuery]bool, but *pullQuery) {
+	for q := range running {
+		if q != but {
+			q.watch.Stop()
+		}
+	}
+}
+
+// startQuery queries a peer. The query is sent to begun when something arrives, and to done at the end.
+func (f *Follower) startQuery(ctx context.Context, k *pullKind, c *http.Client, m *mesh.Member, r pullRequest, begun, done chan<- *pullQuery) *pullQuery {
+	watch, ctx := transfer.NewWatch(ctx, pullTimeout, pullStallTimeout)
+	q := &pullQuery{peer: m, watch: watch}
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-watch.Begun():
+			begun <- q
+		case <-ended:
+		}
+	}()
+	go func() {
+		defer close(ended)
+		began := time.Now()
+		q.err = k.fetch(ctx, c, m, r)
+		if cause := context.Cause(ctx); cause != nil {
+			q.err = cause
+		}
+		f.logPull(k, q, r, time.Since(began))
+		done <- q
+	}()
+	return q
+}
+
+// logPull logs a query that failed, unless another peer has responded or the instance is stopping.
+func (f *Follower) logPull(k *pullKind, q *pullQuery, r pullRequest, took time.Duration) {
+	if q.err == nil || errors.Is(q.err, context.Canceled) {
+		return
+	}
+	event, declined := eventlog.PullFailed, new(declinedError)
+	if errors.As(q.err, &declined) {
+		event = eventlog.PullDeclined
+	}
+	m := q.peer
+	eventlog.Error(event, q.err, "kind", k.name, "peer", m.Addr, "document", r.document, "theirs", m.Document, "epoch", r.registry.Epoch, "registry", r.registry.Offset,
+		"their_epoch", m.Registry.Epoch, "their_registry", m.Registry.Offset, "behind_ms", f.opts.State.lag().Milliseconds(), "took_ms", took.Milliseconds())
+}
+
 // nextPeer returns the peer to query after the given ones: the most advanced other one or, if none
 // has newer state, the first one again. It returns nil if no peer is ahead, or if the first one was
 // queried again already.
-func (f *Follower) nextPeer(r pullRequest, queried []string) *mesh.Member {
+func (f *Follower) nextPeer(k *pullKind, r pullRequest, queried []string) *mesh.Member {
 	v := f.opts.Peers()
-	if best := f.mostAdvancedPeer(v, queried); best != nil && r.mayBeServedBy(best) {
+	if best := f.mostAdvancedPeer(k, v, queried); best != nil && k.ahead(&r, best) {
 		return best
 	}
 	if len(queried) == 0 || slices.Contains(queried[1:], queried[0]) {
@@ -96,34 +280,9 @@
 	return nil
 }
 
-// pullFrom fetches and applies the state of a peer, and reports whether that succeeded.
-func (f *Follower) pullFrom(ctx context.Context, c *http.Client, m *mesh.Member, r pullRequest) bool {
-	began := time.Now()
-	w, err := pull(ctx, c, m.Addr, r)
-	if ctx.Err() != nil {
-		return false // another peer has responded, or the instance is stopping
-	}
-	if err != nil {
-		eventlog.Error(eventlog.PullFailed, err, "peer", m.Addr, "document", r.document, "theirs", m.Document, "epoch", r.registry.Epoch, "registry", r.registry.Offset,
-			"their_epoch", m.Registry.Epoch, "their_registry", m.Registry.Offset, "behind_ms", f.opts.State.lag().Milliseconds(), "took_ms", time.Since(began).Milliseconds())
-		return false
-	}
-	f.opts.State.applyPeerSnapshot(w, m.Addr, r.full)
-	f.cancelSupersededReads()
-	return true
-}
-
-// mayBeServedBy reports whether a peer may have newer state than the requester.
-func (r *pullRequest) mayBeServedBy(m *mesh.Member) bool {
-	if r.full && m.Registry != (registry.Position{}) {
-		return true
-	}
-	return m.Document > r.document || m.Registry.After(r.registry)
-}
-
 // mostAdvancedPeer returns the peer with the newest state, or nil. Among equals, peers of the own
 // zone come first, then the choice is random. Peers in queried are skipped.
-func (f *Follower) mostAdvancedPeer(v mesh.View, queried []string) *mesh.Member {
+func (f *Follower) mostAdvancedPeer(k *pullKind, v mesh.View, queried []string) *mesh.Member {
 	var best *mesh.Member
 	ties := 1
 	for i := range v.Members {
@@ -131,7 +290,7 @@
 		if !m.Fresh(v.At) || slices.Contains(queried, m.Addr) {
 			continue
 		}
-		switch c := f.comparePeers(m, best); {
+		switch c := f.comparePeers(k, m, best); {
 		case c > 0:
 			best, ties = m, 1
 		case c == 0:
@@ -146,16 +305,14 @@
 
 // comparePeers returns a positive number if a is the better peer to pull from, a negative one if b
 // is, and 0 if they are equal. b may be nil.
-func (f *Follower) comparePeers(a, b *mesh.Member) int {
+func (f *Follower) comparePeers(k *pullKind, a, b *mesh.Member) int {
 	if b == nil {
 		return 1
 	}
-	switch {
-	case a.Document != b.Document:
-		return sign(a.Document > b.Document)
-	case a.Registry != b.Registry:
-		return a.Registry.Compare(b.Registry)
-	case (a.Zone == f.opts.Zone) != (b.Zone == f.opts.Zone):
+	if c := k.compare(a, b); c != 0 {
+		return c
+	}
+	if (a.Zone == f.opts.Zone) != (b.Zone == f.opts.Zone) {
 		return sign(a.Zone == f.opts.Zone)
 	}
 	return 0
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -39,7 +39,7 @@
 	// firstWait is the wait of the first read of a new reader. Other instances take over too until
 	// it has a result to report.
 	firstWait = 50 * time.Millisecond
-	// callTimeoutMargin is the time that a call may take beyond its wait. A slow store takes a few
+	// callTimeoutMargin is the time that a call may take beyond its wait until its response begins. A slow store takes a few
 	// hundred milliseconds per response.
 	callTimeoutMargin = 1200 * time.Millisecond
 	// coalesceDelay is the pause after a read that returned changes, so that one call returns
@@ -206,15 +206,15 @@
 	f.countCall()
 	readCtx, cancelRead := context.WithCancelCause(ctx)
 	defer cancelRead(nil)
-	call, cancel := context.WithTimeout(readCtx, remaining+callTimeoutMargin)
-	defer cancel()
 	f.setPendingRead(s, next, cancelRead)
 	defer f.setPendingRead(s, next, nil)
 	start := time.Now()
-	b, err := f.hedge(call, s, hedgedCall{
+	b, err := f.hedge(readCtx, s, hedgedCall{
 		call:   func(ctx context.Context) (Batch, error) { return f.opts.Store.Read(ctx, s, next.Offset, remaining) },
 		repeat: func(ctx context.Context) (Batch, error) { return f.opts.Store.Read(ctx, s, next.Offset, firstWait) },
 		after:  remaining + lateReadDelay,
+		first:  remaining + callTimeoutMargin,
+		stall:  pullStallTimeout,
 	})
 	// The age of what a repetition returns is unknown: the store may have been unavailable until then.
 	if time.Since(start) < maxImmediateLatency {
@@ -271,10 +271,9 @@
 
 func (f *Follower) readSnapshot(ctx context.Context, s Stream) error {
 	f.countCall()
-	call, cancel := context.WithTimeout(ctx, 2*callTimeoutMargin)
-	defer cancel()
 	snapshot := func(ctx context.Context) (Batch, error) { return f.opts.Store.Snapshot(ctx, s) }
-	b, err := f.hedge(call, s, hedgedCall{call: snapshot, repeat: snapshot, after: lateSnapshotDelay})
+	// Each page of a snapshot may be late by as much as a call.
+	b, err := f.hedge(ctx, s, hedgedCall{call: snapshot, repeat: snapshot, after: lateSnapshotDelay, first: 2 * callTimeoutMargin, stall: callTimeoutMargin})
 	if err != nil {
 		return err
 	}
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -9,7 +9,9 @@
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/transfer"
 )
 
 // State holds the current configuration and targets. It is safe for concurrent
@@ -24,11 +26,15 @@
 	refusals  refusals
 	table     atomic.Pointer[document.Table]
 	targets   atomic.Pointer[registry.View]
-	// serving is the number of responses to peers that are being written.
-	serving atomic.Int64
+	// transfers limits the responses to peers that are sent at once.
+	transfers *transfer.Limiter
+	// encoding is held while a document is encoded for peers.
+	encoding sync.Mutex
 
 	mu       sync.Mutex
 	registry *registry.Registry
+	// encoded is the document as last sent to peers; it may be an earlier one, or nil.
+	encoded *encodedDocument
 	// nextDocument is the position to read Documents from. The registry holds that of
 	// Targets.
 	nextDocument registry.Position
@@ -47,7 +53,7 @@
 
 // NewState returns an empty state. onChange is called after each change; it may be nil.
 func NewState(seed uint64, onChange func()) *State {
-	s := &State{seed: seed, clock: time.Now, onChange: onChange, registry: registry.New(), storeOnly: true}
+	s := &State{seed: seed, clock: time.Now, onChange: onChange, registry: registry.New(), storeOnly: true, transfers: transfer.NewLimiter(mesh.DefaultLinkBytes)}
 	s.targets.Store(s.registry.View())
 	return s
 }
@@ -60,6 +66,13 @@
 // state is in use.
 func (s *State) OnRestore(f func()) { s.onRestore = f }
 
+// SetLink sets the capacity of the instance's link in bytes per second. It must be called before the
+// state is in use; until then it is mesh.DefaultLinkBytes.
+func (s *State) SetLink(bytesPerSecond int64) { s.transfers = transfer.NewLimiter(bytesPerSecond) }
+
+// Transfers returns statistics of the large responses to peers.
+func (s *State) Transfers() transfer.Stats { return s.transfers.Stats() }
+
 // SetRemovalBound sets the time within which a removed target must stop getting requests.
 func (s *State) SetRemovalBound(bound time.Duration) {
 	s.mu.Lock()
--- a/statesync/store.go
+++ b/statesync/store.go
@@ -55,7 +55,8 @@
 // or it was restored from an older copy that lacks them.
 var ErrExpired = errors.New("records expired")
 
-// Store is the part of the platform's API that the fleet uses.
+// Store is the part of the platform's API that the fleet uses. Calls record the arrival of their
+// responses by transfer.Progress, since big ones take a while.
 type Store interface {
 	// Snapshot returns the newest record of each key. It contains no changes from Next on; changes
 	// shortly before Next may be missing too.
