statesync: a pull from several peers is a type with short methods

pullOnce chose peers, started queries and judged their ends in one function of 60 lines; what belongs to one pull is a value now, with a method for each step. No logic: the tests are the same, before and after, and the package passes, its tests of pulls with the race detector too. Ruled out: fewer goroutines by a callback of the watch, which would call into the loop from another goroutine. Conclusion: nothing for callers.

--- a/statesync/pull.go
+++ b/statesync/pull.go
@@ -160,52 +160,52 @@
 	err   error
 }
 
-// pullOnce fetches the state of the most advanced peer. While nothing has arrived, others are queried
+// pullRace is a pull from the peer with the newest state. While nothing has arrived, others are queried
 // too, and it again if no other peer is ahead, on new connections. Once something arrives, the other
-// queries end. If a peer has declined, pullOnce also returns the time after which it may be asked
-// again.
+// queries end.
+type pullRace struct {
+	f       *Follower
+	kind    *pullKind
+	request pullRequest
+	// queried are the addresses of the peers that were queried.
+	queried []string
+	running map[*pullQuery]bool
+	// receiving is the query of which something has arrived; nil if there is none.
+	receiving *pullQuery
+	// begun receives the queries of which something has arrived, done those that have ended.
+	begun, done chan *pullQuery
+}
+
+// pullOnce fetches the state of the most advanced peer. If a peer has declined, pullOnce also returns
+// the time after which it may be asked again.
 func (f *Follower) pullOnce(ctx context.Context, k *pullKind) (pullOutcome, time.Duration) {
-	r := f.pullRequest()
-	done, begun := make(chan *pullQuery, maxPullQueries), make(chan *pullQuery, maxPullQueries)
-	client := f.puller.kept
-	var queried []string
-	running := make(map[*pullQuery]bool)
-	defer func() { stopOthers(running, nil) }()
-	var receiving *pullQuery
+	p := &pullRace{
+		f: f, kind: k, request: f.pullRequest(), running: make(map[*pullQuery]bool),
+		begun: make(chan *pullQuery, maxPullQueries), done: make(chan *pullQuery, maxPullQueries),
+	}
+	defer p.stopAllBut(nil)
 	for {
-		if best := f.nextPeer(k, r, queried); best != nil && receiving == nil && len(queried) < maxPullQueries {
-			queried = append(queried, best.Addr)
-			if len(running) > 0 {
-				eventlog.Info(eventlog.PullHedged, "kind", k.name, "queried", len(queried), "peer", best.Addr, "pending", len(running), "document", r.document, "registry", r.registry.Offset,
-					"behind_ms", f.opts.State.lag().Milliseconds())
-			}
-			running[f.startQuery(ctx, k, client, best, r, begun, done)] = true
-			client = f.puller.fresh
-		}
+		p.queryNext(ctx)
 		switch {
-		case len(running) == 0 && len(queried) == 0:
+		case len(p.running) == 0 && len(p.queried) == 0:
 			return pullDone, 0
-		case len(running) == 0:
+		case len(p.running) == 0:
 			return pullFailed, 0
 		}
 		select {
-		case q := <-begun:
-			if receiving == nil {
-				receiving = q
-				stopOthers(running, q)
-			}
-		case q := <-done:
-			q.watch.Stop()
-			delete(running, q)
-			if q == receiving {
-				receiving = nil
+		case q := <-p.begun:
+			if p.receiving == nil {
+				p.receiving = q
+				p.stopAllBut(q)
 			}
+		case q := <-p.done:
+			p.end(q)
 			declined := new(declinedError)
 			switch {
 			case q.err == nil:
 				f.cancelSupersededReads()
 				return pullDone, 0
-			case errors.As(q.err, &declined) && receiving == nil:
+			case errors.As(q.err, &declined) && p.receiving == nil:
 				return pullDeclined, declined.after
 			}
 		case <-time.After(pullHedgeDelay):
@@ -213,38 +213,68 @@
 	}
 }
 
-// stopOthers ends all queries but one.
-func stopOthers(running map[*pullQuery]bool, but *pullQuery) {
-	for q := range running {
-		if q != but {
-			q.watch.Stop()
-		}
+// queryNext queries one more peer, unless something is arriving or there is no other to query.
+func (p *pullRace) queryNext(ctx context.Context) {
+	if p.receiving != nil || len(p.queried) >= maxPullQueries {
+		return
 	}
+	peer := p.f.nextPeer(p.kind, p.request, p.queried)
+	if peer == nil {
+		return
+	}
+	client := p.f.puller.fresh
+	if len(p.queried) == 0 {
+		client = p.f.puller.kept
+	}
+	p.queried = append(p.queried, peer.Addr)
+	if len(p.running) > 0 {
+		eventlog.Info(eventlog.PullHedged, "kind", p.kind.name, "queried", len(p.queried), "peer", peer.Addr, "pending", len(p.running), "document", p.request.document, "registry", p.request.registry.Offset,
+			"behind_ms", p.f.opts.State.lag().Milliseconds())
+	}
+	p.start(ctx, client, peer)
 }
 
-// startQuery queries a peer. The query is sent to begun when something arrives, and to done at the end.
-func (f *Follower) startQuery(ctx context.Context, k *pullKind, c *http.Client, m *mesh.Member, r pullRequest, begun, done chan<- *pullQuery) *pullQuery {
+// start starts a query.
+func (p *pullRace) start(ctx context.Context, c *http.Client, m *mesh.Member) {
 	watch, ctx := transfer.NewWatch(ctx, pullTimeout, pullStallTimeout)
 	q := &pullQuery{peer: m, watch: watch}
+	p.running[q] = true
 	ended := make(chan struct{})
 	go func() {
 		select {
 		case <-watch.Begun():
-			begun <- q
+			p.begun <- q
 		case <-ended:
 		}
 	}()
 	go func() {
 		defer close(ended)
 		began := time.Now()
-		q.err = k.fetch(ctx, c, m, r)
+		q.err = p.kind.fetch(ctx, c, m, p.request)
 		if cause := context.Cause(ctx); cause != nil {
 			q.err = cause
 		}
-		f.logPull(k, q, r, time.Since(began))
-		done <- q
+		p.f.logPull(p.kind, q, p.request, time.Since(began))
+		p.done <- q
 	}()
-	return q
+}
+
+// end removes a query that has ended.
+func (p *pullRace) end(q *pullQuery) {
+	q.watch.Stop()
+	delete(p.running, q)
+	if q == p.receiving {
+		p.receiving = nil
+	}
+}
+
+// stopAllBut ends all queries but one.
+func (p *pullRace) stopAllBut(one *pullQuery) {
+	for q := range p.running {
+		if q != one {
+			q.watch.Stop()
+		}
+	}
 }
 
 // logPull logs a query that failed, unless another peer has responded or the instance is stopping.
