gateway: each address of a test has a loopback IP of its own

Seen: one of nine runs of the package beside load failed as a port was in use. Cause: freeAddr gave back the port of a listener that it had closed, on the IP that all sockets of the machine share, so that another could take it before the test listened again. Each has an IP of its own now. Ruled out: another copy of the package, none ran then. Conclusion: this cause is gone; the second failure of those nine stays open.

--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,8 +135,15 @@
 	}
 }
 
+// lastFreeAddr numbers the addresses that freeAddr returns.
+var lastFreeAddr atomic.Uint32
+
+// freeAddr returns an address that can be listened on. Each has a loopback IP of its own: on one that
+// others use, the port could be taken again before the caller listens on it.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	const ipsPerBlock = 250
+	n := int(lastFreeAddr.Add(1))
+	ln, err := net.Listen("tcp4", fmt.Sprintf("127.1.%d.%d:0", n/ipsPerBlock, n%ipsPerBlock+1))
 	assert.NilError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
