--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -41,9 +41,10 @@
 
 // Cache keeps idle connections to targets. It is safe for concurrent use.
 type Cache struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[Target][]*conn
+	// Dial opens a connection. It may be replaced before the cache is in use.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	mu   sync.Mutex
+	idle map[Target][]*conn
 	// active is the number of connections in use per target.
 	active map[Target]int
 	opened int64
@@ -95,8 +96,9 @@
 // NewCache returns an empty cache that waits at most dialTimeout for a new
 // connection.
 func NewCache(dialTimeout time.Duration) *Cache {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig}
 	return &Cache{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig},
+		Dial:   dialer.DialContext,
 		idle:   make(map[Target][]*conn),
 		active: make(map[Target]int),
 	}
@@ -214,7 +216,7 @@
 }
 
 func (c *Cache) dial(ctx context.Context, t Target) (*conn, error) {
-	nc, err := c.dialer.DialContext(ctx, "tcp4", t.Addr)
+	nc, err := c.Dial(ctx, "tcp4", t.Addr)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -183,14 +183,26 @@
 			ID: fleet.TargetID(fmt.Sprint("t", i)), Service: "s", Addr: b.Listener.Addr().String(), Zone: "a", Slots: 4,
 		})
 	}
-	s := Settings{
+	s := testSettings(t)
+	s.Grace = grace
+	return launch(t, s, store, func(*Gateway) {})
+}
+
+// testSettings returns the settings of an instance that knows no others.
+func testSettings(t *testing.T) Settings {
+	return Settings{
 		Instance: "i", Zone: "a", Listen: freeAddr(t), ReadyListen: freeAddr(t), ReadyPath: "/ready", PeerListen: freeAddr(t),
-		Headers: headerNames, Retry: budget, Grace: grace,
+		Headers: headerNames, Retry: budget,
 	}
+}
+
+// launch starts an instance that prepare has been called with.
+func launch(t *testing.T, s Settings, store *fakeStore, prepare func(*Gateway)) (string, *Gateway, context.CancelFunc) {
 	assert.NilError(t, s.Complete())
 	g, err := New(s, store)
 	assert.NilError(t, err)
 	g.knowledge.instanceCount.booted = time.Now().Add(-time.Hour) // so that its retry budget does not start at zero
+	prepare(g)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
