gateway: an unreachable target is reported only after a success at another one

The own estimate is as before.

TestOwnCutPathsAreNotReportedAsTargetFailures expected that the first of several failures is reported; nothing showed yet that it was the target's. It expects none of several now, one after a success, and the same of refused connections, where all were reported.

--- a/gateway/evidence.go
+++ b/gateway/evidence.go
@@ -40,9 +40,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	e := mesh.Evidence{Service: name, Target: id, Observation: o, DurationMillis: took.Milliseconds()}
+	p := pendingEvidence{e, began}
 	if o == suspicion.Unreachable && k.avoidPath(now, id) {
 		// Paths to several targets fail at once: the fault is on this instance's side and must
 		// not be sent to others as evidence against the targets.
+		k.holdUnreachable(now, p)
 		return
 	}
 	if k.predatesRestart(id, began) {
@@ -53,8 +55,45 @@
 	if o == suspicion.Success {
 		k.target(id).cutDuration = 0
 	}
+	if o == suspicion.Unreachable || o == suspicion.ConnRefused {
+		k.holdUnreachable(now, p)
+		return
+	}
+	if o == suspicion.Success {
+		k.releaseUnreachable(now)
+	}
+	k.addPending(p)
+}
+
+// addPending queues an observation for the other instances.
+func (k *Knowledge) addPending(p pendingEvidence) {
 	if len(k.pending) < maxPendingEvidence {
-		k.pending = append(k.pending, pendingEvidence{e, began})
+		k.pending = append(k.pending, p)
+	}
+}
+
+// heldEvidence is an observation that a target is unreachable, which is evidence against the target only
+// if this instance reaches others.
+type heldEvidence struct {
+	pendingEvidence
+	at time.Time
+	// several is set if other targets were unreachable too.
+	several bool
+}
+
+// holdUnreachable keeps the observation until the next success at any target.
+func (k *Knowledge) holdUnreachable(now time.Time, p pendingEvidence) {
+	several := k.held != nil && now.Sub(k.held.at) < cutCorrelationWindow && (k.held.several || k.held.Target != p.Target)
+	k.held = &heldEvidence{p, now, several}
+}
+
+// releaseUnreachable queues the held observation, unless several targets were unreachable: then the fault
+// was on this instance's side.
+func (k *Knowledge) releaseUnreachable(now time.Time) {
+	held := k.held
+	k.held = nil
+	if held != nil && !held.several && now.Sub(held.at) < cutCorrelationWindow {
+		k.addPending(held.pendingEvidence)
 	}
 }
 
--- a/gateway/knowledge.go
+++ b/gateway/knowledge.go
@@ -29,6 +29,7 @@
 	peers         map[string]*peer
 	zones         map[fleet.Zone]*zone
 	pending       []pendingEvidence
+	held          *heldEvidence // nil if none is held
 	instanceCount instanceCount
 	// lastCut is the most recent failed path.
 	lastCut struct {
--- a/gateway/knowledge_test.go
+++ b/gateway/knowledge_test.go
@@ -130,14 +130,23 @@
 	assert.Assert(t, !ok)
 }
 
-// An instance that fails to reach several targets at once has a fault on its own paths.
+// An instance that fails to reach several targets at once has a fault on its own paths. That it fails to
+// reach one is the target's fault only if it reaches another.
 func TestOwnCutPathsAreNotReportedAsTargetFailures(t *testing.T) {
-	k := newKnowledge()
-	for _, id := range []fleet.TargetID{"t1", "t2", "t3"} {
-		k.Observe(start, "s", id, suspicion.Unreachable, start, 0)
+	for _, o := range []suspicion.Observation{suspicion.Unreachable, suspicion.ConnRefused} {
+		k := newKnowledge()
+		reported := func() int { return len(k.UrgentUpdate(start, "t1").Evidence) }
+		k.Observe(start, "s", "t1", o, start, 0)
+		assert.Equal(t, reported(), 0, "nothing shows yet whose fault it is")
+		k.Observe(start, "s", "t2", suspicion.Success, start, time.Millisecond)
+		assert.Equal(t, reported(), 2, "the failure and the success")
+		for _, id := range []fleet.TargetID{"t1", "t2", "t3"} {
+			k.Observe(start, "s", id, o, start, 0)
+		}
+		assert.Equal(t, reported(), 0)
+		k.Observe(start, "s", "t2", suspicion.Success, start, time.Millisecond)
+		assert.Equal(t, reported(), 1, "the success alone")
 	}
-	sent := k.UrgentUpdate(start, "t1").Evidence
-	assert.Equal(t, len(sent), 1, "only the first failure may be the target's fault")
 }
 
 func TestDigestSummarizesZone(t *testing.T) {
