gateway, relay, reachability: requests of an instance without paths go through others

Cause: the instances knew that paths to several targets failed together (path-cut, others=true), and nothing followed: each request tried target after target, 80 ms each. Ruled out by the lines: kept connections that hang (5 overdue and 4 open attempts beside 1,855 failed dials at the 19).

- reachability: a service is lost after three different targets in a row without a contact between them.
Told to the others at once; a connection that opens, tried every 0.25 s beside the requests, ends it.
- relay: a request of a lost service, or one that failed to reach two targets with nothing sent, goes to an instance of the own zone that has not lost it, or of another zone.
That one makes the attempts by the route's decisions of the first, so that configurations cannot differ, and with its own choice, quarantine and budget.
It is passed on once; "not run" is said only where no byte was sent or the other one says so.
- An instance that stops finishes the requests of others.

Not built: the same in the soak, as all processes of a machine reach targets by the same addresses.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -74,6 +74,9 @@
 	// PathAvoided is logged when the path from this instance to a target fails and is
 	// avoided for a while.
 	PathAvoided Event = "path-cut"
+	// PathsChanged is logged when this instance has lost its paths to all targets of a service, or
+	// has one again.
+	PathsChanged Event = "paths-changed"
 	// ContentJudged is logged when the handling of requests with some content changes.
 	ContentJudged Event = "content-judged"
 	// ContentTried is logged for a trial request, which shows whether its content still
@@ -96,9 +99,14 @@
 	// AttemptOpen is logged for an attempt that is pending when its request times out.
 	AttemptOpen Event = "attempt-open"
 	// AttemptAdded and AttemptNotAdded are logged when a further attempt is granted or denied.
-	AttemptAdded       Event = "attempt-added"
-	AttemptNotAdded    Event = "attempt-not-added"
-	RequestRefused     Event = "request-refused"
+	AttemptAdded    Event = "attempt-added"
+	AttemptNotAdded Event = "attempt-not-added"
+	RequestRefused  Event = "request-refused"
+	// RequestRelayed is logged when a request was sent to another instance, since this one has lost its
+	// paths, RelayServed and RelayDeclined at that one.
+	RequestRelayed     Event = "request-relayed"
+	RelayServed        Event = "relay-served"
+	RelayDeclined      Event = "relay-declined"
 	RequestFailed      Event = "request-failed"
 	CallerDisconnected Event = "caller-left"
 	// BudgetLent is logged when this instance lends part of a retry budget to another one.
--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -231,6 +231,16 @@
 	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// Probe opens a connection to the target and keeps it for reuse.
+func (c *Cache) Probe(ctx context.Context, t Target) error {
+	cn, err := c.dial(ctx, t)
+	if err != nil {
+		return err
+	}
+	c.put(t, cn, time.Now())
+	return nil
+}
+
 // reusable reports whether the idle connection is open and has received no data.
 func (cn *conn) reusable() bool {
 	return cn.reader.Buffered() == 0 && conncheck.Reusable(cn.Conn)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,9 +75,14 @@
 	running int
 	// sent counts the finished attempts that may have run, refused those that targets refused.
 	sent, refused int
+	// unreachable counts the targets to which no connection could be opened.
+	unreachable int
 	// fallback is the best outcome so far. It is returned if no attempt succeeds.
 	fallback outcome
 	hedged   bool
+	// relayDeclined is set once other instances were asked to take the request. If none has, this one
+	// goes on: it may yet reach a target.
+	relayDeclined bool
 }
 
 // pendingAttempt is an attempt that has not ended yet.
@@ -98,6 +103,12 @@
 	r := &attemptGroup{c: c, ctx: ctx, results: make(chan attemptResult, maxTargets), fallback: outcome{kind: outcomeNotRun, reason: "no target is known"}}
 	defer r.drain(cancel)
 	defer detach()
+	if c.h.Paths.IsLost(c.service) {
+		if o, ok := c.relay(ctx); ok {
+			return o
+		}
+		r.relayDeclined = true
+	}
 	if !r.startAttempt() {
 		return r.fallback
 	}
@@ -177,7 +188,19 @@
 	}
 	r.updateFallback(o)
 	r.logFailure(e, o)
-	if r.running > 0 || r.retry(e) {
+	if r.running > 0 {
+		return outcome{}, false
+	}
+	if failedToConnect(&e.result) {
+		r.unreachable++
+	}
+	if r.unreachable >= relayAfterUnreachable && r.sent == 0 && !r.relayDeclined {
+		r.relayDeclined = true
+		if o, ok := r.c.relay(r.ctx); ok {
+			return o, true
+		}
+	}
+	if r.retry(e) {
 		return outcome{}, false
 	}
 	return r.fallback, true
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,7 +37,7 @@
 	dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	mu   sync.Mutex
 	mode cutMode // 0 while it is sound
-	// reaches returns whether the address is reached while the network is cut; nil if none is.
+	// reaches reports whether the address is reached while the network is cut; nil if none is.
 	reaches func(addr string) bool
 	conns   map[*targetConn]bool
 }
@@ -98,6 +99,15 @@
 	}
 }
 
+// reachOnly sets the backends that are reached while the network is cut.
+func (n *targetNetwork) reachOnly(backends []*backend) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reaches = func(addr string) bool {
+		return slices.ContainsFunc(backends, func(b *backend) bool { return b.Listener.Addr().String() == addr })
+	}
+}
+
 // targetConn is a connection to a target.
 type targetConn struct {
 	*net.TCPConn
@@ -253,16 +263,21 @@
 // has lost its links to all targets, though the other instances reach them.
 func TestCallersOfCutOffInstancesAreServed(t *testing.T) {
 	first := func(count int) func(int) bool { return func(n int) bool { return n < count } }
+	ofZone := func(n int) bool { return n%3 == 0 }
 	for name, c := range map[string]struct {
 		mode  cutMode
 		isCut func(n int) bool
+		// reached is the number of targets that are reached while the network is cut.
+		reached int
 	}{
-		"three hang":                  {cutHangs, first(3)},
-		"one is reset":                {cutResets, first(1)},
-		"a zone is reset and refused": {cutResets, func(n int) bool { return n%3 == 0 }},
-		"a zone hangs":                {cutHangs, func(n int) bool { return n%3 == 0 }},
-		"eight hang":                  {cutHangs, first(8)},
-		"three are refused, open connections live on": {cutRefuses, first(3)},
+		"three hang":                  {mode: cutHangs, isCut: first(3)},
+		"one is reset":                {mode: cutResets, isCut: first(1)},
+		"a zone is reset and refused": {mode: cutResets, isCut: ofZone},
+		"a zone hangs":                {mode: cutHangs, isCut: ofZone},
+		"eight hang":                  {mode: cutHangs, isCut: first(8)},
+		"three are refused, open connections live on": {mode: cutRefuses, isCut: first(3)},
+		"three hang towards most targets":             {mode: cutHangs, isCut: first(3), reached: 3},
+		"three hang towards all targets but one":      {mode: cutHangs, isCut: first(3), reached: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -270,6 +285,7 @@
 			f.drive(t, "before", c.isCut, time.Second)
 			for n, network := range f.networks {
 				if c.isCut(n) {
+					network.reachOnly(f.backends[:c.reached])
 					network.setMode(c.mode)
 				}
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,9 @@
 	"github.com/clementinereel/clementinereel/placement"
 	"github.com/clementinereel/clementinereel/poison"
 	"github.com/clementinereel/clementinereel/quarantine"
+	"github.com/clementinereel/clementinereel/reachability"
 	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/relay"
 	"github.com/clementinereel/clementinereel/statesync"
 )
 
@@ -63,6 +65,9 @@
 	contents        *quarantine.Table
 	poison          *poison.Table
 	rates           *Rates
+	paths           *reachability.Table
+	relayer         *relayer
+	pathsProbedAt   time.Time
 	contentSync     *contentSyncer
 	pendingEvidence evidenceQueue
 	client          *exchange.Client
@@ -71,6 +76,7 @@
 	callerServer    *callerServer
 	adminListener   net.Listener
 	peerListener    net.Listener
+	peerServer      *http.Server
 	stopping        atomic.Bool
 	ready           atomic.Bool
 	// prunedFor is the set of targets for which the state of others was last dropped, at
@@ -87,6 +93,7 @@
 	g.knowledge = NewKnowledge(&placement.Chooser{Weights: s.Weights, Self: fleet.InstanceID(s.PeerListen), Zone: s.Zone, Random: rand.Float64}, s.Retry, g.booted)
 	g.contents = quarantine.New(logStandingChange)
 	g.poison = poison.New()
+	g.paths = reachability.NewTable()
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announceVersions)
 	g.state.SetRemovalBound(s.RemovalTimeout)
 	g.state.SetLink(s.LinkBytes)
@@ -110,6 +117,7 @@
 	if err != nil {
 		return err
 	}
+	g.relayer = newRelayer(g.node, s.Zone)
 	g.rates = NewRates(g.node, s.Zone, g.booted, g.state.Targets, g.metrics)
 	if g.peerListener, err = net.Listen("tcp4", g.node.Addr()); err != nil {
 		return errors.WithStack(err)
@@ -120,8 +128,10 @@
 	g.handler = &Handler{
 		State: g.state, Knowledge: g.knowledge, Client: g.client, SendUpdate: g.sendUpdate, SendLoad: g.node.SendLoad, RequestLoans: g.node.RequestLoans, Metrics: g.metrics,
 		Contents: g.contents, SendContent: g.announceContent, RunsTrial: g.runsTrials, Poison: g.poison, Rates: g.rates,
+		Paths: g.paths, PathsChanged: g.announcePaths, Relayer: g.relayer,
 		Booted: g.booted, Bodies: &Bodies{MaxBytes: int64(bodiesMemoryFraction * float64(s.MemoryBytes))},
 	}
+	g.peerServer = newInternalServer(g.peerRoutes())
 	g.callerServer, err = listenForCallers(s.Listen, g.handler)
 	return err
 }
@@ -134,6 +144,7 @@
 	g.fillContents(now, p)
 	g.rates.fill(now, p)
 	g.fillDepartures(now, p)
+	p.Paths = g.pathReport()
 }
 
 // fillGreeting adds health estimates, contents, rates and departures to the first packet to
@@ -211,7 +222,7 @@
 	failed := make(chan error, 3)
 	go g.serve(failed, g.callerServer.listener, g.callerServer.server)
 	go g.serve(failed, g.adminListener, newInternalServer(g.adminRoutes()))
-	go g.serve(failed, g.peerListener, newInternalServer(g.peerRoutes()))
+	go g.serve(failed, g.peerListener, g.peerServer)
 	select {
 	case err := <-failed:
 		return err
@@ -274,6 +285,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(statesync.Path, g.state)
 	mux.Handle(statesync.DocumentPath, g.state)
+	mux.HandleFunc(relay.Path, g.handler.serveRelayed)
 	return mux
 }
 
@@ -328,6 +340,8 @@
 	g.knowledge.Tick(now)
 	g.contents.Tick(now)
 	g.rates.tick(now)
+	g.probePaths(now)
+	g.relayer.tick(now)
 	if targets != g.prunedFor || now.Sub(g.prunedAt) > pruneInterval {
 		g.prunedFor, g.prunedAt = targets, now
 		g.poison.Expire(now)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -21,6 +21,7 @@
 	"github.com/clementinereel/clementinereel/poison"
 	"github.com/clementinereel/clementinereel/problem"
 	"github.com/clementinereel/clementinereel/quarantine"
+	"github.com/clementinereel/clementinereel/reachability"
 	"github.com/clementinereel/clementinereel/statesync"
 	"github.com/clementinereel/clementinereel/wait"
 )
@@ -71,6 +72,12 @@
 	SendContent func(now time.Time, e quarantine.Evidence)
 	// RunsTrial reports whether this instance runs the trials of a quarantined content.
 	RunsTrial func(quarantine.Fingerprint) bool
+	// Paths estimates whether this instance has lost its paths to targets, PathsChanged sends a
+	// change of that, if there is one, to the other instances.
+	Paths        *reachability.Table
+	PathsChanged func(*reachability.Change)
+	// Relayer passes requests on to instances that reach targets.
+	Relayer *relayer
 	// Rates holds the request rates that overloaded targets allow.
 	Rates *Rates
 	// Poison tracks requests that fail at every target.
@@ -79,6 +86,8 @@
 	Bodies *Bodies
 	// Booted is when the process started.
 	Booted time.Time
+	// relayedBusy is the number of requests of other instances that are being served.
+	relayedBusy atomic.Int64
 	// keepAliveDisabled makes every response close its connection.
 	keepAliveDisabled atomic.Bool
 	// shutdownAt is when the process ends; nil until requests with later deadlines are
@@ -120,6 +129,8 @@
 	request *exchange.Request
 	// content identifies equal requests: the parts that determine how a target handles one.
 	content quarantine.Content
+	// relayed is set if another instance has taken the request from the caller.
+	relayed bool
 	// deadline is when the response must be sent, targetDeadline is the deadline
 	// passed on to targets.
 	deadline, targetDeadline time.Time
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,11 @@
 	m.Registry.Counter("gateway.advice.refused", telemetry.Label{Key: "field", Value: field}).Inc(1)
 }
 
+// CountRelayed counts a request that was sent to another instance, by what became of it there.
+func (m *Metrics) CountRelayed(s document.ServiceName, k exchange.Kind) {
+	m.Registry.Counter("gateway.relayed", telemetry.Label{Key: "service", Value: string(s)}, telemetry.Label{Key: "kind", Value: k.String()}).Inc(1)
+}
+
 // CountToken counts a request for a target with a rate, by whether the rate allowed it.
 func (m *Metrics) CountToken(granted bool) {
 	m.Registry.Counter("gateway.rates.tokens", telemetry.Label{Key: "granted", Value: strconv.FormatBool(granted)}).Inc(1)
@@ -93,6 +98,8 @@
 	for cause, n := range g.state.RefusedRecords() {
 		m.Registry.Gauge("gateway.records.refused", telemetry.Label{Key: "cause", Value: string(cause)}).Update(n)
 	}
+	gauge("gateway.paths.lost", int64(len(g.paths.Lost())))
+	gauge("gateway.relayed.serving", g.handler.relayedBusy.Load())
 	gauge("gateway.targets.departed", int64(len(g.state.Departures())))
 	gauge("gateway.targets.backoff", int64(len(g.knowledge.activeBackoffs(time.Now()))))
 	gauge("gateway.targets.rated", int64(g.rates.table.Len()))
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -18,6 +18,7 @@
 	c.h.Metrics.CountAttempt(c.service, e.result.Kind)
 	c.recordContent(e, began)
 	c.recordRate(e, began)
+	c.recordPath(e)
 	if e.result.Reused && e.result.Response != nil {
 		c.h.Knowledge.RecordReuse(time.Now(), c.service, e.result.IdleFor)
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -39,7 +39,7 @@
 			refused = true
 			g.handler.RefuseDeadlinesAfter(at(endFraction))
 		}
-		if open, _ := g.callerServer.connCounts(); open == 0 && time.Now().After(at(minListenFraction)) {
+		if open, _ := g.callerServer.connCounts(); open == 0 && g.handler.relayedBusy.Load() == 0 && time.Now().After(at(minListenFraction)) {
 			break
 		}
 	}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -70,10 +70,18 @@
 	// Instances is the number of instances that the member counts; 0 if it may have discovered only
 	// some of them.
 	Instances int
+	// Paths describes the member's paths to targets; nil if it has not reported them.
+	Paths *PathReport
 	// LastReceived is when the last datagram arrived from the member directly; zero if none did.
 	LastReceived time.Time
 }
 
+// Reaches reports whether the member takes requests from others and has a path to targets of the
+// service.
+func (m *Member) Reaches(name document.ServiceName) bool {
+	return m.Paths != nil && !slices.Contains(m.Paths.Lost, name)
+}
+
 // Fresh reports whether the member's state is current.
 func (m *Member) Fresh(now time.Time) bool {
 	return !m.LastReceived.IsZero() && now.Sub(m.LastReceived) < freshTimeout
@@ -87,6 +95,9 @@
 	// Packets to other zones carry no versions.
 	m.Document, m.Registry = max(m.Document, p.Document), registry.Later(m.Registry, p.Position())
 	m.Log, m.LastReceived = p.Log, now
+	if p.Paths != nil {
+		m.Paths = p.Paths
+	}
 	if p.LogAvailability != nil {
 		m.LogAvailability = p.LogAvailability.Span(now)
 	}
@@ -195,7 +206,7 @@
 		return m, packetIgnored
 	}
 	if p.Digest != nil && p.Zone != ms.zone {
-		m.lastDigest = now
+		m.lastDigest, m.Paths = now, p.Paths
 		ms.zones[p.Zone] = &zone{instances: p.Digest.Instances, log: p.Log, lastDigest: now, logAvailability: p.LogAvailability.Span(now)}
 	}
 	return m, s
@@ -215,7 +226,7 @@
 	}
 	m.silent = false
 	if restarted {
-		m.Document, m.Registry, m.Instances, m.LogAvailability = 0, registry.Position{}, 0, registry.Span{}
+		m.Document, m.Registry, m.Instances, m.LogAvailability, m.Paths = 0, registry.Position{}, 0, registry.Span{}, nil
 	}
 	if m.changesVersions(p) {
 		ms.versionsChanged = true
@@ -424,6 +435,19 @@
 	return v
 }
 
+// distant returns up to n random members of other zones whose digests arrive. The last report of paths
+// of those that are no bridges is unknown.
+func (ms *members) distant(now time.Time, n int) []Member {
+	var all []Member
+	for _, m := range ms.table {
+		if m.Zone != "" && m.Zone != ms.zone && !m.Leaving && ms.hasFreshDigest(now, m.Zone) {
+			all = append(all, m.Member)
+		}
+	}
+	rand.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	return all[:min(len(all), n)]
+}
+
 func (ms *members) samplePeers(now time.Time) []Peer {
 	var fresh []Peer
 	for _, m := range ms.table {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -217,7 +217,7 @@
 	}
 	p := n.newPacket()
 	p.Versions, p.Peers, p.Contents, p.LogAvailability, p.Rates = heartbeat.Versions, heartbeat.Peers, heartbeat.Contents, heartbeat.LogAvailability, heartbeat.Rates
-	p.Departures, p.Upheld = heartbeat.Departures, heartbeat.Upheld
+	p.Departures, p.Upheld, p.Paths = heartbeat.Departures, heartbeat.Upheld, heartbeat.Paths
 	p.Digest = n.callbacks.Digest(now, first)
 	n.send(Digests, p, bridges)
 }
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -71,6 +71,17 @@
 	// Upheld lists those of Contents whose quarantine had settled at instances that no longer
 	// exist. Earlier versions ignore it.
 	Upheld []quarantine.Fingerprint `cbor:"29,keyasint,omitempty"`
+	// Paths describes the sender's paths to targets. Heartbeats, digests and announcements of a
+	// change carry it. Earlier versions ignore it.
+	Paths *PathReport `cbor:"30,keyasint,omitempty"`
+}
+
+// PathReport describes an instance's paths to targets. An instance that sends one takes requests from
+// others that have lost theirs.
+type PathReport struct {
+	_ struct{} `cbor:",toarray"`
+	// Lost are the services of which the instance has lost the paths to all targets.
+	Lost []document.ServiceName
 }
 
 // TargetBackoff is a target from which the sender backs off.
