reachability: two targets in a row, not one, lose a service while another is lost

Cause: one unreachable target was enough while another service was lost, so that partial cuts lost and found services over and over. Ruled out: three as for the first service, since a service with few requests would then stay with its failed dials for seconds. Conclusion: one dead target is no loss, whatever else is lost.

--- a/reachability/table.go
+++ b/reachability/table.go
@@ -11,8 +11,10 @@
 
 const (
 	// minUnreachable is the number of different targets of a service that must be unreachable in a
-	// row before the service counts as lost. One is enough while another service is lost.
-	minUnreachable = 3
+	// row before the service counts as lost, minUnreachableNext the number while another service is
+	// lost.
+	minUnreachable     = 3
+	minUnreachableNext = 2
 	// unreachableWindow is the time for which an unreachable target counts.
 	unreachableWindow = 4 * time.Second
 )
@@ -59,11 +61,11 @@
 			delete(s.unreachable, other)
 		}
 	}
-	needed := min(minUnreachable, max(targets, 1))
+	needed := minUnreachable
 	if t.anyLost() {
-		needed = 1
+		needed = minUnreachableNext
 	}
-	if !s.lostSince.IsZero() || len(s.unreachable) < needed {
+	if !s.lostSince.IsZero() || len(s.unreachable) < min(needed, max(targets, 1)) {
 		return nil
 	}
 	s.lostSince = now
