fuzz: messages of relayed requests

Ruled out: a list made from all packages, which would start those of the contract path too. Conclusion: bytes from other instances are fuzzed where they are decoded.

--- a/fuzz.sh
+++ b/fuzz.sh
@@ -6,7 +6,7 @@
 time=${1:-1m}
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
-for package in ./platform ./mesh ./gateway ./statesync ./header; do
+for package in ./platform ./mesh ./gateway ./statesync ./header ./relay; do
   for target in $(go test "$package" -list '^Fuzz' | grep '^Fuzz'); do
     printf '%s %s: ' "$package" "$target"
     if ! go test "$package" -run '^$' -fuzz "^$target\$" -fuzztime "$time" > "$output" 2>&1; then
