fleet, gateway, platform: downloads are a class of their own, which may be repeated

Cause: the route type for downloads was not known, so that such requests counted as work that must run once: never retried, hedged or canceled. Ruled out: reading them as lookups, as metrics and limits then can't tell large responses apart. Change: class Download; whether a class may be repeated is decided by Class.Repeatable alone. Contracts accept the same classes as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -60,15 +60,22 @@
 	Confirmation
 	// Upload streams a large body and is acknowledged only when stored.
 	Upload
+	// Download is idempotent with a large response: it may be retried and hedged. Contracts
+	// have no such class; the gateway's documents do.
+	Download
 )
 
-// Classes lists all classes in the order of their values.
+// Classes lists the classes of contracts in the order of their values.
 var Classes = []Class{Lookup, Confirmation, Upload}
 
+// Repeatable reports whether requests of the class may run more than once.
+func (c Class) Repeatable() bool { return c == Lookup || c == Download }
+
 var classNames = map[Class]string{
 	Lookup:       "lookup",
 	Confirmation: "confirmation",
 	Upload:       "upload",
+	Download:     "download",
 }
 
 // String returns the name of the class in contracts.
@@ -85,10 +92,10 @@
 	return []byte(c.String()), nil
 }
 
-// UnmarshalText accepts "lookup", "confirmation" or "upload".
+// UnmarshalText accepts the names of the classes of contracts: "lookup", "confirmation" or "upload".
 func (c *Class) UnmarshalText(b []byte) error {
-	for class, name := range classNames {
-		if name == string(b) {
+	for _, class := range Classes {
+		if class.String() == string(b) {
 			*c = class
 			return nil
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -401,7 +401,7 @@
 }
 
 // repeatable reports whether the request may run more than once.
-func (c *call) repeatable() bool { return c.route.Class == fleet.Lookup }
+func (c *call) repeatable() bool { return c.route.Class.Repeatable() }
 
 // caller returns the caller's IP address.
 func (c *call) caller() string {
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -150,6 +150,7 @@
 		Routes: []document.Route{
 			{Name: "get", Host: "h", Prefix: "/get/", Class: fleet.Lookup, MaxAttempts: 2, Timeout: routeTimeout, Backends: service},
 			{Name: "buy", Host: "h", Prefix: "/buy/", Class: fleet.Confirmation, MaxAttempts: 2, Timeout: routeTimeout, Backends: service},
+			{Name: "file", Host: "h", Prefix: "/file/", Class: fleet.Download, MaxAttempts: 2, Backends: service},
 			{Name: "long", Host: "h", Prefix: "/long/", Class: fleet.Confirmation, MaxAttempts: 2, Backends: service},
 		},
 		Services: []document.Service{{Name: "s"}},
@@ -331,6 +332,27 @@
 	status, _, _ = sendRequest(t.Context(), t, "POST", url+"/buy/1")
 	assert.Equal(t, status, http.StatusInternalServerError)
 	assert.Equal(t, totalRuns(bs...), 3)
+	status, _, _ = sendRequest(t.Context(), t, "GET", url+"/file/1")
+	assert.Equal(t, status, http.StatusInternalServerError)
+	assert.Equal(t, totalRuns(bs...), 5, "downloads are idempotent")
+}
+
+// A download that takes longer than usual is sent to a second target beside the first.
+func TestSlowDownloadIsHedged(t *testing.T) {
+	var first atomic.Bool
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if !first.Swap(true) {
+			hang(w, r)
+			return
+		}
+		respondWith(http.StatusOK)(w, r)
+	}
+	bs := []*backend{newBackend(t, serve), newBackend(t, serve)}
+	url := startGateway(t, bs...)
+	status, _, took := sendRequest(t.Context(), t, "GET", url+"/file/1")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, took < 2*time.Second, took)
+	assert.Equal(t, totalRuns(bs...), 2)
 }
 
 func TestRouteTimeoutEndsRequest(t *testing.T) {
@@ -345,7 +367,7 @@
 	for _, tc := range []struct {
 		method, path string
 		abandoned    int
-	}{{"GET", "/get/1", 1}, {"POST", "/buy/1", 0}} {
+	}{{"GET", "/get/1", 1}, {"GET", "/file/1", 1}, {"POST", "/buy/1", 0}} {
 		b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
 			select {
 			case <-r.Context().Done():
