quota, mesh, gateway, reelctl: requests beyond a quota are refused by rank

Cause: holders granted in the order of arrival, and a denial applied to all requests of the tenant, so that urgent requests were refused as often as others, or more often.

Denials and the queue behind refused requests apply to ranks that are not more urgent. A missing rank is 0. Reports, metrics, the log line of a refusal and reelctl quota list name the rank.

Why it holds: buckets are the same, so that what is granted at most is. With one rank nothing is kept, and as much is granted as before (a test).

--- a/gateway/authenticate_test.go
+++ b/gateway/authenticate_test.go
@@ -33,6 +33,9 @@
 	d.Routes = append(d.Routes, document.Route{
 		Name: "open", Host: "h", Prefix: "/open/", Class: fleet.Lookup, MaxAttempts: 2, Timeout: routeTimeout, AllowAnonymous: true, Backends: d.Routes[0].Backends,
 	})
+	d.Routes = append(d.Routes, document.Route{
+		Name: "later", Host: "h", Prefix: "/later/", Class: fleet.Lookup, MaxAttempts: 2, Timeout: routeTimeout, Priority: 2, Backends: d.Routes[0].Backends,
+	})
 	return d
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -64,9 +64,13 @@
 	m.Registry.Counter("gateway.rates.tokens", telemetry.Label{Key: "granted", Value: strconv.FormatBool(granted)}).Inc(1)
 }
 
-// CountQuota counts a decision about a request of a tenant with a quota.
-func (m *Metrics) CountQuota(d quota.Decision) {
-	m.Registry.Counter("gateway.quotas", telemetry.Label{Key: "granted", Value: strconv.FormatBool(d.Granted)}, telemetry.Label{Key: "source", Value: string(d.Source)}).Inc(1)
+// CountQuota counts a decision about a request of a tenant with a quota, by its rank.
+func (m *Metrics) CountQuota(d quota.Decision, rank quota.Rank) {
+	m.Registry.Counter("gateway.quotas",
+		telemetry.Label{Key: "granted", Value: strconv.FormatBool(d.Granted)},
+		telemetry.Label{Key: "source", Value: string(d.Source)},
+		telemetry.Label{Key: "rank", Value: rank.String()},
+	).Inc(1)
 }
 
 // updateGauges updates all gauges.
--- a/gateway/quotas.go
+++ b/gateway/quotas.go
@@ -35,7 +35,7 @@
 // quotaNode is the part of mesh.Node that Quotas uses.
 type quotaNode interface {
 	Addr() string
-	SendQuotaRequest(to string, r mesh.QuotaRequest)
+	SendQuotaRequest(to string, r mesh.QuotaRequest, rank quota.Rank)
 	SendQuotaResponse(requester string, r mesh.TokenResponse)
 	Contacts(count int) []string
 }
@@ -100,14 +100,19 @@
 
 func limitOf(t *document.Tenant) quota.Limit { return quota.Limit{Rate: t.Rate, Burst: t.Burst} }
 
+// requestOf returns a request of the tenant as it is decided by the quota.
+func requestOf(t *document.Tenant, rank quota.Rank) quota.Request {
+	return quota.Request{Tenant: t.Name, Limit: limitOf(t), Rank: rank}
+}
+
 // Acquire decides whether a request of the tenant may run. Tenants without a quota always may.
-func (q *Quotas) Acquire(ctx context.Context, t *document.Tenant) quota.Decision {
+func (q *Quotas) Acquire(ctx context.Context, t *document.Tenant, rank quota.Rank) quota.Decision {
 	if t == nil || t.Rate == 0 {
 		return quota.Decision{Granted: true}
 	}
 	q.waitUntilCounted(ctx)
-	d := q.table.Acquire(time.Now, t.Name, limitOf(t), quotaAsker{ctx, q, t.Name}, true)
-	q.metrics.CountQuota(d)
+	d := q.table.Acquire(time.Now, requestOf(t, rank), quotaAsker{ctx, q, t.Name, rank}, true)
+	q.metrics.CountQuota(d, rank)
 	return d
 }
 
@@ -133,15 +138,16 @@
 	case fleet.InstanceID(q.node.Addr()):
 		q.table.Return(time.Now(), t.Name, limitOf(t))
 	default:
-		q.node.SendQuotaRequest(string(d.Holder), mesh.QuotaRequest{Tenant: t.Name, Purpose: mesh.QuotaReturn})
+		q.node.SendQuotaRequest(string(d.Holder), mesh.QuotaRequest{Tenant: t.Name, Purpose: mesh.QuotaReturn}, 0)
 	}
 }
 
-// quotaAsker asks other instances for the tokens of a tenant.
+// quotaAsker asks other instances for the tokens of a tenant, for a request of a rank.
 type quotaAsker struct {
 	ctx    context.Context
 	q      *Quotas
 	tenant document.TenantName
+	rank   quota.Rank
 }
 
 // Ask implements quota.Asker.
@@ -161,30 +167,30 @@
 
 func (a quotaAsker) ask(to string, purpose mesh.QuotaPurpose, timeout, interval time.Duration) (quota.Reply, bool) {
 	r, ok := a.q.questions.ask(a.ctx, timeout, interval, func(number uint64) {
-		a.q.node.SendQuotaRequest(to, mesh.QuotaRequest{Number: number, Tenant: a.tenant, Purpose: purpose})
+		a.q.node.SendQuotaRequest(to, mesh.QuotaRequest{Number: number, Tenant: a.tenant, Purpose: purpose}, a.rank)
 	})
 	return quota.Reply{Granted: r.Granted, Wait: millis(r.WaitMillis)}, ok
 }
 
 // handlePacket replies to the quota requests in a packet, and delivers its quota responses.
 func (q *Quotas) handlePacket(now time.Time, p *mesh.Packet) {
-	for _, r := range p.QuotaRequests {
-		q.handleRequest(now, p, r)
+	for i, r := range p.QuotaRequests {
+		q.handleRequest(now, p, r, p.QuotaRank(i))
 	}
 	for _, r := range p.QuotaResponses {
 		q.questions.deliver(r)
 	}
 }
 
-func (q *Quotas) handleRequest(now time.Time, p *mesh.Packet, r mesh.QuotaRequest) {
+func (q *Quotas) handleRequest(now time.Time, p *mesh.Packet, r mesh.QuotaRequest, rank quota.Rank) {
 	tenant := q.tenant(r.Tenant)
 	switch r.Purpose {
 	case mesh.QuotaGrant:
 		q.node.SendQuotaResponse(p.Addr, q.replies.once(questionID{p.Addr, p.Boot, r.Number}, func() mesh.TokenResponse {
-			return q.grant(now, tenant, r.Number)
+			return q.grant(now, tenant, rank, r.Number)
 		}))
 	case mesh.QuotaAcquire:
-		go q.acquireFor(p.Addr, tenant, r.Number)
+		go q.acquireFor(p.Addr, tenant, rank, r.Number)
 	case mesh.QuotaReturn:
 		if tenant != nil {
 			q.table.Return(now, tenant.Name, limitOf(tenant))
@@ -201,19 +207,19 @@
 }
 
 // grant takes a token that this instance holds. A tenant that is unknown here gets none.
-func (q *Quotas) grant(now time.Time, t *document.Tenant, number uint64) mesh.TokenResponse {
+func (q *Quotas) grant(now time.Time, t *document.Tenant, rank quota.Rank, number uint64) mesh.TokenResponse {
 	if t == nil || q.leaving.Load() {
 		return mesh.TokenResponse{Number: number, WaitMillis: holderUnavailableDelay.Milliseconds()}
 	}
-	wait, granted := q.table.Grant(now, t.Name, limitOf(t))
+	wait, granted := q.table.Grant(now, t.Name, limitOf(t), rank)
 	return mesh.TokenResponse{Number: number, Granted: granted, WaitMillis: wait.Milliseconds()}
 }
 
-// acquireFor acquires a token in this zone for an instance of another zone.
-func (q *Quotas) acquireFor(requester string, t *document.Tenant, number uint64) {
+// acquireFor acquires a token in this zone for a request at an instance of another zone.
+func (q *Quotas) acquireFor(requester string, t *document.Tenant, rank quota.Rank, number uint64) {
 	r := mesh.TokenResponse{Number: number}
 	if t != nil {
-		d := q.table.Acquire(time.Now, t.Name, limitOf(t), quotaAsker{context.Background(), q, t.Name}, false)
+		d := q.table.Acquire(time.Now, requestOf(t, rank), quotaAsker{context.Background(), q, t.Name, rank}, false)
 		r.Granted, r.WaitMillis = d.Granted, d.Wait.Milliseconds()
 	}
 	q.node.SendQuotaResponse(requester, r)
@@ -230,10 +236,14 @@
 	})
 }
 
+// quotaRank returns the request's rank among those of its tenant, which is that of its route: the priority of a
+// tenant is the same for all of its requests.
+func (c *call) quotaRank() quota.Rank { return quota.RankOf(c.route.Priority) }
+
 // acquireQuota takes a token of the tenant's quota for the request. If there is none, it responds that the
 // request was not run and returns the status, otherwise 0.
 func (c *call) acquireQuota() int {
-	c.quota = c.h.Quotas.Acquire(c.r.Context(), c.tenant)
+	c.quota = c.h.Quotas.Acquire(c.r.Context(), c.tenant, c.quotaRank())
 	if c.quota.Granted {
 		if c.quota.Source == quota.FromStandby {
 			eventlog.Info(eventlog.QuotaStandbyUsed, "request", c.id, "tenant", c.tenant.Name, "document", c.version)
@@ -247,7 +257,7 @@
 func (c *call) refuseQuota() int {
 	retryAfter := max(c.quota.Wait, minRetryAfter)
 	return c.refuseWith(http.StatusTooManyRequests, problem.RateLimited, "the quota of the tenant is used up", retryAfter+rand.N(minRetryAfter),
-		"rate", c.tenant.Rate, "burst", c.tenant.Burst, "by", c.quota.Source)
+		"rate", c.tenant.Rate, "burst", c.tenant.Burst, "by", c.quota.Source, "rank", c.quotaRank())
 }
 
 // returnQuota gives the request's token back if no target has run it.
--- a/gateway/quotas_test.go
+++ b/gateway/quotas_test.go
@@ -77,16 +77,16 @@
 	return f
 }
 
-// drive sends requests with the key at a rate, each through the instance that pick returns, and returns how many
+// drive sends requests with the key for a path at a rate, each through the instance that pick returns, and returns how many
 // responses had each status.
-func (f *quotaFleet) drive(t *testing.T, key string, rate float64, duration time.Duration, pick func(i int) int) map[int]int {
+func (f *quotaFleet) drive(t *testing.T, key, path string, rate float64, duration time.Duration, pick func(i int) int) map[int]int {
 	statuses := make(map[int]int)
 	var mu sync.Mutex
 	var requests sync.WaitGroup
 	start := time.Now()
 	for i := 0; time.Since(start) < duration; i++ {
 		requests.Go(func() {
-			status, _, header := sendWithHeader(t, f.urls[pick(i)]+"/get/", http.Header{"Authorization": {"Token " + key}})
+			status, _, header := sendWithHeader(t, f.urls[pick(i)]+path, http.Header{"Authorization": {"Token " + key}})
 			if status == http.StatusTooManyRequests {
 				after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
 				assert.Check(t, err == nil && after > 0, "Retry-After: %q", header.Get("Retry-After"))
@@ -129,9 +129,9 @@
 	} {
 		calm := make(chan map[int]int)
 		go func() {
-			calm <- f.drive(t, "calm", 10, seconds*time.Second, func(i int) int { return i % quotaFleetSize })
+			calm <- f.drive(t, "calm", "/get/", 10, seconds*time.Second, func(i int) int { return i % quotaFleetSize })
 		}()
-		statuses := f.drive(t, goodKey, 6*rate, seconds*time.Second, pick)
+		statuses := f.drive(t, goodKey, "/get/", 6*rate, seconds*time.Second, pick)
 		runs := float64(f.takeRuns("hot"))
 		assert.Assert(t, runs <= (rate*seconds+burst)*1.1+2+rate/4, "%s: %v ran, %v", name, runs, statuses)
 		assert.Assert(t, runs >= 0.95*rate*(seconds-lastDenial), "%s: %v ran, %v", name, runs, statuses)
@@ -139,7 +139,7 @@
 		others := <-calm
 		assert.Assert(t, others[http.StatusTooManyRequests] <= 1, "%s: calm tenant: %v", name, others)
 	}
-	free := f.drive(t, "free", 100, time.Second, func(i int) int { return i % quotaFleetSize })
+	free := f.drive(t, "free", "/get/", 100, time.Second, func(i int) int { return i % quotaFleetSize })
 	assert.Equal(t, free[http.StatusOK], sum(free), "%v", free)
 	f.checkReports(t)
 }
@@ -163,9 +163,26 @@
 	assert.NilError(t, json.Unmarshal(body, &reports))
 	assert.Equal(t, len(reports), 2, "%s", body)
 	assert.Equal(t, reports[1].Tenant, document.TenantName("hot"))
+	urgent := quota.RankReport{Rank: 0, Granted: reports[1].Granted, Denied: reports[1].Denied}
+	assert.DeepEqual(t, reports[1].Ranks, []quota.RankReport{urgent})
 	assert.Assert(t, reports[1].Granted > 0 && reports[1].Denied > 0 && len(reports[1].Holders) > 0, "%s", body)
 }
 
+// TestUrgentRoutesHaveTheQuotaFirst sends more than a tenant's quota steadily, most of it for a route that is less
+// urgent.
+func TestUrgentRoutesHaveTheQuotaFirst(t *testing.T) {
+	const rate, seconds = 40.0, 4
+	f := newQuotaFleet(t, document.Tenant{Name: "hot", Keys: []credential.Key{goodKey}, Rate: rate, Burst: rate})
+	anyInstance := func(i int) int { return i % quotaFleetSize }
+	later := make(chan map[int]int)
+	go func() { later <- f.drive(t, goodKey, "/later/", 2.5*rate, seconds*time.Second, anyInstance) }()
+	urgent := f.drive(t, goodKey, "/get/", 0.5*rate, seconds*time.Second, anyInstance)
+	others := <-later
+	assert.Assert(t, float64(urgent[http.StatusOK]) >= 0.95*float64(sum(urgent)), "urgent %v, others %v", urgent, others)
+	assert.Assert(t, others[http.StatusTooManyRequests] > 0, "%v", others)
+	assert.Assert(t, float64(f.takeRuns("hot")) >= 0.95*rate*seconds, "urgent %v, others %v", urgent, others)
+}
+
 // TestRequestThatDidNotRunCostsNoQuota guards callers whose requests targets refuse: they must not find their
 // quota used up when the targets take requests again.
 func TestRequestThatDidNotRunCostsNoQuota(t *testing.T) {
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/clementinereel/clementinereel/quota"
 )
 
 // FuzzDecode checks that every datagram is either rejected or processed.
@@ -12,7 +14,7 @@
 		{Addr: "10.0.0.1:1", Zone: "a", Boot: 1, Sequence: 1, Heartbeat: true, Peers: []Peer{{Addr: "10.0.0.2:1", Zone: "a"}}, Load: []Load{{Target: "t", InFlight: 2}}},
 		{Addr: "10.0.0.1:1", Zone: "b", Boot: 1, Sequence: 1, Digest: &Digest{Instances: 3, Successes: []Successes{{Count: 2}}}},
 		{Addr: "10.0.0.1:1", Zone: "a", Boot: 1, Sequence: 1, Contents: []ContentEvidence{contentWithLosses(2), contentWithLosses(60)}},
-		{Addr: "10.0.0.1:1", Zone: "a", Boot: 1, Sequence: 1, QuotaRequests: []QuotaRequest{{Number: 1, Tenant: "t"}}, QuotaResponses: []TokenResponse{{Number: 1}}},
+		{Addr: "10.0.0.1:1", Zone: "a", Boot: 1, Sequence: 1, QuotaRequests: []QuotaRequest{{Number: 1, Tenant: "t"}}, QuotaRanks: []quota.Rank{2}, QuotaResponses: []TokenResponse{{Number: 1}}},
 		{Addr: "10.0.0.1:1", Zone: "a", Boot: 1, Sequence: 1, RelayedPackets: []*Packet{relayedPacket(1), relayedPacket(2)}},
 	} {
 		b, err := encode(p)
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -9,6 +9,7 @@
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/quarantine"
+	"github.com/clementinereel/clementinereel/quota"
 	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/suspicion"
 )
@@ -78,6 +79,9 @@
 	// Earlier versions ignore them.
 	QuotaRequests  []QuotaRequest  `cbor:"31,keyasint,omitempty"`
 	QuotaResponses []TokenResponse `cbor:"32,keyasint,omitempty"`
+	// QuotaRanks are the ranks of the requests for which the QuotaRequests ask, in their order. Earlier versions
+	// ignore and do not send them; ranks that are missing are 0, the most urgent.
+	QuotaRanks []quota.Rank `cbor:"34,keyasint,omitempty"`
 }
 
 // QuotaRequest asks for a token of a tenant's quota, or returns one.
--- a/mesh/quotas.go
+++ b/mesh/quotas.go
@@ -1,11 +1,19 @@
 package mesh
 
-import "time"
+import (
+	"time"
 
-// SendQuotaRequest asks another instance, given by its address, for a token of a tenant's quota, or returns one.
-func (n *Node) SendQuotaRequest(to string, r QuotaRequest) {
+	"github.com/clementinereel/clementinereel/quota"
+)
+
+// SendQuotaRequest asks another instance, given by its address, for a token of a tenant's quota for a request of a
+// rank, or returns one.
+func (n *Node) SendQuotaRequest(to string, r QuotaRequest, rank quota.Rank) {
 	p := n.newVersionedPacket()
 	p.QuotaRequests = []QuotaRequest{r}
+	if rank > 0 { // which is what a missing one means
+		p.QuotaRanks = []quota.Rank{rank}
+	}
 	n.sendTo(Quotas, to, p)
 }
 
@@ -16,6 +24,14 @@
 	n.sendTo(Quotas, requester, p)
 }
 
+// QuotaRank returns the rank of the QuotaRequest at an index.
+func (p *Packet) QuotaRank(i int) quota.Rank {
+	if i >= len(p.QuotaRanks) {
+		return 0
+	}
+	return min(p.QuotaRanks[i], quota.Ranks-1)
+}
+
 // Contacts returns the addresses of up to count instances of other zones whose digests arrive. They rarely
 // change, and differ between instances: the first datagram to an instance costs a greeting.
 func (n *Node) Contacts(count int) []string {
--- a/quota/acquire.go
+++ b/quota/acquire.go
@@ -56,39 +56,46 @@
 	Holder fleet.InstanceID
 }
 
-// Acquire decides whether a request of the tenant may run. It asks other instances as necessary, holders in
-// random order and standbys after them. AnyZone is set unless the request is made for another zone.
-func (t *Table) Acquire(clock func() time.Time, name document.TenantName, l Limit, asker Asker, anyZone bool) Decision {
+// Request is a request of a tenant that needs a token.
+type Request struct {
+	Tenant document.TenantName
+	Limit  Limit
+	Rank   Rank
+}
+
+// Acquire decides whether a request may run. It asks other instances as necessary, holders in random order and
+// standbys after them. AnyZone is set unless the request is made for another zone.
+func (t *Table) Acquire(clock func() time.Time, r Request, asker Asker, anyZone bool) Decision {
 	now := clock()
-	if wait := t.denial(now, name); wait > 0 {
-		return t.record(now, name, Decision{Wait: wait, Source: FromDenial})
+	if wait := t.denial(now, r); wait > 0 {
+		return t.record(now, r, Decision{Wait: wait, Source: FromDenial})
 	}
-	d, reached := t.acquireFromHolders(clock, name, l, asker)
-	if !d.Granted && t.acquireFromStandbys(clock, name, l, asker, reached) {
+	d, reached := t.acquireFromHolders(clock, r, asker)
+	if !d.Granted && t.acquireFromStandbys(clock, r, asker, reached) {
 		d = Decision{Granted: true, Source: FromStandby}
 	}
 	if !d.Granted && anyZone {
-		d = t.acquireElsewhere(clock, name, asker, d)
+		d = t.acquireElsewhere(clock, r, asker, d)
 	}
-	return t.record(clock(), name, d)
+	return t.record(clock(), r, d)
 }
 
 // acquireFromHolders asks the holders of the own zone. It also returns whether any of them replied.
-func (t *Table) acquireFromHolders(clock func() time.Time, name document.TenantName, l Limit, asker Asker) (d Decision, reached bool) {
+func (t *Table) acquireFromHolders(clock func() time.Time, r Request, asker Asker) (d Decision, reached bool) {
 	d = Decision{Wait: notHeldWait, Source: FromHolder}
-	holders := t.Holders(name, l)
+	holders := t.Holders(r.Tenant, r.Limit)
 	first := int(t.random() * float64(len(holders)))
 	for i := range holders {
 		holder := holders[(first+i)%len(holders)]
-		r, source, ok := t.askHolder(clock, name, l, holder, asker)
+		reply, source, ok := t.askHolder(clock, r, holder, asker)
 		if !ok {
 			continue
 		}
-		if r.Granted {
+		if reply.Granted {
 			return Decision{Granted: true, Source: source, Holder: holder}, true
 		}
-		if !reached || r.Wait < d.Wait {
-			d.Wait, d.Source = r.Wait, source
+		if !reached || reply.Wait < d.Wait {
+			d.Wait, d.Source = reply.Wait, source
 		}
 		reached = true
 	}
@@ -97,48 +104,48 @@
 
 // acquireFromStandbys asks the standbys of the own zone. If holders replied, it asks only the first one, which may
 // have been a holder until a moment ago.
-func (t *Table) acquireFromStandbys(clock func() time.Time, name document.TenantName, l Limit, asker Asker, reached bool) bool {
-	standbys := t.Standbys(name, l)
+func (t *Table) acquireFromStandbys(clock func() time.Time, r Request, asker Asker, reached bool) bool {
+	standbys := t.Standbys(r.Tenant, r.Limit)
 	if reached {
 		standbys = standbys[:min(1, len(standbys))]
 	}
 	for _, standby := range standbys {
-		if r, _, ok := t.askHolder(clock, name, l, standby, asker); ok && r.Granted {
+		if reply, _, ok := t.askHolder(clock, r, standby, asker); ok && reply.Granted {
 			return true
 		}
 	}
 	return false
 }
 
-func (t *Table) askHolder(clock func() time.Time, name document.TenantName, l Limit, holder fleet.InstanceID, asker Asker) (Reply, Source, bool) {
+func (t *Table) askHolder(clock func() time.Time, r Request, holder fleet.InstanceID, asker Asker) (Reply, Source, bool) {
 	if holder == t.self {
-		wait, granted := t.Grant(clock(), name, l)
+		wait, granted := t.Grant(clock(), r.Tenant, r.Limit, r.Rank)
 		return Reply{granted, wait}, FromSelf, true
 	}
 	if t.isUnavailable(clock(), holder) {
 		return Reply{}, FromHolder, false
 	}
-	r, ok := asker.Ask(holder)
+	reply, ok := asker.Ask(holder)
 	if !ok {
 		t.setUnavailable(clock(), holder)
 	}
-	return r, FromHolder, ok
+	return reply, FromHolder, ok
 }
 
 // acquireElsewhere asks another zone, unless one has denied a request of the tenant a moment ago. If that
 // grants nothing, it returns the decision of the own zone.
-func (t *Table) acquireElsewhere(clock func() time.Time, name document.TenantName, asker Asker, own Decision) Decision {
-	if !t.mayAskOtherZone(clock(), name) {
+func (t *Table) acquireElsewhere(clock func() time.Time, r Request, asker Asker, own Decision) Decision {
+	if !t.mayAskOtherZone(clock(), r) {
 		return own
 	}
-	r := askOtherZones(asker)
-	if r.Granted {
+	reply := askOtherZones(asker)
+	if reply.Granted {
 		return Decision{Granted: true, Source: FromOtherZone}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := clock()
-	t.tenant(now, name).farDeniedUntil = now.Add(denialDuration(r.Wait))
+	t.tenant(now, r.Tenant).farDeniedUntil[r.Rank] = now.Add(denialDuration(reply.Wait))
 	return own
 }
 
@@ -157,17 +164,17 @@
 // may be a token.
 func denialDuration(wait time.Duration) time.Duration { return min(max(wait, minDenial), maxDenial) }
 
-func (t *Table) mayAskOtherZone(now time.Time, name document.TenantName) bool {
+func (t *Table) mayAskOtherZone(now time.Time, r Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !now.Before(t.tenant(now, name).farDeniedUntil)
+	return !now.Before(t.tenant(now, r.Tenant).farDeniedUntil.latest(r.Rank))
 }
 
-// denial returns how long an earlier denial still applies; 0 if none does.
-func (t *Table) denial(now time.Time, name document.TenantName) time.Duration {
+// denial returns how long an earlier denial, of a request that was as urgent, still applies; 0 if none does.
+func (t *Table) denial(now time.Time, r Request) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(t.tenant(now, name).deniedUntil.Sub(now), 0)
+	return max(t.tenant(now, r.Tenant).deniedUntil.latest(r.Rank).Sub(now), 0)
 }
 
 func (t *Table) isUnavailable(now time.Time, id fleet.InstanceID) bool {
@@ -182,18 +189,18 @@
 	t.unavailable[id] = now.Add(unavailableDuration)
 }
 
-// record counts the decision, and lets a denial apply to further requests for a while.
-func (t *Table) record(now time.Time, name document.TenantName, d Decision) Decision {
+// record counts the decision, and lets a denial apply for a while to further requests that are not more urgent.
+func (t *Table) record(now time.Time, r Request, d Decision) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.tenant(now, name)
+	e := t.tenant(now, r.Tenant)
 	if d.Granted {
-		e.granted++
+		e.granted[r.Rank]++
 		return d
 	}
-	e.denied++
+	e.denied[r.Rank]++
 	if d.Source != FromDenial {
-		e.deniedUntil = now.Add(denialDuration(d.Wait))
+		e.deniedUntil[r.Rank] = now.Add(denialDuration(d.Wait))
 	}
 	return d
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -6,8 +6,9 @@
 type bucket struct {
 	tokens    float64
 	updatedAt time.Time
-	// queuedUntil is when all requests that were refused could have been granted.
-	queuedUntil time.Time
+	demand    demand
+	// queuedUntil is, for each rank, when all refused requests that are as urgent could have been granted.
+	queuedUntil [Ranks]time.Time
 }
 
 // refill adds the tokens since the last update at a rate per second.
@@ -22,35 +23,52 @@
 	b.updatedAt = now
 }
 
-// take takes a token. A bucket that cannot hold a whole token stakes what it has: it grants with a
-// probability of that part, so that many small buckets together grant what they are due.
-func (b *bucket) take(capacity float64, random func() float64) bool {
+// take takes a token, if as many as are reserved remain. A bucket that cannot hold a whole token stakes what it has:
+// it grants with a probability of that part, so that many small buckets together grant what they are due.
+func (b *bucket) take(capacity, reserved float64, random func() float64) bool {
+	available := b.tokens - reserved
 	switch {
-	case b.tokens >= 1:
+	case available >= 1:
 		b.tokens--
 		return true
-	case capacity >= 1:
+	case capacity >= 1 || available <= 0:
 		return false
 	}
-	granted := random() < b.tokens
-	b.tokens = 0
+	granted := random() < available
+	b.tokens = reserved
 	return granted
 }
 
+// takeRanked takes a token for a request of a rank.
+func (b *bucket) takeRanked(now time.Time, rank Rank, capacity float64, random func() float64) bool {
+	b.demand.add(now, rank)
+	return b.take(capacity, b.demand.reserved(rank, capacity), random)
+}
+
 // maxWait bounds the time after which a refused request is told to come back.
 const maxWait = 3 * time.Second
 
-// queue returns the time after which a refused request may be granted, behind those refused before it.
-func (b *bucket) queue(now time.Time, rate float64) time.Duration {
+// queue returns the time after which a refused request may be granted, behind those refused before it that are as
+// urgent.
+func (b *bucket) queue(now time.Time, rank Rank, rate float64) time.Duration {
 	if rate <= 0 {
 		return maxWait
 	}
-	if b.queuedUntil.Before(now) {
-		b.queuedUntil = now
+	interval := time.Duration(float64(time.Second) / rate)
+	for i := rank; i < Ranks; i++ {
+		b.queuedUntil[i] = queueBehind(now, b.queuedUntil[i], interval)
+	}
+	return b.queuedUntil[rank].Sub(now)
+}
+
+// queueBehind returns when a request that is refused now could be granted, an interval after those before it.
+func queueBehind(now, before time.Time, interval time.Duration) time.Time {
+	if before.Before(now) {
+		before = now
 	}
-	b.queuedUntil = b.queuedUntil.Add(time.Duration(float64(time.Second) / rate))
-	if latest := now.Add(maxWait); b.queuedUntil.After(latest) {
-		b.queuedUntil = latest
+	at, latest := before.Add(interval), now.Add(maxWait)
+	if at.After(latest) {
+		return latest
 	}
-	return b.queuedUntil.Sub(now)
+	return at
 }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -58,6 +58,10 @@
 	totalFactor float64
 	// waiting are the instances at which a request waits until the number of instances is known.
 	waiting []*simInstance
+	// rankOf returns the rank of the next request; nil: 0. Decided is called for each request that is decided when it
+	// arrives, if set.
+	rankOf  func() Rank
+	decided func(Rank, Decision)
 	grants  []time.Time
 	offered int
 	refused int
@@ -143,8 +147,9 @@
 
 // simAsker asks other instances of a simulated fleet.
 type simAsker struct {
-	f *simFleet
-	i *simInstance
+	f    *simFleet
+	i    *simInstance
+	rank Rank
 }
 
 func (a simAsker) Ask(holder fleet.InstanceID) (Reply, bool) {
@@ -152,7 +157,7 @@
 		if h.id != holder || !a.f.reaches(a.i, h) || a.f.random.Float64() < simLoss*simLoss {
 			continue
 		}
-		wait, granted := h.table.Grant(a.f.now, "t", h.limit)
+		wait, granted := h.table.Grant(a.f.now, "t", h.limit, a.rank)
 		return Reply{granted, wait}, a.f.random.Float64() >= simLoss*simLoss
 	}
 	return Reply{}, false
@@ -167,10 +172,14 @@
 	if !a.f.reaches(a.i, contact) || a.f.random.Float64() < simLoss {
 		return Reply{}, false
 	}
-	d := contact.table.Acquire(a.f.clock, "t", contact.limit, simAsker{a.f, contact}, false)
+	d := contact.table.Acquire(a.f.clock, contact.request(a.rank), simAsker{a.f, contact, a.rank}, false)
 	return Reply{d.Granted, d.Wait}, a.f.random.Float64() >= simLoss
 }
 
+func (i *simInstance) request(rank Rank) Request {
+	return Request{Tenant: "t", Limit: i.limit, Rank: rank}
+}
+
 func (f *simFleet) clock() time.Time { return f.now }
 
 // request sends one request through an instance, where it waits until the number of instances is known.
@@ -183,11 +192,23 @@
 		f.waiting = append(f.waiting, i)
 		return
 	}
-	if d := f.acquire(i); !d.Granted && f.refuse != nil {
+	rank := f.nextRank()
+	d := f.acquire(i, rank)
+	if f.decided != nil {
+		f.decided(rank, d)
+	}
+	if !d.Granted && f.refuse != nil {
 		f.refuse(d)
 	}
 }
 
+func (f *simFleet) nextRank() Rank {
+	if f.rankOf == nil {
+		return 0
+	}
+	return f.rankOf()
+}
+
 // counted returns whether the instance knows how many there are.
 func (f *simFleet) counted(i *simInstance) bool { return f.now.Sub(i.boot) > simCounted }
 
@@ -195,15 +216,15 @@
 func (f *simFleet) acquireWaiting() {
 	f.waiting = slices.DeleteFunc(f.waiting, func(i *simInstance) bool {
 		if f.runs(i) && f.counted(i) {
-			f.acquire(i)
+			f.acquire(i, 0)
 			return true
 		}
 		return !f.runs(i)
 	})
 }
 
-func (f *simFleet) acquire(i *simInstance) Decision {
-	d := i.table.Acquire(f.clock, "t", i.limit, simAsker{f, i}, true)
+func (f *simFleet) acquire(i *simInstance, rank Rank) Decision {
+	d := i.table.Acquire(f.clock, i.request(rank), simAsker{f, i, rank}, true)
 	if d.Granted {
 		f.grants = append(f.grants, f.now)
 	} else {
@@ -246,7 +267,7 @@
 	return (l.Rate*b.Window.Seconds()+l.Burst)*(1+b.Excess) + b.Slack
 }
 
-var simZones = map[int][]int{36: {12, 12, 12}, 133: {42, 52, 39}, 920: {300, 320, 300}}
+var simZones = map[int][]int{36: {12, 12, 12}, 121: {41, 40, 40}, 133: {42, 52, 39}, 920: {300, 320, 300}}
 
 // simLimits are those of a large, a usual and a small tenant.
 var (
@@ -449,7 +470,7 @@
 				return false
 			}
 			returned++
-			if f.acquire(f.anyInstance()).Granted {
+			if f.acquire(f.anyInstance(), 0).Granted {
 				granted++
 			}
 			return true
--- a/quota/report.go
+++ b/quota/report.go
@@ -21,6 +21,8 @@
 	// Granted and Denied count the decisions of this instance.
 	Granted int64 `json:"granted"`
 	Denied  int64 `json:"denied"`
+	// Ranks are the decisions by rank, of those ranks that had any, the most urgent first.
+	Ranks []RankReport `json:"ranks,omitempty"`
 	// Holders are the instances of the own zone that hold tokens.
 	Holders []fleet.InstanceID `json:"holders"`
 	// Tokens are those that this instance holds; nil if it is no holder, or was not asked yet.
@@ -29,6 +31,27 @@
 	UsedAt time.Time `json:"used_at"`
 }
 
+// RankReport counts the decisions of an instance on a tenant's requests of one rank.
+type RankReport struct {
+	// Rank is the priority of the requests' routes; the last one includes all that are less urgent.
+	Rank    Rank  `json:"rank"`
+	Granted int64 `json:"granted"`
+	Denied  int64 `json:"denied"`
+}
+
+// countDecisions sets the counts of the report.
+func (r *Report) countDecisions(e *tenant) {
+	for rank := range Rank(Ranks) {
+		c := RankReport{rank, e.granted[rank], e.denied[rank]}
+		if c.Granted+c.Denied == 0 {
+			continue
+		}
+		r.Granted += c.Granted
+		r.Denied += c.Denied
+		r.Ranks = append(r.Ranks, c)
+	}
+}
+
 // Reports returns the reports of the tenants that were in use recently, sorted by name. LimitOf returns false
 // for tenants that no longer have a quota.
 func (t *Table) Reports(now time.Time, limitOf func(document.TenantName) (Limit, bool)) []Report {
@@ -40,7 +63,8 @@
 		if !ok {
 			continue
 		}
-		r := Report{Tenant: name, Rate: l.Rate, Burst: l.Burst, Granted: e.granted, Denied: e.denied, Holders: t.holdersLocked(name, l), UsedAt: e.usedAt}
+		r := Report{Tenant: name, Rate: l.Rate, Burst: l.Burst, Holders: t.holdersLocked(name, l), UsedAt: e.usedAt}
+		r.countDecisions(e)
 		if rate, capacity, ok := t.share(name, l); ok && e.isHeld {
 			e.held.refill(now, rate, capacity)
 			tokens := e.held.tokens
--- a/quota/standby.go
+++ b/quota/standby.go
@@ -25,9 +25,9 @@
 	return ranked[min(holders, len(ranked)):]
 }
 
-// grantStandby takes a token of the reserve that this instance has as a standby. The reserve does not depend on
+// grantStandby takes a token of the reserve that this instance has as a standby, for a request of a rank. The reserve does not depend on
 // what the holders granted, so that it may be used without asking them.
-func (t *Table) grantStandby(now time.Time, name document.TenantName, l Limit) bool {
+func (t *Table) grantStandby(now time.Time, name document.TenantName, l Limit, rank Rank) bool {
 	if t.fleet.Total == 0 || !slices.Contains(t.standbysLocked(name, l), t.self) {
 		return false
 	}
@@ -37,5 +37,5 @@
 		e.standby.updatedAt = t.rankedSince(t.departures(name))
 	}
 	e.standby.refill(now, capacity/t.bounds.Window.Seconds(), capacity)
-	return e.standby.take(capacity, t.random)
+	return e.standby.takeRanked(now, rank, capacity, t.random)
 }
--- a/quota/table.go
+++ b/quota/table.go
@@ -50,9 +50,9 @@
 	limit Limit
 	// released has the tokens that were left when the instance ceased to be a holder.
 	released, standby bucket
-	granted, denied   int64
-	// deniedUntil is the time until which no holder is asked, farDeniedUntil that for other zones.
-	deniedUntil, farDeniedUntil time.Time
+	granted, denied   [Ranks]int64
+	// deniedUntil are the times until which no holder is asked, farDeniedUntil those for other zones.
+	deniedUntil, farDeniedUntil rankTimes
 	usedAt                      time.Time
 }
 
@@ -121,14 +121,14 @@
 	return t.ranking.Ranked(string(name), t.bounds.holders(l, t.fleet.part()))
 }
 
-// Grant takes a token of a tenant that this instance holds, has held or is a standby of. If there is none, it
-// returns the time after which there may be one.
-func (t *Table) Grant(now time.Time, name document.TenantName, l Limit) (wait time.Duration, ok bool) {
+// Grant takes a token of a tenant that this instance holds, has held or is a standby of, for a request of a rank. If
+// there is none, it returns the time after which there may be one.
+func (t *Table) Grant(now time.Time, name document.TenantName, l Limit, rank Rank) (wait time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	rate, capacity, ok := t.share(name, l)
 	if !ok {
-		return notHeldWait, t.grantReleased(now, name, l) || t.grantStandby(now, name, l)
+		return notHeldWait, t.grantReleased(now, name, l) || t.grantStandby(now, name, l, rank)
 	}
 	e := t.tenant(now, name)
 	if !e.isHeld {
@@ -136,10 +136,10 @@
 	}
 	e.limit = l
 	e.held.refill(now, rate, capacity)
-	if e.held.take(capacity, t.random) {
+	if e.held.takeRanked(now, rank, capacity, t.random) {
 		return 0, true
 	}
-	return e.held.queue(now, rate), false
+	return e.held.queue(now, rank, rate), false
 }
 
 // notHeldWait is the time after which an instance that is no holder may be one.
--- a/quota/table_test.go
+++ b/quota/table_test.go
@@ -41,7 +41,7 @@
 func drain(t *Table, now time.Time, name document.TenantName) int {
 	n := 0
 	for {
-		if _, ok := t.Grant(now, name, testLimit); !ok {
+		if _, ok := t.Grant(now, name, testLimit, 0); !ok {
 			return n
 		}
 		n++
@@ -59,7 +59,7 @@
 func TestUnknownFleetGrantsNothing(t *testing.T) {
 	table := newTestTable()
 	table.Update(after(0), Fleet{Members: oldMembers("a")})
-	wait, ok := table.Grant(after(time.Second), "t", testLimit)
+	wait, ok := table.Grant(after(time.Second), "t", testLimit, 0)
 	assert.Assert(t, !ok && wait > 0)
 }
 
@@ -72,7 +72,7 @@
 		table := NewTable("a", testStart, testBounds, rand.New(rand.NewPCG(uint64(i), 1)).Float64)
 		table.Update(testStart, Fleet{Members: oldMembers("a"), Total: instances})
 		for s := range 10 * seconds {
-			if _, ok := table.Grant(after(time.Duration(s)*100*time.Millisecond), "t", l); ok {
+			if _, ok := table.Grant(after(time.Duration(s)*100*time.Millisecond), "t", l, 0); ok {
 				granted++
 			}
 		}
@@ -126,9 +126,9 @@
 		}
 	}
 	table.Update(after(time.Minute), Fleet{Members: oldMembers("a"), Total: 6})
-	_, ok := table.Grant(after(time.Minute), name, testLimit)
+	_, ok := table.Grant(after(time.Minute), name, testLimit, 0)
 	assert.Assert(t, !ok)
-	_, ok = table.Grant(after(time.Minute+2*time.Second), name, testLimit)
+	_, ok = table.Grant(after(time.Minute+2*time.Second), name, testLimit, 0)
 	assert.Assert(t, ok)
 }
 
@@ -144,7 +144,7 @@
 		name, before := lastRanked(table)
 		holding := Fleet{Members: oldMembers(append(before[2:], "a")...), Total: 5}
 		table.Update(after(-time.Minute), holding)
-		_, ok := table.Grant(after(0), name, testLimit)
+		_, ok := table.Grant(after(0), name, testLimit, 0)
 		assert.Assert(t, ok)
 		table.Update(after(0), Fleet{Members: oldMembers(append(before, "a")...), Total: 5})
 		now, n := after(c.since), 0
@@ -167,11 +167,11 @@
 		name = document.TenantName(fmt.Sprint("t", i))
 	}
 	table.Update(after(-time.Minute), alone)
-	_, ok := table.Grant(after(0), name, smallLimit)
+	_, ok := table.Grant(after(0), name, smallLimit, 0)
 	assert.Assert(t, ok)
 	table.Update(after(0), Fleet{Members: oldMembers("a", "b"), Total: total})
 	table.Update(after(30*time.Second), alone)
-	_, ok = table.Grant(after(30*time.Second), name, smallLimit)
+	_, ok = table.Grant(after(30*time.Second), name, smallLimit, 0)
 	assert.Assert(t, !ok)
 }
 
@@ -233,7 +233,7 @@
 		table := NewTable("self", testStart, testBounds, func() float64 { return 0 })
 		table.Update(testStart, Fleet{Members: oldMembers("b", "c", "d", "e", "f"), Total: 5})
 		asker := &fakeAsker{ask: c.ask, elsewhere: c.elsewhere}
-		d := table.Acquire(func() time.Time { return testStart }, "t", testLimit, asker, true)
+		d := table.Acquire(func() time.Time { return testStart }, Request{Tenant: "t", Limit: testLimit}, asker, true)
 		d.Holder = ""
 		assert.DeepEqual(t, d, c.want)
 		assert.Equal(t, asker.asked, c.asked, c.name)
@@ -247,11 +247,11 @@
 	table.Update(testStart, Fleet{Members: oldMembers("b", "c", "d"), Total: 3})
 	asker := &fakeAsker{ask: denied, elsewhere: denied}
 	for range 100 {
-		d := table.Acquire(func() time.Time { return testStart }, "t", testLimit, asker, true)
+		d := table.Acquire(func() time.Time { return testStart }, Request{Tenant: "t", Limit: testLimit}, asker, true)
 		assert.Assert(t, !d.Granted && d.Wait > 0)
 	}
 	assert.Equal(t, asker.asked, 3)
-	d := table.Acquire(func() time.Time { return after(maxDenial) }, "t", testLimit, &fakeAsker{ask: granted}, true)
+	d := table.Acquire(func() time.Time { return after(maxDenial) }, Request{Tenant: "t", Limit: testLimit}, &fakeAsker{ask: granted}, true)
 	assert.Assert(t, d.Granted)
 }
 
@@ -262,7 +262,7 @@
 	asker := &fakeAsker{ask: silent, elsewhere: silent}
 	for i := range 10 {
 		now := after(time.Duration(i) * 90 * time.Millisecond)
-		table.Acquire(func() time.Time { return now }, "t", testLimit, asker, false)
+		table.Acquire(func() time.Time { return now }, Request{Tenant: "t", Limit: testLimit}, asker, false)
 	}
 	assert.Equal(t, asker.asked, 1)
 }
@@ -274,7 +274,7 @@
 	for i := range 5 {
 		now := after(time.Duration(i) * time.Minute)
 		table.Update(now, Fleet{Members: oldMembers(fleet.InstanceID(fmt.Sprint("b", i))), Total: 1})
-		table.Acquire(func() time.Time { return now }, "t", testLimit, asker, false)
+		table.Acquire(func() time.Time { return now }, Request{Tenant: "t", Limit: testLimit}, asker, false)
 		table.Tick(now.Add(time.Second / 2))
 	}
 	assert.Equal(t, len(table.unavailable), 1)
