exchange, gateway: every part of a target's response has a bound in bytes

Cause: a target in trouble may send bytes that are no response, without end, and the head of a response was read whatever its size. One request with 4 s left took, on a loopback connection, a heap of 2,137 MiB (endless header line), 1,709 (status line), 1,324 (no response at all), 911 and 594 (header lines), 347 (folded line), 56 (endless body), and endless interim responses, chunked bodies and an announced length of 100 GB held it to its deadline, the latter as closing a body of net/http reads it to its end. Ruled out: net/http's Transport, as it retries on its own; a deadline for the head alone, as some hundred MiB arrive within 100 ms. Change: a reader below the buffer of a connection allows 128 KiB for a head with its interim responses (64 at most), and for a body what was read of it 1.5 times and a quarter of the bound of bodies, so that chunks without content end too. Bodies of unknown length are read in pieces (transfer.ReadAll) instead of a buffer that doubles. Skipped responses to other requests are discarded and count together. What exceeds a bound is a *BoundError, outcome Broken; the log line names the part, and such a failure is never put down to a connection that was idle. Errors quote at most 200 bytes of a response. A HEAD response may announce any length.

--- /dev/null
+++ b/exchange/bounds.go
@@ -0,0 +1,183 @@
+package exchange
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/transfer"
+)
+
+// Bounds of what is read of responses for one request, apart from Client.MaxResponseBytes.
+const (
+	// MaxHeadBytes limits the status line and header of a response, with the interim responses before it.
+	MaxHeadBytes = 128 << 10
+	// maxInterimResponses limits the interim (1xx) responses before a response.
+	maxInterimResponses = 64
+	// A body takes on the connection, with its framing, at most framingFactor times what was read of it and
+	// 1/framingReserve of the bound of bodies. Chunks of 10 bytes and more are thus within the bound at any size.
+	framingFactor  = 1.5
+	framingReserve = 4
+)
+
+// Part is a part of a response that has a bound.
+type Part string
+
+// Parts of responses.
+const (
+	PartHead    Part = "head"
+	PartInterim Part = "interim responses"
+	PartBody    Part = "body"
+	// PartFraming is a body with its chunk sizes, chunk extensions and trailer.
+	PartFraming Part = "body with framing"
+	// PartSkipped is the bodies of responses to other requests.
+	PartSkipped Part = "responses to other requests"
+)
+
+// BoundError reports that a response exceeded a bound. The target may have run the request.
+type BoundError struct {
+	Part Part
+	// Bound is in bytes, or a number of responses for PartInterim.
+	Bound int64
+}
+
+// Error implements error.
+func (e *BoundError) Error() string {
+	return fmt.Sprintf("response exceeds a bound: %s above %d", e.Part, e.Bound)
+}
+
+// ExceededPart returns the part of the response whose bound was exceeded, or "" if the error has another cause.
+func ExceededPart(err error) Part {
+	if e := new(BoundError); errors.As(err, &e) {
+		return e.Part
+	}
+	return ""
+}
+
+// boundedReader reads no more from a connection than is allowed for the part that is being read. Bytes that are
+// already buffered after it count towards no part.
+type boundedReader struct {
+	r     io.Reader
+	part  Part
+	bound int64
+	left  int64
+	// exceeded is set once more was to be read than is allowed.
+	exceeded bool
+}
+
+// allow starts a part of at most bound bytes.
+func (b *boundedReader) allow(part Part, bound int64) {
+	b.part, b.bound, b.left, b.exceeded = part, bound, bound, false
+}
+
+// Read implements io.Reader. It returns a *BoundError once the part has been read up to its bound.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		b.exceeded = true
+		return 0, &BoundError{b.part, b.bound}
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+// cause returns why the part could not be read: net/http may report an exceeded bound as a malformed line.
+func (b *boundedReader) cause(err error) error {
+	if err != nil && b.exceeded {
+		err = &BoundError{b.part, b.bound}
+	}
+	return errors.WithStack(err)
+}
+
+// maxErrorBytes limits the text of an error that quotes a response.
+const maxErrorBytes = 200
+
+// shortError is an error with a bounded text.
+type shortError struct{ error }
+
+// Error implements error.
+func (e shortError) Error() string {
+	text := e.error.Error()
+	return text[:min(len(text), maxErrorBytes)]
+}
+
+// Unwrap returns the error with its whole text.
+func (e shortError) Unwrap() error { return e.error }
+
+// readFinalHead reads the status and header of the next response, skipping interim ones.
+func (cn *conn) readFinalHead(method string) (*http.Response, error) {
+	cn.bounded.allow(PartHead, MaxHeadBytes)
+	req := &http.Request{Method: method}
+	for range maxInterimResponses + 1 {
+		resp, err := http.ReadResponse(cn.reader, req)
+		if err != nil {
+			return nil, cn.bounded.cause(err)
+		}
+		if resp.StatusCode/100 != 1 {
+			return resp, nil
+		}
+	}
+	return nil, errors.WithStack(&BoundError{PartInterim, maxInterimResponses})
+}
+
+// body returns a reader of the body of a response of at most maxBytes bytes, with a bound of its framing.
+func (cn *conn) body(resp *http.Response, maxBytes int64) io.Reader {
+	cn.bounded.allow(PartFraming, maxBytes/framingReserve+MaxHeadBytes)
+	return &framedBody{resp.Body, cn.bounded}
+}
+
+// framedBody is a body whose framing may be as large as what was read of it allows.
+type framedBody struct {
+	body    io.Reader
+	bounded *boundedReader
+}
+
+// Read implements io.Reader.
+func (f *framedBody) Read(p []byte) (int, error) {
+	n, err := f.body.Read(p)
+	f.bounded.left += int64(framingFactor * float64(n))
+	return n, err
+}
+
+// readBody reads the whole body of a response.
+func (cn *conn) readBody(resp *http.Response, maxBytes int64) ([]byte, error) {
+	body := cn.body(resp, maxBytes)
+	switch {
+	case resp.Body == http.NoBody:
+		return nil, nil
+	case resp.ContentLength > maxBytes:
+		return nil, errors.WithStack(&BoundError{PartBody, maxBytes})
+	case resp.ContentLength > 0:
+		b := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(body, b)
+		return b, cn.bounded.cause(err)
+	}
+	b, err := transfer.ReadAll(body, maxBytes, nil)
+	return b, cn.bodyError(err, PartBody, maxBytes)
+}
+
+// skipBody reads and discards the body of a response of at most maxBytes bytes, and returns its size.
+func (cn *conn) skipBody(resp *http.Response, maxBytes int64) (int64, error) {
+	body := cn.body(resp, maxBytes)
+	if resp.ContentLength > maxBytes {
+		return 0, errors.WithStack(&BoundError{PartSkipped, maxBytes})
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBytes+1))
+	if n > maxBytes {
+		err = transfer.ErrTooLarge
+	}
+	return n, cn.bodyError(err, PartSkipped, maxBytes)
+}
+
+// bodyError returns why a body could not be read, as a *BoundError if a bound is the cause.
+func (cn *conn) bodyError(err error, part Part, maxBytes int64) error {
+	switch {
+	case errors.Is(err, transfer.ErrTooLarge):
+		return errors.WithStack(&BoundError{part, maxBytes})
+	case errors.Is(err, http.ErrLineTooLong):
+		return errors.WithStack(&BoundError{PartFraming, readBufferSize})
+	}
+	return cn.bounded.cause(err)
+}
--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -14,6 +14,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// bounded is what reader reads from.
+	bounded *boundedReader
 	// completed counts the exchanges after which the connection stayed reusable.
 	completed int
 	// idleSince is the end of the last exchange.
@@ -31,7 +33,8 @@
 	idleTimeoutMargin = 700 * time.Millisecond
 	// maxIdlePerTarget limits the idle connections to one target.
 	maxIdlePerTarget = 4
-	// readBufferSize is in bytes per connection.
+	// readBufferSize is in bytes per connection. net/http limits a line of chunk framing and a
+	// trailer to it.
 	readBufferSize = 4 << 10
 )
 
@@ -228,7 +231,8 @@
 		c.stats.OpenedFirst++
 	}
 	c.mu.Unlock()
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	bounded := &boundedReader{r: nc}
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // Probe opens a connection to the target and keeps it for reuse.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,10 +1,8 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -146,7 +144,6 @@
 var (
 	errMismatchedID = errors.New("response to another request")
 	errEncoded      = errors.New("response with a content encoding")
-	errTooLarge     = errors.New("response too large")
 )
 
 // Do sends the request, announces targetDeadline to the target, and waits for the
@@ -206,7 +203,7 @@
 	written := cn.send(c.encodeHeader(t, r, time.Until(targetDeadline)), r.Body)
 	resp, closing, err := c.read(cn, t, r)
 	if err != nil {
-		res.Kind, res.Err = kindOfError(err), err
+		res.Kind, res.Err = kindOfError(err), shortError{err}
 		if failedBeforeFirstByte(written) {
 			res.Kind = Unsent
 		}
@@ -307,39 +304,50 @@
 const writeDoneTimeout = 10 * time.Millisecond
 
 // maxResponsesRead limits the responses read for one request, including those to other
-// requests.
+// requests. Their bodies are at most Client.MaxResponseBytes together.
 const maxResponsesRead = 3
 
 // read returns the response to r and whether the connection must be closed after it.
 func (c *Client) read(cn *conn, t Target, r *Request) (*Response, bool, error) {
-	fresh := cn.completed == 0
-	mismatched := false
-	for range maxResponsesRead {
-		matched, refused := false, false
-		resp, closing, err := c.readResponse(cn.reader, r.Method, func(h ResponseHeader) {
-			id := h.Header.Get(c.Headers.RequestID)
-			matched = id == r.ID
-			refused = id == "" && fresh && !mismatched && h.Header.Get(c.Headers.NotRun) != ""
-			if matched || refused {
-				h.HasRequestID = matched
-				c.reportHeader(t, r, h)
+	skipped := int64(0)
+	for n := range maxResponsesRead {
+		head, err := cn.readFinalHead(r.Method)
+		if err != nil {
+			return nil, true, err
+		}
+		id := head.Header.Get(c.Headers.RequestID)
+		matched := id == r.ID
+		first := n == 0 && cn.completed == 0
+		refused := id == "" && first && head.Header.Get(c.Headers.NotRun) != ""
+		if matched || refused {
+			c.reportHeader(t, r, ResponseHeader{Status: head.StatusCode, Header: head.Header, HasRequestID: matched})
+			resp, err := c.readResponse(cn, head)
+			if err == nil && matched {
+				err = checkEncoding(resp)
 			}
-		})
-		switch {
-		case err != nil:
+			return resp, head.Close || n > 0 || refused, err
+		}
+		size, err := cn.skipBody(head, c.MaxResponseBytes-skipped)
+		if err != nil {
 			return nil, true, err
-		case matched:
-			return resp, closing || mismatched, checkEncoding(resp)
-		case refused:
-			return resp, true, nil
-		case closing:
-			return nil, true, errors.Wrapf(errMismatchedID, "id %q, status %d", resp.Header.Get(c.Headers.RequestID), resp.Status)
 		}
-		mismatched = true
+		if head.Close {
+			return nil, true, errors.Wrapf(errMismatchedID, "id %q, status %d", id, head.StatusCode)
+		}
+		skipped += size
 	}
 	return nil, true, errMismatchedID
 }
 
+// readResponse reads the body of a response whose head was read.
+func (c *Client) readResponse(cn *conn, head *http.Response) (*Response, error) {
+	body, err := cn.readBody(head, c.MaxResponseBytes)
+	if err != nil {
+		return nil, err
+	}
+	return &Response{Status: head.StatusCode, Header: head.Header, Body: body, Sealed: head.Header.Get(c.Headers.Seal) != ""}, nil
+}
+
 // reportHeader passes a response header to OnResponseHeader unless the request reached
 // a different target.
 func (c *Client) reportHeader(t Target, r *Request, h ResponseHeader) {
@@ -354,50 +362,3 @@
 	}
 	return nil
 }
-
-// readResponse reads the next complete response, skipping interim ones, and reports
-// whether the connection is closed after it. It calls onHeader before it reads the body.
-func (c *Client) readResponse(br *bufio.Reader, method string, onHeader func(ResponseHeader)) (*Response, bool, error) {
-	resp, err := readFinalHeader(br, method)
-	if err != nil {
-		return nil, true, errors.WithStack(err)
-	}
-	defer resp.Body.Close()
-	onHeader(ResponseHeader{Status: resp.StatusCode, Header: resp.Header})
-	body, err := readBody(resp.Body, c.MaxResponseBytes, resp.ContentLength)
-	if err != nil {
-		return nil, true, err
-	}
-	r := &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Sealed: resp.Header.Get(c.Headers.Seal) != ""}
-	return r, resp.Close, nil
-}
-
-func readFinalHeader(br *bufio.Reader, method string) (*http.Response, error) {
-	req := &http.Request{Method: method}
-	for {
-		resp, err := http.ReadResponse(br, req)
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode/100 != 1 {
-			return resp, nil
-		}
-	}
-}
-
-func readBody(body io.Reader, maxBytes, contentLength int64) ([]byte, error) {
-	if contentLength > maxBytes {
-		return nil, errors.Wrapf(errTooLarge, "%d bytes", contentLength)
-	}
-	var b bytes.Buffer
-	if contentLength > 0 {
-		b.Grow(int(contentLength) + bytes.MinRead)
-	}
-	if _, err := b.ReadFrom(io.LimitReader(body, maxBytes+1)); err != nil {
-		return nil, errors.WithStack(err)
-	}
-	if int64(b.Len()) > maxBytes {
-		return nil, errors.WithStack(errTooLarge)
-	}
-	return b.Bytes(), nil
-}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -445,7 +445,7 @@
 		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
 		"fails", eventlog.Fraction(e.placed.FailProbability), "cost", eventlog.Fraction(e.placed.Cost), "in_flight", e.placed.InFlight, "slots", e.placed.Slots, "for_floor", e.placed.ForFloor, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version}
 	if e.result.Kind == exchange.Broken {
-		pairs = append(pairs, "content", r.c.content.Fingerprint(), "caller", r.c.caller())
+		pairs = append(pairs, "exceeded", string(exchange.ExceededPart(e.result.Err)), "content", r.c.content.Fingerprint(), "caller", r.c.caller())
 	}
 	eventlog.Info(eventlog.AttemptFailed, pairs...)
 }
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -50,7 +50,8 @@
 		c.observe(e.placed, o, began, 0)
 	case exchange.Broken:
 		o := c.classifyFailure(res.Took)
-		if res.Reused && o == suspicion.QuickFailure && res.IdleFor >= minRestedIdle {
+		// A response that exceeds a bound is the target's doing, however long the connection was idle.
+		if res.Reused && o == suspicion.QuickFailure && res.IdleFor >= minRestedIdle && exchange.ExceededPart(res.Err) == "" {
 			c.observe(e.placed, suspicion.IdleReset, began, res.IdleFor)
 			return
 		}
