gateway: requests of callers and other instances have bounds in bytes and in time without progress

Cause: a chunked body was read into a buffer that doubles, a request of another instance without a length up to 64 MiB, and a header of short lines up to 1 MiB, which takes 13 MiB. Measured on a loopback connection: 55.5 MiB for an endless chunked body with a limit of 16 MiB, 192 MiB for one from another instance, 3.0 s for one in chunks of one byte. A body that stood still held its memory until the caller closed the connection. Ruled out: net/http's ReadTimeout, which limits whole requests, so that slow callers would lose theirs. Headers are read up to 256 KiB (callers; documents set less) or 64 KiB (instances, operators). Outcomes of other instances are 16 MiB and their header, not 32 MiB. Seen: 36 endless requests to the three servers: at most 15.9 MiB of heap, connection closed after 1.0 s at most, 0.5 s of which net/http waits so that the response arrives. 500 KiB in chunks of one byte pass.

--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -1,11 +1,12 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/transfer"
 )
 
 var (
@@ -19,36 +20,25 @@
 	heldBytes atomic.Int64
 }
 
-// chunkBytes is the size by which the reservation for a body of unknown length grows.
-const chunkBytes = 64 << 10
-
 // Read reads a whole body and reserves memory for it, which the caller must release. The
 // content length is not positive if it is unknown; only then is maxBytes enforced.
 func (b *Bodies) Read(r io.Reader, contentLength, maxBytes int64) ([]byte, error) {
 	if contentLength > 0 {
 		return b.readExactly(r, contentLength)
 	}
-	var buf bytes.Buffer
 	reserved := int64(0)
-	for {
-		if !b.reserve(chunkBytes) {
-			b.Release(reserved)
-			return nil, errBodiesFull
+	body, err := transfer.ReadAll(r, maxBytes, func(n int64) error {
+		if !b.reserve(n) {
+			return errBodiesFull
 		}
-		reserved += chunkBytes
-		n, err := io.CopyN(&buf, r, chunkBytes)
-		switch {
-		case int64(buf.Len()) > maxBytes:
-			err = errBodyTooLarge
-		case errors.Is(err, io.EOF):
-			b.Release(reserved - int64(buf.Len()))
-			return buf.Bytes(), nil
-		case err == nil && n == chunkBytes:
-			continue
-		}
-		b.Release(reserved)
-		return nil, err
+		reserved += n
+		return nil
+	})
+	b.Release(reserved - int64(len(body)))
+	if errors.Is(err, transfer.ErrTooLarge) {
+		err = errBodyTooLarge
 	}
+	return body, err
 }
 
 func (b *Bodies) readExactly(r io.Reader, n int64) ([]byte, error) {
--- a/gateway/bounds_test.go
+++ b/gateway/bounds_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/clementinereel/clementinereel/endless"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/relay"
 )
 
 // sendEndlessHead responds with a header that does not end.
@@ -64,3 +67,42 @@
 	assert.Equal(t, status, http.StatusBadGateway, body)
 	assert.Equal(t, totalRuns(sick), 1)
 }
+
+// TestEndlessCallers answers callers that send bytes without end, to each server of an instance: the connection is
+// closed at once, with little memory held.
+func TestEndlessCallers(t *testing.T) {
+	store := &fakeStore{document: testDocument()}
+	store.document.Limits.BodyBytes = maxResponseBytes
+	s := testSettings(t)
+	store.addTargets(newBackend(t, respondWith(http.StatusOK)))
+	_, g, _ := launch(t, s, store, func(*Gateway) {})
+	waitReady(t, g)
+	const post, head = "POST /long/1 HTTP/1.1\r\n", "Host: h\r\nX-Id: r1\r\n"
+	const chunked = post + head + "Transfer-Encoding: chunked\r\n\r\n"
+	line := strings.Repeat("a", 1000)
+	requests := []struct{ name, first, repeat string }{
+		{"no request at all", "", "\x00\x01garbage"},
+		{"request line", "POST /", line},
+		{"header line", post + "X-A: ", line},
+		{"header lines", post, "X-A: b\r\n"},
+		{"short header lines", post, "a:\r\n"},
+		{"folded header line", post + "X-A: b", "\r\n b"},
+		{"chunked body", chunked, "3e8\r\n" + line + "\r\n"},
+		{"tiny chunks", chunked, "1\r\na\r\n"},
+		{"chunk extension", chunked + "1;a=", line},
+		{"trailer lines", chunked + "0\r\n", "X-T: a\r\n"},
+		{"relayed chunked body", strings.Replace(chunked, "/long/1", relay.Path, 1), "3e8\r\n" + line + "\r\n"},
+		{"relayed request too long", "POST " + relay.Path + " HTTP/1.1\r\n" + head + "Content-Length: 99999999999\r\n\r\n", line},
+	}
+	for server, addr := range map[string]string{"callers": s.Listen, "instances": s.PeerListen, "operators": s.ReadyListen} {
+		for _, r := range requests {
+			t.Run(server+"/"+r.name, func(t *testing.T) {
+				c, err := net.Dial("tcp4", addr)
+				assert.NilError(t, err)
+				defer c.Close()
+				assert.NilError(t, c.SetDeadline(time.Now().Add(2*endless.MaxTime)))
+				endless.Check(t, func() { _ = endless.Write(c, r.first, r.repeat) })
+			})
+		}
+	}
+}
--- /dev/null
+++ b/gateway/callerbody.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// bodyStallTimeout is the longest time without another byte of a request's body.
+	bodyStallTimeout = 30 * time.Second
+	// A request's body takes on the connection, with its chunk framing, at most framingFactor times its own
+	// size and framingReserveBytes.
+	framingFactor       = 1.5
+	framingReserveBytes = 4 << 20
+)
+
+var errBodyFraming = errors.New("the chunks of the body carry too little")
+
+// callerBody is the body of a request. Reading it fails if it stands still for bodyStallTimeout or if its framing
+// is too large; then all later reads fail too.
+type callerBody struct {
+	io.ReadCloser
+	controller *http.ResponseController
+	// stallTimeout is bodyStallTimeout but in tests.
+	stallTimeout time.Duration
+	// conn is the connection; nil if its bytes are not counted. receivedBefore is what it had received when the
+	// reading began.
+	conn           *countedConn
+	receivedBefore int64
+	read           int64
+	err            error
+}
+
+func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
+	b := &callerBody{ReadCloser: r.Body, controller: http.NewResponseController(w), stallTimeout: bodyStallTimeout}
+	if b.conn, _ = r.Context().Value(connKey{}).(*countedConn); b.conn != nil {
+		b.receivedBefore = b.conn.received.Load()
+	}
+	return b
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	// If the connection supports no deadlines, the caller's own timeout bounds the read.
+	_ = b.controller.SetReadDeadline(time.Now().Add(b.stallTimeout))
+	n, err := b.ReadCloser.Read(p)
+	// The connection is read on to notice that the caller leaves, for which there is no deadline.
+	_ = b.controller.SetReadDeadline(time.Time{})
+	b.read += int64(n)
+	if err == nil && b.framingTooLarge() {
+		err = errors.WithStack(errBodyFraming)
+	}
+	b.err = err
+	return n, err
+}
+
+func (b *callerBody) framingTooLarge() bool {
+	if b.conn == nil {
+		return false
+	}
+	received := b.conn.received.Load() - b.receivedBefore
+	return received > int64(framingFactor*float64(b.read))+framingReserveBytes
+}
+
+// countedConn counts the bytes that it receives.
+type countedConn struct {
+	net.Conn
+	received atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// CloseWrite ends the sending direction, if the connection can do that alone.
+func (c *countedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// countingListener accepts counted connections.
+type countingListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c}, nil
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// withConn is the http.Server.ConnContext of servers with a countingListener.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -18,8 +18,8 @@
 	// headerTimeout bounds reading a request's header.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds how much of a request's header is read, whatever limit the
-	// document sets.
-	maxHeaderBytes = 1 << 20
+	// document sets. Short lines take some ten times their size in memory.
+	maxHeaderBytes = 256 << 10
 	// keepAliveInterval is the interval of TCP keep-alive probes, which detect callers that
 	// vanished without closing their connection.
 	keepAliveInterval = 15 * time.Second
@@ -45,12 +45,13 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	f := &callerServer{listener: ln, idleSince: make(map[net.Conn]time.Time)}
+	f := &callerServer{listener: countingListener{ln}, idleSince: make(map[net.Conn]time.Time)}
 	f.server = &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         f.trackConn,
+		ConnContext:       withConn,
 		ErrorLog:          log.New(serverErrorWriter{}, "", 0),
 	}
 	return f, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,8 @@
 	// both may have gone silent. Other instances keep theirs for half as long.
 	internalIdleTimeout  = time.Minute
 	internalWriteTimeout = 5 * time.Second
+	// internalHeaderBytes bounds how much of a request's header they read.
+	internalHeaderBytes = 64 << 10
 	// pruneInterval is the interval at which the state of removed targets is dropped while
 	// the set of targets does not change, as peers may still report some of them.
 	pruneInterval = 5 * time.Second
@@ -238,7 +240,9 @@
 
 // newInternalServer returns a server for other instances, the balancer and operators.
 func newInternalServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, WriteTimeout: internalWriteTimeout}
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: internalHeaderBytes, IdleTimeout: internalIdleTimeout, WriteTimeout: internalWriteTimeout,
+	}
 }
 
 func (g *Gateway) serve(failed chan<- error, ln net.Listener, s *http.Server) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -117,6 +118,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	r.Body = newCallerBody(w, r)
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Client.Headers.RequestID)}
 	status := c.serve()
 	h.Metrics.CountRequest(c, status, time.Since(c.start))
@@ -275,6 +277,8 @@
 		return nil, c.fail(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is above the limit")
 	case errors.Is(err, errBodiesFull):
 		return nil, c.refuse(problem.Overloaded, "too many bodies are held")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, c.fail(http.StatusBadRequest, problem.BadRequest, "the body stands still")
 	case errors.Is(err, io.ErrUnexpectedEOF), c.r.Context().Err() != nil:
 		eventlog.Info(eventlog.CallerDisconnected, "request", c.id, "route", c.route.Name, "during", "body")
 		return nil, c.fail(http.StatusBadRequest, problem.BadRequest, "the body broke off")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -37,6 +37,8 @@
 	relayMaxIdle = 2 * time.Second
 	// relayAvoidDuration is how long an instance is not asked after it could not be reached.
 	relayAvoidDuration = 5 * time.Second
+	// relayOverheadBytes is the size of an outcome without the body of its response: the header, encoded.
+	relayOverheadBytes = 2 * exchange.MaxHeadBytes
 )
 
 // relayer passes requests on to other instances.
@@ -52,7 +54,7 @@
 
 func newRelayer(node *mesh.Node, zone fleet.Zone) *relayer {
 	return &relayer{
-		client:       &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: relayHeaders, MaxResponseBytes: 2 * maxResponseBytes},
+		client:       &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: relayHeaders, MaxResponseBytes: maxResponseBytes + relayOverheadBytes},
 		node:         node,
 		zone:         zone,
 		avoidedUntil: make(map[string]time.Time),
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -30,7 +30,11 @@
 		h.declineRelayed(w, r, "too many requests of other instances")
 		return
 	}
-	body, err := h.Bodies.Read(http.MaxBytesReader(w, r.Body, maxRelayedBytes), r.ContentLength, maxRelayedBytes)
+	if r.ContentLength <= 0 || r.ContentLength > maxRelayedBytes {
+		h.declineRelayed(w, r, "the size of the request is unknown or above the limit")
+		return
+	}
+	body, err := h.Bodies.Read(newCallerBody(w, r), r.ContentLength, maxRelayedBytes)
 	if err != nil {
 		h.declineRelayed(w, r, err.Error())
 		return
