--- a/retry/pooled/budget.go
+++ b/retry/pooled/budget.go
@@ -115,10 +115,47 @@
 	if b.tokens+b.borrowed < need {
 		return false
 	}
+	b.take()
+	return true
+}
+
+// Balance is the state of a bucket.
+type Balance struct {
+	// Tokens is the content, including loans, Capacity what the bucket holds at most.
+	Tokens, Capacity float64
+	// Inflow is the number of tokens that flow in per second at the present load.
+	Inflow float64
+	// RequestsPerSecond is the mean load of the last window.
+	RequestsPerSecond float64
+}
+
+// Balance returns the state of the bucket.
+func (b *Budget) Balance(now time.Time, instances int) Balance {
+	full := b.refill(now, instances)
+	window := b.cfg.Window.Seconds()
+	return Balance{
+		Tokens: b.tokens + b.borrowed, Capacity: full, Inflow: full / burstShare * (1 - burstShare) / window,
+		RequestsPerSecond: float64(b.total.all) / window,
+	}
+}
+
+// SpendAbove records an added attempt if more than the given share of a full bucket is left afterwards. A
+// full bucket always allows one, so that nothing of what flows in is lost.
+func (b *Budget) SpendAbove(now time.Time, instances int, share float64) bool {
+	full := b.refill(now, instances)
+	need := max(min(1+share*full, full), 1)
+	if b.tokens+b.borrowed < need {
+		return false
+	}
+	b.take()
+	return true
+}
+
+// take takes one token, of loans first.
+func (b *Budget) take() {
 	lent := min(b.borrowed, 1)
 	b.borrowed -= lent
 	b.tokens -= 1 - lent
-	return true
 }
 
 // Lend removes tokens for a loan, at most half of the bucket and at most the number requested, and
--- a/retry/pooled/budget_test.go
+++ b/retry/pooled/budget_test.go
@@ -89,3 +89,23 @@
 	}
 	assert.Assert(t, !alone.Spend(start, 1, true), "nothing is reserved without urgent requests")
 }
+
+func TestSpendAboveKeepsShare(t *testing.T) {
+	const instances = 1
+	b := settledBudget()
+	full := b.Balance(start, instances)
+	spent := 0
+	for b.SpendAbove(start, instances, 0.75) {
+		spent++
+	}
+	assert.Equal(t, spent, int(full.Capacity/4))
+	assert.Assert(t, b.Balance(start, instances).Tokens >= 0.75*full.Capacity)
+	assert.Equal(t, full.Tokens, full.Capacity)
+	assert.Assert(t, full.Inflow > 0)
+
+	whole := settledBudget()
+	assert.Assert(t, whole.SpendAbove(start, instances, 1), "a full bucket allows one attempt")
+	assert.Assert(t, !whole.SpendAbove(start, instances, 1))
+	refilled := start.Add(time.Duration(float64(time.Second) / full.Inflow * 1.01))
+	assert.Assert(t, whole.SpendAbove(refilled, instances, 1), "what flows in may be spent")
+}
--- a/retry/pooled/fleet_test.go
+++ b/retry/pooled/fleet_test.go
@@ -24,6 +24,8 @@
 	// loanLossRate is the share of the loans that are lost, loanDelay the delay of the others.
 	loanLossRate float64
 	loanDelay    time.Duration
+	// reserved is the share of the bucket that every other attempt leaves; 0 if none does.
+	reserved float64
 	// restartRate is the share of the instances that restart at each of restartSteps.
 	restartRate  float64
 	restartSteps []int
@@ -123,6 +125,9 @@
 
 // spend takes an attempt out of the instance's budget, after a loan if needed.
 func (r *fleetRun) spend(now time.Time, n, i int) bool {
+	if r.reserved > 0 && n%2 == 0 {
+		return r.budgets[i].SpendAbove(now, r.instances, r.reserved)
+	}
 	if r.budgets[i].Spend(now, r.instances, true) {
 		return true
 	}
@@ -207,6 +212,7 @@
 			s.failureRate, s.affectedEvery = 0.55, 1
 			s.loanLossRate, s.loanDelay = float64(seed%3)*0.3, time.Duration(seed%4)*500*time.Millisecond
 			s.restartRate, s.restartSteps = float64(seed%5)*0.25, []int{shedFrom + 50 + int(seed%7)*40, shedFrom + 350 + int(seed%3)*20}
+			s.reserved = float64(seed%3) * 0.375
 			r := simulate(s, seed)
 			assert.Assert(t, r.maxExcess() <= 0, "%d instances, seed %d: %.0f beyond the limit", s.instances, seed, r.maxExcess())
 		}
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -106,6 +106,15 @@
 	return slices.IndexFunc(q.Ordered(now), func(r Request) bool { return r.ID == id })
 }
 
+// Expired returns the requests whose last start has come, in order.
+func (q *Queue) Expired(now time.Time) []Request {
+	expired := func(r Request) bool { return !now.Before(r.LastStart) }
+	if !slices.ContainsFunc(q.waiting, expired) {
+		return nil
+	}
+	return slices.DeleteFunc(q.Ordered(now), func(r Request) bool { return !expired(r) })
+}
+
 // Ordered returns the requests in the order in which they are to be tried.
 func (q *Queue) Ordered(now time.Time) []Request {
 	q.expireGrants(now)
