retry/spending: a least rate of releases that services with little load reach

Cause: with hardly any load the pace after a recovery was one release in ten seconds, so that a single request was refused at its last start though the budget allowed it.

Change: at least 0.5 releases a second and instance. The pace of the fleets of the model is above that.

--- a/retry/spending/model_test.go
+++ b/retry/spending/model_test.go
@@ -62,7 +62,6 @@
 // caller is a request of the model.
 type caller struct {
 	waitqueue.Request
-	home      int
 	objective time.Time
 }
 
@@ -87,10 +86,10 @@
 	result  result
 }
 
-// result counts the requests that arrived while the service rejected, and all waiting ones.
+// result counts the requests that arrived while the service rejected.
 type result struct {
-	arrived, served, inObjective, refused, waiting int
-	urgentServed, urgentArrived                    int
+	arrived, served, inObjective, refused int
+	urgentServed, urgentArrived           int
 	// addedAfter are the attempts that were added in each 100 ms after the end was noticed, as shares of the usual load.
 	addedAfter []float64
 	// excess is by how much attempts exceeded the bound of the budget in any window; negative if they did not.
--- a/retry/spending/planner.go
+++ b/retry/spending/planner.go
@@ -16,8 +16,8 @@
 	releaseShare = 0.35
 	// releaseJitter is the largest part by which the time between two releases differs from its mean.
 	releaseJitter = 0.3
-	// minReleaseRate is the least rate of releases per second; those that are then too late go at their last start.
-	minReleaseRate = 0.1
+	// minReleaseRate is the least rate of releases per second: with hardly any load few requests wait.
+	minReleaseRate = 0.5
 )
 
 // Account is the retry budget of a service at this instance.
