document, platform: Queueing lets requests wait for a later attempt

Cause: requests may wait only where callers do wait, which only the later form of configurations says.

--- a/document/document.go
+++ b/document/document.go
@@ -26,6 +26,8 @@
 	// KeysRequired is set if callers need the key of a tenant, even if there are no tenants.
 	KeysRequired bool
 	Tenants      []Tenant
+	// Queueing is set if requests that no target takes may wait for a later attempt.
+	Queueing bool
 }
 
 // TenantName is the name of a tenant.
