gateway, mesh: requests that targets reject wait for a later attempt

Cause: a request that targets reject as not run was tried at up to 4 targets within some 10 ms and then refused for good, and the retry budget of a service that rejects widely was spent within a second.

Change, for documents with Queueing only: heartbeats carry counts of rejections (field 33 of a datagram, which earlier versions ignore), digests those of the zone. While a service rejects widely, a request whose attempt was rejected waits in its own goroutine until package spending grants it an attempt, instead of spending at once; so does one whose immediate retries have been used up. Retries after failures and hedges leave the kept part of the budget, hedges also give way to those that wait. If targets of one zone reject, retries go to the other zones at once. Events, metrics, a list at the admin address, bounds in Settings.

Ruled out: waiting without Queueing; waiting at the instance to which a request was relayed.

Not in it: a request for which all targets ask for rest (Retry-After) does not wait for its end.

Why it holds: a request waits only if each of its attempts was rejected as not run and none is open; it leaves the queue exactly once, by a verdict or with its caller; its last start is before its deadline. Tests with real sockets: off is as before, recovery, refusal in time, nothing in the budget, callers that leave, stop, full queue, an instance alone, the list, the encoding.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -90,6 +90,9 @@
 	// QuotaPartChanged is logged when the instances of the zone that are received from, or the number of
 	// all instances, change: the zone's part of the quotas follows from them.
 	QuotaPartChanged Event = "quota-part"
+	// ServiceRejecting is logged when the targets of a service in one zone appear to reject requests widely, or
+	// no longer.
+	ServiceRejecting Event = "service-rejecting"
 	// InstanceCountChanged is logged when the number of instances that share the slack of
 	// the retry budgets changes.
 	InstanceCountChanged Event = "instances-counted"
@@ -105,6 +108,11 @@
 	AttemptAdded    Event = "attempt-added"
 	AttemptNotAdded Event = "attempt-not-added"
 	RequestRefused  Event = "request-refused"
+	// RequestWaits is logged when a request that targets rejected waits for a later attempt, RequestResumed when it gets
+	// one and RequestGivenUp when it does not.
+	RequestWaits   Event = "request-waits"
+	RequestResumed Event = "request-resumed"
+	RequestGivenUp Event = "request-given-up"
 	// QuotaStandbyUsed is logged when a request runs although no holder of its tenant's quota granted it.
 	QuotaStandbyUsed Event = "quota-standby-used"
 	// RequestRelayed is logged when a request was sent to another instance, since this one has lost its
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -99,7 +99,7 @@
 		switch l.Event {
 		case eventlog.AttemptFailed, eventlog.AttemptOpen:
 			failed = l
-		case eventlog.AttemptNotAdded:
+		case eventlog.AttemptNotAdded, eventlog.RequestGivenUp:
 			denied = l
 		case eventlog.RequestFailed, eventlog.RequestRefused, eventlog.CallerDisconnected:
 			final = l
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,6 +84,10 @@
 	// fallback is the best outcome so far. It is returned if no attempt succeeds.
 	fallback outcome
 	hedged   bool
+	// hedgeTimer fires when a hedge is due.
+	hedgeTimer *time.Timer
+	// earlier is the number of targets tried before the request last waited.
+	earlier int
 	// relayAsked is set once other instances were asked to take the request.
 	relayAsked bool
 }
@@ -138,6 +142,7 @@
 func (r *attemptGroup) run() outcome {
 	durations := r.c.h.Knowledge.LatencyBounds(r.c.service)
 	hedge := time.NewTimer(durations.hedgeDelay(r.c.route.Objective))
+	r.hedgeTimer = hedge
 	defer hedge.Stop()
 	end := time.NewTimer(time.Until(r.c.deadline))
 	defer end.Stop()
@@ -178,7 +183,7 @@
 	if r.fallback.response != nil {
 		return r.fallback
 	}
-	return outcome{kind: outcomeTimedOut, reason: reasonTimedOut, attempts: len(r.tried)}
+	return outcome{kind: outcomeTimedOut, reason: reasonTimedOut, attempts: r.attempts()}
 }
 
 // handleResult handles the result of an attempt. It returns the outcome of the request and
@@ -201,9 +206,12 @@
 			return o, true
 		}
 	}
-	if r.retry(e) {
+	if !r.holdsBack(e) && r.retry(e) {
 		return outcome{}, false
 	}
+	if r.mayWait(e) {
+		return r.waitForAttempt()
+	}
 	return r.fallback, true
 }
 
@@ -222,7 +230,7 @@
 // classify returns the outcome that the attempt alone would give the request, and counts
 // the attempt.
 func (r *attemptGroup) classify(e attemptResult) outcome {
-	o := outcome{target: e.placed.ID, attempts: len(r.tried)}
+	o := outcome{target: e.placed.ID, attempts: r.attempts()}
 	switch e.result.Kind {
 	case exchange.Answered:
 		r.sent++
@@ -295,7 +303,7 @@
 	if reason == "" {
 		reason = "no other target"
 	}
-	eventlog.Info(eventlog.AttemptNotAdded, "request", r.c.id, "service", r.c.service, "why", reason, "attempts", len(r.tried))
+	eventlog.Info(eventlog.AttemptNotAdded, "request", r.c.id, "service", r.c.service, "why", reason, "attempts", r.attempts())
 	return false
 }
 
@@ -313,7 +321,7 @@
 	if r.c.standing() >= quarantine.Suspected || r.c.requestAtFault() {
 		return
 	}
-	if r.spendBudget("hedge") {
+	if !r.c.othersWait() && r.spendBudget("hedge") {
 		r.startAttempt()
 	}
 }
@@ -321,6 +329,9 @@
 // spendBudget takes another attempt from the retry budget, with a loan if necessary. It
 // returns false if the budget does not allow the attempt.
 func (r *attemptGroup) spendBudget(reason string) bool {
+	if r.c.rejectedWidely() {
+		return r.spendReserved(reason)
+	}
 	left, ok := r.c.h.Knowledge.SpendBudget(time.Now(), r.c.service, r.c.urgent())
 	if !ok && r.borrowBudget() {
 		left, ok = r.c.h.Knowledge.SpendBudget(time.Now(), r.c.service, r.c.urgent())
@@ -330,7 +341,7 @@
 		event = eventlog.AttemptNotAdded
 		r.c.h.Metrics.BudgetRefused.Inc(1)
 	}
-	eventlog.Info(event, "request", r.c.id, "service", r.c.service, "why", reason, "budget_left", eventlog.Fraction(left), "attempts", len(r.tried))
+	eventlog.Info(event, "request", r.c.id, "service", r.c.service, "why", reason, "budget_left", eventlog.Fraction(left), "attempts", r.attempts())
 	return ok
 }
 
@@ -376,6 +387,9 @@
 func (r *attemptGroup) place(now time.Time, targets []*registry.Target, w placement.Work) (Placement, bool) {
 	c := r.c
 	withheld := c.h.Rates.denied(now, targets)
+	if len(r.tried) > 0 {
+		withheld = append(withheld, c.targetsOfRejectingZones(targets)...)
+	}
 	for time.Since(now) <= placementTimeout {
 		p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, withheld, w, c.h.Client.Cache.HasIdle)
 		if !ok {
@@ -443,7 +457,7 @@
 	pairs := []any{"request", r.c.id, "route", r.c.route.Name, "class", r.c.route.Class, "service", r.c.service,
 		"target", e.placed.ID, "addr", e.placed.Addr, "zone", e.placed.Zone, "kind", e.result.Kind, "status", status, "err", e.result.Err,
 		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
-		"fails", eventlog.Fraction(e.placed.FailProbability), "cost", eventlog.Fraction(e.placed.Cost), "in_flight", e.placed.InFlight, "slots", e.placed.Slots, "for_floor", e.placed.ForFloor, "attempt", len(r.tried), "outcome", string(o.kind), "document", r.c.version}
+		"fails", eventlog.Fraction(e.placed.FailProbability), "cost", eventlog.Fraction(e.placed.Cost), "in_flight", e.placed.InFlight, "slots", e.placed.Slots, "for_floor", e.placed.ForFloor, "attempt", r.attempts(), "outcome", string(o.kind), "document", r.c.version}
 	if e.result.Kind == exchange.Broken {
 		pairs = append(pairs, "content", r.c.content.Fingerprint(), "caller", r.c.caller())
 	}
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -6,6 +6,7 @@
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/retry/pooled"
 )
 
 const (
@@ -36,6 +37,20 @@
 	return left, b.Spend(now, instances, urgent)
 }
 
+// BudgetBalance returns the state of the service's retry budget.
+func (k *Knowledge) BudgetBalance(now time.Time, name document.ServiceName) pooled.Balance {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service(name).budget.Balance(now, k.instances(now))
+}
+
+// SpendBudgetAbove takes an attempt from the service's retry budget if the given share of a full one is left.
+func (k *Knowledge) SpendBudgetAbove(now time.Time, name document.ServiceName, share float64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.service(name).budget.SpendAbove(now, k.instances(now), share)
+}
+
 // LoanRequests returns the loans to request from other instances, nil if the last request
 // was less than loanRequestInterval ago.
 func (k *Knowledge) LoanRequests(now time.Time, name document.ServiceName) []mesh.Loan {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/clementinereel/clementinereel/reachability"
 	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/relay"
+	"github.com/clementinereel/clementinereel/retry/spending"
 	"github.com/clementinereel/clementinereel/statesync"
 )
 
@@ -74,6 +75,7 @@
 	pendingEvidence evidenceQueue
 	client          *exchange.Client
 	handler         *Handler
+	waiting         *Waiting
 	metrics         *Metrics
 	callerServer    *callerServer
 	adminListener   net.Listener
@@ -115,13 +117,14 @@
 func (g *Gateway) listen() (err error) {
 	s := &g.settings
 	g.node, err = mesh.Listen(mesh.Config{Addr: s.PeerListen, Zone: s.Zone, Boot: g.booted, Seeds: s.Seeds, LinkBytes: s.LinkBytes},
-		mesh.Callbacks{FillHeartbeat: g.fillHeartbeat, FillGreeting: g.fillGreeting, Digest: g.digest, Handle: g.handlePacket})
+		mesh.Callbacks{FillHeartbeat: g.fillHeartbeat, FillGreeting: g.fillGreeting, Digest: g.digest, FillDigest: g.fillDigest, Handle: g.handlePacket})
 	if err != nil {
 		return err
 	}
 	g.relayer = newRelayer(g.node, s.Zone)
 	g.rates = NewRates(g.node, s.Zone, g.booted, g.state.Targets, g.metrics)
 	g.quotas = NewQuotas(g.node, s.Zone, g.booted, s.Quota, g.state.Table, g.metrics)
+	g.waiting = NewWaiting(s.Zone, s.Waiting, g.knowledge, g.state.Targets, g.node.RequestLoans, g.metrics)
 	if g.peerListener, err = net.Listen("tcp4", g.node.Addr()); err != nil {
 		return errors.WithStack(err)
 	}
@@ -132,7 +135,7 @@
 		State: g.state, Knowledge: g.knowledge, Client: g.client, SendUpdate: g.sendUpdate, SendLoad: g.node.SendLoad, RequestLoans: g.node.RequestLoans, Metrics: g.metrics,
 		Contents: g.contents, SendContent: g.announceContent, RunsTrial: g.runsTrials, Poison: g.poison, Rates: g.rates,
 		Paths: g.paths, PathsChanged: g.announcePaths, Relayer: g.relayer,
-		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Bodies: &Bodies{MaxBytes: int64(bodiesMemoryFraction * float64(s.MemoryBytes))},
+		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Waiting: g.waiting, Bodies: &Bodies{MaxBytes: int64(bodiesMemoryFraction * float64(s.MemoryBytes))},
 	}
 	g.peerServer = newInternalServer(g.peerRoutes())
 	g.callerServer, err = listenForCallers(s.Listen, g.handler)
@@ -148,8 +151,12 @@
 	g.rates.fill(now, p)
 	g.fillDepartures(now, p)
 	p.Paths = g.pathReport()
+	g.waiting.fillHeartbeat(now, p)
 }
 
+// fillDigest adds what the own zone's instances have in common to a datagram for other zones.
+func (g *Gateway) fillDigest(now time.Time, p *mesh.Packet) { g.waiting.fillDigest(now, p) }
+
 // fillGreeting adds health estimates, contents, rates and departures to the first packet to
 // a newly found instance.
 func (g *Gateway) fillGreeting(now time.Time, p *mesh.Packet) {
@@ -197,6 +204,7 @@
 	g.handleContents(now, p)
 	g.rates.handlePacket(now, p)
 	g.quotas.handlePacket(now, p)
+	g.waiting.handlePacket(now, p)
 	g.handleDepartures(p)
 	if len(p.LoanRequests) > 0 {
 		g.lendBudget(now, p)
@@ -247,7 +255,7 @@
 	}
 }
 
-// adminRoutes returns the routes for readiness checks, metrics, listing quotas, and listing and lifting
+// adminRoutes returns the routes for readiness checks, metrics, listing quotas and requests that wait, and listing and lifting
 // quarantines and advice of targets.
 func (g *Gateway) adminRoutes() http.Handler {
 	e := echo.New()
@@ -265,6 +273,7 @@
 	e.GET(quarantine.ReportPath, func(c echo.Context) error { return c.JSON(http.StatusOK, g.contents.Reports()) })
 	e.DELETE(quarantine.ReportPath+"/:content", g.liftContent)
 	e.GET(quota.Path, func(c echo.Context) error { return c.JSON(http.StatusOK, g.quotas.reports(time.Now())) })
+	e.GET(spending.ReportPath, func(c echo.Context) error { return c.JSON(http.StatusOK, g.waiting.Reports(time.Now())) })
 	e.GET(advice.Path, g.listAdvice)
 	e.DELETE(advice.Path+"/:target", g.liftAdvice)
 	return e
@@ -345,6 +354,7 @@
 	g.knowledge.Tick(now)
 	g.contents.Tick(now)
 	g.rates.tick(now)
+	g.waiting.rejections.Tick(now)
 	g.quotas.tick(now, view, g.knowledge.MaxInstances(now, view))
 	g.probePaths(now)
 	g.relayer.tick(now)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -88,6 +88,8 @@
 	Keys KeySettings
 	// Quotas enforces the quotas of tenants.
 	Quotas *Quotas
+	// Waiting holds the requests that wait for a later attempt.
+	Waiting *Waiting
 	// Bodies bounds the memory for request bodies.
 	Bodies *Bodies
 	// Booted is when the process started.
@@ -140,6 +142,8 @@
 	// quota is the decision by which the request may run, mayHaveRun is set once a target may have run it.
 	quota      quota.Decision
 	mayHaveRun bool
+	// queueing is set if the request may wait for a later attempt.
+	queueing bool
 	// priority is that of the tenant or, if it has none, of the route.
 	priority int
 	request  *exchange.Request
@@ -160,7 +164,7 @@
 		return c.refuse(problem.Overloaded, "no configuration is known yet")
 	}
 	table = c.readKey(table)
-	c.version = table.Document.Version
+	c.version, c.queueing = table.Document.Version, table.Document.Queueing
 	uri := requestURI(c.r)
 	if headerBytes(c.r) > table.Document.Limits.HeaderBytes {
 		return c.fail(http.StatusRequestHeaderFieldsTooLarge, problem.HeaderTooLarge, "the header is above the limit")
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -69,6 +69,11 @@
 	m.Registry.Counter("gateway.quotas", telemetry.Label{Key: "granted", Value: strconv.FormatBool(d.Granted)}, telemetry.Label{Key: "source", Value: string(d.Source)}).Inc(1)
 }
 
+// CountWaited counts a request that waited for a later attempt, by what became of it.
+func (m *Metrics) CountWaited(s document.ServiceName, outcome string) {
+	m.Registry.Counter("gateway.waited", telemetry.Label{Key: "service", Value: string(s)}, telemetry.Label{Key: "outcome", Value: outcome}).Inc(1)
+}
+
 // updateGauges updates all gauges.
 func (m *Metrics) updateGauges(g *Gateway) {
 	version, position := g.state.Versions()
@@ -109,6 +114,9 @@
 	gauge("gateway.targets.departed", int64(len(g.state.Departures())))
 	gauge("gateway.targets.backoff", int64(len(g.knowledge.activeBackoffs(time.Now()))))
 	gauge("gateway.targets.rated", int64(g.rates.table.Len()))
+	for _, c := range g.waiting.counts() {
+		m.Registry.Gauge("gateway.waiting", telemetry.Label{Key: "service", Value: string(c.service)}, telemetry.Label{Key: "rank", Value: strconv.Itoa(c.rank)}).Update(int64(c.waiting))
+	}
 	for s, n := range g.contents.Counts() {
 		m.Registry.Gauge("gateway.contents", telemetry.Label{Key: "standing", Value: s.String()}).Update(int64(n))
 	}
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -19,6 +19,7 @@
 	c.recordContent(e, began)
 	c.recordRate(e, began)
 	c.recordPath(e)
+	c.recordRejection(e)
 	if e.result.Reused && e.result.Response != nil {
 		c.h.Knowledge.RecordReuse(time.Now(), c.service, e.result.IdleFor)
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -12,6 +12,7 @@
 	"github.com/clementinereel/clementinereel/placement"
 	"github.com/clementinereel/clementinereel/quota"
 	"github.com/clementinereel/clementinereel/retry/pooled"
+	"github.com/clementinereel/clementinereel/waitqueue"
 )
 
 // Settings are the deployment-specific settings of an instance.
@@ -55,6 +56,9 @@
 	// LinkBytes is the bandwidth of the instance's network link in bytes per second.
 	// Updates to other instances use a part of it. Default mesh.DefaultLinkBytes.
 	LinkBytes int64
+	// Waiting bounds the requests of a service that wait for a later attempt. Only documents with Queueing set let them
+	// wait. Default: DefaultWaitingRequests, and a quarter of the memory for request bodies.
+	Waiting waitqueue.Bounds
 	// Weights are the weights of the placement costs. Default: placement.DefaultWeights.
 	Weights placement.Weights
 }
@@ -74,6 +78,7 @@
 	DefaultRemovalTimeout  = 2 * time.Second
 	DefaultMemoryBytes     = 256 << 20
 	DefaultQuotaWindow     = 5 * time.Second
+	DefaultWaitingRequests = 256
 )
 
 // Complete sets defaults and returns an error that names the first invalid field.
@@ -93,6 +98,12 @@
 	if s.MemoryBytes == 0 {
 		s.MemoryBytes = DefaultMemoryBytes
 	}
+	if s.Waiting.Requests == 0 {
+		s.Waiting.Requests = DefaultWaitingRequests
+	}
+	if s.Waiting.Bytes == 0 {
+		s.Waiting.Bytes = int64(waitingMemoryFraction * bodiesMemoryFraction * float64(s.MemoryBytes))
+	}
 	if s.LinkBytes == 0 {
 		s.LinkBytes = mesh.DefaultLinkBytes
 	}
@@ -149,6 +160,10 @@
 		return errors.Errorf("leave within: %v is not positive", s.RemovalTimeout)
 	case s.Weights.Homes <= 0:
 		return errors.Errorf("weights.homes: %v is not positive", s.Weights.Homes)
+	case s.Waiting.Requests < 0:
+		return errors.Errorf("waiting.requests: %d is negative", s.Waiting.Requests)
+	case s.Waiting.Bytes < 0:
+		return errors.Errorf("waiting.bytes: %d is negative", s.Waiting.Bytes)
 	case s.LinkBytes < 0:
 		return errors.Errorf("link bytes: %d is negative", s.LinkBytes)
 	case s.MemoryBytes < minMemoryBytes:
@@ -157,6 +172,10 @@
 	return nil
 }
 
+// waitingMemoryFraction is the fraction of the memory for request bodies that the requests of one service take
+// while they wait.
+const waitingMemoryFraction = 0.25
+
 // minMemoryBytes is the memory that the process needs without load, and some for request
 // bodies.
 const minMemoryBytes = 64 << 20
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -60,6 +60,8 @@
 	FillHeartbeat, FillGreeting func(now time.Time, p *Packet)
 	// Digest summarizes the own zone.
 	Digest Digester
+	// FillDigest, if set, completes each datagram with a digest.
+	FillDigest func(now time.Time, p *Packet)
 	// Handle processes each packet that arrives.
 	Handle Handler
 }
@@ -219,6 +221,9 @@
 	p.Versions, p.Peers, p.Contents, p.LogAvailability, p.Rates = heartbeat.Versions, heartbeat.Peers, heartbeat.Contents, heartbeat.LogAvailability, heartbeat.Rates
 	p.Departures, p.Upheld, p.Paths = heartbeat.Departures, heartbeat.Upheld, heartbeat.Paths
 	p.Digest = n.callbacks.Digest(now, first)
+	if n.callbacks.FillDigest != nil {
+		n.callbacks.FillDigest(now, p)
+	}
 	n.send(Digests, p, bridges)
 }
 
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -78,6 +78,22 @@
 	// Earlier versions ignore them.
 	QuotaRequests  []QuotaRequest  `cbor:"31,keyasint,omitempty"`
 	QuotaResponses []TokenResponse `cbor:"32,keyasint,omitempty"`
+	// Rejections count the attempts at services that reject some. Heartbeats carry those of the sender, digests those
+	// of its zone. Earlier versions ignore them.
+	Rejections []Rejections `cbor:"33,keyasint,omitempty"`
+}
+
+// Rejections count the attempts at a service's targets in one zone and how many of them were rejected.
+type Rejections struct {
+	_       struct{} `cbor:",toarray"`
+	Service document.ServiceName
+	Zone    fleet.Zone
+	// ElapsedMillis is the time from the begin of the newest slot to the datagram.
+	ElapsedMillis int64
+	// Attempts and Rejected are the counts of each slot, newest first. The length of slots is that of package rejection.
+	Attempts, Rejected []int
+	// Tried and Rejecting are sets of targets, of package rejection.
+	Tried, Rejecting uint64
 }
 
 // QuotaRequest asks for a token of a tenant's quota, or returns one.
