--- a/reelctl/app.go
+++ b/reelctl/app.go
@@ -122,6 +122,7 @@
 	Target  TargetCmd  `cmd:"" help:"Announce that a target joins, leaves or stops; list targets."`
 	Content ContentCmd `cmd:"" help:"List requests that are refused because they crash targets; lift one."`
 	Quota   QuotaCmd   `cmd:"" help:"List the quotas of tenants as an instance applies them."`
+	Waiting WaitingCmd `cmd:"" help:"List the requests that wait for an attempt at an instance, and the services that reject requests."`
 	Advice  AdviceCmd  `cmd:"" help:"List what targets say of themselves: that they leave, turn requests away for a time or name a rate; lift it."`
 	Status  StatusCmd  `cmd:"" help:"Ask instances for the revisions in force, ejected targets and unsettled operations."`
 }
