gateway: lookups sent ahead on a connection run side by side

Cause: a caller that sends eight lookups of 200 ms ahead had the last after 1.6 s. A caller that left while requests stood unread was noticed only when its first response was written.

Ruled out: starting by method alone (a GET on a route of confirmations must run once); closing the connection at a stop with the first response of a row (its started requests would have to be sent again).

Change: callers' connections go through package pipeline. A request starts early if its route's class is repeatable and the instance is not stopping; if the document changes after that, it waits for its turn. Metric gateway.pipeline by outcome, event early-start-dropped. While stopping, the last request that has been started closes the connection. A request that runs again since its response could not be kept takes no second token and is counted once.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -114,6 +114,9 @@
 	RelayDeclined      Event = "relay-declined"
 	RequestFailed      Event = "request-failed"
 	CallerDisconnected Event = "caller-left"
+	// EarlyStartDropped is logged when a request that was started before its turn on its connection
+	// is canceled, or its response is not used.
+	EarlyStartDropped Event = "early-start-dropped"
 	// BudgetLent is logged when this instance lends part of a retry budget to another one.
 	BudgetLent Event = "budget-lent"
 )
--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -31,7 +31,7 @@
 	var buf bytes.Buffer
 	reserved := int64(0)
 	for {
-		if !b.reserve(chunkBytes) {
+		if !b.Reserve(chunkBytes) {
 			b.Release(reserved)
 			return nil, errBodiesFull
 		}
@@ -52,7 +52,7 @@
 }
 
 func (b *Bodies) readExactly(r io.Reader, n int64) ([]byte, error) {
-	if !b.reserve(n) {
+	if !b.Reserve(n) {
 		return nil, errBodiesFull
 	}
 	body := make([]byte, n)
@@ -63,7 +63,9 @@
 	return body, nil
 }
 
-func (b *Bodies) reserve(n int64) bool {
+// Reserve reserves n bytes and reports whether there is room for them. The caller must
+// release them.
+func (b *Bodies) Reserve(n int64) bool {
 	if b.heldBytes.Add(n) > b.MaxBytes {
 		b.heldBytes.Add(-n)
 		return false
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/eventlog"
+	"github.com/clementinereel/clementinereel/pipeline"
 )
 
 const (
@@ -39,15 +40,18 @@
 	busy      int
 }
 
-func listenForCallers(addr string, h http.Handler) (*callerServer, error) {
+// listenForCallers listens on addr. Requests are served through p, which may start those early
+// that a caller sends ahead.
+func listenForCallers(addr string, p *pipeline.Server) (*callerServer, error) {
 	lc := net.ListenConfig{KeepAlive: keepAliveInterval}
 	ln, err := lc.Listen(context.Background(), "tcp4", addr)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	f := &callerServer{listener: ln, idleSince: make(map[net.Conn]time.Time)}
+	f := &callerServer{listener: p.Listener(ln), idleSince: make(map[net.Conn]time.Time)}
 	f.server = &http.Server{
-		Handler:           h,
+		Handler:           p,
+		ConnContext:       p.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         f.trackConn,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,7 +135,7 @@
 		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Bodies: &Bodies{MaxBytes: int64(bodiesMemoryFraction * float64(s.MemoryBytes))},
 	}
 	g.peerServer = newInternalServer(g.peerRoutes())
-	g.callerServer, err = listenForCallers(s.Listen, g.handler)
+	g.callerServer, err = listenForCallers(s.Listen, newPipeline(g.handler))
 	return err
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -19,6 +19,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/pipeline"
 	"github.com/clementinereel/clementinereel/poison"
 	"github.com/clementinereel/clementinereel/problem"
 	"github.com/clementinereel/clementinereel/quarantine"
@@ -119,7 +120,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Client.Headers.RequestID)}
 	status := c.serve()
-	h.Metrics.CountRequest(c, status, time.Since(c.start))
+	if !pipeline.IsRerun(r) {
+		h.Metrics.CountRequest(c, status, time.Since(c.start))
+	}
 }
 
 // call is one caller's request.
@@ -170,6 +173,9 @@
 	if c.route == nil {
 		return c.fail(http.StatusNotFound, problem.NoRoute, "no route for host and path")
 	}
+	if !c.repeatable() && !pipeline.AwaitTurn(c.w) {
+		return 0 // the document changed after the request was started early
+	}
 	if status := c.authenticate(table); status != 0 {
 		return status
 	}
@@ -179,10 +185,12 @@
 	if c.h.shutsDownBefore(c.deadline) {
 		return c.refuse(problem.Overloaded, "the instance is stopping")
 	}
-	if status := c.acquireQuota(); status != 0 {
-		return status
+	if !pipeline.IsRerun(c.r) {
+		if status := c.acquireQuota(); status != 0 {
+			return status
+		}
+		defer c.returnQuota()
 	}
-	defer c.returnQuota()
 	body, status := c.readBody(&table.Document.Limits)
 	if status != 0 {
 		return status
@@ -198,7 +206,9 @@
 		return c.refuseContent()
 	}
 	c.service = c.route.NextService()
-	c.h.Knowledge.RecordRequest(time.Now(), c.service, c.urgent())
+	if !pipeline.IsRerun(c.r) {
+		c.h.Knowledge.RecordRequest(time.Now(), c.service, c.urgent())
+	}
 	c.mayHaveRun = true
 	o := c.runAttempts()
 	c.mayHaveRun = o.kind != outcomeNotRun
@@ -326,7 +336,7 @@
 }
 
 func (c *call) write(status int, body []byte) {
-	if c.h.keepAliveDisabled.Load() {
+	if pipeline.IsLast(c.w, c.r) && c.h.keepAliveDisabled.Load() {
 		c.w.Header().Set("Connection", "close")
 	}
 	rc := http.NewResponseController(c.w)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/pipeline"
 	"github.com/clementinereel/clementinereel/quota"
 	"github.com/clementinereel/clementinereel/statesync"
 	"github.com/clementinereel/clementinereel/targetrate"
@@ -69,6 +70,11 @@
 	m.Registry.Counter("gateway.quotas", telemetry.Label{Key: "granted", Value: strconv.FormatBool(d.Granted)}, telemetry.Label{Key: "source", Value: string(d.Source)}).Inc(1)
 }
 
+// CountStartedEarly counts a request that was started before its turn on its connection.
+func (m *Metrics) CountStartedEarly(o pipeline.Outcome) {
+	m.Registry.Counter("gateway.pipeline", telemetry.Label{Key: "outcome", Value: string(o)}).Inc(1)
+}
+
 // updateGauges updates all gauges.
 func (m *Metrics) updateGauges(g *Gateway) {
 	version, position := g.state.Versions()
