gateway: a caller that closes its side gets no empty response

Cause: a caller that shuts down its side of the connection after a lookup counts as one that left; the handler wrote nothing, and net/http completed that to an empty 200, which looks like a complete response.

Ruled out: serving such callers; a departure can't be told from a closed side.

Change: a request without a response ends its connection (http.ErrAbortHandler).

Why it holds: status 0 is returned only where nothing has been written.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -123,6 +123,9 @@
 	if !pipeline.IsRerun(r) {
 		h.Metrics.CountRequest(c, status, time.Since(c.start))
 	}
+	if status == 0 {
+		panic(http.ErrAbortHandler) // closes the connection: net/http would send an empty response
+	}
 }
 
 // call is one caller's request.
--- a/gateway/pipeline_test.go
+++ b/gateway/pipeline_test.go
@@ -197,6 +197,20 @@
 	assert.Equal(t, startedEarly(g, pipeline.Canceled), int64(n-1))
 }
 
+// A caller that ends its side of the connection counts as one that left: it gets no response,
+// rather than an empty one that looks complete.
+func TestCallerThatClosesItsSideGetsNoEmptyResponse(t *testing.T) {
+	g, _, _ := launchForRows(t, testDocument(), 200*time.Millisecond, 100*time.Millisecond)
+	for _, n := range []int{1, 3} {
+		c := dialRow(t, g)
+		c.send(t, rowOf(n))
+		assert.NilError(t, c.Conn.(*net.TCPConn).CloseWrite())
+		responses, err := io.ReadAll(c.reader)
+		assert.NilError(t, err)
+		assert.Equal(t, string(responses), "")
+	}
+}
+
 func waitForRuns(t *testing.T, b *backend, n int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
