--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -20,6 +20,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/pipeline"
 	"github.com/clementinereel/clementinereel/poison"
 	"github.com/clementinereel/clementinereel/problem"
 	"github.com/clementinereel/clementinereel/quarantine"
@@ -123,7 +124,12 @@
 	r.Body = newCallerBody(w, r)
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.Client.Headers.RequestID)}
 	status := c.serve()
-	h.Metrics.CountRequest(c, status, time.Since(c.start))
+	if !pipeline.IsRerun(r) {
+		h.Metrics.CountRequest(c, status, time.Since(c.start))
+	}
+	if status == 0 {
+		panic(http.ErrAbortHandler) // closes the connection: net/http would send an empty response
+	}
 }
 
 // call is one caller's request.
@@ -176,6 +182,9 @@
 	if c.route == nil {
 		return c.fail(http.StatusNotFound, problem.NoRoute, "no route for host and path")
 	}
+	if !c.repeatable() && !pipeline.AwaitTurn(c.w) {
+		return 0 // the document changed after the request was started early
+	}
 	if status := c.authenticate(table); status != 0 {
 		return status
 	}
@@ -185,10 +194,12 @@
 	if c.h.shutsDownBefore(c.deadline) {
 		return c.refuse(problem.Overloaded, "the instance is stopping")
 	}
-	if status := c.acquireQuota(); status != 0 {
-		return status
+	if !pipeline.IsRerun(c.r) {
+		if status := c.acquireQuota(); status != 0 {
+			return status
+		}
+		defer c.returnQuota()
 	}
-	defer c.returnQuota()
 	body, status := c.readBody(&table.Document.Limits)
 	if status != 0 {
 		return status
@@ -204,7 +215,9 @@
 		return c.refuseContent()
 	}
 	c.service = c.route.NextService()
-	c.h.Knowledge.RecordRequest(time.Now(), c.service, c.urgent())
+	if !pipeline.IsRerun(c.r) {
+		c.h.Knowledge.RecordRequest(time.Now(), c.service, c.urgent())
+	}
 	c.mayHaveRun = true
 	o := c.runAttempts()
 	c.mayHaveRun = o.kind != outcomeNotRun
@@ -334,7 +347,7 @@
 }
 
 func (c *call) write(status int, body []byte) {
-	if c.h.keepAliveDisabled.Load() {
+	if pipeline.IsLast(c.w, c.r) && c.h.keepAliveDisabled.Load() {
 		c.w.Header().Set("Connection", "close")
 	}
 	rc := http.NewResponseController(c.w)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/pipeline"
 	"github.com/clementinereel/clementinereel/quota"
 	"github.com/clementinereel/clementinereel/statesync"
 	"github.com/clementinereel/clementinereel/targetrate"
@@ -78,6 +79,11 @@
 	m.Registry.Counter("gateway.waited", telemetry.Label{Key: "service", Value: string(s)}, telemetry.Label{Key: "outcome", Value: outcome}).Inc(1)
 }
 
+// CountStartedEarly counts a request that was started before its turn on its connection.
+func (m *Metrics) CountStartedEarly(o pipeline.Outcome) {
+	m.Registry.Counter("gateway.pipeline", telemetry.Label{Key: "outcome", Value: string(o)}).Inc(1)
+}
+
 // updateGauges updates all gauges.
 func (m *Metrics) updateGauges(g *Gateway) {
 	version, position := g.state.Versions()
