quota: a steady load is granted the burst again in each window

Change: a holder's bucket remembers what left it within the last window. It holds more than its rate gives as long as in each interval up to the window no more leaves it than capacity plus rate, spread evenly. What it did not see (before it was a holder, or of a part that is added) counts as granted.

The fleet now has the window that is measured; the assertions are the same.

Why it holds: for intervals up to the window a bucket keeps within capacity plus rate, as before, and that is what takeovers rest on.

--- a/gateway/quotas_test.go
+++ b/gateway/quotas_test.go
@@ -23,6 +23,8 @@
 
 const (
 	quotaFleetSize = 6
+	// quotaTestSeconds is for how long requests are sent, which is the window that the bound of a quota is of.
+	quotaTestSeconds = 4
 	// bucketFillTime is how long after the start of a fleet its buckets hold tokens for some requests.
 	bucketFillTime = 2 * time.Second
 	// refuseHeader makes the target refuse a request without running it.
@@ -57,7 +59,7 @@
 		s := testSettings(t)
 		s.Instance, s.Zone, s.Seeds, s.Grace = fmt.Sprint("i", n), fleet.Zone("ab"[n%2:n%2+1]), []string{seed}, 200*time.Millisecond
 		s.Keys = testKeys
-		s.Quota = quota.Bounds{Window: time.Second, Excess: 0.1, Slack: 2}
+		s.Quota = quota.Bounds{Window: quotaTestSeconds * time.Second, Excess: 0.1, Slack: 2}
 		if n == 0 {
 			s.PeerListen = seed
 		}
@@ -119,7 +121,7 @@
 		document.Tenant{Name: "free", Keys: []credential.Key{"free"}},
 	)
 	const (
-		seconds = 4
+		seconds = quotaTestSeconds
 		// lastDenial is for how long a denial may keep what has accrued since from the last requests.
 		lastDenial = 0.25
 	)
@@ -171,7 +173,7 @@
 // TestUrgentRoutesHaveTheQuotaFirst sends more than a tenant's quota steadily, most of it for a route that is less
 // urgent.
 func TestUrgentRoutesHaveTheQuotaFirst(t *testing.T) {
-	const rate, seconds = 40.0, 4
+	const rate, seconds = 40.0, quotaTestSeconds
 	f := newQuotaFleet(t, document.Tenant{Name: "hot", Keys: []credential.Key{goodKey}, Rate: rate, Burst: rate})
 	anyInstance := func(i int) int { return i % quotaFleetSize }
 	later := make(chan map[int]int)
--- a/quota/doc.go
+++ b/quota/doc.go
@@ -11,5 +11,9 @@
 // that rank behind them, grant from a small reserve: a part of the margin by which the tolerance of Bounds
 // exceeds the quotas.
 //
+// Of a tenant beyond its quota the least urgent requests are refused first: holders keep tokens for the more urgent
+// ones that ask. A holder may grant beyond its rate steadily, up to what Bounds allows for a window less the margin
+// for failures.
+//
 // The package does no I/O. A Table is safe for concurrent use.
 package quota
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -359,6 +359,7 @@
 	}
 	f.run(simLength, l.Rate*30, pick, func(at time.Duration) { sc.at(f, at) })
 	most := f.bounds.most(l)
+	t.Logf("%.2f of the margin used", 1-(most-float64(f.most()))/f.bounds.margin(l))
 	assert.Assert(t, float64(f.most()) <= most, "%d granted within %v, at most %.0f", f.most(), f.bounds.Window, most)
 	if sc.name == "calm" {
 		served := float64(len(f.grants)) / (l.Rate * simLength.Seconds())
--- a/quota/table.go
+++ b/quota/table.go
@@ -44,7 +44,7 @@
 
 // tenant is the state of one tenant at this instance.
 type tenant struct {
-	held   bucket
+	held   heldBucket
 	isHeld bool
 	// limit is the one that held was last used with.
 	limit Limit
@@ -132,7 +132,7 @@
 	}
 	e := t.tenant(now, name)
 	if !e.isHeld {
-		e.isHeld, e.held = true, t.newBucket(name, l, capacity)
+		e.isHeld, e.held = true, newHeldBucket(t.newBucket(name, l, capacity), t.bounds.Window, rate, capacity)
 	}
 	e.limit = l
 	e.held.refill(now, rate, capacity)
--- /dev/null
+++ b/quota/window.go
@@ -0,0 +1,107 @@
+package quota
+
+import "time"
+
+// debitSlots is the number of parts of the window in which debits are counted together.
+const debitSlots = 64
+
+// debits has the tokens that left a bucket within the last window of Bounds. What left it before need not be made up
+// for: a bucket may grant more than its rate steadily, as long as in no window more is granted than its capacity and
+// the rate for that window.
+type debits struct {
+	slots [debitSlots + 1]float64
+	// newest is the number of the newest slot, counted from the Unix epoch.
+	newest int64
+}
+
+// add counts tokens that leave the bucket.
+func (d *debits) add(now time.Time, window time.Duration, tokens float64) {
+	d.advance(now, window)
+	d.slots[d.newest%int64(len(d.slots))] += tokens
+}
+
+// addSteady counts tokens that may have left at a rate per second within the last window.
+func (d *debits) addSteady(now time.Time, window time.Duration, rate float64) {
+	d.advance(now, window)
+	for i := range d.slots {
+		d.slots[i] += rate * slotDuration(window).Seconds()
+	}
+}
+
+// advance forgets the slots that are older than the window.
+func (d *debits) advance(now time.Time, window time.Duration) {
+	current := now.UnixNano() / int64(slotDuration(window))
+	if current-d.newest >= int64(len(d.slots)) {
+		*d = debits{newest: current}
+	}
+	for d.newest < current {
+		d.newest++
+		d.slots[d.newest%int64(len(d.slots))] = 0
+	}
+}
+
+// allowance returns how many tokens the bucket may have: of the intervals that end now and are no longer than the
+// window, none may have debits of more than the capacity and the rate per second for its length. Where the begin of an
+// interval within a slot matters, it assumes the latest.
+func (d *debits) allowance(now time.Time, window time.Duration, rate, capacity float64) float64 {
+	d.advance(now, window)
+	slot := slotDuration(window)
+	elapsed := time.Duration(now.UnixNano() % int64(slot))
+	least, sum := capacity, 0.0
+	for k := range int64(len(d.slots)) {
+		sum += d.slots[(d.newest-k)%int64(len(d.slots))]
+		length := max(time.Duration(k-1)*slot+elapsed, 0)
+		least = min(least, capacity+rate*length.Seconds()-sum)
+	}
+	return least
+}
+
+func slotDuration(window time.Duration) time.Duration { return max(window/debitSlots, 1) }
+
+// heldBucket is the bucket of a holder. Beyond its rate it grants what the window allows, spread over the window, if it
+// can hold a whole token: what smaller ones grant by chance has no bound of its own.
+type heldBucket struct {
+	bucket
+	window time.Duration
+	debits debits
+	// rate and capacity are those of the last refill.
+	rate, capacity float64
+}
+
+// newHeldBucket returns a bucket in whose place others may have granted until its last update.
+func newHeldBucket(b bucket, window time.Duration, rate, capacity float64) heldBucket {
+	h := heldBucket{bucket: b, window: window}
+	h.resize(b.updatedAt, rate, capacity)
+	return h
+}
+
+// resize sets the rate and the capacity. Of what is added, others may have granted all until now.
+func (h *heldBucket) resize(now time.Time, rate, capacity float64) {
+	if rate > h.rate || capacity > h.capacity {
+		h.debits.addSteady(now, h.window, max(rate-h.rate, 0))
+		h.debits.add(now, h.window, max(capacity-h.capacity, 0))
+	}
+	h.rate, h.capacity = rate, capacity
+}
+
+// refill adds the tokens since the last update.
+func (h *heldBucket) refill(now time.Time, rate, capacity float64) {
+	elapsed := max(now.Sub(h.updatedAt), 0)
+	h.resize(now, rate, capacity)
+	h.bucket.refill(now, rate, capacity)
+	if h.tokens >= capacity || capacity < 1 {
+		return
+	}
+	beyond := elapsed.Seconds() / h.window.Seconds() * capacity
+	h.tokens += max(min(beyond, h.debits.allowance(now, h.window, rate, capacity)-h.tokens), 0)
+}
+
+// takeRanked takes a token for a request of a rank.
+func (h *heldBucket) takeRanked(now time.Time, rank Rank, capacity float64, random func() float64) bool {
+	before := h.tokens
+	granted := h.bucket.takeRanked(now, rank, capacity, random)
+	if before > h.tokens {
+		h.debits.add(now, h.window, before-h.tokens)
+	}
+	return granted
+}
