--- a/gateway/callerbody.go
+++ b/gateway/callerbody.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,7 +29,7 @@
 	stallTimeout time.Duration
 	// conn is the connection; nil if its bytes are not counted. receivedBefore is what it had received when the
 	// reading began.
-	conn           *countedConn
+	conn           *callerConn
 	receivedBefore int64
 	read           int64
 	err            error
@@ -39,7 +37,7 @@
 
 func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
 	b := &callerBody{ReadCloser: r.Body, controller: http.NewResponseController(w), stallTimeout: bodyStallTimeout}
-	if b.conn, _ = r.Context().Value(connKey{}).(*countedConn); b.conn != nil {
+	if b.conn, _ = r.Context().Value(connKey{}).(*callerConn); b.conn != nil {
 		b.receivedBefore = b.conn.received.Load()
 	}
 	return b
@@ -71,43 +69,10 @@
 	return received > int64(framingFactor*float64(b.read))+framingReserveBytes
 }
 
-// countedConn counts the bytes that it receives.
-type countedConn struct {
-	net.Conn
-	received atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.received.Add(int64(n))
-	return n, err
-}
-
-// CloseWrite ends the sending direction, if the connection can do that alone.
-func (c *countedConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
-// countingListener accepts counted connections.
-type countingListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: c}, nil
-}
-
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
-// withConn is the http.Server.ConnContext of servers with a countingListener.
-func withConn(ctx context.Context, c net.Conn) context.Context {
+// withConn makes the connection known to its requests.
+func withConn(ctx context.Context, c *callerConn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -48,14 +48,14 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	f := &callerServer{listener: p.Listener(countingListener{ln}), idleSince: make(map[net.Conn]time.Time)}
+	f := &callerServer{listener: p.Listener(callerListener{ln}), idleSince: make(map[net.Conn]time.Time)}
 	f.server = &http.Server{
 		Handler:           p,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         f.trackConn,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return withConn(p.ConnContext(ctx, c), c.(*pipeline.Conn).Conn)
+			return withConn(p.ConnContext(ctx, c), socketOf(c))
 		},
 		ErrorLog: log.New(serverErrorWriter{}, "", 0),
 	}
@@ -76,6 +76,9 @@
 	defer f.mu.Unlock()
 	_, wasIdle := f.idleSince[c]
 	delete(f.idleSince, c)
+	if s == http.StateIdle {
+		socketOf(c).startIdle()
+	}
 	switch s {
 	case http.StateNew:
 		f.open++
@@ -96,17 +99,13 @@
 // closeIdle closes the connections that have been idle for longer than the limit.
 func (f *callerServer) closeIdle(limit time.Duration) {
 	now := time.Now()
-	var closing []net.Conn
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for c, since := range f.idleSince {
 		if now.Sub(since) > limit {
-			closing = append(closing, c)
+			closeUnlessReceiving(c)
 		}
 	}
-	f.mu.Unlock()
-	for _, c := range closing {
-		_ = c.Close()
-	}
 }
 
 // connCounts returns the number of open connections and of those with a request.
