gateway: an attempt after a wait starts while most attempts still end in time

Cause: the last useful start was one median before the deadline, so that half of the attempts made then were cut off by it, some of them after they had run. Change: it is the usual duration (93 in 100) before.

--- a/gateway/waitingattempt.go
+++ b/gateway/waitingattempt.go
@@ -75,20 +75,20 @@
 // waitingRequest describes the request in the queue.
 func (r *attemptGroup) waitingRequest(now time.Time) waitqueue.Request {
 	c := r.c
-	usual := c.h.Knowledge.LatencyBounds(c.service).median
+	durations := c.h.Knowledge.LatencyBounds(c.service)
 	end := c.deadline
 	if c.targetDeadline.Before(end) {
 		end = c.targetDeadline
 	}
 	w := waitqueue.Request{
 		Rank: c.priority, Weight: 1, Bytes: int64(len(c.request.Body)), Since: now,
-		LastStart: end.Add(-max(usual, minAttemptTime) - waitingInterval),
+		LastStart: end.Add(-max(durations.usual, minAttemptTime) - waitingInterval),
 	}
 	if c.tenant != nil {
 		w.Tenant, w.Weight = c.tenant.Name, c.tenant.Rate
 	}
 	if c.route.Objective > 0 {
-		w.ObjectiveStart = c.start.Add(c.route.Objective - usual)
+		w.ObjectiveStart = c.start.Add(c.route.Objective - durations.median)
 	}
 	return w
 }
