platform, statesync, mesh, logservice: replies of the store and other instances have bounds

A datagram of empty list elements decoded to 39 MB. Lists in datagrams have at most 4,096 elements. Ruled out: a bound on the size of datagrams, as only evidence is split among several. Not bounded: lists nested in relayed packets of one datagram.

--- a/logservice/client.go
+++ b/logservice/client.go
@@ -17,6 +17,9 @@
 // DefaultTimeout bounds one call to the platform, long polls not counted.
 const DefaultTimeout = 5 * time.Second
 
+// maxReplyHeader bounds the header of a reply of the platform, in bytes.
+const maxReplyHeader = 64 << 10
+
 // maxReply bounds a reply of the platform, in bytes.
 const maxReply = 64 << 20
 
@@ -38,7 +41,7 @@
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	tr := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}
+	tr := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxReplyHeader}
 	return &Client{base: base, http: &http.Client{Transport: tr}, timeout: timeout}
 }
 
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -321,9 +321,23 @@
 	return b, errors.WithStack(err)
 }
 
+// maxElements bounds the elements of a list in a datagram. Each takes 16 bytes or more of the largest one, but
+// an empty element could decode to a whole Packet.
+const maxElements = readBufferBytes / 16
+
+var decoding = newDecoding()
+
+func newDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxElements}.DecMode()
+	if err != nil {
+		panic(err) // cannot fail: the options are constants
+	}
+	return mode
+}
+
 func decode(b []byte) (*Packet, error) {
 	p := new(Packet)
-	if err := cbor.Unmarshal(b, p); err != nil {
+	if err := decoding.Unmarshal(b, p); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	if p.Addr == "" {
--- a/statesync/encoding.go
+++ b/statesync/encoding.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/transfer"
 )
 
 // DocumentTransfer is the response to a peer's request for a document.
@@ -118,13 +118,6 @@
 
 // decompress reverses compress. It fails if the result is larger than maxSnapshotBytes.
 func decompress(b []byte) ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(b))
-	out, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes+1))
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	if len(out) > maxSnapshotBytes {
-		return nil, errors.Errorf("decompressed to more than %d bytes", maxSnapshotBytes)
-	}
-	return out, nil
+	out, err := transfer.ReadAll(flate.NewReader(bytes.NewReader(b)), maxSnapshotBytes, nil)
+	return out, errors.Wrapf(err, "decompressed to at most %d bytes", maxSnapshotBytes)
 }
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -25,9 +25,11 @@
 	// the retransmissions of a link that loses packets, short enough for a second transfer within the
 	// time in which a change must take effect.
 	stallTimeout = 500 * time.Millisecond
-	// maxSnapshotBytes limits the size of a peer's state: 22,000 routes and 13,000 targets take
-	// about 4 MB.
-	maxSnapshotBytes = 32 << 20
+	// maxSnapshotBytes limits the size of a peer's state, on the connection and decompressed: 22,000 routes
+	// and 13,000 targets take about 4 MB.
+	maxSnapshotBytes = 16 << 20
+	// maxHeadBytes limits the header of a peer's response.
+	maxHeadBytes = 64 << 10
 )
 
 // puller holds the clients that fetch the state of peers.
@@ -44,6 +46,7 @@
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
@@ -113,16 +116,14 @@
 	}
 	waited := time.Since(began)
 	transfer.Progress(ctx)
-	body, err := io.ReadAll(io.LimitReader(transfer.NewReader(ctx, resp.Body), maxSnapshotBytes+1))
+	body, err := transfer.ReadAll(transfer.NewReader(ctx, resp.Body), maxSnapshotBytes, nil)
 	if err != nil || len(body) > transfer.SmallBytes {
 		eventlog.Info(eventlog.StatePulled, "peer", addr, "path", path, "bytes", len(body), "waited_ms", waited.Milliseconds(), "took_ms", time.Since(began).Milliseconds(),
 			"document", r.document, "registry", r.registry.Offset, "complete", err == nil)
 	}
 	switch {
 	case err != nil:
-		return nil, errors.WithStack(err)
-	case len(body) > maxSnapshotBytes:
-		return nil, errors.Errorf("peer's state is larger than %d bytes", maxSnapshotBytes)
+		return nil, errors.Wrapf(err, "peer's state of at most %d bytes", maxSnapshotBytes)
 	case resp.Header.Get("Content-Encoding") == contentEncoding:
 		return decompress(body)
 	}
--- a/transfer/read.go
+++ b/transfer/read.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// smallPrefixBytes is the size up to which ReadPrefix takes little more memory than was read.
+const smallPrefixBytes = 1 << 20
+
+// ReadPrefix reads at most the first maxBytes bytes of a body. For more than a small part it takes the memory
+// for all of them.
+func ReadPrefix(r io.Reader, maxBytes int64) ([]byte, error) {
+	small := min(maxBytes, smallPrefixBytes)
+	first, err := ReadAll(io.LimitReader(r, small), small, nil)
+	if err != nil || int64(len(first)) < small || small == maxBytes {
+		return first, err
+	}
+	body := make([]byte, maxBytes)
+	n, err := fill(r, body[copy(body, first):])
+	if err != nil && err != io.EOF {
+		return nil, errors.WithStack(err)
+	}
+	return body[:len(first)+n], nil
+}
+
 // fill reads until the piece is full or the reader returns an error, which it returns unchanged:
 // io.ReadFull would not tell the end of a body from one that broke off.
 func fill(r io.Reader, piece []byte) (n int, err error) {
--- a/transfer/read_test.go
+++ b/transfer/read_test.go
@@ -56,3 +56,17 @@
 	assert.Assert(t, errors.Is(err, full))
 	assert.Equal(t, source.Size()-int64(source.Len()), int64(4*minPieceBytes), "bytes read")
 }
+
+func TestReadPrefix(t *testing.T) {
+	const maxBytes = 2 * smallPrefixBytes
+	body := bytes.Repeat([]byte("abcdefg"), 3*smallPrefixBytes/7)
+	for _, size := range []int{0, 1, smallPrefixBytes - 1, smallPrefixBytes, smallPrefixBytes + 1, maxBytes, maxBytes + 1, len(body)} {
+		got, err := ReadPrefix(bytes.NewReader(body[:size]), maxBytes)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, body[:min(size, maxBytes)]), "%d bytes", size)
+	}
+	for _, size := range []int{0, smallPrefixBytes, smallPrefixBytes + 1} {
+		_, err := ReadPrefix(io.MultiReader(bytes.NewReader(body[:size]), iotest.ErrReader(io.ErrUnexpectedEOF)), maxBytes)
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
