--- a/fuzz.sh
+++ b/fuzz.sh
@@ -14,6 +14,11 @@
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
 for package in ./platform ./mesh ./gateway ./statesync ./header ./relay ./pipeline; do
+  [FuzzResponse]=40000
+)
+output=$(mktemp)
+trap 'rm -f "$output"' EXIT
+for package in ./platform ./mesh ./gateway ./statesync ./header ./relay ./exchange; do
   for target in $(go test "$package" -list '^Fuzz' | grep '^Fuzz'); do
     printf '%s %s: ' "$package" "$target"
     if ! go test "$package" -run '^$' -fuzz "^$target\$" -fuzztime "${time:-${executions[$target]}x}" > "$output" 2>&1; then
