--- a/fuzz.sh
+++ b/fuzz.sh
@@ -9,16 +9,11 @@
   [FuzzEntry]=85000 [FuzzDocument]=8000 [FuzzParseRecords]=85000 [FuzzNewest]=30000
   [FuzzDecode]=42000 [FuzzPeerPacket]=42000 [FuzzWhole]=25000 [FuzzDocumentTransfer]=30000
   [FuzzParseRetryAfter]=120000 [FuzzMessages]=140000
-  [FuzzRows]=2500
+  [FuzzRows]=2500 [FuzzResponse]=40000
 )
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
-for package in ./platform ./mesh ./gateway ./statesync ./header ./relay ./pipeline; do
-  [FuzzResponse]=40000
-)
-output=$(mktemp)
-trap 'rm -f "$output"' EXIT
-for package in ./platform ./mesh ./gateway ./statesync ./header ./relay ./exchange; do
+for package in ./platform ./mesh ./gateway ./statesync ./header ./relay ./pipeline ./exchange; do
   for target in $(go test "$package" -list '^Fuzz' | grep '^Fuzz'); do
     printf '%s %s: ' "$package" "$target"
     if ! go test "$package" -run '^$' -fuzz "^$target\$" -fuzztime "${time:-${executions[$target]}x}" > "$output" 2>&1; then
