gateway: requests wait for targets that ask for rest; tests of zones and quotas

Cause: where all targets had asked for rest, a granted attempt found no target and its token was lost, and a request that was never sent was refused though the first rest would have ended in time.

Change: nothing is granted while all targets rest, and a request that finds none waits if the first rest ends before its last useful start. It is granted like the others, so that it counts against the budget.

Why it holds: tests of both with a Retry-After of a second, of a zone whose targets reject, and of the quota token of a request that was given up.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -84,7 +84,7 @@
 	// fallback is the best outcome so far. It is returned if no attempt succeeds.
 	fallback outcome
 	hedged   bool
-	// hedgeTimer fires when a hedge is due.
+	// hedgeTimer fires when a hedge is due; nil before the first attempt.
 	hedgeTimer *time.Timer
 	// earlier is the number of targets tried before the request last waited.
 	earlier int
@@ -116,7 +116,12 @@
 		}
 	}
 	if !r.startAttempt() {
-		return r.fallback
+		if !r.waitsForTarget() {
+			return r.fallback
+		}
+		if o, done := r.waitForAttempt(); done {
+			return o
+		}
 	}
 	return r.run()
 }
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -78,6 +78,8 @@
 type budgetAccount struct {
 	w       *Waiting
 	service document.ServiceName
+	// blocked is set if no target takes requests now, so that attempts would be lost.
+	blocked bool
 }
 
 // Balance implements spending.Account.
@@ -88,6 +90,9 @@
 // SpendAbove implements spending.Account. Where nothing is to be kept, it asks others for loans, which later calls
 // may spend.
 func (a budgetAccount) SpendAbove(now time.Time, share float64) bool {
+	if a.blocked {
+		return false
+	}
 	if a.w.knowledge.SpendBudgetAbove(now, a.service, share) {
 		return true
 	}
@@ -139,7 +144,7 @@
 	s := w.service(name)
 	s.tickets[r.ID] = t
 	s.ranks[rankLabel(r.Rank)] = true
-	ahead, out := s.planner.Join(time.Now(), r, budgetAccount{w, name})
+	ahead, out := s.planner.Join(time.Now(), r, budgetAccount{w: w, service: name})
 	s.deliver(out)
 	if s.tickets[r.ID] == nil {
 		ahead = -1
@@ -173,7 +178,9 @@
 
 // decide makes the decisions that are due and reports whether requests still wait.
 func (w *Waiting) decide(now time.Time, name document.ServiceName, s *waitingService) bool {
-	state := w.rejections.State(name, zonesOf(w.targets().Services[name]))
+	targets := w.targets().Services[name]
+	state := w.rejections.State(name, zonesOf(targets))
+	account := budgetAccount{w: w, service: name, blocked: w.knowledge.minBackoffLeft(now, targets) > 0}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, t := range s.tickets {
@@ -182,7 +189,7 @@
 			delete(s.tickets, id)
 		}
 	}
-	s.deliver(s.planner.Decide(now, state.Wide, budgetAccount{w, name}))
+	s.deliver(s.planner.Decide(now, state.Wide, account))
 	s.deciding = s.planner.Len() > 0
 	return s.deciding
 }
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -12,21 +12,29 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/clementinereel/clementinereel/credential"
 	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/quota"
 	"github.com/clementinereel/clementinereel/rejection"
 	"github.com/clementinereel/clementinereel/retry/spending"
+	"github.com/clementinereel/clementinereel/telemetry"
 	"github.com/clementinereel/clementinereel/waitqueue"
 )
 
-// rejecter is a service whose targets reject every request while it rejects.
+// rejecter is a service whose targets reject every request while it rejects, with a Retry-After if it has one.
 type rejecter struct {
-	rejecting atomic.Bool
-	accepted  atomic.Int32
+	retryAfter string
+	rejecting  atomic.Bool
+	accepted   atomic.Int32
 }
 
 func (s *rejecter) serve(w http.ResponseWriter, r *http.Request) {
 	if s.rejecting.Load() {
+		if s.retryAfter != "" {
+			w.Header().Set(header.RetryAfter, s.retryAfter)
+		}
 		w.Header().Set(headerNames.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -224,6 +232,79 @@
 	assert.Equal(t, (<-first).status, http.StatusServiceUnavailable)
 }
 
+// TestRetriesLeaveRejectingZone names the pattern: the targets of one zone reject. Those of another zone are tried at once.
+func TestRetriesLeaveRejectingZone(t *testing.T) {
+	bad, good := new(rejecter), new(rejecter)
+	bad.rejecting.Store(true)
+	store := &fakeStore{document: waitingDocument(true)}
+	store.addTargets(newBackend(t, bad.serve), newBackend(t, bad.serve), newBackend(t, bad.serve), newBackend(t, bad.serve), newBackend(t, bad.serve), newBackend(t, good.serve))
+	store.entries[5].Zone = "b"
+	url, g, _ := launch(t, testSettings(t), store, func(*Gateway) {})
+	waitReady(t, g)
+	believeUntil(t.Context(), g)
+	for range 3 {
+		status, _, took := sendRequest(t.Context(), t, "POST", url+"/buy/1")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Assert(t, took < 500*time.Millisecond, "%v", took)
+	}
+	assert.Equal(t, good.accepted.Load(), int32(3))
+	assert.Equal(t, g.waiting.Len("s"), 0)
+}
+
+// TestRequestGivenUpReturnsItsToken: a request that waited and was refused does not count towards its tenant's quota.
+func TestRequestGivenUpReturnsItsToken(t *testing.T) {
+	s := new(rejecter)
+	s.rejecting.Store(true)
+	d := tenantDocument(document.Tenant{Name: "a", Keys: []credential.Key{goodKey}, Rate: 1, Burst: 4})
+	d.Queueing = true
+	for i := range d.Routes {
+		d.Routes[i].Timeout = 300 * time.Millisecond
+	}
+	store := &fakeStore{document: d}
+	store.addTargets(newBackend(t, s.serve), newBackend(t, s.serve))
+	settings := testSettings(t)
+	settings.Keys = testKeys
+	settings.Quota = quota.Bounds{Window: time.Second, Excess: 0.1, Slack: 2}
+	url, g, _ := launch(t, settings, store, func(*Gateway) {})
+	waitReady(t, g)
+	believeUntil(t.Context(), g)
+	spendStock(g)
+	send := func() int {
+		status, _, _ := sendWithHeader(t, url+"/get/", http.Header{"Authorization": {"Token " + goodKey}})
+		time.Sleep(2 * time.Millisecond) // so that the token is back
+		return status
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if send() == http.StatusServiceUnavailable {
+			return poll.Success()
+		}
+		return poll.Continue("a new process has no tokens yet")
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(50*time.Millisecond))
+	waited := g.metrics.Registry.Counter("gateway.waited", telemetry.Label{Key: "service", Value: "s"}, telemetry.Label{Key: "outcome", Value: string(spending.Expired)})
+	assert.Equal(t, waited.Count(), int64(1))
+	for i := range 8 {
+		assert.Equal(t, send(), http.StatusServiceUnavailable, "%d", i) // hardly any token flows in meanwhile
+	}
+}
+
+// TestRequestsWaitForTargetsThatRest names the pattern: all targets reject requests with a Retry-After of a second. Callers that have
+// more time are served afterwards, the one that was rejected and one that was never sent.
+func TestRequestsWaitForTargetsThatRest(t *testing.T) {
+	url, g, s, _ := launchRejecting(t, true, waitqueue.Bounds{})
+	s.retryAfter = "1"
+	for range 100 {
+		g.knowledge.RecordRequest(time.Now(), "s", true)
+	}
+	first := sendAsync(t.Context(), t, "POST", url+"/buy/1")
+	waitForWaiting(t, g, 1)
+	second := sendAsync(t.Context(), t, "POST", url+"/buy/1")
+	waitForWaiting(t, g, 2)
+	s.rejecting.Store(false)
+	assert.Equal(t, (<-first).status, http.StatusOK)
+	assert.Equal(t, (<-second).status, http.StatusOK)
+	assert.Equal(t, s.accepted.Load(), int32(2))
+}
+
 // TestInstanceAloneGoesByItsOwnCounts: an instance that hears no others notices by its own attempts that a service rejects
 // requests, and that it has recovered.
 func TestInstanceAloneGoesByItsOwnCounts(t *testing.T) {
--- a/gateway/waitingattempt.go
+++ b/gateway/waitingattempt.go
@@ -21,6 +21,17 @@
 	return r.c.queueing && e.result.Kind == exchange.Refused && r.sent == 0 && r.running == 0 && r.fallback.kind == outcomeNotRun && r.c.r.Context().Err() == nil
 }
 
+// waitsForTarget reports whether a request that has not been sent waits, since all targets ask for rest and one of them
+// takes requests again in time.
+func (r *attemptGroup) waitsForTarget() bool {
+	c, now := r.c, time.Now()
+	if !c.queueing || c.r.Context().Err() != nil || r.fallback.kind != outcomeNotRun {
+		return false
+	}
+	rest := c.h.Knowledge.minBackoffLeft(now, c.h.State.Targets().Services[c.service])
+	return rest > 0 && now.Add(rest).Before(r.waitingRequest(now).LastStart)
+}
+
 // holdsBack reports whether a request waits instead of being tried again at once, as its service rejects requests
 // widely.
 func (r *attemptGroup) holdsBack(e attemptResult) bool { return r.mayWait(e) && r.c.rejectedWidely() }
@@ -97,7 +108,9 @@
 func (r *attemptGroup) resume() {
 	r.earlier = r.attempts()
 	r.tried, r.refused = nil, 0
-	r.hedgeTimer.Reset(r.c.h.Knowledge.LatencyBounds(r.c.service).hedgeDelay(0))
+	if r.hedgeTimer != nil {
+		r.hedgeTimer.Reset(r.c.h.Knowledge.LatencyBounds(r.c.service).hedgeDelay(0))
+	}
 }
 
 // waitingRetryAfter returns the Retry-After of a request for which the budget had no attempt: the time in which it
