--- a/retry/spending/model_test.go
+++ b/retry/spending/model_test.go
@@ -37,6 +37,8 @@
 	slack             float64
 	share             float64 // of attempts that are rejected meanwhile
 	lasts             time.Duration
+	// capacity is the share of the load that the service has room for meanwhile, if it rejects what is over its queue.
+	capacity float64
 	// restarts is the share of the instances that restart in the middle.
 	restarts float64
 }
@@ -50,6 +52,7 @@
 	// noticedAfter is the time after which instances notice that a rejection begins or ends; see package rejection.
 	noticedAfter = 300 * time.Millisecond
 	maxRefusals  = 4
+	queueFor     = 100 * time.Millisecond // of the usual load, in the queue of a service with a capacity
 	window       = 10 * time.Second
 	ratio        = 0.2
 	groupSize    = 15
@@ -81,8 +84,9 @@
 	nodes   []*node
 	now     time.Time
 	nextID  uint64
-	arrived []int // by step
-	added   []int // by step
+	room    float64 // in the queue of the service
+	arrived []int   // by step
+	added   []int   // by step
 	result  result
 }
 
@@ -140,6 +144,7 @@
 		if s.restarts > 0 && m.now.Equal(start.Add(begin+s.lasts/2)) {
 			m.restart()
 		}
+		m.room = min(m.room+m.capacity*m.load()*modelStep.Seconds(), m.load()*queueFor.Seconds())
 		for _, n := range m.nodes {
 			m.decide(n)
 			if m.rng.Float64() < s.requestsPerSecond*modelStep.Seconds() {
@@ -175,7 +180,17 @@
 // rejecting is what instances believe.
 func (m *model) rejecting() bool { return m.rejectsAt(m.now.Add(-noticedAfter)) }
 
+// load is the usual load of the fleet in requests per second.
+func (m *model) load() float64 { return float64(m.instances) * m.requestsPerSecond }
+
 func (m *model) accepts() bool {
+	if m.rejectsAt(m.now) && m.capacity > 0 {
+		accepted := m.room >= 1
+		if accepted {
+			m.room--
+		}
+		return accepted
+	}
 	if m.rejectsAt(m.now) {
 		return m.rng.Float64() >= m.share
 	}
@@ -325,7 +340,7 @@
 // addedAfter returns the attempts that were added in each 100 ms once the end was noticed, as shares of the usual load.
 func (m *model) addedAfter() (shares []float64) {
 	const per = int(100 * time.Millisecond / modelStep)
-	usual := float64(m.instances) * m.requestsPerSecond * 0.1
+	usual := m.load() * 0.1
 	added := sums(m.added)
 	for begin := int((begin + m.lasts + noticedAfter) / modelStep); begin+per < len(added); begin += per {
 		shares = append(shares, float64(added[begin+per]-added[begin])/usual)
@@ -363,6 +378,19 @@
 	}
 }
 
+// TestRejectsWhatIsOverItsQueue names the pattern: a service has room for 0.7 of the load for 8 s and rejects what is over its
+// queue. As much as before is served meanwhile, and more afterwards.
+func TestRejectsWhatIsOverItsQueue(t *testing.T) {
+	for _, s := range fleets {
+		s.lasts, s.capacity = 8*time.Second, 0.7
+		none, waits := run(s, noneWaits, 1), run(s, chosen, 1)
+		share := func(r result) float64 { return float64(r.served) / float64(r.arrived) }
+		t.Logf("%d instances: served %.3f if none waits, %.3f if some do", s.instances, share(none), share(waits))
+		assert.Assert(t, share(waits) >= share(none))
+		assert.Assert(t, waits.excess <= 0 && largestMean([][]float64{waits.addedAfter}) < 1)
+	}
+}
+
 // TestRejectsHalfOfAll names the pattern: a service rejects 0.55 of all attempts for 1, 8 and 30 s, whatever the load, and recovers at
 // once. More callers are served than if none waits or if those that wait are served first come, and what is added afterwards is
 // on average no more than half of the usual load in any 100 ms.
