--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -375,7 +375,7 @@
 	now := time.Now()
 	targets := c.h.State.Targets().Services[c.service]
 	last := r.sent+r.running+1 >= c.route.MaxAttempts
-	w := placement.Work{Retryable: c.repeatable() && !last, KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
+	w := placement.Work{Retryable: c.cheapToRepeat() && !last, KB: float64(len(c.request.Body)) / 1024, Objective: c.route.Objective}
 	p, ok := r.place(now, targets, w)
 	if !ok {
 		return false
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -424,6 +424,10 @@
 // repeatable reports whether the request may run more than once.
 func (c *call) repeatable() bool { return c.route.Class.Repeatable() }
 
+// cheapToRepeat reports whether a failed attempt costs little more than its time. A download may be repeated, but its
+// response is large, so that targets in doubt are tried with other requests.
+func (c *call) cheapToRepeat() bool { return c.repeatable() && c.route.Class != fleet.Download }
+
 // caller returns the caller's IP address.
 func (c *call) caller() string {
 	host, _, err := net.SplitHostPort(c.r.RemoteAddr)
