--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,6 +86,8 @@
 	hedged   bool
 	// hedgeTimer fires when a hedge is due; nil before the first attempt.
 	hedgeTimer *time.Timer
+	// budgetDenied is set if the retry budget alone did not allow another attempt.
+	budgetDenied bool
 	// earlier is the number of targets tried before the request last waited.
 	earlier int
 	// relayAsked is set once other instances were asked to take the request.
@@ -293,13 +295,14 @@
 		reason = "route's attempts are used up"
 	case r.refused >= maxRefusals || len(r.tried) >= maxTargets:
 		reason = "too many targets tried"
-	case time.Until(r.c.deadline) < minAttemptTime || time.Until(r.c.targetDeadline) < minAttemptTime:
+	case !r.hasTime():
 		reason = "no time left"
 	case r.sent > 0 && r.c.standing() >= quarantine.Restricted:
 		reason = "its content may crash targets"
 	case !notRun && r.c.requestAtFault():
 		reason = "it fails at each target"
 	case e.result.Kind.MayHaveArrived() && !r.spendBudget("again"):
+		r.budgetDenied = true
 		return false
 	}
 	if reason == "" && r.startAttempt() {
@@ -366,7 +369,9 @@
 
 // urgent reports whether the request may use the part of the service's retry budget that
 // is reserved for urgent requests.
-func (c *call) urgent() bool { return c.priority <= maxUrgentPriority }
+func (c *call) urgent() bool { return isUrgent(c.priority) }
+
+func isUrgent(priority int) bool { return priority <= maxUrgentPriority }
 
 // startAttempt starts an attempt at the target with the lowest expected cost. It returns
 // false if there is no target.
@@ -390,11 +395,20 @@
 
 // place chooses a target whose rate limit, if it has announced one, allows the request.
 func (r *attemptGroup) place(now time.Time, targets []*registry.Target, w placement.Work) (Placement, bool) {
-	c := r.c
-	withheld := c.h.Rates.denied(now, targets)
+	denied := r.c.h.Rates.denied(now, targets)
 	if len(r.tried) > 0 {
-		withheld = append(withheld, c.targetsOfRejectingZones(targets)...)
+		if rejecting := r.c.targetsOfRejectingZones(targets); len(rejecting) > 0 {
+			if p, ok := r.placeExcept(now, targets, slices.Concat(denied, rejecting), w); ok {
+				return p, true
+			}
+		}
 	}
+	return r.placeExcept(now, targets, denied, w)
+}
+
+// placeExcept chooses one of the targets that are not withheld.
+func (r *attemptGroup) placeExcept(now time.Time, targets []*registry.Target, withheld []fleet.TargetID, w placement.Work) (Placement, bool) {
+	c := r.c
 	for time.Since(now) <= placementTimeout {
 		p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, withheld, w, c.h.Client.Cache.HasIdle)
 		if !ok {
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -45,10 +45,10 @@
 }
 
 // SpendBudgetAbove takes an attempt from the service's retry budget if the given share of a full one is left.
-func (k *Knowledge) SpendBudgetAbove(now time.Time, name document.ServiceName, share float64) bool {
+func (k *Knowledge) SpendBudgetAbove(now time.Time, name document.ServiceName, share float64, urgent bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.service(name).budget.SpendAbove(now, k.instances(now), share)
+	return k.service(name).budget.SpendAbove(now, k.instances(now), share, urgent)
 }
 
 // LoanRequests returns the loans to request from other instances, nil if the last request
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -89,11 +89,11 @@
 
 // SpendAbove implements spending.Account. Where nothing is to be kept, it asks others for loans, which later calls
 // may spend.
-func (a budgetAccount) SpendAbove(now time.Time, share float64) bool {
+func (a budgetAccount) SpendAbove(now time.Time, share float64, rank int) bool {
 	if a.blocked {
 		return false
 	}
-	if a.w.knowledge.SpendBudgetAbove(now, a.service, share) {
+	if a.w.knowledge.SpendBudgetAbove(now, a.service, share, isUrgent(rank)) {
 		return true
 	}
 	if share == 0 {
--- a/gateway/waiting_test.go
+++ b/gateway/waiting_test.go
@@ -43,12 +43,12 @@
 	respondWith(http.StatusOK)(w, r)
 }
 
-// waitingDocument lets requests wait, on routes with a timeout of 1.5 s.
+// waitingDocument lets requests wait, on routes with a timeout of 2 s.
 func waitingDocument(queueing bool) *document.Document {
 	d := testDocument()
 	d.Queueing = queueing
 	for i := range d.Routes {
-		d.Routes[i].Timeout = 1500 * time.Millisecond
+		d.Routes[i].Timeout = 2 * time.Second
 	}
 	return d
 }
@@ -104,7 +104,7 @@
 
 // spendStock leaves the service's retry budget at the part that is kept.
 func spendStock(g *Gateway) {
-	for g.knowledge.SpendBudgetAbove(time.Now(), "s", spending.ReservedShare) { // until it refuses
+	for g.knowledge.SpendBudgetAbove(time.Now(), "s", spending.ReservedShare, true) { // until it refuses
 	}
 }
 
@@ -159,6 +159,58 @@
 	assert.Equal(t, s.accepted.Load(), int32(1))
 }
 
+// keepLoad records other requests for the service until the test ends: the budget flows in with them.
+func keepLoad(t *testing.T, g *Gateway) {
+	go func() {
+		ticker := time.NewTicker(20 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-t.Context().Done():
+				return
+			case now := <-ticker.C:
+				g.knowledge.RecordRequest(now, "s", true)
+			}
+		}
+	}()
+}
+
+// TestFailedLookupWaitsForBudget names the pattern: a lookup fails at a target while the instance's part of the retry
+// budget is spent, though the caller would wait. It is served by another target, and its failure is forwarded at once
+// where requests do not wait.
+func TestFailedLookupWaitsForBudget(t *testing.T) {
+	for _, queueing := range []bool{false, true} {
+		var failed atomic.Bool
+		serve := func(w http.ResponseWriter, r *http.Request) {
+			status := http.StatusOK
+			if !failed.Swap(true) {
+				status = http.StatusInternalServerError
+			}
+			respondWith(status)(w, r)
+		}
+		bs := []*backend{newBackend(t, serve), newBackend(t, serve)}
+		store := &fakeStore{document: waitingDocument(queueing)}
+		store.addTargets(bs...)
+		url, g, _ := launch(t, testSettings(t), store, func(*Gateway) {})
+		waitReady(t, g)
+		for range 100 {
+			g.knowledge.RecordRequest(time.Now(), "s", true) // what flows in is a share of the load
+		}
+		for g.knowledge.SpendBudgetAbove(time.Now(), "s", 0, true) { // until it refuses
+		}
+		keepLoad(t, g)
+		status, _, took := sendRequest(t.Context(), t, "GET", url+"/get/1")
+		if queueing {
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, totalRuns(bs...), 2)
+			continue
+		}
+		assert.Equal(t, status, http.StatusInternalServerError)
+		assert.Equal(t, totalRuns(bs...), 1)
+		assert.Assert(t, took < 500*time.Millisecond, "%v", took)
+	}
+}
+
 // TestWaitingRequestIsRefusedInTime: no request waits past its time.
 func TestWaitingRequestIsRefusedInTime(t *testing.T) {
 	url, g, s, _ := launchRejecting(t, true, waitqueue.Bounds{})
@@ -175,7 +227,7 @@
 func TestUncoveredRequestIsRefusedAtOnce(t *testing.T) {
 	url, g, _, _ := launchRejecting(t, true, waitqueue.Bounds{})
 	believeUntil(t.Context(), g)
-	for g.knowledge.SpendBudgetAbove(time.Now(), "s", 0) { // until it refuses
+	for g.knowledge.SpendBudgetAbove(time.Now(), "s", 0, true) { // until it refuses
 	}
 	for range 10 {
 		g.knowledge.Lend(time.Now(), "peer", []mesh.Loan{{Service: "s", Permille: permille}})
@@ -251,6 +303,59 @@
 	assert.Equal(t, g.waiting.Len("s"), 0)
 }
 
+// TestRejectingZoneIsTriedIfOthersAreOutOfReach: the targets of a zone that rejects most requests are better than none.
+func TestRejectingZoneIsTriedIfOthersAreOutOfReach(t *testing.T) {
+	var refused atomic.Bool
+	accept := new(rejecter)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if !refused.Swap(true) {
+			w.Header().Set(headerNames.NotRun, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		accept.serve(w, r)
+	}
+	gone := newBackend(t, accept.serve)
+	store := &fakeStore{document: waitingDocument(true)}
+	store.addTargets(newBackend(t, serve), newBackend(t, serve), gone)
+	store.entries[2].Zone = "b"
+	gone.Close()
+	url, g, _ := launch(t, testSettings(t), store, func(*Gateway) {})
+	waitReady(t, g)
+	believeUntil(t.Context(), g)
+	status, _, _ := sendRequest(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, accept.accepted.Load(), int32(1))
+}
+
+// TestRejectedRequestWithoutTimeIsNotSentAgain: an attempt that cannot end in time would turn a refusal into a timeout.
+func TestRejectedRequestWithoutTimeIsNotSentAgain(t *testing.T) {
+	slowly := func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(250 * time.Millisecond)
+		w.Header().Set(headerNames.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	bs := []*backend{newBackend(t, slowly), newBackend(t, slowly)}
+	store := &fakeStore{document: waitingDocument(true)}
+	store.addTargets(bs...)
+	url, g, _ := launch(t, testSettings(t), store, func(*Gateway) {})
+	waitReady(t, g)
+	status, _, _ := sendRequestWithDeadline(t.Context(), t, "POST", url+"/buy/1", 300*time.Millisecond)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, totalRuns(bs...), 1)
+	assert.Equal(t, g.waiting.Len("s"), 0)
+}
+
+// TestRequestsDoNotWaitForLongBackoff: where all targets ask for more time than the request has, it is refused at once.
+func TestRequestsDoNotWaitForLongBackoff(t *testing.T) {
+	url, g, s, _ := launchRejecting(t, true, waitqueue.Bounds{})
+	s.retryAfter = "5"
+	status, _, took := sendRequest(t.Context(), t, "POST", url+"/buy/1")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, took < 500*time.Millisecond, "%v", took)
+	assert.Equal(t, g.waiting.Len("s"), 0)
+}
+
 // TestRequestGivenUpReturnsItsToken: a request that waited and was refused does not count towards its tenant's quota.
 func TestRequestGivenUpReturnsItsToken(t *testing.T) {
 	s := new(rejecter)
--- a/gateway/waitingattempt.go
+++ b/gateway/waitingattempt.go
@@ -6,19 +6,38 @@
 
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/quarantine"
 	"github.com/clementinereel/clementinereel/retry/spending"
 	"github.com/clementinereel/clementinereel/waitqueue"
 )
 
-// This file lets a request that targets rejected wait for a later attempt.
+// This file lets requests wait for a later attempt: those that targets rejected, and those that failed and may be
+// repeated, if the retry budget does not allow an attempt now.
 
 // attempts returns the number of targets tried so far.
 func (r *attemptGroup) attempts() int { return r.earlier + len(r.tried) }
 
-// mayWait reports whether a request whose last attempt had the given result may wait: targets rejected it and it has
-// certainly not run. Requests of other instances do not wait here.
+// mayWait reports whether a request whose last attempt had the given result may wait. Requests of other instances do
+// not wait here.
 func (r *attemptGroup) mayWait(e attemptResult) bool {
-	return r.c.queueing && e.result.Kind == exchange.Refused && r.sent == 0 && r.running == 0 && r.fallback.kind == outcomeNotRun && r.c.r.Context().Err() == nil
+	if !r.c.queueing || r.running > 0 || r.c.r.Context().Err() != nil {
+		return false
+	}
+	return r.rejected(e) || r.budgetDenied
+}
+
+// rejected reports whether targets rejected the request, it has certainly not run, and a target takes it again in time.
+func (r *attemptGroup) rejected(e attemptResult) bool {
+	if r.refused == 0 || !e.result.Kind.NotRun() || r.sent > 0 || r.fallback.kind != outcomeNotRun {
+		return false
+	}
+	now := time.Now()
+	return now.Add(r.c.backoffLeft(now)).Before(r.waitingRequest(now).LastStart)
+}
+
+// backoffLeft returns the time until the first of the service's targets takes requests again; 0 if one does now.
+func (c *call) backoffLeft(now time.Time) time.Duration {
+	return c.h.Knowledge.minBackoffLeft(now, c.h.State.Targets().Services[c.service])
 }
 
 // waitsForTarget reports whether a request that has not been sent waits, since all targets ask for rest and one of them
@@ -28,20 +47,22 @@
 	if !c.queueing || c.r.Context().Err() != nil || r.fallback.kind != outcomeNotRun {
 		return false
 	}
-	rest := c.h.Knowledge.minBackoffLeft(now, c.h.State.Targets().Services[c.service])
+	rest := c.backoffLeft(now)
 	return rest > 0 && now.Add(rest).Before(r.waitingRequest(now).LastStart)
 }
 
 // holdsBack reports whether a request waits instead of being tried again at once, as its service rejects requests
 // widely.
-func (r *attemptGroup) holdsBack(e attemptResult) bool { return r.mayWait(e) && r.c.rejectedWidely() }
+func (r *attemptGroup) holdsBack(e attemptResult) bool {
+	return e.result.Kind == exchange.Refused && r.mayWait(e) && r.rejected(e) && r.c.rejectedWidely()
+}
 
 // othersWait reports whether requests wait for the service.
 func (c *call) othersWait() bool { return c.queueing && c.h.Waiting.Len(c.service) > 0 }
 
 // spendReserved takes another attempt from the retry budget of a service that rejects requests widely.
 func (r *attemptGroup) spendReserved(reason string) bool {
-	ok := r.c.h.Knowledge.SpendBudgetAbove(time.Now(), r.c.service, spending.ReservedShare)
+	ok := r.c.h.Knowledge.SpendBudgetAbove(time.Now(), r.c.service, spending.ReservedShare, r.c.urgent())
 	event := eventlog.AttemptAdded
 	if !ok {
 		event = eventlog.AttemptNotAdded
@@ -53,7 +74,7 @@
 }
 
 // waitForAttempt waits for a later attempt and starts it. It returns the outcome of the request and true if it is
-// given up, as not run.
+// given up.
 func (r *attemptGroup) waitForAttempt() (outcome, bool) {
 	c := r.c
 	began := time.Now()
@@ -69,17 +90,29 @@
 	if verdict == spending.Granted && c.r.Context().Err() == nil {
 		eventlog.Info(eventlog.RequestResumed, "request", c.id, "service", c.service, "waited_ms", waited, "rejecting", c.rejectedWidely(), "attempts", r.attempts())
 		r.resume()
-		if r.startAttempt() {
+		if r.hasTime() && !r.failsEverywhere() && r.startAttempt() {
 			return outcome{}, false
 		}
 		return r.fallback, true
 	}
 	eventlog.Info(eventlog.RequestGivenUp, "request", c.id, "service", c.service, "waited_ms", waited, "why", string(verdict), "attempts", r.attempts())
-	r.fallback.reason = string(verdict)
-	r.fallback.retryAfter = c.waitingRetryAfter()
+	if r.fallback.kind == outcomeNotRun {
+		r.fallback.reason = string(verdict)
+		r.fallback.retryAfter = c.waitingRetryAfter()
+	}
 	return r.fallback, true
 }
 
+// hasTime reports whether another attempt may end in time.
+func (r *attemptGroup) hasTime() bool {
+	return time.Until(r.c.deadline) >= minAttemptTime && time.Until(r.c.targetDeadline) >= minAttemptTime
+}
+
+// failsEverywhere reports whether a request that may have run is likely to fail or crash any target.
+func (r *attemptGroup) failsEverywhere() bool {
+	return r.sent > 0 && (r.c.standing() >= quarantine.Restricted || r.c.requestAtFault())
+}
+
 // stopsBefore reports whether the process may end before the request's deadline.
 func (c *call) stopsBefore() bool { return c.h.shutsDownBefore(c.deadline) }
 
@@ -104,18 +137,22 @@
 	return w
 }
 
-// resume prepares for attempts after a wait: all targets may be tried again.
+// resume prepares for attempts after a wait: all targets may be tried again, unless one may have run the request.
 func (r *attemptGroup) resume() {
-	r.earlier = r.attempts()
-	r.tried, r.refused = nil, 0
+	if r.sent == 0 {
+		r.earlier = r.attempts()
+		r.tried, r.refused = nil, 0
+	}
+	r.budgetDenied = false
 	if r.hedgeTimer != nil {
 		r.hedgeTimer.Reset(r.c.h.Knowledge.LatencyBounds(r.c.service).hedgeDelay(0))
 	}
 }
 
 // waitingRetryAfter returns the Retry-After of a request for which the budget had no attempt: the time in which it
-// covers what waits.
+// covers what waits and a target takes requests.
 func (c *call) waitingRetryAfter() time.Duration {
-	b := c.h.Knowledge.BudgetBalance(time.Now(), c.service)
-	return min(spending.RetryAfter(b, c.h.Waiting.Len(c.service)), maxRetryAfter) + rand.N(minRetryAfter)
+	now := time.Now()
+	covered := spending.RetryAfter(c.h.Knowledge.BudgetBalance(now, c.service), c.h.Waiting.Len(c.service))
+	return min(max(covered, c.backoffLeft(now)), maxRetryAfter) + rand.N(minRetryAfter)
 }
--- a/rejection/counts.go
+++ b/rejection/counts.go
@@ -91,6 +91,9 @@
 // advance clears the slots that have left the window.
 func (s *series) advance(now time.Time) {
 	current := slotNumber(now)
+	if current < s.newest { // the clock was set back
+		*s = series{newest: current}
+	}
 	for steps := min(current-s.newest, Slots); steps > 0; steps-- {
 		s.slots[(current-steps+1)%Slots] = slot{}
 	}
--- a/rejection/table.go
+++ b/rejection/table.go
@@ -17,6 +17,8 @@
 	MaxReports = 4
 	// maxCount bounds a reported count: more attempts in a slot than an instance can make are an error.
 	maxCount = 1000
+	// maxZoneCount bounds a count in the summary of a zone.
+	maxZoneCount = 1000 * maxCount
 	// maxSenders bounds the senders that are remembered.
 	maxSenders = 2000
 )
@@ -90,7 +92,7 @@
 	}
 	r := &received{sender: from, at: now, reports: make(map[Key]Report, len(reports))}
 	for _, report := range reports[:min(len(reports), MaxReports)] {
-		if valid(&report) {
+		if valid(&report, from.Distant) {
 			r.reports[report.Key] = report
 		}
 	}
@@ -100,9 +102,13 @@
 	}
 }
 
-func valid(r *Report) bool {
+func valid(r *Report, distant bool) bool {
+	most := maxCount
+	if distant {
+		most = maxZoneCount
+	}
 	for _, c := range r.Slots {
-		if c.Attempts < 0 || c.Rejections < 0 || c.Rejections > c.Attempts || c.Attempts > maxCount {
+		if c.Attempts < 0 || c.Rejections < 0 || c.Rejections > c.Attempts || c.Attempts > most {
 			return false
 		}
 	}
--- a/retry/pooled/budget.go
+++ b/retry/pooled/budget.go
@@ -139,10 +139,14 @@
 	}
 }
 
-// SpendAbove records an added attempt if more than the given share of a full bucket is left afterwards. A
+// SpendAbove records an added attempt if more than the given share of a full bucket is left afterwards, or than what
+// non-urgent requests leave to urgent ones. A
 // full bucket always allows one, so that nothing of what flows in is lost.
-func (b *Budget) SpendAbove(now time.Time, instances int, share float64) bool {
+func (b *Budget) SpendAbove(now time.Time, instances int, share float64, urgent bool) bool {
 	full := b.refill(now, instances)
+	if !urgent && b.total.urgent > 0 {
+		share = max(share, urgentReserve)
+	}
 	need := max(min(1+share*full, full), 1)
 	if b.tokens+b.borrowed < need {
 		return false
--- a/retry/pooled/budget_test.go
+++ b/retry/pooled/budget_test.go
@@ -95,7 +95,7 @@
 	b := settledBudget()
 	full := b.Balance(start, instances)
 	spent := 0
-	for b.SpendAbove(start, instances, 0.75) {
+	for b.SpendAbove(start, instances, 0.75, true) {
 		spent++
 	}
 	assert.Equal(t, spent, int(full.Capacity/4))
@@ -104,8 +104,19 @@
 	assert.Assert(t, full.Inflow > 0)
 
 	whole := settledBudget()
-	assert.Assert(t, whole.SpendAbove(start, instances, 1), "a full bucket allows one attempt")
-	assert.Assert(t, !whole.SpendAbove(start, instances, 1))
+	assert.Assert(t, whole.SpendAbove(start, instances, 1, true), "a full bucket allows one attempt")
+	assert.Assert(t, !whole.SpendAbove(start, instances, 1, true))
 	refilled := start.Add(time.Duration(float64(time.Second) / full.Inflow * 1.01))
-	assert.Assert(t, whole.SpendAbove(refilled, instances, 1), "what flows in may be spent")
+	assert.Assert(t, whole.SpendAbove(refilled, instances, 1, true), "what flows in may be spent")
+}
+
+// TestSpendAboveLeavesReserveToUrgent: requests that wait leave the reserve to urgent ones like all others.
+func TestSpendAboveLeavesReserveToUrgent(t *testing.T) {
+	b := settledBudget()
+	b.RecordRequest(start, true)
+	full := b.Balance(start, 1)
+	for b.SpendAbove(start, 1, 0, false) { // until it refuses
+	}
+	assert.Assert(t, b.Balance(start, 1).Tokens >= urgentReserve*full.Capacity)
+	assert.Assert(t, b.SpendAbove(start, 1, 0, true))
 }
--- a/retry/pooled/fleet_test.go
+++ b/retry/pooled/fleet_test.go
@@ -126,7 +126,7 @@
 // spend takes an attempt out of the instance's budget, after a loan if needed.
 func (r *fleetRun) spend(now time.Time, n, i int) bool {
 	if r.reserved > 0 && n%2 == 0 {
-		return r.budgets[i].SpendAbove(now, r.instances, r.reserved)
+		return r.budgets[i].SpendAbove(now, r.instances, r.reserved, true)
 	}
 	if r.budgets[i].Spend(now, r.instances, true) {
 		return true
@@ -212,9 +212,10 @@
 			s.failureRate, s.affectedEvery = 0.55, 1
 			s.loanLossRate, s.loanDelay = float64(seed%3)*0.3, time.Duration(seed%4)*500*time.Millisecond
 			s.restartRate, s.restartSteps = float64(seed%5)*0.25, []int{shedFrom + 50 + int(seed%7)*40, shedFrom + 350 + int(seed%3)*20}
-			s.reserved = float64(seed%3) * 0.375
-			r := simulate(s, seed)
-			assert.Assert(t, r.maxExcess() <= 0, "%d instances, seed %d: %.0f beyond the limit", s.instances, seed, r.maxExcess())
+			for _, s.reserved = range []float64{0, 0.375} {
+				r := simulate(s, seed)
+				assert.Assert(t, r.maxExcess() <= 0, "%d instances, seed %d, %.3f reserved: %.0f beyond the limit", s.instances, seed, s.reserved, r.maxExcess())
+			}
 		}
 	}
 }
--- a/retry/spending/model_test.go
+++ b/retry/spending/model_test.go
@@ -110,11 +110,11 @@
 	return a.n.budget.Balance(now, a.m.instances)
 }
 
-func (a account) SpendAbove(now time.Time, share float64) bool {
-	if a.n.budget.SpendAbove(now, a.m.instances, share) {
+func (a account) SpendAbove(now time.Time, share float64, _ int) bool {
+	if a.n.budget.SpendAbove(now, a.m.instances, share, true) {
 		return true
 	}
-	return share == 0 && a.m.borrow(a.n) && a.n.budget.SpendAbove(now, a.m.instances, share)
+	return share == 0 && a.m.borrow(a.n) && a.n.budget.SpendAbove(now, a.m.instances, share, true)
 }
 
 // borrow asks neighbours for loans.
--- a/retry/spending/planner.go
+++ b/retry/spending/planner.go
@@ -18,6 +18,9 @@
 	releaseJitter = 0.3
 	// minReleaseRate is the least rate of releases per second: with hardly any load few requests wait.
 	minReleaseRate = 0.5
+	// maxLateness is how long after its last useful start a request may still get an attempt, since decisions
+	// are made at intervals.
+	maxLateness = 50 * time.Millisecond
 )
 
 // Account is the retry budget of a service at this instance.
@@ -25,7 +28,8 @@
 	// Balance returns the state of the bucket.
 	Balance(now time.Time) pooled.Balance
 	// SpendAbove takes an attempt out of the bucket if the given share of a full one is left.
-	SpendAbove(now time.Time, share float64) bool
+	// for a request of the given rank.
+	SpendAbove(now time.Time, share float64, rank int) bool
 }
 
 // Verdict is what becomes of a request that waits.
@@ -76,25 +80,38 @@
 func (p *Planner) Waiting(now time.Time) []waitqueue.Request { return p.queue.Ordered(now) }
 
 // Leave removes a request whose caller has left or that is no longer to wait. It reports whether it waited.
-func (p *Planner) Leave(id uint64) bool { return p.queue.Remove(id) }
+func (p *Planner) Leave(id uint64) bool {
+	removed := p.queue.Remove(id)
+	p.resetIfEmpty()
+	return removed
+}
+
+// resetIfEmpty forgets the pace once nothing waits.
+func (p *Planner) resetIfEmpty() {
+	if p.queue.Len() == 0 {
+		p.releaseAt = time.Time{}
+	}
+}
 
 // Join adds a request if it may wait. It returns how many are ahead, and whom that displaced or, if it may not
 // wait, the request itself.
 func (p *Planner) Join(now time.Time, r waitqueue.Request, a Account) (ahead int, out []Decision) {
+	ahead = p.queue.Position(now, r)
+	switch {
+	case !now.Before(r.LastStart):
+		return ahead, []Decision{{r, Expired}}
+	case !covers(a.Balance(now), ahead, r.LastStart.Sub(now)):
+		return ahead, []Decision{{r, NotCovered}}
+	}
 	for _, removed := range p.queue.Add(now, r) {
 		out = append(out, Decision{removed, Displaced})
 	}
-	ahead = p.queue.Ahead(now, r.ID)
-	if ahead >= 0 && !covers(a.Balance(now), ahead, r.LastStart.Sub(now)) {
-		p.queue.Remove(r.ID)
-		out = append(out, Decision{r, NotCovered})
-	}
 	return ahead, out
 }
 
 // covers reports whether a bucket is expected to allow an attempt within the given time after those ahead.
 func covers(b pooled.Balance, ahead int, within time.Duration) bool {
-	return b.Tokens+b.Inflow*within.Seconds() >= float64(ahead+1)
+	return b.Capacity >= 1 && b.Tokens+b.Inflow*within.Seconds() >= float64(ahead+1)
 }
 
 // RetryAfter returns the time after which the budget is expected to cover one more request.
@@ -124,32 +141,42 @@
 
 // spendInflow grants what flows in to the first in order.
 func (p *Planner) spendInflow(now time.Time, a Account) (out []Decision) {
-	for p.queue.Len() > 0 && a.SpendAbove(now, p.cfg.ReservedShare) {
-		out = append(out, p.grant(now, p.queue.Ordered(now)[0]))
+	for p.queue.Len() > 0 {
+		first := p.queue.Ordered(now)[0]
+		if !a.SpendAbove(now, p.cfg.ReservedShare, first.Rank) {
+			break
+		}
+		out = append(out, p.grant(now, first))
 	}
 	return out
 }
 
-// release grants an attempt to the first in order if one is due.
-func (p *Planner) release(now time.Time, a Account) []Decision {
+// release grants attempts that are due to the first in order.
+func (p *Planner) release(now time.Time, a Account) (out []Decision) {
 	if p.releaseAt.IsZero() {
 		// Instances that notice a recovery together begin at different times.
 		p.releaseAt = now.Add(time.Duration((0.5 + p.cfg.Random()) * float64(releaseInterval(now, a))))
 	}
-	if now.Before(p.releaseAt) || !a.SpendAbove(now, 0) {
-		return nil
+	for p.queue.Len() > 0 && !now.Before(p.releaseAt) {
+		first := p.queue.Ordered(now)[0]
+		if !a.SpendAbove(now, 0, first.Rank) {
+			break
+		}
+		p.planRelease(now, a)
+		out = append(out, p.grant(now, first))
 	}
-	p.planRelease(now, a)
-	return []Decision{p.grant(now, p.queue.Ordered(now)[0])}
+	return out
 }
 
-// planRelease plans the release after one that is made now. One that could not wait for its turn delays the next.
+// planRelease plans the release after one that is made now. One that could not wait for its turn delays the next, and
+// one that is late by more than an interval is not made up for.
 func (p *Planner) planRelease(now time.Time, a Account) {
-	if p.releaseAt.Before(now) {
+	interval := releaseInterval(now, a)
+	if now.Sub(p.releaseAt) > interval {
 		p.releaseAt = now
 	}
 	factor := 1 + releaseJitter*(2*p.cfg.Random()-1)
-	p.releaseAt = p.releaseAt.Add(time.Duration(factor * float64(releaseInterval(now, a))))
+	p.releaseAt = p.releaseAt.Add(time.Duration(factor * float64(interval)))
 }
 
 // releaseInterval returns the mean time between two releases.
@@ -161,9 +188,12 @@
 func (p *Planner) expire(now time.Time, rejecting bool, a Account) (out []Decision) {
 	for _, r := range p.queue.Expired(now) {
 		switch {
-		case rejecting && a.SpendAbove(now, p.cfg.ReservedShare):
+		case now.Sub(r.LastStart) > maxLateness:
+			p.queue.Remove(r.ID)
+			out = append(out, Decision{r, Expired})
+		case rejecting && a.SpendAbove(now, p.cfg.ReservedShare, r.Rank):
 			out = append(out, p.grant(now, r))
-		case !rejecting && p.releaseAt.Sub(now) < releaseInterval(now, a) && a.SpendAbove(now, 0):
+		case !rejecting && p.releaseAt.Sub(now) < releaseInterval(now, a) && a.SpendAbove(now, 0, r.Rank):
 			p.planRelease(now, a)
 			out = append(out, p.grant(now, r))
 		default:
@@ -176,5 +206,6 @@
 
 func (p *Planner) grant(now time.Time, r waitqueue.Request) Decision {
 	p.queue.Grant(now, r.ID)
+	p.resetIfEmpty()
 	return Decision{r, Granted}
 }
--- a/retry/spending/planner_test.go
+++ b/retry/spending/planner_test.go
@@ -15,7 +15,7 @@
 
 func (a *fakeAccount) Balance(time.Time) pooled.Balance { return a.state }
 
-func (a *fakeAccount) SpendAbove(_ time.Time, share float64) bool {
+func (a *fakeAccount) SpendAbove(_ time.Time, share float64, _ int) bool {
 	if a.state.Tokens < 1+share*a.state.Capacity {
 		return false
 	}
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -64,6 +64,9 @@
 
 // Add adds a request. It returns the requests that gave way, among them the new one if it is last in order.
 func (q *Queue) Add(now time.Time, r Request) (removed []Request) {
+	if r.Bytes > q.bounds.Bytes {
+		return []Request{r}
+	}
 	q.waiting = append(q.waiting, r)
 	q.bytes += r.Bytes
 	for len(q.waiting) > q.bounds.Requests || q.bytes > q.bounds.Bytes {
@@ -106,6 +109,12 @@
 	return slices.IndexFunc(q.Ordered(now), func(r Request) bool { return r.ID == id })
 }
 
+// Position returns how many requests are to be tried before one that does not wait yet.
+func (q *Queue) Position(now time.Time, r Request) int {
+	with := &Queue{bounds: q.bounds, waiting: append(slices.Clone(q.waiting), r), grants: q.grants}
+	return with.Ahead(now, r.ID)
+}
+
 // Expired returns the requests whose last start has come, in order.
 func (q *Queue) Expired(now time.Time) []Request {
 	expired := func(r Request) bool { return !now.Before(r.LastStart) }
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -152,3 +152,14 @@
 	}
 	return n
 }
+
+// TestTooLargeRequestDisplacesNone: a request that cannot fit leaves the queue as it is, whatever its rank.
+func TestTooLargeRequestDisplacesNone(t *testing.T) {
+	q := New(Bounds{Requests: 10, Bytes: 100})
+	for id := range uint64(5) {
+		q.Add(now, Request{ID: id, Rank: 1, Bytes: 10, LastStart: now.Add(time.Second)})
+	}
+	large := Request{ID: 9, Bytes: 101, LastStart: now.Add(time.Second)}
+	assert.DeepEqual(t, q.Add(now, large), []Request{large})
+	assert.Equal(t, q.Len(), 5)
+}
