gateway: a stalled body ends its connection

After the error of a stalled body the read deadline was cleared; net/http then waited without one for the rest of the body before it sent the response, so that the connection stayed open and the caller had no answer. Now the deadline is cleared only at the end of a body (or if the body was closed meanwhile, when the connection may be at its next request); after any other error it lies in the past, and in between it stays in force: net/http clears it when it begins to watch for the caller's departure.

TestStalledBodyIsGivenUp now reads the response and the end of the connection; without the change it failed with a timeout of the read.

--- a/gateway/callerbody.go
+++ b/gateway/callerbody.go
@@ -51,16 +51,28 @@
 	// If the connection supports no deadlines, the caller's own timeout bounds the read.
 	_ = b.controller.SetReadDeadline(time.Now().Add(b.stallTimeout))
 	n, err := b.ReadCloser.Read(p)
-	// The connection is read on to notice that the caller leaves, for which there is no deadline.
-	_ = b.controller.SetReadDeadline(time.Time{})
 	b.read += int64(n)
 	if err == nil && b.framingTooLarge() {
 		err = errors.WithStack(errBodyFraming)
 	}
+	b.setDeadlineAfter(err)
 	b.err = err
 	return n, err
 }
 
+// setDeadlineAfter sets the deadline for what net/http reads after a read with this error. Before it responds it
+// reads the rest of the body.
+func (b *callerBody) setDeadlineAfter(err error) {
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF), errors.Is(err, http.ErrBodyReadAfterClose):
+		// The connection is read on to notice that the caller leaves, or for its next request.
+		_ = b.controller.SetReadDeadline(time.Time{})
+	default:
+		_ = b.controller.SetReadDeadline(time.Unix(1, 0)) // in the past: the rest is not awaited
+	}
+}
+
 func (b *callerBody) framingTooLarge() bool {
 	if b.conn == nil {
 		return false
--- a/gateway/callerbody_test.go
+++ b/gateway/callerbody_test.go
@@ -17,7 +17,7 @@
 const testStallTimeout = 100 * time.Millisecond
 
 // readingServer reads the bodies of requests with testStallTimeout, then waits for longer than that. It delivers the
-// error of reading each body, or that of the request's context after the wait.
+// error of reading each body, to which it responds 400, or that of the request's context after the wait.
 func readingServer(t *testing.T) (*httptest.Server, <-chan error) {
 	results := make(chan error, 1)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -25,7 +25,9 @@
 		b.stallTimeout = testStallTimeout
 		_, err := io.Copy(io.Discard, b)
 		time.Sleep(2 * testStallTimeout)
-		if err == nil {
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+		} else {
 			err = r.Context().Err()
 		}
 		results <- err
@@ -34,6 +36,7 @@
 	return s, results
 }
 
+// A caller whose body stands still gets its response, and then the end of the connection.
 func TestStalledBodyIsGivenUp(t *testing.T) {
 	s, results := readingServer(t)
 	c, err := net.Dial("tcp4", s.Listener.Addr().String())
@@ -47,6 +50,10 @@
 	case <-time.After(10 * testStallTimeout):
 		t.Fatal("the body is still awaited")
 	}
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(20*testStallTimeout)))
+	response, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(response), "HTTP/1.1 400 "), "%q", response)
 }
 
 // TestSlowBodyIsRead guards against a deadline for the whole body, and against one that is left in force after it:
