gateway, pipeline: a connection that holds a part of a request is not idle

What a caller sends while a request is served is read ahead, or taken as the single byte that ends net/http's background read. When the response was sent, the connection counted as idle all the same and could be closed with the next request on it. pipeline.Conn now reports what it holds, and such a connection stays in the state of receiving. Bytes that net/http itself has buffered behind a body of unknown length are not known to it.

The new test fails without the change at the first row (one byte behind a GET); TestRequestIsNotCutByIdleClose also requires that a request is served.

--- a/gateway/callerconn_test.go
+++ b/gateway/callerconn_test.go
@@ -17,10 +17,14 @@
 
 // startCallerServer starts a server for callers that counts the requests and responds 200 to each.
 func startCallerServer(t *testing.T, requests *atomic.Int64) *callerServer {
-	f, err := listenForCallers("127.0.0.1:0", &pipeline.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return serveCallers(t, func(w http.ResponseWriter, _ *http.Request) {
 		requests.Add(1)
 		w.WriteHeader(http.StatusOK)
-	}), MayStart: func(*http.Request) bool { return false }, Memory: &Bodies{}})
+	})
+}
+
+func serveCallers(t *testing.T, serve http.HandlerFunc) *callerServer {
+	f, err := listenForCallers("127.0.0.1:0", &pipeline.Server{Handler: serve, MayStart: func(*http.Request) bool { return false }, Memory: &Bodies{MaxBytes: 1 << 20}})
 	assert.NilError(t, err)
 	go func() { _ = f.server.Serve(f.listener) }()
 	t.Cleanup(func() { _ = f.server.Close() })
@@ -65,6 +69,46 @@
 	assert.ErrorIs(t, err, io.EOF, "an idle connection is closed")
 }
 
+// A connection is not closed as idle if the begin of a request, or the whole of it, has arrived while the one before
+// was served.
+func TestReceivingBehindServedRequestIsNotIdle(t *testing.T) {
+	const whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	const withBody = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+	for _, first := range []string{whole, withBody} {
+		for _, ahead := range []int{1, 2, 20, len(whole)} {
+			serving, goOn := make(chan struct{}, 2), make(chan struct{})
+			f := serveCallers(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				serving <- struct{}{}
+				<-goOn
+			})
+			conn, err := net.Dial("tcp4", f.listener.Addr().String())
+			assert.NilError(t, err)
+			defer conn.Close()
+			responses := bufio.NewReader(conn)
+			_, err = io.WriteString(conn, first)
+			assert.NilError(t, err)
+			<-serving
+			_, err = io.WriteString(conn, whole[:ahead])
+			assert.NilError(t, err)
+			time.Sleep(20 * time.Millisecond) // it is read meanwhile
+			close(goOn)
+			resp, err := http.ReadResponse(responses, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			for range 50 {
+				f.closeIdle(0)
+				time.Sleep(100 * time.Microsecond)
+			}
+			_, err = io.WriteString(conn, whole[ahead:])
+			assert.NilError(t, err)
+			resp, err = http.ReadResponse(responses, nil)
+			assert.NilError(t, err, "%q with %d bytes behind it", first, ahead)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+		}
+	}
+}
+
 // While connections are closed as idle, each request is either served or not read.
 func TestRequestIsNotCutByIdleClose(t *testing.T) {
 	var requests atomic.Int64
@@ -96,5 +140,6 @@
 	}
 	close(stop)
 	<-closing
+	assert.Assert(t, served > 0, "no request was served")
 	assert.Equal(t, served, requests.Load(), "a request was run and its response cut")
 }
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -76,7 +76,7 @@
 	defer f.mu.Unlock()
 	_, wasIdle := f.idleSince[c]
 	delete(f.idleSince, c)
-	if s == http.StateIdle {
+	if s == http.StateIdle && !c.(*pipeline.Conn).HoldsRequest() {
 		socketOf(c).startIdle()
 	}
 	switch s {
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -30,6 +30,9 @@
 	// may be followed by requests.
 	bodyLeft int64
 	inBody   bool
+	// readSingleByte is set if net/http last read a single byte. While it is idle, this is the
+	// byte of its next request that ended its background read.
+	readSingleByte bool
 	// current is the request that is being served, nil if others may not run beside it.
 	current *http.Request
 	started []*early
@@ -42,6 +45,24 @@
 // without a body is served, net/http reads a single byte to notice that the caller has
 // left; this read goes on until net/http stops it.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.readSingleByte = len(p) == 1
+	}
+	return n, err
+}
+
+// HoldsRequest reports whether a part of the next request has been read from the connection.
+// It is valid while net/http is idle, before it reads on.
+func (c *Conn) HoldsRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead) > 0 || c.readSingleByte
+}
+
+func (c *Conn) read(p []byte) (int, error) {
 	if c.isBackgroundRead(p) {
 		return c.readAhead(p)
 	}
@@ -203,6 +224,7 @@
 	defer c.mu.Unlock()
 	e := c.next(r)
 	c.delivered = 0
+	c.readSingleByte = false
 	c.bodyLeft = 0
 	switch {
 	case hasBody(r):
