pipeline: requests that net/http refuses are not started early

http.ReadRequest doesn't make all checks of an http.Server, so that a request with a malformed field name, field value or Host was started at a target although net/http answers it with 400. parse now makes the same checks, with the package that net/http takes them from.

New rows of TestParseTakesOnlyPlainRequestsWithoutBody fail without the change.

--- a/pipeline/fuzz_test.go
+++ b/pipeline/fuzz_test.go
@@ -36,6 +36,8 @@
 	"GET /p HTTP/1.1\r\nHost: h\r\nExpect: nonsense\r\n\r\n",
 	"\r\n",
 	"DELETE /q HTTP/1.1\r\nHost: h\r\n\r\n",
+	"GET /r HTTP/1.1\r\nHost: h\r\nX y: a\r\n\r\n",
+	"GET /s HTTP/1.1\r\nHost: h h\r\n\r\n",
 }
 
 const rowEnd = "GET /end HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
@@ -54,6 +56,8 @@
 	f.Add([]byte{0, 16, 0}, []byte{})
 	f.Add([]byte{0, 2, 17, 0, 17, 0}, []byte{7})
 	f.Add([]byte{18, 0, 18, 0, 0}, []byte{100})
+	f.Add([]byte{0, 19, 0}, []byte{})
+	f.Add([]byte{0, 20, 0}, []byte{})
 	f.Fuzz(func(t *testing.T, parts, sizes []byte) {
 		const maxParts = 20
 		var row strings.Builder
--- a/pipeline/parse.go
+++ b/pipeline/parse.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // headerScanner finds the empty line that ends a request's header in a stream of bytes.
@@ -78,9 +80,31 @@
 	if !startable(r) || r.Proto != "HTTP/1.1" || r.Host == "" || !strings.HasPrefix(r.RequestURI, "/") {
 		return nil
 	}
+	if !validFields(r) {
+		return nil
+	}
 	return r
 }
 
+// validFields reports whether a request passes the checks of an http.Server that
+// http.ReadRequest does not make.
+func validFields(r *http.Request) bool {
+	if !httpguts.ValidHostHeader(r.Host) {
+		return false
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // startable reports whether requests behind r may run beside it, and r beside those before
 // it, if its route allows that.
 func startable(r *http.Request) bool {
--- a/pipeline/parse_test.go
+++ b/pipeline/parse_test.go
@@ -63,6 +63,10 @@
 		"GET / HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\nUpgrade: websocket\r\n\r\n": false,
 		"GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n":                                   false,
 		"GET / HTTP/1.1\r\nHost h\r\n\r\n":                                               false,
+		"GET / HTTP/1.1\r\nHost: h\r\nX y: a\r\n\r\n":                                    false,
+		"GET / HTTP/1.1\r\nHost: h\r\nX: a\x01\r\n\r\n":                                  false,
+		"GET / HTTP/1.1\r\nHost: h h\r\n\r\n":                                            false,
+		"GET / HTTP/1.1\r\nHost: h/x\r\n\r\n":                                            false,
 		"PRI * HTTP/2.0\r\n\r\n":                                                         false,
 		"\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n":                                          false,
 	} {
