gateway: at a stop the last response of a row closes its connection

A response asked first whether requests were started behind it, then whether keep-alive is disabled. A stop in between let two responses of a connection say that they close it. Now the order is turned around, after the wait for the response's turn: once keep-alive is disabled nothing is started early, so that the answer stays true.

The new test stops while responses wait for their turn. It guards against asking before the wait; the moment in between has no test of its own.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -347,7 +347,9 @@
 }
 
 func (c *call) write(status int, body []byte) {
-	if pipeline.IsLast(c.w, c.r) && c.h.keepAliveDisabled.Load() {
+	pipeline.AwaitTurn(c.w) // keep-alive may be disabled meanwhile
+	// The order matters: no request is started early once keep-alive is disabled, so that IsLast stays true.
+	if c.h.keepAliveDisabled.Load() && pipeline.IsLast(c.w, c.r) {
 		c.w.Header().Set("Connection", "close")
 	}
 	rc := http.NewResponseController(c.w)
--- a/gateway/pipeline_test.go
+++ b/gateway/pipeline_test.go
@@ -27,12 +27,16 @@
 const rowSlots = 64
 
 // launchForRows starts an instance with one target whose responses are the paths of their
-// requests, after the delay.
+// requests, after the delay; after four times the delay if the path ends in "slow".
 func launchForRows(t *testing.T, d *document.Document, grace, delay time.Duration) (*Gateway, *backend, func()) {
 	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		wait := delay
+		if strings.HasSuffix(r.URL.Path, "slow") {
+			wait = 4 * delay
+		}
 		select {
 		case <-r.Context().Done():
-		case <-time.After(delay):
+		case <-time.After(wait):
 		}
 		w.Header().Set(headerNames.Seal, "s")
 		_, _ = io.WriteString(w, r.URL.Path)
@@ -240,6 +244,20 @@
 	assert.Equal(t, startedEarly(g, pipeline.Canceled), int64(0))
 }
 
+// A stop while responses wait for their turn: the last of them closes the connection.
+func TestStopWhileResponsesAwaitTurn(t *testing.T) {
+	const delay, grace = 100 * time.Millisecond, 2 * time.Second
+	g, b, stop := launchForRows(t, testDocument(), grace, delay)
+	c := dialRow(t, g)
+	c.send(t, rowRequest("GET", "/get/slow", "")+rowOf(2))
+	waitForRuns(t, b, 3)
+	time.Sleep(2 * delay) // the responses behind the slow one are there
+	stop()
+	assert.Assert(t, !c.wantOK(t, "/get/slow").Close)
+	assert.Assert(t, !c.wantOK(t, "/get/0").Close)
+	assert.Assert(t, c.wantOK(t, "/get/1").Close)
+}
+
 // A row gets as many refusals by a quota as requests that are sent one after the other.
 func TestQuotaOfRow(t *testing.T) {
 	const n, rate, burst = 8, 1, 4
