pipeline, gateway: requests without room run again, nothing takes no room

A full account refused responses of no bytes, and a negative length made room in it: Bodies.Reserve now leaves the account alone for both, and a negative Content-Length counts as none. A handler that gave up with ErrAbortHandler as its response could not be kept ended the connection instead of being run again. A read ahead of a connection that was closed meanwhile returned (0, nil) and now returns net.ErrClosed (no test of its own).

--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -54,8 +54,11 @@
 }
 
 // Reserve reserves n bytes and reports whether there is room for them. The caller must
-// release them.
+// release them. For nothing there is always room.
 func (b *Bodies) Reserve(n int64) bool {
+	if n <= 0 {
+		return true
+	}
 	if b.heldBytes.Add(n) > b.MaxBytes {
 		b.heldBytes.Add(-n)
 		return false
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -168,6 +168,9 @@
 	if c.failure != nil {
 		return 0, c.failure
 	}
+	if c.closed {
+		return 0, net.ErrClosed
+	}
 	n := copy(p, c.ahead)
 	if n == 0 {
 		return 0, nil
--- a/pipeline/early.go
+++ b/pipeline/early.go
@@ -105,7 +105,7 @@
 	default:
 	}
 	n, err := strconv.ParseInt(w.header.Get("Content-Length"), 10, 64)
-	if err != nil {
+	if err != nil || n < 0 {
 		n = 0 // nothing is held: the body is written after the turn
 	}
 	if e.noRoom || !e.server.Memory.Reserve(n) {
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -113,10 +113,10 @@
 	<-e.done
 	e.cancel()
 	switch {
-	case e.panicValue != nil:
+	case e.panicValue != nil && !(e.noRoom && e.panicValue == http.ErrAbortHandler):
 		s.report(e, Canceled)
 		panic(e.panicValue) // as if the handler had run here
-	case e.noRoom:
+	case e.noRoom: // the handler may have given up for that
 		s.report(e, NoRoom)
 		s.Handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), rerunKey{}, true)))
 	case !e.wrote:
--- a/pipeline/server_test.go
+++ b/pipeline/server_test.go
@@ -419,6 +419,27 @@
 	assert.Equal(t, s.count(NoRoom), 2)
 }
 
+// A handler that gives up because its response could not be kept runs again too.
+func TestNoMemoryForResponseOfHandlerThatAborts(t *testing.T) {
+	const size = minBufferBytes
+	s := newSiteWithMemory(t, minBufferBytes+size-1, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			time.Sleep(100 * time.Millisecond)
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		if _, err := io.WriteString(w, strings.Repeat("x", size)); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c, r := s.dial(t)
+	send(t, c, row(2))
+	for range 2 {
+		_, body := readResponse(t, r)
+		assert.Equal(t, len(body), size)
+	}
+	assert.Equal(t, s.count(NoRoom), 1)
+}
+
 // A panic of a handler ends its connection, as net/http does, and not the process.
 func TestPanicInRequestStartedEarly(t *testing.T) {
 	s := newSite(t, func(w http.ResponseWriter, r *http.Request) {
