pipeline: a header sent in small pieces is scanned once

Each receive scanned the buffer from the end of the started requests again, so that a header of n pieces cost n scans. The place of the scan is now kept until the header is complete or net/http reads past the started requests. FuzzRows, which splits rows at any places, ran 20 s with 17179 runs and found no difference from net/http.

The comments of isBackgroundRead and inBody say more exactly what is meant.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -19,6 +19,9 @@
 	// those of the started requests.
 	ahead        []byte
 	startedBytes int
+	// pendingScan is at pendingScanned bytes behind the started requests, in an incomplete header.
+	pendingScan    headerScanner
+	pendingScanned int
 	// scan is at the place in the stream up to which net/http has read, delivered counts the
 	// bytes that it has read since the handler was last called.
 	scan      headerScanner
@@ -26,8 +29,8 @@
 	// atHeaderEnd is set if the last bytes that net/http read ended a header.
 	atHeaderEnd bool
 	// bodyLeft is how much of the current request's body net/http has not read. inBody is set
-	// while a request is served whose body has an unknown end: its bytes are not scanned, and
-	// may be followed by requests.
+	// while a request is served whose body ends at a place that is not known here: what net/http
+	// reads is not scanned then, be it of the body or of requests behind it.
 	bodyLeft int64
 	inBody   bool
 	// readSingleByte is set if net/http last read a single byte. While it is idle, this is the
@@ -76,7 +79,7 @@
 	return c.deliver(p[:n]), nil
 }
 
-// isBackgroundRead recognizes the read of net/http that notices a caller's departure. Reads
+// isBackgroundRead recognizes connReader.backgroundRead of net/http, which notices a caller's departure. Reads
 // of a header or body never ask for one byte right after the end of a header.
 func (c *Conn) isBackgroundRead(p []byte) bool {
 	c.mu.Lock()
@@ -176,6 +179,9 @@
 		return 0, nil
 	}
 	n = c.scanned(p[:n])
+	if n > c.startedBytes {
+		c.restartScan()
+	}
 	c.startedBytes = max(0, c.startedBytes-n)
 	rest := c.ahead[n:]
 	if len(rest) == 0 {
@@ -276,12 +282,14 @@
 // current one.
 func (c *Conn) startRequests() {
 	for c.current != nil && len(c.ahead) > c.startedBytes && len(c.started) < maxStartedPerConn {
-		var scan headerScanner
 		pending := c.ahead[c.startedBytes:]
-		size := scan.end(pending)
-		if size < 0 {
+		n := c.pendingScan.end(pending[c.pendingScanned:])
+		if n < 0 {
+			c.pendingScanned = len(pending)
 			return
 		}
+		size := c.pendingScanned + n
+		c.restartScan()
 		r := parse(pending[:size])
 		if r == nil || !c.server.MayStart(c.current) || !c.server.MayStart(r) {
 			c.current = nil
@@ -299,6 +307,12 @@
 	}
 }
 
+// restartScan makes the next scan begin behind the started requests.
+func (c *Conn) restartScan() {
+	c.pendingScan = headerScanner{}
+	c.pendingScanned = 0
+}
+
 func (c *Conn) hasStarted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -324,6 +338,7 @@
 	}
 	c.started = nil
 	c.startedBytes = 0
+	c.restartScan()
 	c.current = nil
 }
 
