--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -76,7 +76,7 @@
 	defer f.mu.Unlock()
 	_, wasIdle := f.idleSince[c]
 	delete(f.idleSince, c)
-	if s == http.StateIdle {
+	if s == http.StateIdle && !c.(*pipeline.Conn).HoldsRequest() {
 		socketOf(c).startIdle()
 	}
 	switch s {
@@ -96,7 +96,8 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for longer than the limit.
+// closeIdle closes the connections that have been idle for longer than the limit, unless a part of a request has
+// arrived.
 func (f *callerServer) closeIdle(limit time.Duration) {
 	now := time.Now()
 	f.mu.Lock()
