all: names and comments after a newcomer's read-through

No change of behavior. Renamed where a name said the opposite of what it does or hid it: spendAboveReserve, countDelivered, compareDeadlines, reportsOnRejecting, early.writer.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -108,8 +108,9 @@
 	AttemptAdded    Event = "attempt-added"
 	AttemptNotAdded Event = "attempt-not-added"
 	RequestRefused  Event = "request-refused"
-	// RequestWaits is logged when a request that targets rejected waits for a later attempt, RequestResumed when it gets
-	// one and RequestGivenUp when it does not.
+	// RequestWaits is logged when a request waits for a later attempt: targets rejected it, the retry budget allows
+	// no attempt now, or all targets are in backoff. RequestResumed is logged when it gets one, RequestGivenUp when
+	// it does not.
 	RequestWaits   Event = "request-waits"
 	RequestResumed Event = "request-resumed"
 	RequestGivenUp Event = "request-given-up"
--- a/exchange/bounds.go
+++ b/exchange/bounds.go
@@ -16,8 +16,8 @@
 	MaxHeadBytes = 128 << 10
 	// maxInterimResponses limits the interim (1xx) responses before a response.
 	maxInterimResponses = 64
-	// A body takes on the connection, with its framing, at most framingFactor times what was read of it and
-	// 1/framingReserve of the bound of bodies. Chunks of 10 bytes and more are thus within the bound at any size.
+	// With its chunk framing a body takes at most framingFactor times its decoded bytes, and in addition MaxHeadBytes
+	// and the bound of bodies divided by framingReserve. Chunks of 10 bytes and more never exceed this.
 	framingFactor  = 1.5
 	framingReserve = 4
 )
@@ -122,13 +122,13 @@
 	return nil, errors.WithStack(&BoundError{PartInterim, maxInterimResponses})
 }
 
-// body returns a reader of the body of a response of at most maxBytes bytes, with a bound of its framing.
+// body returns a reader of the body of a response that bounds the bytes of its framing. The caller enforces maxBytes.
 func (cn *conn) body(resp *http.Response, maxBytes int64) io.Reader {
 	cn.bounded.allow(PartFraming, maxBytes/framingReserve+MaxHeadBytes)
 	return &framedBody{resp.Body, cn.bounded}
 }
 
-// framedBody is a body whose framing may be as large as what was read of it allows.
+// framedBody is a body that may take framingFactor more bytes on the connection for each decoded byte.
 type framedBody struct {
 	body    io.Reader
 	bounded *boundedReader
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,7 +88,7 @@
 	hedgeTimer *time.Timer
 	// budgetDenied is set if the retry budget alone did not allow another attempt.
 	budgetDenied bool
-	// earlier is the number of targets tried before the request last waited.
+	// earlier is the number of attempts that are no longer in tried, as the request has waited since.
 	earlier int
 	// relayAsked is set once other instances were asked to take the request.
 	relayAsked bool
@@ -338,7 +338,7 @@
 // returns false if the budget does not allow the attempt.
 func (r *attemptGroup) spendBudget(reason string) bool {
 	if r.c.rejectedWidely() {
-		return r.spendReserved(reason)
+		return r.spendAboveReserve(reason)
 	}
 	left, ok := r.c.h.Knowledge.SpendBudget(time.Now(), r.c.service, r.c.urgent())
 	if !ok && r.borrowBudget() {
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -44,7 +44,7 @@
 	return k.service(name).budget.Balance(now, k.instances(now))
 }
 
-// SpendBudgetAbove takes an attempt from the service's retry budget if the given share of a full one is left.
+// SpendBudgetAbove takes an attempt from the service's retry budget if the given share of a full bucket is left afterwards.
 func (k *Knowledge) SpendBudgetAbove(now time.Time, name document.ServiceName, share float64, urgent bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -58,11 +58,11 @@
 	ranks map[int]bool
 }
 
-// ticket is a request that waits.
+// ticket connects a request in the queue with the goroutine that serves it.
 type ticket struct {
 	// verdict receives what becomes of the request, at most once.
 	verdict chan spending.Verdict
-	// stops reports whether the instance stops before the request could be served.
+	// stops reports whether the instance may stop before the request's deadline.
 	stops func() bool
 }
 
@@ -78,7 +78,7 @@
 type budgetAccount struct {
 	w       *Waiting
 	service document.ServiceName
-	// blocked is set if no target takes requests now, so that attempts would be lost.
+	// blocked is set while all targets are in backoff, so that an attempt would find no target.
 	blocked bool
 }
 
--- a/gateway/waitingattempt.go
+++ b/gateway/waitingattempt.go
@@ -11,14 +11,14 @@
 	"github.com/clementinereel/clementinereel/waitqueue"
 )
 
-// This file lets requests wait for a later attempt: those that targets rejected, and those that failed and may be
-// repeated, if the retry budget does not allow an attempt now.
+// This file lets requests wait for a later attempt: those that targets rejected, those that failed and may be repeated
+// if the retry budget allows no attempt now, and those that were not sent since all targets are in backoff (Retry-After).
 
-// attempts returns the number of targets tried so far.
+// attempts returns the number of attempts so far.
 func (r *attemptGroup) attempts() int { return r.earlier + len(r.tried) }
 
-// mayWait reports whether a request whose last attempt had the given result may wait. Requests of other instances do
-// not wait here.
+// mayWait reports whether a request whose last attempt had the given result may wait. Requests that another instance
+// relayed have queueing unset.
 func (r *attemptGroup) mayWait(e attemptResult) bool {
 	if !r.c.queueing || r.running > 0 || r.c.r.Context().Err() != nil {
 		return false
@@ -26,7 +26,8 @@
 	return r.rejected(e) || r.budgetDenied
 }
 
-// rejected reports whether targets rejected the request, it has certainly not run, and a target takes it again in time.
+// rejected reports whether the request was rejected by targets and has certainly not run, and whether the backoff of one
+// target ends early enough for another attempt.
 func (r *attemptGroup) rejected(e attemptResult) bool {
 	if r.refused == 0 || !e.result.Kind.NotRun() || r.sent > 0 || r.fallback.kind != outcomeNotRun {
 		return false
@@ -35,13 +36,13 @@
 	return now.Add(r.c.backoffLeft(now)).Before(r.waitingRequest(now).LastStart)
 }
 
-// backoffLeft returns the time until the first of the service's targets takes requests again; 0 if one does now.
+// backoffLeft returns the time until the first backoff of the service's targets ends; 0 if one has none.
 func (c *call) backoffLeft(now time.Time) time.Duration {
 	return c.h.Knowledge.minBackoffLeft(now, c.h.State.Targets().Services[c.service])
 }
 
-// waitsForTarget reports whether a request that has not been sent waits, since all targets ask for rest and one of them
-// takes requests again in time.
+// waitsForTarget reports whether a request that has not been sent waits, since all targets are in backoff and one of
+// the backoffs ends in time.
 func (r *attemptGroup) waitsForTarget() bool {
 	c, now := r.c, time.Now()
 	if !c.queueing || c.r.Context().Err() != nil || r.fallback.kind != outcomeNotRun {
@@ -60,8 +61,9 @@
 // othersWait reports whether requests wait for the service.
 func (c *call) othersWait() bool { return c.queueing && c.h.Waiting.Len(c.service) > 0 }
 
-// spendReserved takes another attempt from the retry budget of a service that rejects requests widely.
-func (r *attemptGroup) spendReserved(reason string) bool {
+// spendAboveReserve takes another attempt from the retry budget, of which it leaves spending.ReservedShare. It is for
+// services that reject requests widely.
+func (r *attemptGroup) spendAboveReserve(reason string) bool {
 	ok := r.c.h.Knowledge.SpendBudgetAbove(time.Now(), r.c.service, spending.ReservedShare, r.c.urgent())
 	event := eventlog.AttemptAdded
 	if !ok {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -60,7 +60,7 @@
 	FillHeartbeat, FillGreeting func(now time.Time, p *Packet)
 	// Digest summarizes the own zone.
 	Digest Digester
-	// FillDigest, if set, completes each datagram with a digest.
+	// FillDigest, if set, adds further fields to each datagram that carries a digest.
 	FillDigest func(now time.Time, p *Packet)
 	// Handle processes each packet that arrives.
 	Handle Handler
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -341,8 +341,8 @@
 	return b, errors.WithStack(err)
 }
 
-// maxElements bounds the elements of a list in a datagram. Each takes 16 bytes or more of the largest one, but
-// an empty element could decode to a whole Packet.
+// maxElements bounds the elements of a list in a datagram. A datagram has no room for more of 16 bytes each; without
+// the bound, empty elements of one byte would each decode to a whole Packet.
 const maxElements = readBufferBytes / 16
 
 var decoding = newDecoding()
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -136,8 +136,8 @@
 	return true
 }
 
-// received notes bytes that were read to room and starts requests that are complete by
-// them. It reports false if there is no buffer for them.
+// received adds bytes that were read to the buffer and starts requests that are complete by
+// them. outside is set if b is not in the buffer yet. It reports false if there is no room in it.
 func (c *Conn) received(b []byte, outside bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -178,7 +178,7 @@
 	if n == 0 {
 		return 0, nil
 	}
-	n = c.scanned(p[:n])
+	n = c.countDelivered(p[:n])
 	if n > c.startedBytes {
 		c.restartScan()
 	}
@@ -197,7 +197,7 @@
 func (c *Conn) deliver(b []byte) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := c.scanned(b)
+	n := c.countDelivered(b)
 	if n == len(b) || c.hold(b[n:]) {
 		return n
 	}
@@ -208,8 +208,8 @@
 	return len(b)
 }
 
-// scanned returns how many bytes of b to deliver, and counts these as delivered.
-func (c *Conn) scanned(b []byte) int {
+// countDelivered returns how many bytes of b to deliver, and counts these as delivered.
+func (c *Conn) countDelivered(b []byte) int {
 	n := len(b)
 	c.atHeaderEnd = false
 	if c.inBody {
@@ -255,8 +255,8 @@
 	c.atHeaderEnd = false
 }
 
-// next returns the first started request if it is r. If another stands in its place, all
-// are canceled.
+// next removes and returns the first started request if it is r, nil otherwise. If another stands in
+// its place, all are canceled.
 func (c *Conn) next(r *http.Request) *early {
 	if len(c.started) == 0 {
 		return nil
--- a/pipeline/early.go
+++ b/pipeline/early.go
@@ -19,11 +19,13 @@
 	size   int
 	start  time.Time
 	cancel context.CancelFunc
-	// turn is closed when net/http has reached the request; target is the response writer
-	// by then.
+	// turn is closed when net/http has reached the request. From then on writer is the response
+	// writer of net/http.
 	turn   chan struct{}
-	target http.ResponseWriter
-	// done is closed when the handler has returned. What follows is valid from then on.
+	writer http.ResponseWriter
+	// done is closed when the handler has returned. Others may read what follows from then on: whether
+	// the handler wrote a response, whether there was no memory for the response to wait for its turn,
+	// and with what the handler panicked.
 	done       chan struct{}
 	wrote      bool
 	noRoom     bool
@@ -58,7 +60,7 @@
 
 // handOver lets the request respond to w.
 func (e *early) handOver(w http.ResponseWriter) {
-	e.target = w
+	e.writer = w
 	close(e.turn)
 }
 
@@ -67,19 +69,19 @@
 type turnWriter struct {
 	early  *early
 	header http.Header
-	// began is set once the header is that of the target.
+	// began is set once Header returns the header of early.writer.
 	began bool
 }
 
 // Header implements http.ResponseWriter.
 func (w *turnWriter) Header() http.Header {
 	if w.began {
-		return w.early.target.Header()
+		return w.early.writer.Header()
 	}
 	return w.header
 }
 
-// await waits for the request's turn.
+// await waits for the request's turn and copies the header that the handler has set to that of net/http.
 func (w *turnWriter) await() error {
 	if w.began {
 		return nil
@@ -88,7 +90,7 @@
 		return errNoTurn
 	}
 	w.began = true
-	out := w.early.target.Header()
+	out := w.early.writer.Header()
 	for name, values := range w.header {
 		out[name] = values
 	}
@@ -127,7 +129,7 @@
 		return
 	}
 	w.early.wrote = true
-	w.early.target.WriteHeader(status)
+	w.early.writer.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
@@ -136,7 +138,7 @@
 		return 0, err
 	}
 	w.early.wrote = true
-	return w.early.target.Write(b)
+	return w.early.writer.Write(b)
 }
 
 // SetWriteDeadline sets the deadline for writing the response; the wait for the turn does
@@ -149,7 +151,7 @@
 	if !t.IsZero() {
 		t = time.Now().Add(left)
 	}
-	return http.NewResponseController(w.early.target).SetWriteDeadline(t)
+	return http.NewResponseController(w.early.writer).SetWriteDeadline(t)
 }
 
 // FlushError sends what has been written. It is used by http.ResponseController.
@@ -158,5 +160,5 @@
 		return err
 	}
 	w.early.wrote = true
-	return http.NewResponseController(w.early.target).Flush()
+	return http.NewResponseController(w.early.writer).Flush()
 }
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -116,7 +116,7 @@
 	case e.panicValue != nil && !(e.noRoom && e.panicValue == http.ErrAbortHandler):
 		s.report(e, Canceled)
 		panic(e.panicValue) // as if the handler had run here
-	case e.noRoom: // the handler may have given up for that
+	case e.noRoom: // the handler may have panicked with ErrAbortHandler since it could not write
 		s.report(e, NoRoom)
 		s.Handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), rerunKey{}, true)))
 	case !e.wrote:
--- a/quota/acquire.go
+++ b/quota/acquire.go
@@ -170,7 +170,7 @@
 	return !now.Before(t.tenant(now, r.Tenant).farDeniedUntil.latest(r.Rank))
 }
 
-// denial returns how long an earlier denial, of a request that was as urgent, still applies; 0 if none does.
+// denial returns how long an earlier denial of a request that was at least as urgent still applies; 0 if none does.
 func (t *Table) denial(now time.Time, r Request) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -7,7 +7,7 @@
 	tokens    float64
 	updatedAt time.Time
 	demand    demand
-	// queuedUntil is, for each rank, when all refused requests that are as urgent could have been granted.
+	// queuedUntil is, for each rank, when all refused requests that are at least as urgent could have been granted.
 	queuedUntil [Ranks]time.Time
 }
 
@@ -48,8 +48,8 @@
 // maxWait bounds the time after which a refused request is told to come back.
 const maxWait = 3 * time.Second
 
-// queue returns the time after which a refused request may be granted, behind those refused before it that are as
-// urgent, at the rate that the more urgent demand leaves.
+// queue returns the time after which a refused request may be granted, behind those refused before it that are at least
+// as urgent, at the rate that the more urgent demand leaves.
 func (b *bucket) queue(now time.Time, rank Rank, rate float64) time.Duration {
 	if rate <= b.demand.moreUrgent(rank) {
 		return maxWait
--- a/quota/rank.go
+++ b/quota/rank.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Rank is the urgency of a request among those of its tenant; 0 is the most urgent. Requests beyond the quota are
-// refused by rank, the least urgent first.
+// Rank is the priority of a request's route, whatever the priority of its tenant; 0 is the most urgent. Requests beyond
+// the quota are refused by rank, the least urgent first.
 type Rank uint8
 
 // Ranks is the number of ranks that are told apart. Less urgent requests have the last one.
--- a/quota/window.go
+++ b/quota/window.go
@@ -5,9 +5,8 @@
 // debitSlots is the number of parts of the window in which debits are counted together.
 const debitSlots = 64
 
-// debits has the tokens that left a bucket within the last window of Bounds. What left it before need not be made up
-// for: a bucket may grant more than its rate steadily, as long as in no window more is granted than its capacity and
-// the rate for that window.
+// debits counts the tokens that left a bucket within the last window of Bounds (a sliding window log, in slots). With it
+// a bucket may grant more than its rate, as long as no window has more than its capacity and the rate for the window.
 type debits struct {
 	slots [debitSlots + 1]float64
 	// origin is when slots are counted from: the time of day may jump.
@@ -27,7 +26,7 @@
 	d.slots[d.newest%int64(len(d.slots))] += tokens
 }
 
-// addSteady counts tokens that may have left at a rate per second within the last window.
+// addSteady counts tokens as if they had left at a rate per second throughout the last window.
 func (d *debits) addSteady(now time.Time, window time.Duration, rate float64) {
 	d.advance(now, window)
 	for i := range d.slots {
@@ -47,9 +46,9 @@
 	}
 }
 
-// allowance returns how many tokens the bucket may have: of the intervals that end now and are no longer than the
-// window, none may have debits of more than the capacity and the rate per second for its length. Where the begin of an
-// interval within a slot matters, it assumes the latest.
+// allowance returns how many tokens the bucket may grant now, so that no interval that ends now and is at most as long as
+// the window has more debits than the capacity and the rate per second for its length. An interval has all debits of the
+// slot in which it begins, but counts as beginning at the end of that slot.
 func (d *debits) allowance(now time.Time, window time.Duration, rate, capacity float64) float64 {
 	d.advance(now, window)
 	slot := slotDuration(window)
@@ -65,8 +64,8 @@
 
 func slotDuration(window time.Duration) time.Duration { return max(window/debitSlots, 1) }
 
-// heldBucket is the bucket of a holder. Beyond its rate it grants what the window allows, spread over the window, if it
-// can hold a whole token: what smaller ones grant at random is not bounded by their debits.
+// heldBucket is the bucket of a holder. If it can hold a whole token, it grants beyond its rate what the window allows,
+// spread over the window. Smaller ones grant at random (bucket.take), which their debits do not bound.
 type heldBucket struct {
 	bucket
 	window time.Duration
@@ -75,14 +74,16 @@
 	rate, capacity float64
 }
 
-// newHeldBucket returns a bucket in whose place others may have granted until its last update.
+// newHeldBucket returns the bucket of a new holder. Earlier holders may have granted the tokens of a window until the last
+// update of b, so that they count as debits.
 func newHeldBucket(b bucket, window time.Duration, rate, capacity float64) heldBucket {
 	h := heldBucket{bucket: b, window: window, debits: debits{origin: b.updatedAt}}
 	h.resize(b.updatedAt, rate, capacity)
 	return h
 }
 
-// resize sets the rate and the capacity. Of what is added, others may have granted all until now.
+// resize sets the rate and the capacity. Other holders may have granted what is added until now, so that it counts as
+// debits.
 func (h *heldBucket) resize(now time.Time, rate, capacity float64) {
 	if rate > h.rate || capacity > h.capacity {
 		h.debits.addSteady(now, h.window, max(rate-h.rate, 0))
@@ -103,8 +104,8 @@
 	h.tokens += max(min(beyond, h.debits.allowance(now, h.window, rate, capacity)-h.tokens), 0)
 }
 
-// outlastsWindow reports whether tokens that an earlier holder released may still be granted when the window in which this
-// one must assume them has passed: they expire at the rate.
+// outlastsWindow reports whether the bucket takes longer than the window to refill. Tokens that an earlier holder kept
+// expire at the same rate, so that it may grant them after the window for which this holder counts them as debits.
 func (h *heldBucket) outlastsWindow() bool { return h.capacity > h.rate*h.window.Seconds() }
 
 // takeRanked takes a token for a request of a rank.
--- a/rejection/belief.go
+++ b/rejection/belief.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// minRejections and minShare are what begins a belief: fewer are single requests that met a full queue.
+	// A belief begins with minRejections or more that are at least minShare of the attempts.
 	minRejections = 8
 	minShare      = 0.3
 	// usualShare is the share that a service in good order may reject.
@@ -14,10 +14,10 @@
 	// minAssumedShare and maxAssumedShare bound the share against which an end is tested.
 	minAssumedShare = 0.25
 	maxAssumedShare = 0.9
-	// endEvidence is the logarithm of the likelihood ratio that ends a belief. Half of the attempts rejected, a run of
-	// acceptances as long as needed happens by chance once in some thousand attempts.
+	// endEvidence is the logarithm of the likelihood ratio, of usualShare to the assumed share, that ends a belief.
+	// Against an assumed share of 0.5, 13 accepted attempts in a row reach it.
 	endEvidence = 8.0
-	// shareDelay is the age from which slots count for the assumed share: newer ones may be from after the end.
+	// shareDelay is the number of newest slots that do not count for the assumed share: they may be from after the end.
 	shareDelay = 4
 	// beliefTimeout is the time without an attempt after which a belief ends.
 	beliefTimeout = 2 * time.Second
--- a/rejection/doc.go
+++ b/rejection/doc.go
@@ -8,7 +8,8 @@
 //
 // A belief that a zone's targets reject begins once many of the recent attempts at most of the targets were
 // rejected. It ends once the latest attempts are so much more likely under the usual rate of rejections that chance
-// hardly explains it, or once nothing is heard for beliefTimeout. Either counts only later attempts from then on.
+// hardly explains it, or once nothing is heard for beliefTimeout. After a change only the
+// attempts that led to it and later ones count.
 //
 // The package reads no clock and does no I/O. Times may jump: slots from the future are ignored.
 package rejection
--- a/rejection/table.go
+++ b/rejection/table.go
@@ -115,11 +115,11 @@
 	return r.Service != "" && r.Elapsed >= 0 && r.Elapsed < SlotLength
 }
 
-// Own returns this instance's reports on services that reject requests, also of others; those with most first.
+// Own returns this instance's counts of the services of which it or others counted rejections.
 func (t *Table) Own(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.noteworthy(now, func(key Key) Report {
+	return t.reportsOnRejecting(now, func(key Key) Report {
 		if s := t.own[key]; s != nil {
 			return s.report(now, key)
 		}
@@ -131,12 +131,13 @@
 func (t *Table) Summary(now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.noteworthy(now, func(key Key) Report { return t.merged(now, key, time.Time{}, false) })
+	return t.reportsOnRejecting(now, func(key Key) Report { return t.merged(now, key, time.Time{}, false) })
 }
 
-// noteworthy returns the reports on services with rejections, at most MaxReports. These may be those of others: if
-// only instances that saw some reported, most of the attempts that were accepted would be missing.
-func (t *Table) noteworthy(now time.Time, report func(Key) Report) []Report {
+// reportsOnRejecting returns the reports on services of which this instance or others counted rejections, at most
+// MaxReports, those with most rejections first. Instances without rejections report too: without their accepted
+// attempts the share of rejections would be too high.
+func (t *Table) reportsOnRejecting(now time.Time, report func(Key) Report) []Report {
 	var all []Report
 	for key, b := range t.beliefs {
 		r, merged := report(key), t.merged(now, key, time.Time{}, true)
--- a/retry/pooled/budget.go
+++ b/retry/pooled/budget.go
@@ -123,7 +123,7 @@
 type Balance struct {
 	// Tokens is the content, including loans, Capacity what the bucket holds at most.
 	Tokens, Capacity float64
-	// Inflow is the number of tokens that flow in per second at the present load.
+	// Inflow is the refill rate, in tokens per second at the present load.
 	Inflow float64
 	// RequestsPerSecond is the mean load of the last window.
 	RequestsPerSecond float64
@@ -139,9 +139,8 @@
 	}
 }
 
-// SpendAbove records an added attempt if more than the given share of a full bucket is left afterwards, or than what
-// non-urgent requests leave to urgent ones. A
-// full bucket always allows one, so that nothing of what flows in is lost.
+// SpendAbove records an added attempt if at least the given share of a full bucket is left afterwards; a non-urgent
+// request also leaves urgentReserve. A full bucket that holds a token always allows an attempt: its refill would be lost.
 func (b *Budget) SpendAbove(now time.Time, instances int, share float64, urgent bool) bool {
 	full := b.refill(now, instances)
 	if !urgent && b.total.urgent > 0 {
--- a/retry/spending/doc.go
+++ b/retry/spending/doc.go
@@ -1,14 +1,14 @@
 // Package spending decides when the requests of a service that wait get one of the attempts that the retry budget
 // allows.
 //
-// An attempt is worth the probability that it is accepted, and the budget allows the same number whenever they are
-// made. While a service rejects widely, a Planner keeps a part of the stock of the budget and grants only what
-// flows in beyond it, to the first in order. After the service has recovered the stock pays for those that still wait, spread
-// over time so that they do not arrive together. A request that reaches its last useful start gets an attempt if the budget
-// allows one at that moment and no more than one goes ahead of the pace, and is given up otherwise.
+// The budget is a token bucket. While a service rejects widely, a Planner keeps ReservedShare of the bucket and grants
+// attempts only from what is above it, to the first in order. After the service has recovered it grants them from the
+// whole bucket at a limited rate, so that those that still wait do not arrive together. A request that reaches its last
+// useful start gets an attempt if the budget allows one at that moment and, after a recovery, it is at most one ahead of
+// that rate. Otherwise it is given up.
 //
-// A request may wait only if stock and inflow are expected to cover it and those ahead. First attempts
-// are no matter of this package.
+// A request may wait only if the tokens in the bucket and its refill are expected to cover it and those ahead. First
+// attempts need no token and are not planned here.
 //
 // The package reads no clock and does no I/O; randomness is handed in.
 package spending
--- a/retry/spending/planner.go
+++ b/retry/spending/planner.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// ReservedShare is the share of a full bucket that is kept while a service rejects widely. More is worth
-	// hardly more requests served, and fewer of them within their objective.
+	// ReservedShare is the share of a full bucket that is kept for the time after a recovery while a service rejects
+	// widely.
 	ReservedShare = 0.5
 	// releaseShare is the rate at which those that wait are released after a recovery, as a share of the usual
 	// load. With first attempts, retries and those that wait no more than 1.5 times the usual load arrives.
@@ -27,8 +27,7 @@
 type Account interface {
 	// Balance returns the state of the bucket.
 	Balance(now time.Time) pooled.Balance
-	// SpendAbove takes an attempt out of the bucket if the given share of a full one is left.
-	// for a request of the given rank.
+	// SpendAbove takes a token for a request of the given rank if the given share of a full bucket is left afterwards.
 	SpendAbove(now time.Time, share float64, rank int) bool
 }
 
@@ -42,8 +41,8 @@
 	Displaced Verdict = "queue full"
 	// NotCovered means that the budget is not expected to cover an attempt.
 	NotCovered Verdict = "budget does not cover it"
-	// Expired means that neither the budget nor, after a recovery, the pace allowed an attempt until the last
-	// useful start.
+	// Expired means that the budget or, after a recovery, the limit on the rate of releases allowed no attempt
+	// until the last useful start.
 	Expired Verdict = "no attempt in time"
 )
 
@@ -86,7 +85,7 @@
 	return removed
 }
 
-// resetIfEmpty forgets the pace once nothing waits.
+// resetIfEmpty forgets the time of the next release once nothing waits.
 func (p *Planner) resetIfEmpty() {
 	if p.queue.Len() == 0 {
 		p.releaseAt = time.Time{}
@@ -123,7 +122,8 @@
 	return time.Duration(missing / b.Inflow * float64(time.Second))
 }
 
-// Decide returns the requests that no longer wait. rejecting is set while the service rejects widely.
+// Decide removes the requests that get an attempt or are given up now, and returns them. rejecting is set while the
+// service rejects widely.
 func (p *Planner) Decide(now time.Time, rejecting bool, a Account) []Decision {
 	if p.queue.Len() == 0 {
 		p.releaseAt = time.Time{}
@@ -139,7 +139,7 @@
 	return append(out, p.expire(now, rejecting, a)...)
 }
 
-// spendInflow grants what flows in to the first in order.
+// spendInflow grants attempts to the first in order from what the bucket holds above the reserved share.
 func (p *Planner) spendInflow(now time.Time, a Account) (out []Decision) {
 	for p.queue.Len() > 0 {
 		first := p.queue.Ordered(now)[0]
@@ -168,8 +168,8 @@
 	return out
 }
 
-// planRelease plans the release after one that is made now. One that could not wait for its turn delays the next, and
-// one that is late by more than an interval is not made up for.
+// planRelease sets the time of the next release after one that is made now. If this one is early, the next is later; if
+// it is late by more than an interval, the delay is not made up for.
 func (p *Planner) planRelease(now time.Time, a Account) {
 	interval := releaseInterval(now, a)
 	if now.Sub(p.releaseAt) > interval {
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -25,7 +25,8 @@
 type Request struct {
 	// ID identifies the request in the queue.
 	ID uint64
-	// Rank is the priority; 0 is the most urgent.
+	// Rank is the priority of the tenant or, if it has none, of the route, unlike that of package quota; 0 is the
+	// most urgent.
 	Rank   int
 	Tenant document.TenantName
 	// Weight is the tenant's share; values that are not positive count as 1.
@@ -62,7 +63,7 @@
 // Bytes returns the size of the requests that wait.
 func (q *Queue) Bytes() int64 { return q.bytes }
 
-// Add adds a request. It returns the requests that gave way, among them the new one if it is last in order.
+// Add adds a request. It returns those that it removed since the queue was full, which may include the new one.
 func (q *Queue) Add(now time.Time, r Request) (removed []Request) {
 	if r.Bytes > q.bounds.Bytes {
 		return []Request{r}
@@ -128,7 +129,7 @@
 func (q *Queue) Ordered(now time.Time) []Request {
 	q.expireGrants(now)
 	ordered := slices.Clone(q.waiting)
-	slices.SortFunc(ordered, func(a, b Request) int { return compareLoss(now, &a, &b) })
+	slices.SortFunc(ordered, func(a, b Request) int { return compareDeadlines(now, &a, &b) })
 	rounds := q.rounds(ordered)
 	slices.SortStableFunc(ordered, func(a, b Request) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(rounds[a.ID], rounds[b.ID]))
@@ -136,7 +137,7 @@
 	return ordered
 }
 
-// rounds returns the round of each request, for requests in order of loss.
+// rounds returns the round of each request, for requests in order of their deadlines.
 func (q *Queue) rounds(ordered []Request) map[uint64]int {
 	largest := 0.0
 	for i := range ordered {
@@ -169,9 +170,9 @@
 	return 1
 }
 
-// compareLoss orders requests of one rank and round by what is lost next. Requests that can still meet their
+// compareDeadlines orders requests of one rank and round by deadline. Requests that can still meet their
 // objective come before those that cannot or have none.
-func compareLoss(now time.Time, a, b *Request) int {
+func compareDeadlines(now time.Time, a, b *Request) int {
 	aMeets, bMeets := a.meetsObjective(now), b.meetsObjective(now)
 	switch {
 	case aMeets && !bMeets:
