retry/spending, waitqueue: what waits is ordered only for an attempt that is spent

Cause: at each decision, 100 a second while requests wait, the whole queue was sorted to learn the rank of its first request, also where the budget allowed nothing. Ruled out: a kept order, as it changes with time and with what tenants were granted. Change: the first in order has the lowest rank, which is found by one pass; the queue is sorted once an attempt was taken. Before and after: no figure was taken; the order and what is spent are the same, by the tests of both packages and of waiting in gateway, unchanged.

--- a/retry/spending/planner.go
+++ b/retry/spending/planner.go
@@ -141,12 +141,8 @@
 
 // spendInflow grants attempts to the first in order from what the bucket holds above the reserved share.
 func (p *Planner) spendInflow(now time.Time, a Account) (out []Decision) {
-	for p.queue.Len() > 0 {
-		first := p.queue.Ordered(now)[0]
-		if !a.SpendAbove(now, p.cfg.ReservedShare, first.Rank) {
-			break
-		}
-		out = append(out, p.grant(now, first))
+	for p.queue.Len() > 0 && a.SpendAbove(now, p.cfg.ReservedShare, p.queue.FirstRank()) {
+		out = append(out, p.grant(now, p.queue.Ordered(now)[0]))
 	}
 	return out
 }
@@ -157,13 +153,9 @@
 		// Instances that notice a recovery together begin at different times.
 		p.releaseAt = now.Add(time.Duration((0.5 + p.cfg.Random()) * float64(releaseInterval(now, a))))
 	}
-	for p.queue.Len() > 0 && !now.Before(p.releaseAt) {
-		first := p.queue.Ordered(now)[0]
-		if !a.SpendAbove(now, 0, first.Rank) {
-			break
-		}
+	for p.queue.Len() > 0 && !now.Before(p.releaseAt) && a.SpendAbove(now, 0, p.queue.FirstRank()) {
 		p.planRelease(now, a)
-		out = append(out, p.grant(now, first))
+		out = append(out, p.grant(now, p.queue.Ordered(now)[0]))
 	}
 	return out
 }
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -110,6 +110,15 @@
 	return slices.IndexFunc(q.Ordered(now), func(r Request) bool { return r.ID == id })
 }
 
+// FirstRank returns the rank of the first request in order, without ordering the others. The queue must not be empty.
+func (q *Queue) FirstRank() int {
+	first := q.waiting[0].Rank
+	for i := range q.waiting {
+		first = min(first, q.waiting[i].Rank)
+	}
+	return first
+}
+
 // Position returns how many requests are to be tried before one that does not wait yet.
 func (q *Queue) Position(now time.Time, r Request) int {
 	with := &Queue{bounds: q.bounds, waiting: append(slices.Clone(q.waiting), r), grants: q.grants}
