--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -50,6 +49,9 @@
 	_, _ = fmt.Fprintf(r.file, "%9.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// MemoryMB is the memory that a gateway may use, in MiB.
+const MemoryMB = 284
+
 // Zones of a deployment.
 var Zones = []string{"zone-a", "zone-b", "zone-c"}
 
@@ -58,22 +60,18 @@
 	Store    *standin.Store
 	Gateways []*Gateway
 	Record   *Record
-	// StoreAddr is the address by which the gateways that are added reach the store; that of Store if empty.
-	StoreAddr string
-	dir       string
-	ports     [4]int // consumers, readiness, control, first internal port
-	bounds    []string
+	dir      string
+	ports    [4]int // consumers, readiness, control, first internal port
+	bounds   []string
 }
 
 // Gateway is one gateway process.
 type Gateway struct {
 	Name, IP, Zone string
-	// StoreAddr is the address of the store in the settings; that of the deployment's store if empty.
-	StoreAddr string
-	d         *Deployment
-	mu        sync.Mutex
-	cmd       *exec.Cmd
-	done      chan struct{}
+	d              *Deployment
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	done           chan struct{}
 }
 
 // New starts the store. Gateways are added afterwards.
@@ -103,12 +101,11 @@
 	return ln.Addr().(*net.TCPAddr).Port, nil
 }
 
-// AddGateways starts n gateways, spread over the zones, and waits until they are ready. They reach the store at
-// d.StoreAddr, if it is set.
+// AddGateways starts n gateways, spread over the zones, and waits until they are ready.
 func (d *Deployment) AddGateways(n int) error {
 	base := os.Getpid()%200 + 20
 	for i := range n {
-		d.Gateways = append(d.Gateways, &Gateway{d: d, Name: fmt.Sprintf("edge-%d", i+1), IP: fmt.Sprintf("127.%d.0.%d", base, i+1), Zone: Zones[i%len(Zones)], StoreAddr: d.StoreAddr})
+		d.Gateways = append(d.Gateways, &Gateway{d: d, Name: fmt.Sprintf("edge-%d", i+1), IP: fmt.Sprintf("127.%d.0.%d", base, i+1), Zone: Zones[i%len(Zones)]})
 	}
 	for _, g := range d.Gateways {
 		if err := g.Start(); err != nil {
@@ -126,14 +123,10 @@
 // Front returns the address for consumers.
 func (g *Gateway) Front() string { return fmt.Sprintf("%s:%d", g.IP, g.d.ports[0]) }
 
-// WriteSettings writes the settings file.
-func (g *Gateway) WriteSettings() error { return os.WriteFile(g.settingsPath(), g.settings(), 0o600) }
-
-func (g *Gateway) settingsPath() string { return filepath.Join(g.d.dir, g.Name+".toml") }
-
 // Start writes the settings file and starts the process.
 func (g *Gateway) Start() error {
-	if err := g.WriteSettings(); err != nil {
+	path := filepath.Join(g.d.dir, g.Name+".toml")
+	if err := os.WriteFile(path, g.settings(), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(g.d.dir, g.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -142,7 +135,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command("target/clementinereel", "edge")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CLEMENTINEREEL_NODE_FILE=" + g.settingsPath()}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CLEMENTINEREEL_NODE_FILE=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no gateway outlives the stand-ins
 	if err := cmd.Start(); err != nil {
@@ -169,6 +162,22 @@
 	_ = g.cmd.Process.Signal(s)
 }
 
+// ResidentBytes returns the memory that the process holds; 0 if it has ended.
+func (g *Gateway) ResidentBytes() int64 {
+	g.mu.Lock()
+	pid := g.cmd.Process.Pid
+	g.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
 // Ended is closed when the process has ended.
 func (g *Gateway) Ended() <-chan struct{} {
 	g.mu.Lock()
@@ -212,8 +221,8 @@
 		fmt.Fprintf(&b, "%s = \"region\"\n", z)
 	}
 	fmt.Fprintf(&b, "[bind]\nfront = \"%s:%d\"\nready = \"%s:%d\"\ncontrol = \"%s:%d\"\n", g.IP, d.ports[0], g.IP, d.ports[1], g.IP, d.ports[2])
-	fmt.Fprintf(&b, "[limits]\ncpu_share = 0.32\ncores = 1\nmemory_mb = 284\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n")
-	fmt.Fprintf(&b, "[platform]\naddress = %q\nform = \"log\"\nwrites_per_s = 400\nreads_per_s = 2000\n", cmp.Or(g.StoreAddr, d.Store.Addr()))
+	fmt.Fprintf(&b, "[limits]\ncpu_share = 0.32\ncores = 1\nmemory_mb = %d\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n", MemoryMB)
+	fmt.Fprintf(&b, "[platform]\naddress = %q\nform = \"log\"\nwrites_per_s = 400\nreads_per_s = 2000\n", d.Store.Addr())
 	return b.Bytes()
 }
 
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -33,6 +33,8 @@
 	ExtraLate func() bool
 	// Spoil, if set, returns what is sent in place of an answer.
 	Spoil func(answer []byte) []byte
+	// Body, if set, is the body of the answers of requests that run.
+	Body []byte
 
 	d        *Deployment
 	listener net.Listener
@@ -135,6 +137,11 @@
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
+		if bytes.HasSuffix(answer, []byte("\r\n\r\n")) { // a head without its body
+			if _, err := c.Write(s.Body); err != nil {
+				return
+			}
+		}
 		if s.ExtraLate() {
 			late = answer
 		}
@@ -159,7 +166,11 @@
 	s.mu.Unlock()
 	s.d.Record.Write("server %s runs %s %s (here %d times)", s.ID, req.Method, id, n)
 	time.Sleep(s.Work())
-	return response(http.StatusOK, id, fmt.Sprintf("X-Server-Seal: seal.%s.%s\r\n", s.ID, id))
+	seal := fmt.Sprintf("X-Server-Seal: seal.%s.%s\r\n", s.ID, id)
+	if s.Body != nil {
+		return responseHead(http.StatusOK, id, seal, len(s.Body)) // the body follows
+	}
+	return response(http.StatusOK, id, seal)
 }
 
 func (s *Server) enter() bool {
@@ -180,10 +191,14 @@
 
 func response(status int, id, fields string) []byte {
 	body := "answer to " + id
+	return append(responseHead(status, id, fields, len(body)), body...)
+}
+
+func responseHead(status int, id, fields string, length int) []byte {
 	var b bytes.Buffer
 	b.WriteString("HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n")
 	b.WriteString("X-Request-Id: " + id + "\r\nKeep-Alive: timeout=10\r\n" + fields)
-	b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+	b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n\r\n")
 	return b.Bytes()
 }
 
