--- a/review/1/standin/main.go
+++ b/review/1/standin/main.go
@@ -39,11 +39,11 @@
 	services    = 6
 	servers     = 5 // of each service
 	garbled     = 3 // of these: a share of 0.6
-	perSecond   = 72
+	perSecond   = 60
 	trafficTime = 103 * time.Second
 	deadlineMS  = 8000
 	// The disruptions, each at the figures that the pages name.
-	shedShare, shedTime     = 0.45, 8500 * time.Millisecond
+	shedShare, shedTime     = 0.55, 8500 * time.Millisecond
 	garbleShare, garbleTime = 0.03, 5 * time.Second
 )
 
@@ -85,7 +85,7 @@
 	d.Store.Put(standin.TopicOperator, standin.KeyConfig, configuration())
 	begin := time.Now()
 	shedding := windows(trouble, begin, shedTime, 6, 18, 30, 42, 54, 66, 78, 90)
-	garbling := windows(trouble, begin, garbleTime, 7.5, 19.5, 31.5, 43.5, 55.5, 67.5, 79.5, 91.5)
+	garbling := windows(trouble, begin, garbleTime, 9, 21, 33, 45, 57, 69, 81, 93)
 	var all []*harness.Server
 	for i := range services * servers {
 		n := i / services
