exchange, gateway: failed attempts name their connection

No decision changes.

Ruled out: logging every exchange, also served ones (a line for each request).

--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -16,6 +16,10 @@
 	reader *bufio.Reader
 	// bounded is what reader reads from.
 	bounded *boundedReader
+	// number identifies the connection among those opened by its cache, starting at 1.
+	number int64
+	// requests counts the requests sent on the connection.
+	requests int
 	// completed counts the exchanges after which the connection stayed reusable.
 	completed int
 	// idleSince is the end of the last exchange.
@@ -225,6 +229,7 @@
 	}
 	c.mu.Lock()
 	c.opened++
+	number := c.opened
 	if c.active[t] > 0 {
 		c.stats.OpenedBusy++
 	} else {
@@ -232,7 +237,7 @@
 	}
 	c.mu.Unlock()
 	bounded := &boundedReader{r: nc}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: nc, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, number: number, idleTimeout: defaultIdleTimeout}, nil
 }
 
 // Probe opens a connection to the target and keeps it for reuse.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -121,6 +121,13 @@
 	// IdleFor how long it was idle.
 	Reused  bool
 	IdleFor time.Duration
+	// Conn is the number of the connection among those opened by the cache, 0 if there was
+	// none. Requests is the number of requests sent on it before this one.
+	Conn     int64
+	Requests int
+	// Skipped is the number of responses to other requests that were read before the
+	// response.
+	Skipped int
 	// Took is the duration of the exchange.
 	Took time.Duration
 }
@@ -160,7 +167,7 @@
 		_ = cn.Close()
 		return Result{Kind: NotAdmitted, Took: time.Since(start)}
 	}
-	res := Result{Reused: cn.completed > 0}
+	res := Result{Reused: cn.completed > 0, Conn: cn.number, Requests: cn.requests}
 	if res.Reused {
 		res.IdleFor = start.Sub(cn.idleSince)
 	}
@@ -200,8 +207,9 @@
 		res.Kind, res.Err = Unsent, err
 		return false
 	}
+	cn.requests++
 	written := cn.send(c.encodeHeader(t, r, time.Until(targetDeadline)), r.Body)
-	resp, closing, err := c.read(cn, t, r)
+	resp, closing, err := c.read(cn, t, r, res)
 	if err != nil {
 		res.Kind, res.Err = kindOfError(err), shortError{err}
 		if failedBeforeFirstByte(written) {
@@ -307,8 +315,9 @@
 // requests. Their bodies are at most Client.MaxResponseBytes together.
 const maxResponsesRead = 3
 
-// read returns the response to r and whether the connection must be closed after it.
-func (c *Client) read(cn *conn, t Target, r *Request) (*Response, bool, error) {
+// read returns the response to r and whether the connection must be closed after it. It counts the responses to other
+// requests in res.
+func (c *Client) read(cn *conn, t Target, r *Request, res *Result) (*Response, bool, error) {
 	skipped := int64(0)
 	for n := range maxResponsesRead {
 		head, err := cn.readFinalHead(r.Method)
@@ -327,6 +336,7 @@
 			}
 			return resp, head.Close || n > 0 || refused, err
 		}
+		res.Skipped++
 		size, err := cn.skipBody(head, c.MaxResponseBytes-skipped)
 		if err != nil {
 			return nil, true, err
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -476,6 +476,7 @@
 	pairs := []any{"request", r.c.id, "route", r.c.route.Name, "class", r.c.route.Class, "service", r.c.service,
 		"target", e.placed.ID, "addr", e.placed.Addr, "zone", e.placed.Zone, "kind", e.result.Kind, "status", status, "err", e.result.Err,
 		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
+		"conn", e.result.Conn, "conn_requests", e.result.Requests, "skipped", e.result.Skipped,
 		"fails", eventlog.Fraction(e.placed.FailProbability), "cost", eventlog.Fraction(e.placed.Cost), "in_flight", e.placed.InFlight, "slots", e.placed.Slots, "for_floor", e.placed.ForFloor, "attempt", r.attempts(), "outcome", string(o.kind), "document", r.c.version}
 	if e.result.Kind == exchange.Broken {
 		pairs = append(pairs, "exceeded", string(exchange.ExceededPart(e.result.Err)), "content", r.c.content.Fingerprint(), "caller", r.c.caller())
