exchange: no connection carries a request ID twice

Cause: answers were told apart by the request ID alone. A rejected request that had waited could go back to the same target on the connection of its rejection. A late second copy of that rejection then counted as the answer to the second send, which the target was running, and the request was sent on.

Ruled out: another request's answer, an attempt counted as not sent, another instance, a hedge.

Change: a connection remembers hashes of the IDs sent on it, and a request never gets a connection that has carried its ID. It is replaced after 1,024 requests, so that nothing is forgotten. HasIdle answers for the request, so that the choice of a target weighs the new connection. It holds because an answer can only come on the connection of its request: where an ID was sent once, each answer with it belongs to that send.

Related paths: a caller that repeats a refused request under the same ID had the same fault in all configurations; requests without an ID shared connections although their answers cannot be told apart. Both are covered.

Requests of the gateway's tests have an ID each now, as callers' attempts have; they shared one, so that no connection would be reused. The bounds of the tests are as they were.

--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +20,8 @@
 	bounded *boundedReader
 	// number identifies the connection among those opened by its cache, starting at 1.
 	number int64
-	// requests counts the requests sent on the connection.
-	requests int
+	// carried has a hash of the ID of each request sent on the connection.
+	carried []uint64
 	// completed counts the exchanges after which the connection stayed reusable.
 	completed int
 	// idleSince is the end of the last exchange.
@@ -37,6 +39,8 @@
 	idleTimeoutMargin = 700 * time.Millisecond
 	// maxIdlePerTarget limits the idle connections to one target.
 	maxIdlePerTarget = 4
+	// maxRequestsPerConn limits the requests on one connection, and so the size of conn.carried.
+	maxRequestsPerConn = 1024
 	// readBufferSize is in bytes per connection. net/http limits a line of chunk framing and a
 	// trailer to it.
 	readBufferSize = 4 << 10
@@ -56,6 +60,8 @@
 	active map[Target]int
 	opened int64
 	stats  Stats
+	// seed is of the hashes of request IDs.
+	seed maphash.Seed
 }
 
 // Stats counts how connections to targets were used since the last TakeStats.
@@ -70,9 +76,12 @@
 	// Broken ones were closed by the target or had received unexpected bytes.
 	Expired, IdleTooLong, Broken int
 	// NotReusable connections were closed after a request, because the target closed
-	// them or the request failed or was canceled. Surplus ones were closed because
-	// enough were idle.
+	// them, the request failed or was canceled, or they had carried maxRequestsPerConn
+	// requests. Surplus ones were closed because enough were idle.
 	NotReusable, Surplus int
+	// SameRequest counts the requests that did not get an idle connection because they had
+	// been sent on it before.
+	SameRequest int
 }
 
 // TakeStats returns the counts since the last call and resets them.
@@ -108,22 +117,42 @@
 		Dial:   dialer.DialContext,
 		idle:   make(map[Target][]*conn),
 		active: make(map[Target]int),
+		seed:   maphash.MakeSeed(),
 	}
 }
 
-// HasIdle reports whether the cache has a connection to the target that has been
-// idle for less than its idle timeout and maxIdle.
-func (c *Cache) HasIdle(t Target, maxIdle time.Duration) bool {
+// HasIdle reports whether the cache has a connection to the target on which the request
+// has not been sent before and that has been idle for less than its idle timeout and
+// maxIdle.
+func (c *Cache) HasIdle(t Target, requestID string, maxIdle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	i := c.newestIdle(t, requestID)
+	if i < 0 {
+		return false
+	}
+	cn := c.idle[t][i]
+	return time.Since(cn.idleSince) < min(cn.idleTimeout, maxIdle)
+}
+
+// newestIdle returns the index of the idle connection that was last used, among those on
+// which the request has not been sent; -1 if there is none. The caller holds the lock.
+func (c *Cache) newestIdle(t Target, requestID string) int {
 	conns := c.idle[t]
 	if len(conns) == 0 {
-		return false
+		return -1
 	}
-	last := conns[len(conns)-1]
-	return time.Since(last.idleSince) < min(last.idleTimeout, maxIdle)
+	hash := c.hash(requestID)
+	for i, cn := range slices.Backward(conns) {
+		if !slices.Contains(cn.carried, hash) {
+			return i
+		}
+	}
+	return -1
 }
 
+func (c *Cache) hash(requestID string) uint64 { return maphash.String(c.seed, requestID) }
+
 // Opened returns the number of connections opened so far.
 func (c *Cache) Opened() int64 {
 	c.mu.Lock()
@@ -131,11 +160,11 @@
 	return c.opened
 }
 
-// take returns a reusable connection that has been idle for at most maxIdle, or
-// nil. It closes the idle connections that it rejects.
-func (c *Cache) take(t Target, now time.Time, maxIdle time.Duration) *conn {
+// take returns a reusable connection that has been idle for at most maxIdle and on which
+// the request has not been sent, or nil. It closes the idle connections that it rejects.
+func (c *Cache) take(t Target, requestID string, now time.Time, maxIdle time.Duration) *conn {
 	for {
-		cn := c.pop(t)
+		cn := c.pop(t, requestID)
 		if cn == nil {
 			return nil
 		}
@@ -155,17 +184,19 @@
 	}
 }
 
-func (c *Cache) pop(t Target) *conn {
+func (c *Cache) pop(t Target, requestID string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[t]
-	if len(conns) == 0 {
+	i := c.newestIdle(t, requestID)
+	if i < 0 {
+		if len(conns) > 0 {
+			c.stats.SameRequest++
+		}
 		return nil
 	}
-	last := len(conns) - 1
-	cn := conns[last]
-	conns[last] = nil
-	c.idle[t] = conns[:last]
+	cn := conns[i]
+	c.idle[t] = slices.Delete(conns, i, i+1)
 	return cn
 }
 
@@ -250,6 +281,9 @@
 	return nil
 }
 
+// carry records that a request is sent on the connection.
+func (cn *conn) carry(hash uint64) { cn.carried = append(cn.carried, hash) }
+
 // reusable reports whether the idle connection is open and has received no data.
 func (cn *conn) reusable() bool {
 	return cn.reader.Buffered() == 0 && conncheck.Reusable(cn.Conn)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -159,7 +159,7 @@
 // the target may be closing them.
 func (c *Client) Do(ctx context.Context, t Target, r *Request, targetDeadline, deadline time.Time, maxIdle time.Duration) Result {
 	start := time.Now()
-	cn, err := c.getConn(ctx, t, deadline, maxIdle)
+	cn, err := c.getConn(ctx, t, r.ID, deadline, maxIdle)
 	if err != nil {
 		return Result{Kind: Unsent, Err: err, Took: time.Since(start)}
 	}
@@ -167,7 +167,7 @@
 		_ = cn.Close()
 		return Result{Kind: NotAdmitted, Took: time.Since(start)}
 	}
-	res := Result{Reused: cn.completed > 0, Conn: cn.number, Requests: cn.requests}
+	res := Result{Reused: cn.completed > 0, Conn: cn.number, Requests: len(cn.carried)}
 	if res.Reused {
 		res.IdleFor = start.Sub(cn.idleSince)
 	}
@@ -182,7 +182,7 @@
 	}
 	res.Took = time.Since(start)
 	c.Cache.addActive(t, -1)
-	if !keep {
+	if !keep || len(cn.carried) >= maxRequestsPerConn {
 		c.Cache.updateStats(func(s *Stats) { s.NotReusable++ })
 		_ = cn.Close()
 		return res
@@ -191,8 +191,8 @@
 	return res
 }
 
-func (c *Client) getConn(ctx context.Context, t Target, deadline time.Time, maxIdle time.Duration) (*conn, error) {
-	if cn := c.Cache.take(t, time.Now(), maxIdle); cn != nil {
+func (c *Client) getConn(ctx context.Context, t Target, requestID string, deadline time.Time, maxIdle time.Duration) (*conn, error) {
+	if cn := c.Cache.take(t, requestID, time.Now(), maxIdle); cn != nil {
 		return cn, nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -207,7 +207,7 @@
 		res.Kind, res.Err = Unsent, err
 		return false
 	}
-	cn.requests++
+	cn.carry(c.Cache.hash(r.ID))
 	written := cn.send(c.encodeHeader(t, r, time.Until(targetDeadline)), r.Body)
 	resp, closing, err := c.read(cn, t, r, res)
 	if err != nil {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -265,9 +265,9 @@
 	rt := newRawTarget(t, script{sealedResponse, sealedResponse})
 	c := newClient()
 	do(c, rt.Target, newRequest("r1"))
-	assert.Assert(t, c.Cache.HasIdle(rt.Target, time.Minute))
+	assert.Assert(t, c.Cache.HasIdle(rt.Target, "r9", time.Minute))
 	c.Cache.Sweep(time.Now(), func(Target) bool { return false })
-	assert.Assert(t, !c.Cache.HasIdle(rt.Target, time.Minute))
+	assert.Assert(t, !c.Cache.HasIdle(rt.Target, "r9", time.Minute))
 	assert.Equal(t, c.Cache.Opened(), int64(1))
 }
 
@@ -279,14 +279,14 @@
 	earlier, later := rt.Target, rt.Target
 	earlier.Born, later.Born = 1_800_000_000_000, 1_800_000_007_000
 	do(c, earlier, newRequest("r1"))
-	assert.Assert(t, c.Cache.HasIdle(earlier, time.Minute))
-	assert.Assert(t, !c.Cache.HasIdle(later, time.Minute))
+	assert.Assert(t, c.Cache.HasIdle(earlier, "r9", time.Minute))
+	assert.Assert(t, !c.Cache.HasIdle(later, "r9", time.Minute))
 	res := do(c, later, newRequest("r2"))
 	assert.Equal(t, res.Kind, Answered)
 	assert.Assert(t, !res.Reused)
 	c.Cache.Sweep(time.Now(), func(t Target) bool { return t == later })
-	assert.Assert(t, !c.Cache.HasIdle(earlier, time.Minute))
-	assert.Assert(t, c.Cache.HasIdle(later, time.Minute))
+	assert.Assert(t, !c.Cache.HasIdle(earlier, "r9", time.Minute))
+	assert.Assert(t, c.Cache.HasIdle(later, "r9", time.Minute))
 }
 
 func BenchmarkExchange(b *testing.B) {
@@ -370,3 +370,49 @@
 	assert.Assert(t, res.Kind.NotRun() && !res.Kind.MayHaveArrived())
 	assert.Equal(t, rt.requests.Load(), int32(1))
 }
+
+// rejection is a response by which a target states that it has not run the request.
+const rejection = "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+// TestRequestIsNotSentAgainOnItsConnection guards against a late second copy of a response that is taken for the
+// response to the same request, sent again: the ID tells only other requests' responses apart.
+func TestRequestIsNotSentAgainOnItsConnection(t *testing.T) {
+	lateCopy := strings.ReplaceAll(rejection, "%s", "r1")
+	rt := newRawTarget(t, script{rejection, lateCopy + sealedResponse, sealedResponse})
+	c := newClient()
+	assert.Equal(t, do(c, rt.Target, newRequest("r1")).Kind, Refused)
+	assert.Assert(t, !c.Cache.HasIdle(rt.Target, "r1", time.Minute))
+	assert.Assert(t, c.Cache.HasIdle(rt.Target, "r2", time.Minute))
+	assert.Equal(t, do(c, rt.Target, newRequest("r1")).Kind, Refused) // the first step of another connection
+	assert.Equal(t, rt.conns.Load(), int32(2))
+	res := do(c, rt.Target, newRequest("r2"))
+	assert.Equal(t, res.Kind, Answered, "%v", res.Err)
+	assert.Equal(t, res.Skipped, 1)
+	assert.Equal(t, rt.conns.Load(), int32(2), "other requests use the connection")
+	assert.Equal(t, c.Cache.TakeStats().SameRequest, 1)
+}
+
+// TestRequestsWithoutIDShareNoConnection guards against the same where callers send no ID.
+func TestRequestsWithoutIDShareNoConnection(t *testing.T) {
+	step := strings.ReplaceAll(sealedResponse, "X-Id: %s\r\n", "")
+	rt := newRawTarget(t, script{step, step})
+	c := newClient()
+	for range 3 {
+		assert.Equal(t, do(c, rt.Target, newRequest("")).Kind, Answered)
+	}
+	assert.Equal(t, rt.conns.Load(), int32(3))
+}
+
+// TestConnectionsAreReplacedAfterManyRequests: the IDs that a connection remembers are bounded, and none is forgotten.
+func TestConnectionsAreReplacedAfterManyRequests(t *testing.T) {
+	steps := make(script, maxRequestsPerConn+1)
+	for i := range steps {
+		steps[i] = sealedResponse
+	}
+	rt := newRawTarget(t, steps)
+	c := newClient()
+	for n := range maxRequestsPerConn + 1 {
+		assert.Equal(t, do(c, rt.Target, newRequest(fmt.Sprint("r", n))).Kind, Answered)
+	}
+	assert.Equal(t, rt.conns.Load(), int32(2))
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -409,8 +409,9 @@
 // placeExcept chooses one of the targets that are not withheld.
 func (r *attemptGroup) placeExcept(now time.Time, targets []*registry.Target, withheld []fleet.TargetID, w placement.Work) (Placement, bool) {
 	c := r.c
+	warm := func(t exchange.Target, maxIdle time.Duration) bool { return c.h.Client.Cache.HasIdle(t, c.id, maxIdle) }
 	for time.Since(now) <= placementTimeout {
-		p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, withheld, w, c.h.Client.Cache.HasIdle)
+		p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, withheld, w, warm)
 		if !ok {
 			break
 		}
--- a/gateway/choice.go
+++ b/gateway/choice.go
@@ -64,7 +64,7 @@
 
 // Place chooses a target for an attempt and counts the attempt as in flight. It skips targets in
 // tried and withheld and those that this instance backs off from. warm reports whether a
-// connection with at most the given idle time is available. Place returns false if there is no
+// connection with at most the given idle time is available to the request. Place returns false if there is no
 // target.
 func (k *Knowledge) Place(now time.Time, name document.ServiceName, ts []*registry.Target, tried, withheld []fleet.TargetID, w placement.Work, warm func(exchange.Target, time.Duration) bool) (Placement, bool) {
 	k.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -345,7 +345,7 @@
 		return
 	}
 	eventlog.Info(eventlog.ConnectionStats, "reused", u.Reused, "opened_first", u.OpenedFirst, "opened_busy", u.OpenedBusy,
-		"aged", u.Expired, "bounded", u.IdleTooLong, "broken", u.Broken, "ended", u.NotReusable, "surplus", u.Surplus)
+		"aged", u.Expired, "bounded", u.IdleTooLong, "broken", u.Broken, "ended", u.NotReusable, "surplus", u.Surplus, "same_request", u.SameRequest)
 }
 
 func (g *Gateway) tick(now time.Time) {
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -239,14 +239,22 @@
 	return sendRequestWithDeadline(ctx, t, method, url, 4*time.Second)
 }
 
-// sendRequestWithDeadline sends a request with the given deadline. It returns the status,
-// the body and the time taken; status 0 and the error text if there is no response.
+// requestsSent numbers the requests of sendRequestWithDeadline.
+var requestsSent atomic.Int64
+
+// sendRequestWithDeadline sends a request with the given deadline and an ID of its own. It
+// returns the status, the body and the time taken; status 0 and the error text if there is
+// no response.
 func sendRequestWithDeadline(ctx context.Context, t *testing.T, method, url string, deadline time.Duration) (int, string, time.Duration) {
+	return sendRequestWithID(ctx, t, method, url, fmt.Sprint("r", requestsSent.Add(1)), deadline)
+}
+
+func sendRequestWithID(ctx context.Context, t *testing.T, method, url, id string, deadline time.Duration) (int, string, time.Duration) {
 	begin := time.Now()
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader("order"))
 	assert.NilError(t, err)
 	req.Host = "h"
-	req.Header.Set(headerNames.RequestID, "r1")
+	req.Header.Set(headerNames.RequestID, id)
 	req.Header.Set(headerNames.Deadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
