exchange, upstream: a response without a valid status counts as none

Cause: http.ReadResponse takes any status of three digits, WriteHeader panics for those below 100, and nothing checked in between.

Change: a response with such a status counts as no response: a lookup is tried at another target, other requests get 502, the connection to the target is closed. Looked for on related paths: answers that another instance passes on and the contract path had the same panic.

Price: none on other answers; a spoiled one costs a lookup one more attempt."

--- a/dispatch/fixture_test.go
+++ b/dispatch/fixture_test.go
@@ -126,6 +126,17 @@
 	}
 }
 
+// spoiled responds with a status that HTTP does not have.
+func spoiled(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the client has disconnected
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok")
+}
+
 // failing responds with status 500.
 func failing(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/header"
 )
 
 // Headers holds the names of the header fields that an exchange reads and writes.
@@ -351,6 +352,9 @@
 
 // readResponse reads the body of a response whose head was read.
 func (c *Client) readResponse(cn *conn, head *http.Response) (*Response, error) {
+	if err := header.CheckStatus(head.StatusCode); err != nil {
+		return nil, err
+	}
 	body, err := cn.readBody(head, c.MaxResponseBytes)
 	if err != nil {
 		return nil, err
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -107,6 +107,7 @@
 		{"truncated in a chunk", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbo" + resetMarker, Broken, false},
 		{"no last chunk", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n" + resetMarker, Broken, false},
 		{"not HTTP", "garbage\r\n\r\n", Broken, false},
+		{"a status that HTTP does not have", strings.Replace(sealedResponse, "200", "000", 1), Broken, false},
 		{"encoded", strings.Replace(sealedResponse, "X-Seal", "Content-Encoding: gzip\r\nX-Seal", 1), Broken, false},
 		{"reset without a response", resetMarker, Broken, false},
 		{"silent", "", TimedOut, false},
--- a/upstream/try.go
+++ b/upstream/try.go
@@ -144,6 +144,10 @@
 
 func readResponse(ctx context.Context, resp *http.Response, limit int64, trace *pool.Trace, res *Result) {
 	defer resp.Body.Close()
+	if err := header.CheckStatus(resp.StatusCode); err != nil {
+		res.Try, res.Err = fleet.TryTruncated, err
+		return
+	}
 	body, err := readBody(resp, limit)
 	if err != nil {
 		res.Try, res.Err = classifyError(ctx, err, trace), err
