gateway: large responses are bounded in sum

Cause: a response is held until its caller has read it. Each is bounded, their sum was not.

Change: gateway.Responses, an account of a quarter of the memory for responses above 64 KiB. A request reserves the usual size of its route's responses before it runs, or is refused at once, truly not run, with the time in which room is expected. What turns out larger waits for room before it is read; the wait counts neither against the target nor against the content. Small responses need no room. It holds because every byte of a large response is reserved before it is read and released after it was written, and attempts that outlive their request keep theirs.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -114,6 +114,8 @@
 	RequestWaits   Event = "request-waits"
 	RequestResumed Event = "request-resumed"
 	RequestGivenUp Event = "request-given-up"
+	// ResponseWaited is logged when a response has waited for memory, or its time was over.
+	ResponseWaited Event = "response-waited"
 	// QuotaStandbyUsed is logged when a request runs although no holder of its tenant's quota granted it.
 	QuotaStandbyUsed Event = "quota-standby-used"
 	// RequestRelayed is logged when a request was sent to another instance, since this one has lost its
--- a/exchange/bounds.go
+++ b/exchange/bounds.go
@@ -141,8 +141,8 @@
 	return n, err
 }
 
-// readBody reads the whole body of a response.
-func (cn *conn) readBody(resp *http.Response, maxBytes int64) ([]byte, error) {
+// readBody reads the whole body of a response, with memory of the budget.
+func (cn *conn) readBody(resp *http.Response, maxBytes int64, budget *memoryBudget) ([]byte, error) {
 	body := cn.body(resp, maxBytes)
 	switch {
 	case resp.Body == http.NoBody:
@@ -150,11 +150,14 @@
 	case resp.ContentLength > maxBytes:
 		return nil, errors.WithStack(&BoundError{PartBody, maxBytes})
 	case resp.ContentLength > 0:
+		if err := budget.acquire(resp.ContentLength); err != nil {
+			return nil, errors.WithStack(err)
+		}
 		b := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(body, b)
 		return b, cn.bounded.cause(err)
 	}
-	b, err := transfer.ReadAll(body, maxBytes, nil)
+	b, err := transfer.ReadAll(body, maxBytes, budget.acquire)
 	return b, cn.bodyError(err, PartBody, maxBytes)
 }
 
--- /dev/null
+++ b/exchange/memory.go
@@ -0,0 +1,31 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNoMemory is the error of an exchange whose response waited for memory until the deadline passed or the target
+// cut it off. The target is not at fault and may have run the request.
+var ErrNoMemory = errors.New("no memory for the response in time")
+
+// memoryBudget acquires the memory for the response of one exchange.
+type memoryBudget struct {
+	ctx      context.Context
+	memory   Memory
+	deadline time.Time
+	// waited is how long the response has waited for memory.
+	waited time.Duration
+}
+
+// acquire waits until there is room for n bytes.
+func (b *memoryBudget) acquire(n int64) error {
+	if b.memory == nil {
+		return nil
+	}
+	waited, err := b.memory.Acquire(b.ctx, n, b.deadline)
+	b.waited += waited
+	return errors.WithStack(err)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -137,8 +137,10 @@
 		return
 	}
 	running := r.running
+	r.c.responses.share()
 	go func() {
 		defer cancel()
+		defer r.c.responses.Release()
 		for range running {
 			e := <-r.results
 			r.c.recordResult(e)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,8 +49,10 @@
 	// statsLogInterval is the interval between log lines on connections to targets and on
 	// mesh traffic.
 	statsLogInterval = 5 * time.Second
-	// bodiesMemoryFraction is the fraction of MemoryBytes for request bodies.
-	bodiesMemoryFraction = 0.35
+	// bodiesMemoryFraction and responsesMemoryFraction are the fractions of MemoryBytes for
+	// request bodies and for large responses.
+	bodiesMemoryFraction    = 0.35
+	responsesMemoryFraction = 0.25
 	// gcPercent keeps the heap small at an acceptable cost in CPU time.
 	gcPercent = 100
 	// memoryLimitFraction is the fraction of MemoryBytes above which the garbage collector
@@ -138,6 +140,7 @@
 		Contents: g.contents, SendContent: g.announceContent, RunsTrial: g.runsTrials, Poison: g.poison, Rates: g.rates,
 		Paths: g.paths, PathsChanged: g.announcePaths, Relayer: g.relayer,
 		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Waiting: g.waiting, Bodies: &Bodies{MaxBytes: int64(bodiesMemoryFraction * float64(s.MemoryBytes))},
+		Responses: NewResponses(int64(responsesMemoryFraction * float64(s.MemoryBytes))),
 	}
 	g.peerServer = newInternalServer(g.peerRoutes())
 	g.callerServer, err = listenForCallers(s.Listen, newPipeline(g.handler))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -92,8 +92,9 @@
 	Quotas *Quotas
 	// Waiting holds the requests that wait for a later attempt.
 	Waiting *Waiting
-	// Bodies bounds the memory for request bodies.
-	Bodies *Bodies
+	// Bodies bounds the memory for request bodies, Responses that for large responses.
+	Bodies    *Bodies
+	Responses *Responses
 	// Booted is when the process started.
 	Booted time.Time
 	// relayedBusy is the number of requests of other instances that are being served.
@@ -155,6 +156,8 @@
 	// priority is that of the tenant or, if it has none, of the route.
 	priority int
 	request  *exchange.Request
+	// responses is the memory held for responses.
+	responses *responseHold
 	// content identifies equal requests: the parts that determine how a target handles one.
 	content quarantine.Content
 	// relayed is set if another instance has taken the request from the caller.
@@ -210,6 +213,10 @@
 		Body: body, HasBody: c.r.ContentLength != 0,
 	}
 	c.setTenantHeader(table, c.request.Header)
+	if !c.holdResponses() {
+		return c.refuseFor(problem.Overloaded, reasonResponsesFull, c.h.Responses.retryAfter())
+	}
+	defer c.responses.Release()
 	c.content = quarantine.Content{Method: c.request.Method, Host: c.request.Host, URI: uri, Body: body}
 	if c.standing() == quarantine.Quarantined && !c.startTrial() {
 		return c.refuseContent()
@@ -303,6 +310,15 @@
 	return nil, c.fail(http.StatusBadRequest, problem.BadRequest, "the body is malformed")
 }
 
+// holdResponses reserves memory for the response. It returns false if there is no room for one of the usual size.
+func (c *call) holdResponses() (ok bool) {
+	c.responses, ok = c.h.Responses.Hold(c.route.Name, c.id)
+	if ok {
+		c.request.Memory = c.responses
+	}
+	return ok
+}
+
 // respond sends the outcome of the attempts to the caller.
 func (c *call) respond(o outcome) int {
 	if c.r.Context().Err() != nil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -102,6 +102,7 @@
 		m.Registry.Gauge("gateway.store.unanswered-ms", telemetry.Label{Key: "stream", Value: s.String()}).Update(g.follower.Unanswered(s).Milliseconds())
 	}
 	gauge("gateway.connections.opened", g.client.Cache.Opened())
+	gauge("gateway.responses.held-bytes", g.handler.Responses.memory.heldBytes.Load())
 	gauge("gateway.log.dropped", eventlog.Dropped())
 	transfers := g.state.Transfers()
 	gauge("gateway.transfers.active", int64(transfers.Active))
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return exchange.Result{}, err
 	}
-	request := &exchange.Request{ID: c.id, Method: http.MethodPost, URI: relay.Path, Host: peer, Header: make(http.Header), Body: body, HasBody: true}
+	request := &exchange.Request{ID: c.id, Method: http.MethodPost, URI: relay.Path, Host: peer, Header: make(http.Header), Body: body, HasBody: true, Memory: c.responses}
 	to := exchange.Target{ID: fleet.TargetID(peer), Addr: peer}
 	return c.h.Relayer.client.Do(ctx, to, request, c.deadline, c.deadline, relayMaxIdle), nil
 }
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -50,6 +50,11 @@
 		h.declineRelayed(w, r, reason)
 		return
 	}
+	if !c.holdResponses() {
+		h.declineRelayed(w, r, reasonResponsesFull)
+		return
+	}
+	defer c.responses.Release()
 	h.respondRelayed(c, c.runAttempts())
 }
 
--- a/gateway/results.go
+++ b/gateway/results.go
@@ -20,6 +20,9 @@
 	c.recordRate(e, began)
 	c.recordPath(e)
 	c.recordRejection(e)
+	if errors.Is(e.result.Err, exchange.ErrNoMemory) {
+		return // neither the target nor the request is at fault
+	}
 	if e.result.Reused && e.result.Response != nil {
 		c.h.Knowledge.RecordReuse(time.Now(), c.service, e.result.IdleFor)
 	}
@@ -38,6 +41,7 @@
 		}
 		c.h.Poison.RecordSuccess(time.Now(), &c.content, e.placed.ID)
 		c.h.Knowledge.RecordResponseSize(c.service, len(res.Response.Body))
+		c.h.Responses.Record(c.route.Name, len(res.Response.Body))
 		c.observe(e.placed, suspicion.Success, began, res.Took)
 	case exchange.Refused:
 		if res.Response.Status == http.StatusMisdirectedRequest {
@@ -85,7 +89,7 @@
 // observeOpen records that an attempt takes longer than usual, Slow or Stalled, unless the request itself
 // is at fault.
 func (c *call) observeOpen(p Placement, o suspicion.Observation, began time.Time) {
-	if !c.requestAtFault() {
+	if !c.requestAtFault() && !c.responses.isWaiting() {
 		c.observe(p, o, began, 0)
 	}
 }
