--- a/exchange/bounds.go
+++ b/exchange/bounds.go
@@ -141,8 +141,8 @@
 	return n, err
 }
 
-// readBody reads the whole body of a response, with memory of the budget.
-func (cn *conn) readBody(resp *http.Response, maxBytes int64, budget *memoryBudget) ([]byte, error) {
+// readBody reads the whole body of a response, with memory from mem.
+func (cn *conn) readBody(resp *http.Response, maxBytes int64, mem *responseMemory) ([]byte, error) {
 	body := cn.body(resp, maxBytes)
 	switch {
 	case resp.Body == http.NoBody:
@@ -150,14 +150,14 @@
 	case resp.ContentLength > maxBytes:
 		return nil, errors.WithStack(&BoundError{PartBody, maxBytes})
 	case resp.ContentLength > 0:
-		if err := budget.acquire(resp.ContentLength); err != nil {
+		if err := mem.acquire(resp.ContentLength); err != nil {
 			return nil, errors.WithStack(err)
 		}
 		b := make([]byte, resp.ContentLength)
 		_, err := io.ReadFull(body, b)
 		return b, cn.bounded.cause(err)
 	}
-	b, err := transfer.ReadAll(body, maxBytes, budget.acquire)
+	b, err := transfer.ReadAll(body, maxBytes, mem.acquire)
 	return b, cn.bodyError(err, PartBody, maxBytes)
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -184,18 +184,18 @@
 	}
 	c.Cache.addActive(t, 1)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
-	budget := &memoryBudget{ctx: ctx, memory: r.Memory, deadline: deadline}
-	keep := c.roundTrip(cn, t, r, budget, targetDeadline, deadline, &res)
+	mem := &responseMemory{ctx: ctx, memory: r.Memory, deadline: deadline}
+	keep := c.roundTrip(cn, t, r, mem, targetDeadline, deadline, &res)
 	if !stop() {
 		keep = false
 		if res.Kind == Broken {
 			res.Kind = Canceled
 		}
 	}
-	if budget.waited > 0 && (res.Kind == Broken || res.Kind == TimedOut) {
+	if mem.waited > 0 && (res.Kind == Broken || res.Kind == TimedOut) {
 		res.Kind, res.Err = TimedOut, ErrNoMemory
 	}
-	res.Took = time.Since(start) - budget.waited
+	res.Took = time.Since(start) - mem.waited
 	c.Cache.addActive(t, -1)
 	if !keep || len(cn.carried) >= maxRequestsPerConn {
 		c.Cache.updateStats(func(s *Stats) { s.NotReusable++ })
@@ -217,14 +217,14 @@
 
 // roundTrip writes the request and reads its response into res. It reports whether
 // the connection can be reused.
-func (c *Client) roundTrip(cn *conn, t Target, r *Request, budget *memoryBudget, targetDeadline, deadline time.Time, res *Result) bool {
+func (c *Client) roundTrip(cn *conn, t Target, r *Request, mem *responseMemory, targetDeadline, deadline time.Time, res *Result) bool {
 	if err := cn.SetDeadline(deadline); err != nil {
 		res.Kind, res.Err = Unsent, err
 		return false
 	}
 	cn.carry(c.Cache.hash(r.ID))
 	written := cn.send(c.encodeHeader(t, r, time.Until(targetDeadline)), r.Body)
-	resp, closing, err := c.read(cn, t, r, budget, res)
+	resp, closing, err := c.read(cn, t, r, mem, res)
 	if err != nil {
 		res.Kind, res.Err = kindOfError(err), shortError{err}
 		if failedBeforeFirstByte(written) {
@@ -332,7 +332,7 @@
 
 // read returns the response to r and whether the connection must be closed after it. It counts the responses to other
 // requests in res.
-func (c *Client) read(cn *conn, t Target, r *Request, budget *memoryBudget, res *Result) (*Response, bool, error) {
+func (c *Client) read(cn *conn, t Target, r *Request, mem *responseMemory, res *Result) (*Response, bool, error) {
 	skipped := int64(0)
 	for n := range maxResponsesRead {
 		head, err := cn.readFinalHead(r.Method)
@@ -345,7 +345,7 @@
 		refused := id == "" && first && head.Header.Get(c.Headers.NotRun) != ""
 		if matched || refused {
 			c.reportHeader(t, r, ResponseHeader{Status: head.StatusCode, Header: head.Header, HasRequestID: matched})
-			resp, err := c.readResponse(cn, head, budget)
+			resp, err := c.readResponse(cn, head, mem)
 			if err == nil && matched {
 				err = checkEncoding(resp)
 			}
@@ -365,11 +365,11 @@
 }
 
 // readResponse reads the body of a response whose head was read.
-func (c *Client) readResponse(cn *conn, head *http.Response, budget *memoryBudget) (*Response, error) {
+func (c *Client) readResponse(cn *conn, head *http.Response, mem *responseMemory) (*Response, error) {
 	if err := header.CheckStatus(head.StatusCode); err != nil {
 		return nil, err
 	}
-	body, err := cn.readBody(head, c.MaxResponseBytes, budget)
+	body, err := cn.readBody(head, c.MaxResponseBytes, mem)
 	if err != nil {
 		return nil, err
 	}
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -11,8 +11,8 @@
 // cut it off. The target is not at fault and may have run the request.
 var ErrNoMemory = errors.New("no memory for the response in time")
 
-// memoryBudget acquires the memory for the response of one exchange.
-type memoryBudget struct {
+// responseMemory acquires the memory for the response of one exchange.
+type responseMemory struct {
 	ctx      context.Context
 	memory   Memory
 	deadline time.Time
@@ -20,8 +20,8 @@
 	waited time.Duration
 }
 
-// acquire waits until there is room for n bytes.
-func (b *memoryBudget) acquire(n int64) error {
+// acquire waits until there is room for n bytes, if there is a bound.
+func (b *responseMemory) acquire(n int64) error {
 	if b.memory == nil {
 		return nil
 	}
