exchange: first attempts do not look through the IDs of connections

The choice of a target asks for each of a service's targets whether there is a connection for the request. A connection is replaced after 256 requests now, and only requests that have been sent before are asked for by their ID: first attempts pay what they paid before. Which connection a request gets is decided by its ID as before, so a caller that repeats an ID is covered as well.

Ruled out: a map of IDs for each connection, which holds more (not measured). Conclusion: the price is paid by requests that are sent again.

--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -40,7 +40,7 @@
 	// maxIdlePerTarget limits the idle connections to one target.
 	maxIdlePerTarget = 4
 	// maxRequestsPerConn limits the requests on one connection, and so the size of conn.carried.
-	maxRequestsPerConn = 1024
+	maxRequestsPerConn = 256
 	// readBufferSize is in bytes per connection. net/http limits a line of chunk framing and a
 	// trailer to it.
 	readBufferSize = 4 << 10
@@ -121,13 +121,25 @@
 	}
 }
 
-// HasIdle reports whether the cache has a connection to the target on which the request
-// has not been sent before and that has been idle for less than its idle timeout and
-// maxIdle.
-func (c *Cache) HasIdle(t Target, requestID string, maxIdle time.Duration) bool {
+// HasIdle reports whether the cache has a connection to the target that has been
+// idle for less than its idle timeout and maxIdle.
+func (c *Cache) HasIdle(t Target, maxIdle time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := c.newestIdle(t, requestID)
+	return c.isFresh(t, len(c.idle[t])-1, maxIdle)
+}
+
+// HasIdleFor is like HasIdle for a request that has been sent before: connections that have
+// carried it do not count.
+func (c *Cache) HasIdleFor(t Target, requestID string, maxIdle time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isFresh(t, c.newestIdle(t, requestID), maxIdle)
+}
+
+// isFresh reports whether there is an idle connection with the index and it may still be
+// used. The caller holds the lock.
+func (c *Cache) isFresh(t Target, i int, maxIdle time.Duration) bool {
 	if i < 0 {
 		return false
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/clementinereel/clementinereel/fleet"
 )
 
 var testHeaders = Headers{RequestID: "X-Id", Deadline: "X-Deadline", Seal: "X-Seal", Target: "X-Target", NotRun: "X-Not-Run"}
@@ -266,9 +268,9 @@
 	rt := newRawTarget(t, script{sealedResponse, sealedResponse})
 	c := newClient()
 	do(c, rt.Target, newRequest("r1"))
-	assert.Assert(t, c.Cache.HasIdle(rt.Target, "r9", time.Minute))
+	assert.Assert(t, c.Cache.HasIdle(rt.Target, time.Minute))
 	c.Cache.Sweep(time.Now(), func(Target) bool { return false })
-	assert.Assert(t, !c.Cache.HasIdle(rt.Target, "r9", time.Minute))
+	assert.Assert(t, !c.Cache.HasIdle(rt.Target, time.Minute))
 	assert.Equal(t, c.Cache.Opened(), int64(1))
 }
 
@@ -280,14 +282,14 @@
 	earlier, later := rt.Target, rt.Target
 	earlier.Born, later.Born = 1_800_000_000_000, 1_800_000_007_000
 	do(c, earlier, newRequest("r1"))
-	assert.Assert(t, c.Cache.HasIdle(earlier, "r9", time.Minute))
-	assert.Assert(t, !c.Cache.HasIdle(later, "r9", time.Minute))
+	assert.Assert(t, c.Cache.HasIdle(earlier, time.Minute))
+	assert.Assert(t, !c.Cache.HasIdle(later, time.Minute))
 	res := do(c, later, newRequest("r2"))
 	assert.Equal(t, res.Kind, Answered)
 	assert.Assert(t, !res.Reused)
 	c.Cache.Sweep(time.Now(), func(t Target) bool { return t == later })
-	assert.Assert(t, !c.Cache.HasIdle(earlier, "r9", time.Minute))
-	assert.Assert(t, c.Cache.HasIdle(later, "r9", time.Minute))
+	assert.Assert(t, !c.Cache.HasIdle(earlier, time.Minute))
+	assert.Assert(t, c.Cache.HasIdle(later, time.Minute))
 }
 
 func BenchmarkExchange(b *testing.B) {
@@ -382,8 +384,8 @@
 	rt := newRawTarget(t, script{rejection, lateCopy + sealedResponse, sealedResponse})
 	c := newClient()
 	assert.Equal(t, do(c, rt.Target, newRequest("r1")).Kind, Refused)
-	assert.Assert(t, !c.Cache.HasIdle(rt.Target, "r1", time.Minute))
-	assert.Assert(t, c.Cache.HasIdle(rt.Target, "r2", time.Minute))
+	assert.Assert(t, !c.Cache.HasIdleFor(rt.Target, "r1", time.Minute))
+	assert.Assert(t, c.Cache.HasIdleFor(rt.Target, "r2", time.Minute))
 	assert.Equal(t, do(c, rt.Target, newRequest("r1")).Kind, Refused) // the first step of another connection
 	assert.Equal(t, rt.conns.Load(), int32(2))
 	res := do(c, rt.Target, newRequest("r2"))
@@ -417,3 +419,36 @@
 	}
 	assert.Equal(t, rt.conns.Load(), int32(2))
 }
+
+// BenchmarkHasIdle asks for each of 137 targets whether it has a connection for a request, where each has two that have
+// carried as many requests as they may.
+func BenchmarkHasIdle(b *testing.B) {
+	const targets, connsPerTarget = 137, 2
+	c := NewCache(time.Second)
+	var all []Target
+	for n := range targets {
+		t := Target{ID: fleet.TargetID(fmt.Sprint("t", n))}
+		all = append(all, t)
+		for k := range connsPerTarget {
+			cn := &conn{idleSince: time.Now(), idleTimeout: time.Hour}
+			for i := range maxRequestsPerConn {
+				cn.carry(c.hash(fmt.Sprint(n, k, i)))
+			}
+			c.idle[t] = append(c.idle[t], cn)
+		}
+	}
+	b.Run("first attempt", func(b *testing.B) {
+		for b.Loop() {
+			for _, t := range all {
+				c.HasIdle(t, time.Hour)
+			}
+		}
+	})
+	b.Run("later attempt", func(b *testing.B) {
+		for b.Loop() {
+			for _, t := range all {
+				c.HasIdleFor(t, "r", time.Hour)
+			}
+		}
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -411,9 +411,8 @@
 // placeExcept chooses one of the targets that are not withheld.
 func (r *attemptGroup) placeExcept(now time.Time, targets []*registry.Target, withheld []fleet.TargetID, w placement.Work) (Placement, bool) {
 	c := r.c
-	warm := func(t exchange.Target, maxIdle time.Duration) bool { return c.h.Client.Cache.HasIdle(t, c.id, maxIdle) }
 	for time.Since(now) <= placementTimeout {
-		p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, withheld, w, warm)
+		p, ok := c.h.Knowledge.Place(now, c.service, targets, r.tried, withheld, w, r.hasIdle)
 		if !ok {
 			break
 		}
@@ -427,6 +426,15 @@
 	return Placement{}, false
 }
 
+// hasIdle reports whether there is a connection to the target that may carry the next attempt.
+func (r *attemptGroup) hasIdle(t exchange.Target, maxIdle time.Duration) bool {
+	cache := r.c.h.Client.Cache
+	if r.attempts() == 0 {
+		return cache.HasIdle(t, maxIdle)
+	}
+	return cache.HasIdleFor(t, r.c.id, maxIdle)
+}
+
 // explainNoTarget sets the reason and the Retry-After of the fallback if no target takes
 // requests now, either because this instance backs off from all of them or because the
 // rates of n targets did not allow the request.
