--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -301,9 +302,10 @@
 	go srv.Serve(ln)
 	defer srv.Close()
 	c := newClient()
-	r := &Request{ID: "r", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
+	r := &Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}}
 	b.ReportAllocs()
-	for b.Loop() {
+	for n := 0; b.Loop(); n++ {
+		r.ID = strconv.Itoa(n)
 		do(c, Target{ID: "t", Addr: ln.Addr().String()}, r)
 	}
 }
