gateway: the routes whose response sizes are known are bounded

Names of routes come and go with configurations; nothing removed them from the table of sizes. TestSizesOfRoutesAreBounded failed before (2,000 of 1,000).

Cause, by reading: an entry for each route that ever had a large response. Ruled out: dropping the routes that a new document lacks, a pass over all routes at each change. Before 2,000 entries after 2,000 routes, after 1,000. Conclusion: the table is bounded whatever configurations come.

--- a/gateway/responses.go
+++ b/gateway/responses.go
@@ -23,6 +23,8 @@
 	responseRoomInterval = 10 * time.Millisecond
 	// minMeanWeight is the weight of the latest value in a running mean, once many are known.
 	minMeanWeight = 0.1
+	// maxSizedRoutes limits the routes whose sizes are known: names of routes come and go with configurations.
+	maxSizedRoutes = 1000
 )
 
 // Responses bounds the memory for large responses. It is safe for concurrent use.
@@ -58,6 +60,7 @@
 	}
 	if s == nil {
 		s = new(responseSizes)
+		r.forgetOne()
 		r.sizes[route] = s
 	}
 	s.count++
@@ -65,6 +68,17 @@
 	s.mean += weight * (float64(bytes) - s.mean)
 }
 
+// forgetOne makes room for a route. The caller holds the lock.
+func (r *Responses) forgetOne() {
+	if len(r.sizes) < maxSizedRoutes {
+		return
+	}
+	for route := range r.sizes {
+		delete(r.sizes, route)
+		return
+	}
+}
+
 // expected returns the usual size in bytes of a route's responses, 0 if none is known.
 func (r *Responses) expected(route string) int64 {
 	r.mu.Lock()
--- a/gateway/responses_test.go
+++ b/gateway/responses_test.go
@@ -63,6 +63,17 @@
 	assert.Equal(t, r.memory.heldBytes.Load(), int64(0))
 }
 
+func TestSizesOfRoutesAreBounded(t *testing.T) {
+	r := NewResponses(10 * mib)
+	for n := range 2 * maxSizedRoutes {
+		r.Record(fmt.Sprint("route", n), mib)
+	}
+	assert.Equal(t, len(r.sizes), maxSizedRoutes)
+	r.Record("last", mib)
+	assert.Equal(t, r.expected("last"), int64(mib))
+	assert.Equal(t, len(r.sizes), maxSizedRoutes)
+}
+
 // A response larger than all that may be held is held alone.
 func TestResponseLargerThanTheBound(t *testing.T) {
 	r := NewResponses(10 * mib)
