gateway: time for all waits of a test on a busy machine

Cause: the test's three waits took 1.1 s of the 2 s that its routes allow; a busy machine could use up the rest. Ruled out: fewer rejections, which would check less. Checks are as before, the routes allow 3.5 s.

--- a/gateway/lateresponse_test.go
+++ b/gateway/lateresponse_test.go
@@ -100,7 +100,11 @@
 
 // launchBefore starts an instance before the target.
 func launchBefore(t *testing.T, target *repeatingTarget, queueing bool) (string, *Gateway) {
-	store := &fakeStore{document: waitingDocument(queueing), entries: []registry.Entry{target.entry()}}
+	d := waitingDocument(queueing)
+	for i := range d.Routes {
+		d.Routes[i].Timeout = 3500 * time.Millisecond // enough for all waits on a busy machine
+	}
+	store := &fakeStore{document: d, entries: []registry.Entry{target.entry()}}
 	settings := testSettings(t)
 	settings.Grace = time.Second
 	url, g, _ := launch(t, settings, store, func(*Gateway) {})
