--- a/gateway/responses.go
+++ b/gateway/responses.go
@@ -55,10 +55,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.sizes[route]
-	if s == nil && bytes <= largeResponseBytes {
-		return
-	}
 	if s == nil {
+		if bytes <= largeResponseBytes {
+			return
+		}
 		s = new(responseSizes)
 		r.forgetOne()
 		r.sizes[route] = s
