emulator: a death closes the server that died, not the revived one

A death closes the target's server in the background, and that close took whichever server was current, also one that had been revived meanwhile. A server that had not begun to serve kept its listener for a moment after Close, too.

Ruled out: the product, which has no part in it; a second piece of work that lets the target die again, since the close breaks its connection off.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -128,6 +128,21 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
+// TestDeathDoesNotCloseRevivedTarget guards against a target that is gone again after its revival: its death, which
+// closes the server in the background, came to the revived one.
+func TestDeathDoesNotCloseRevivedTarget(t *testing.T) {
+	const deaths = 200
+	s := start(t, Options{})
+	for n := range deaths {
+		s.Kill()
+		assert.NilError(t, s.Revive())
+		time.Sleep(time.Millisecond)
+		resp, err := http.Get(s.URL() + PathHealth)
+		assert.NilError(t, err, "after death %d", n+1)
+		_ = resp.Body.Close()
+	}
+}
+
 func TestHangAnswersHealthOnly(t *testing.T) {
 	s := start(t, Options{})
 	put(t, s, Behavior{HangPercent: 100})
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -16,8 +16,9 @@
 	*Emulator
 	addr string
 
-	mu   sync.Mutex
-	http *http.Server
+	mu       sync.Mutex
+	http     *http.Server
+	listener net.Listener
 
 	open, peak, opened atomic.Int64
 }
@@ -30,7 +31,7 @@
 		return nil, err
 	}
 	s := &Server{Emulator: e, addr: addr}
-	e.onDeath = func() { go s.Close() }
+	e.onDeath = func() { go s.close(s.current()) }
 	return s, s.listen()
 }
 
@@ -41,13 +42,24 @@
 func (s *Server) URL() string { return "http://" + s.addr }
 
 // Close breaks all connections off and stops listening. Revive undoes it.
-func (s *Server) Close() {
+func (s *Server) Close() { s.close(s.current()) }
+
+// current returns the HTTP server that listens, nil if none does.
+func (s *Server) current() *http.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.http
+}
+
+// close closes the HTTP server unless another one has taken its place.
+func (s *Server) close(h *http.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.http == nil {
+	if h == nil || s.http != h {
 		return
 	}
-	_ = s.http.Close()
+	_ = s.listener.Close() // h may not have begun to serve
+	_ = h.Close()
 	s.http = nil
 }
 
@@ -77,6 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.addr = l.Addr().String()
+	s.listener = l
 	s.http = &http.Server{
 		Handler:     s.routes(),
 		ConnState:   s.connState,
