exchange, gateway: failed attempts tell how much was written, later answers their connection

The log couldn't tell an attempt of which nothing was sent from one whose write failed after some bytes, and had no line for the attempt that answered a request at last. No decision changes.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -102,6 +102,8 @@
 // Events of requests.
 const (
 	AttemptFailed Event = "attempt-failed"
+	// AttemptAnswered is logged for a later attempt of a request that must not run twice.
+	AttemptAnswered Event = "attempt-answered"
 	// AttemptOpen is logged for an attempt that is pending when its request times out.
 	AttemptOpen Event = "attempt-open"
 	// AttemptAdded and AttemptNotAdded are logged when a further attempt is granted or denied.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -138,6 +138,9 @@
 	// Skipped is the number of responses to other requests that were read before the
 	// response.
 	Skipped int
+	// Written is the number of bytes of the request that were written, unknownBytes if the write had
+	// not ended by the end of the exchange.
+	Written int64
 	// Took is the duration of the exchange. Waited is the part of it in which the response
 	// waited for memory.
 	Took, Waited time.Duration
@@ -223,11 +226,12 @@
 		return false
 	}
 	cn.carry(c.Cache.hash(r.ID))
+	res.Written = unknownBytes
 	written := cn.send(c.encodeHeader(t, r, time.Until(targetDeadline)), r.Body)
 	resp, closing, err := c.read(cn, t, r, mem, res)
 	if err != nil {
 		res.Kind, res.Err = kindOfError(err), shortError{err}
-		if failedBeforeFirstByte(written) {
+		if failedBeforeFirstByte(written, res) {
 			res.Kind = Unsent
 		}
 		return false
@@ -240,6 +244,7 @@
 	}
 	select {
 	case w := <-written:
+		res.Written = w.bytes
 		return w.err == nil && !closing && cn.reader.Buffered() == 0
 	case <-time.After(writeDoneTimeout):
 		// The target responded before it received the whole body: it would read
@@ -271,10 +276,15 @@
 	return written
 }
 
-// failedBeforeFirstByte reports whether the write has failed without sending a byte.
-func failedBeforeFirstByte(written <-chan writeResult) bool {
+// unknownBytes is Result.Written while the write goes on.
+const unknownBytes = -1
+
+// failedBeforeFirstByte reports whether the write has failed without sending a byte. It sets Written if the write
+// has ended.
+func failedBeforeFirstByte(written <-chan writeResult, res *Result) bool {
 	select {
 	case w := <-written:
+		res.Written = w.bytes
 		return w.err != nil && w.bytes == 0
 	default:
 		return false
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -191,6 +191,16 @@
 	ln.Close()
 	res := do(newClient(), Target{ID: "t", Addr: addr}, newRequest("r1"))
 	assert.Equal(t, res.Kind, Unsent)
+	assert.Equal(t, res.Written, int64(0))
+}
+
+// A result tells how much of its request was written, from which follows whether the target may have run it.
+func TestResultTellsWrittenBytes(t *testing.T) {
+	for _, step := range []string{sealedResponse, resetMarker} {
+		rt := newRawTarget(t, script{step})
+		res := do(newClient(), rt.Target, newRequest("r1"))
+		assert.Assert(t, res.Written > int64(len("order")), "%v: %d bytes", res.Kind, res.Written)
+	}
 }
 
 // A target that responds before it has received the whole body keeps reading it, so
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -200,6 +200,7 @@
 func (r *attemptGroup) handleResult(e attemptResult) (outcome, bool) {
 	o := r.classify(e)
 	if o.response != nil && o.response.Status < http.StatusInternalServerError {
+		r.logLaterAnswer(e)
 		return o, true
 	}
 	r.updateFallback(o)
@@ -487,10 +488,20 @@
 	pairs := []any{"request", r.c.id, "route", r.c.route.Name, "class", r.c.route.Class, "service", r.c.service,
 		"target", e.placed.ID, "addr", e.placed.Addr, "zone", e.placed.Zone, "kind", e.result.Kind, "status", status, "err", e.result.Err,
 		"took_ms", e.result.Took.Milliseconds(), "reused", e.result.Reused, "idle_ms", e.result.IdleFor.Milliseconds(),
-		"conn", e.result.Conn, "conn_requests", e.result.Requests, "skipped", e.result.Skipped,
+		"conn", e.result.Conn, "conn_requests", e.result.Requests, "skipped", e.result.Skipped, "written", e.result.Written,
 		"fails", eventlog.Fraction(e.placed.FailProbability), "cost", eventlog.Fraction(e.placed.Cost), "in_flight", e.placed.InFlight, "slots", e.placed.Slots, "for_floor", e.placed.ForFloor, "attempt", r.attempts(), "outcome", string(o.kind), "document", r.c.version}
 	if e.result.Kind == exchange.Broken {
 		pairs = append(pairs, "exceeded", string(exchange.ExceededPart(e.result.Err)), "content", r.c.content.Fingerprint(), "caller", r.c.caller())
 	}
 	eventlog.Info(eventlog.AttemptFailed, pairs...)
 }
+
+// logLaterAnswer logs the answer to a request that must not run twice if it is not that to its first attempt.
+func (r *attemptGroup) logLaterAnswer(e attemptResult) {
+	if r.c.repeatable() || r.attempts() < 2 {
+		return
+	}
+	eventlog.Info(eventlog.AttemptAnswered, "request", r.c.id, "route", r.c.route.Name, "service", r.c.service, "target", e.placed.ID, "addr", e.placed.Addr,
+		"status", e.result.Response.Status, "took_ms", e.result.Took.Milliseconds(), "conn", e.result.Conn, "conn_requests", e.result.Requests,
+		"skipped", e.result.Skipped, "attempt", r.attempts(), "document", r.c.version)
+}
