gateway: questions for tokens begin at a random number

Replies to questions for tokens (rates of targets, quotas) name the question by its number alone, and each process began at 1: a reply to a process that was killed counted as the answer to its successor's question with the same number, so that a request could run by a token that nobody had granted it.

Numbers begin at a random one of 2^32 now, so that such a reply matches nothing. Weighed: the asker's process start in each reply, which is larger and changes the message.

TestReplyToEarlierProcessAnswersNoQuestion failed before (the late reply was granted) and passes 200 times after.

--- a/gateway/questions.go
+++ b/gateway/questions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	defer q.mu.Unlock()
 	if q.pending == nil {
 		q.pending = make(map[uint64]chan mesh.TokenResponse)
+		// A late reply to an earlier process at this address must match no question of this one.
+		q.last = uint64(rand.Uint32())
 	}
 	q.last++
 	replies := make(chan mesh.TokenResponse, 1)
