pool, upstream: work that must run once shares no connection on the contract path

Class of the incident: two sends that share the only mark by which their answers are told apart. On the contract path that mark is the order on the connection: net/http compares no IDs, and targets need not echo them.

Confirmations and uploads have connections of their own now (pool.Set.SingleUse), mostly the ones that are opened ahead, within the same share of the target's connections: where the share is used up, an idle one is closed for them. Such a connection has carried nothing, so no answer on it can belong to something else.

Price: a connection for each confirmation and upload on this path.

--- a/pool/doc.go
+++ b/pool/doc.go
@@ -10,6 +10,14 @@
 // idle connections to removed targets are closed at once, busy ones when their
 // responses end. Warm opens connections ahead of use.
 //
+// # Which response belongs to a request
+//
+// net/http matches responses to requests by their order on the connection, and
+// targets need not repeat the ID of a request. An extra response that arrives
+// once the next request was sent counts as the response to that one. Requests
+// that must run at most once therefore use connections that carry nothing else
+// (Set.SingleUse), within the same share.
+//
 // # What was sent
 //
 // For requests that must run at most once, the caller needs to know whether a
--- a/pool/host.go
+++ b/pool/host.go
@@ -16,11 +16,14 @@
 	target    fleet.Target
 	share     int
 	transport *http.Transport
-	dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+	// single uses each connection for one request.
+	single *http.Transport
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	// open has an element for each connection that is in use, idle in the transport, ready or being
+	// dialed; its capacity is the share.
+	open chan struct{}
 
 	mu sync.Mutex
-	// open is the number of connections in use, idle in the transport, ready or being dialed.
-	open int
 	// ready holds connections opened ahead of use and not yet passed to the transport.
 	ready   []*conn
 	retired bool
@@ -29,11 +32,19 @@
 }
 
 func newHost(cfg Config, t fleet.Target, share int) *host {
-	h := &host{cfg: cfg, target: t, share: share, dial: dialer(cfg)}
-	h.transport = newTransport(cfg, h.connect)
+	h := &host{cfg: cfg, target: t, share: share, dial: dialer(cfg), open: make(chan struct{}, share)}
+	h.transport = newTransport(cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return h.connect(ctx, network, addr, func() {})
+	})
 	h.transport.MaxConnsPerHost = share
 	h.transport.MaxIdleConnsPerHost = share
 	h.transport.IdleConnTimeout = cfg.IdleTimeout
+	h.single = newTransport(cfg, func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return h.connect(ctx, network, addr, h.transport.CloseIdleConnections)
+	})
+	h.single.MaxConnsPerHost = share
+	// DisableKeepAlives would ask targets to close, and one that has not read the whole body would reset its response.
+	h.single.MaxIdleConnsPerHost = -1
 	return h
 }
 
@@ -61,36 +72,54 @@
 	}
 }
 
-// connect returns a ready connection to the transport, or dials a new one.
-func (h *host) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+// connect returns a ready connection, or dials a new one. It calls makeRoom while the share is used up.
+func (h *host) connect(ctx context.Context, network, addr string, makeRoom func()) (net.Conn, error) {
 	if c := h.takeReady(); c != nil {
 		return c, nil
 	}
-	h.addOpen(1)
+	if err := h.acquire(ctx, makeRoom); err != nil {
+		return nil, err
+	}
 	return h.dialCounted(ctx, network, addr)
 }
 
+// shareCheckInterval is the interval at which acquire calls makeRoom.
+const shareCheckInterval = 5 * time.Millisecond
+
+// acquire counts one more connection. While the share is used up, it calls makeRoom and waits until a connection
+// is closed.
+func (h *host) acquire(ctx context.Context, makeRoom func()) error {
+	for {
+		select {
+		case h.open <- struct{}{}:
+			return nil
+		default:
+			makeRoom()
+		}
+		select {
+		case h.open <- struct{}{}:
+			return nil
+		case <-time.After(shareCheckInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// release is called for each connection that was closed or could not be opened.
+func (h *host) release() { <-h.open }
+
 // dialCounted opens one connection, which the caller must have counted in open.
 func (h *host) dialCounted(ctx context.Context, network, addr string) (*conn, error) {
 	nc, err := h.dial(ctx, network, addr)
 	if err != nil {
-		h.addOpen(-1)
+		h.release()
 		return nil, err
 	}
-	return &conn{Conn: nc, opened: time.Now(), closed: func() { h.addOpen(-1) }}, nil
+	return &conn{Conn: nc, opened: time.Now(), closed: h.release}, nil
 }
 
-func (h *host) addOpen(d int) {
-	h.mu.Lock()
-	h.open += d
-	h.mu.Unlock()
-}
-
-func (h *host) openCount() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.open
-}
+func (h *host) openCount() int { return len(h.open) }
 
 // takeReady returns a ready connection that is still alive, or nil.
 func (h *host) takeReady() *conn {
@@ -138,7 +167,7 @@
 // belowWarm reports whether the target has fewer than Warm connections. The
 // caller must hold mu.
 func (h *host) belowWarm() bool {
-	return !h.retired && h.open < min(h.cfg.Warm, h.share)
+	return !h.retired && len(h.open) < min(h.cfg.Warm, h.share)
 }
 
 // warm opens a connection if the target has fewer than Warm.
@@ -160,8 +189,12 @@
 	if !h.belowWarm() {
 		return false
 	}
-	h.open++
-	return true
+	select {
+	case h.open <- struct{}{}:
+		return true
+	default: // a request took the last one meanwhile
+		return false
+	}
 }
 
 func (h *host) putReady(c *conn) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -130,11 +130,27 @@
 // whatever the host of their URL. For a target without a share, each request
 // uses a new connection.
 func (s *Set) RoundTripper(t fleet.Target) http.RoundTripper {
-	s.mu.RLock()
-	h := s.hosts[keyOf(t)]
-	s.mu.RUnlock()
+	h := s.host(t)
 	if h == nil {
 		return roundTripper{s.unpooled, t.Addr}
 	}
 	return roundTripper{h.transport, h.target.Addr}
 }
+
+// SingleUse is like RoundTripper, but each request has a connection of its own. net/http matches
+// responses to requests by their order: on a connection that has carried another request, an extra
+// response to that one would count as the response to this one.
+func (s *Set) SingleUse(t fleet.Target) http.RoundTripper {
+	h := s.host(t)
+	if h == nil {
+		return roundTripper{s.unpooled, t.Addr}
+	}
+	return roundTripper{h.single, h.target.Addr}
+}
+
+// host returns what holds the connections to the target, nil if it has no share.
+func (s *Set) host(t fleet.Target) *host {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.hosts[keyOf(t)]
+}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -436,3 +436,39 @@
 		})
 	}
 }
+
+// A request with a connection of its own closes an idle one where the share is used up, gets no connection that has
+// carried another request, and leaves none.
+func TestSingleUseStaysWithinShare(t *testing.T) {
+	target := newRawTarget(t, okResponse, okResponse)
+	s := newSet(t, Config{Warm: -1}, target.Target, 1)
+	for range 2 {
+		_, err := do(s.RoundTripper(target.Target), newRequest("GET", ""))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Open(), 1)
+		_, err = do(s.SingleUse(target.Target), newRequest("POST", "body"))
+		assert.NilError(t, err)
+		assert.Assert(t, s.Open() <= 1)
+	}
+	assert.Equal(t, target.conns.Load(), int32(4))
+}
+
+// A request that finds no connection within the share in time was not sent.
+func TestSingleUseWaitsForShare(t *testing.T) {
+	target := newRawTarget(t, okResponse)
+	target.gate = make(chan struct{})
+	s := newSet(t, Config{Warm: -1}, target.Target, 1)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := do(s.RoundTripper(target.Target), newRequest("GET", ""))
+		ended <- err
+	}()
+	<-target.received
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	trace, err := do(s.SingleUse(target.Target), newRequest("POST", "body").WithContext(ctx))
+	assert.ErrorContains(t, err, "deadline")
+	assert.Assert(t, !trace.Sent())
+	close(target.gate)
+	assert.NilError(t, <-ended)
+}
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -130,10 +131,19 @@
 // try sends the request to the picked target and records the result.
 func (s *Service) try(ctx context.Context, class fleet.Class, pick balancer.Pick, req *Request) Result {
 	watch := s.health.Start(pick.Target.ID, time.Now())
-	res := Try(ctx, s.pool.RoundTripper(pick.Target), s.via, pick.Target, req)
+	res := Try(ctx, s.roundTripper(class, pick.Target), s.via, pick.Target, req)
 	s.health.Done(watch, res.Try, res.Latency)
 	s.Gate(class).Observe(res.Try, res.Latency)
 	s.budget.RecordResult(time.Now(), res.Try)
 	pick.Done(balancer.DoneInfo{Result: res.Try, Latency: res.Latency, RetryAfter: res.RetryAfter})
 	return res
 }
+
+// roundTripper returns how requests of a class are sent. Those that must run at most once share no connection, as a
+// response to another request must not count as theirs.
+func (s *Service) roundTripper(class fleet.Class, t fleet.Target) http.RoundTripper {
+	if class.Repeatable() {
+		return s.pool.RoundTripper(t)
+	}
+	return s.pool.SingleUse(t)
+}
