gateway: a response is written as long as its caller waits

Callers may read slowly.

A response may be written until the caller's own deadline, at least 10 s as before and 30 s at most, so that a caller that drips holds no memory for longer than requests without a deadline do. response-cut tells of each response that was not written whole, with its bytes, its time, and whether time was the reason.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -116,6 +116,8 @@
 	RequestWaits   Event = "request-waits"
 	RequestResumed Event = "request-resumed"
 	RequestGivenUp Event = "request-given-up"
+	// ResponseCut is logged when a response could not be written whole: the caller has disconnected or read too slowly.
+	ResponseCut Event = "response-cut"
 	// ResponseWaited is logged when a response has waited for memory, or its time was over.
 	ResponseWaited Event = "response-waited"
 	// QuotaStandbyUsed is logged when a request runs although no holder of its tenant's quota granted it.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -41,8 +41,9 @@
 	// minRetryAfter is the shortest Retry-After of a refused request: by then a slot is
 	// usually free or a peer has sent the missing state.
 	minRetryAfter = 300 * time.Millisecond
-	// writeTimeout bounds writing a response to a caller that reads slowly.
-	writeTimeout = 10 * time.Second
+	// minWriteTimeout bounds writing a response to a caller that reads slowly. One that waits for longer has
+	// maxWriteTimeout at most.
+	minWriteTimeout, maxWriteTimeout = 10 * time.Second, 30 * time.Second
 	// initialStateTimeout bounds how long a request waits during startup for the first
 	// configuration and targets. The store or a peer delivers them within some 10 ms. A
 	// refused caller may have no time left to retry, or may not be allowed to.
@@ -165,6 +166,8 @@
 	// deadline is when the response must be sent, targetDeadline is the deadline
 	// passed on to targets.
 	deadline, targetDeadline time.Time
+	// callerDeadline is how long the caller waits; zero if it has not said so.
+	callerDeadline time.Time
 }
 
 // serve handles the request and returns the status of the response; 0 if the caller
@@ -272,6 +275,7 @@
 			return errors.Errorf("%s: %q is not a number of milliseconds", c.h.Client.Headers.Deadline, v)
 		}
 		left = time.Duration(ms) * time.Millisecond
+		c.callerDeadline = c.start.Add(left)
 	}
 	c.targetDeadline = c.start.Add(left)
 	c.deadline = c.targetDeadline.Add(-responseMargin)
@@ -370,10 +374,21 @@
 	}
 	rc := http.NewResponseController(c.w)
 	// If the connection supports no deadlines, the caller's own timeout bounds the write.
-	_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	began := time.Now()
+	_ = rc.SetWriteDeadline(c.writeDeadline(began))
 	c.w.WriteHeader(status)
-	// A write error means that the caller has disconnected.
-	_, _ = c.w.Write(body)
+	n, err := c.w.Write(body)
+	if err != nil && len(body) > 0 {
+		eventlog.Info(eventlog.ResponseCut, "request", c.id, "route", c.routeName(), "status", status, "bytes", len(body), "written", n,
+			"took_ms", time.Since(began).Milliseconds(), "timeout", errors.Is(err, os.ErrDeadlineExceeded), "err", err.Error())
+	}
+}
+
+// writeDeadline returns when a response that is written from now on is given up. A caller may read slowly as long as
+// it waits.
+func (c *call) writeDeadline(now time.Time) time.Time {
+	waits := c.callerDeadline.Sub(now)
+	return now.Add(min(max(waits, minWriteTimeout), maxWriteTimeout))
 }
 
 // refuse responds that the request was not run, with the shortest Retry-After.
