--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -472,3 +472,20 @@
 	close(target.gate)
 	assert.NilError(t, <-ended)
 }
+
+// BenchmarkConnections compares requests that share connections with those that have one each.
+func BenchmarkConnections(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	b.Cleanup(server.Close)
+	target := fleet.Target{ID: "t", Addr: strings.TrimPrefix(server.URL, "http://")}
+	s := newSet(b, Config{Warm: -1}, target, 8)
+	for name, rt := range map[string]http.RoundTripper{"shared": s.RoundTripper(target), "single use": s.SingleUse(target)} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				if _, err := do(rt, newRequest("POST", "body")); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
