--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -203,25 +203,45 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(r.dir, g.Name+".log"))
+	r.Gateways = append(r.Gateways, g)
+	return r.run(g)
+}
+
+// run starts the process of a gateway, whose settings are written.
+func (r *Rig) run(g *Gateway) error {
+	log, err := os.OpenFile(filepath.Join(r.dir, g.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
+		close(g.ended)
 		return err
 	}
 	defer log.Close()
-	g.cmd = exec.Command(r.program, "edge")
-	g.cmd.Env = append(os.Environ(), "CLEMENTINEREEL_NODE_FILE="+file)
-	g.cmd.Stdout, g.cmd.Stderr = log, log
-	if err := g.cmd.Start(); err != nil {
+	cmd, ended := exec.Command(r.program, "edge"), g.ended
+	cmd.Env = append(os.Environ(), "CLEMENTINEREEL_NODE_FILE="+filepath.Join(r.dir, g.Name+".toml"))
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		close(g.ended)
 		return err
 	}
-	r.Gateways = append(r.Gateways, g)
+	g.cmd = cmd
 	go func() {
-		_ = g.cmd.Wait() // the exit code of a killed process says nothing
-		close(g.ended)
+		_ = cmd.Wait() // the exit code of a killed process says nothing
+		close(ended)
 	}()
 	return nil
 }
 
+// RestartGateways starts all gateways again, which have been killed.
+func (r *Rig) RestartGateways() error {
+	for _, g := range r.Gateways {
+		<-g.ended
+		g.ended = make(chan struct{})
+		if err := r.run(g); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Log returns what a gateway has logged.
 func (r *Rig) Log(g *Gateway) string {
 	b, _ := os.ReadFile(filepath.Join(r.dir, g.Name+".log")) // empty if it cannot be read
@@ -229,7 +249,11 @@
 }
 
 // Signal sends a signal to the process, which may have ended.
-func (g *Gateway) Signal(s syscall.Signal) { _ = g.cmd.Process.Signal(s) }
+func (g *Gateway) Signal(s syscall.Signal) {
+	if g.cmd != nil {
+		_ = g.cmd.Process.Signal(s)
+	}
+}
 
 // Ended is closed once the process has ended.
 func (g *Gateway) Ended() <-chan struct{} { return g.ended }
