--- a/review/6/driver/main.go
+++ b/review/6/driver/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -51,7 +50,7 @@
 		return rig.CannotRun
 	}
 	time.Sleep(calm)
-	readers, others := split(r)
+	readers, others := r.Readers()
 	if len(readers) == 0 || len(others) == 0 {
 		fmt.Println("all or none of the gateways read the store")
 		return rig.CannotRun
@@ -99,22 +98,6 @@
 	return rig.Held
 }
 
-// split returns the gateways that read the store, by their logs, and the others.
-func split(r *rig.Rig) (readers, others []*rig.Gateway) {
-	for _, g := range r.Gateways {
-		log := r.Log(g)
-		last := log[strings.LastIndex(log, "reader-role")+1:]
-		line, _, _ := strings.Cut(last, "\n")
-		if strings.Contains(log, "reader-role") && strings.Contains(line, "reads=true") {
-			readers = append(readers, g)
-			r.Logf("%s reads the store", g.Name)
-			continue
-		}
-		others = append(others, g)
-	}
-	return readers, others
-}
-
 func sendUntil(r *rig.Rig, g *rig.Gateway, stop chan struct{}) {
 	for n := 0; ; n++ {
 		select {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -111,6 +111,7 @@
 	}
 	for _, g := range r.Gateways {
 		<-g.ended
+		g.Store.close()
 	}
 	for _, t := range r.Targets {
 		t.Stop()
@@ -144,6 +145,9 @@
 type Gateway struct {
 	Name, IP, Front, Ready string
 
+	// Store is the way to the store.
+	Store *Proxy
+
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
@@ -168,6 +172,10 @@
 	ip := r.IP(1 + i)
 	g := &Gateway{Name: fmt.Sprintf("edge-%s-%d", Zone(i), 1+i/3), IP: ip, ended: make(chan struct{})}
 	g.Front, g.Ready = net.JoinHostPort(ip, strconv.Itoa(r.ports[0])), net.JoinHostPort(ip, strconv.Itoa(r.ports[1]))
+	var err error
+	if g.Store, err = newProxy(ip+":0", r.Store.Addr()); err != nil {
+		return err
+	}
 	settings := fmt.Sprintf(`node_name = %q
 role = "edge"
 machine_class = "edge"
@@ -198,7 +206,7 @@
 [platform]
 address = %q
 form = "log"
-`, g.Name, ip, Zone(i), r.ports[2], r.ports[2], r.IP(1), r.IP(2), r.IP(3), g.Front, g.Ready, r.Store.Addr())
+`, g.Name, ip, Zone(i), r.ports[2], r.ports[2], r.IP(1), r.IP(2), r.IP(3), g.Front, g.Ready, g.Store.ln.Addr())
 	file := filepath.Join(r.dir, g.Name+".toml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
@@ -248,6 +256,21 @@
 	return string(b)
 }
 
+// Readers returns the gateways that read the store, by their logs, and the others.
+func (r *Rig) Readers() (readers, others []*Gateway) {
+	for _, g := range r.Gateways {
+		log := r.Log(g)
+		line, _, _ := strings.Cut(log[max(strings.LastIndex(log, "reader-role"), 0):], "\n")
+		if strings.Contains(line, "reads=true") {
+			readers = append(readers, g)
+			r.Logf("%s reads the store", g.Name)
+			continue
+		}
+		others = append(others, g)
+	}
+	return readers, others
+}
+
 // Signal sends a signal to the process, which may have ended.
 func (g *Gateway) Signal(s syscall.Signal) {
 	if g.cmd != nil {
