--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -33,6 +34,9 @@
 	StabilityWindow = 3 * time.Second
 )
 
+// maxDuration bounds a case.
+const maxDuration = 115 * time.Second
+
 // readyTimeout bounds the start of a gateway.
 const readyTimeout = 20 * time.Second
 
@@ -82,9 +86,22 @@
 		}
 	}
 	r.Store, err = standin.NewStore(r.IP(200) + ":0")
+	go r.endWhenInterrupted()
 	return r, err
 }
 
+// endWhenInterrupted ends the case, with all processes that it started, on a signal or when it takes too long.
+func (r *Rig) endWhenInterrupted() {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-interrupted:
+	case <-time.After(maxDuration):
+	}
+	r.Close()
+	os.Exit(CannotRun)
+}
+
 func freePort(ip string) (int, error) {
 	ln, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
