--- a/test.sh
+++ b/test.sh
@@ -5,6 +5,8 @@
 # Tests with real processes build the programs themselves, of which the test cache
 # knows nothing: a cached result may be that of an older program.
 go test -count=1 "$@" ./...
+# The crowds press on memory and descriptors, so they run apart from other load.
+(cd platform/crowd && go test -count=1 "$@" ./...)
 # The two modules with real processes mostly wait, so they run side by side.
 (cd faults && go test -count=1 "$@" ./...) &
 faults=$!
