callers: one account of what a process holds for callers; descriptors stay within the machine's

On the address for readiness a body that stops short kept its connection for good: no deadline.

Cause: nothing counted connections. Bodies were reserved in a sum without an owner, so that nothing could be taken back from one that had stalled.

Change: package callers holds, by connection and by caller (IP address), bytes, connections and requests ahead. Pure decisions, without network. As long as there is room nothing is refused or closed. When connections run out, the one goes that has waited longest without progress (1 KiB), at first of the caller who holds most; one that is being served never does. When memory runs out, large holders are refused before small ones, and stalled ones are closed. Settings.MaxFiles (max_fds of the host, by default RLIMIT_NOFILE) is divided: half of the connections for callers, an eighth spare for the store, instances and further attempts, the rest for targets; an idle connection to a target gives way to a new one, and a request for which none may be opened is refused at once. The address for readiness has a door, a read timeout and reads no bodies.

Ruled out: refusing newcomers when the door is full. The crowd reconnects faster than slots fall free, so an ordinary caller hardly ever gets one; the oldest that waits makes room instead, and an ordinary request is complete before its turn to go.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -129,6 +129,10 @@
 	RelayDeclined      Event = "relay-declined"
 	RequestFailed      Event = "request-failed"
 	CallerDisconnected Event = "caller-left"
+	// CallerEvicted is logged when a caller's connection is closed to make room, CallerTurnedAway when a new one finds
+	// none.
+	CallerEvicted    Event = "caller-evicted"
+	CallerTurnedAway Event = "caller-turned-away"
 	// EarlyStartDropped is logged when a request that was started before its turn on its connection
 	// is canceled, or its response is not used.
 	EarlyStartDropped Event = "early-start-dropped"
--- a/exchange/cache.go
+++ b/exchange/cache.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"hash/maphash"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -15,7 +16,9 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	cache     *Cache
+	closeOnce sync.Once
+	reader    *bufio.Reader
 	// bounded is what reader reads from.
 	bounded *boundedReader
 	// number identifies the connection among those opened by its cache, starting at 1.
@@ -54,12 +57,18 @@
 type Cache struct {
 	// Dial opens a connection. It may be replaced before the cache is in use.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// MaxOpen, if set, returns the number of connections that may be open. Beyond it, each new connection takes the place of
+	// an idle one if there is one. It may be set before the cache is in use.
+	MaxOpen func() int
+
 	mu   sync.Mutex
 	idle map[Target][]*conn
 	// active is the number of connections in use per target.
 	active map[Target]int
-	opened int64
-	stats  Stats
+	// open counts the connections that are open or being opened, idleCount the idle ones.
+	open, idleCount int
+	opened          int64
+	stats           Stats
 	// seed is of the hashes of request IDs.
 	seed maphash.Seed
 }
@@ -209,6 +218,7 @@
 	}
 	cn := conns[i]
 	c.idle[t] = slices.Delete(conns, i, i+1)
+	c.idleCount--
 	return cn
 }
 
@@ -226,6 +236,7 @@
 	conns := c.idle[t]
 	if len(conns) < maxIdlePerTarget {
 		c.idle[t] = append(conns, cn)
+		c.idleCount++
 		cn = nil
 	} else {
 		c.stats.Surplus++
@@ -250,6 +261,7 @@
 				continue
 			}
 			closing = append(closing, cn)
+			c.idleCount--
 			c.stats.Expired++
 		}
 		clear(conns[len(kept):])
@@ -266,8 +278,10 @@
 }
 
 func (c *Cache) dial(ctx context.Context, t Target) (*conn, error) {
+	c.makeRoom()
 	nc, err := c.Dial(ctx, "tcp4", t.Addr)
 	if err != nil {
+		c.countClosed()
 		return nil, err
 	}
 	c.mu.Lock()
@@ -280,7 +294,59 @@
 	}
 	c.mu.Unlock()
 	bounded := &boundedReader{r: nc}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, number: number, idleTimeout: defaultIdleTimeout}, nil
+	return &conn{Conn: nc, cache: c, reader: bufio.NewReaderSize(bounded, readBufferSize), bounded: bounded, number: number, idleTimeout: defaultIdleTimeout}, nil
+}
+
+// makeRoom counts a connection that is being opened, and closes an idle one if there are too many.
+func (c *Cache) makeRoom() {
+	limit := math.MaxInt
+	if c.MaxOpen != nil {
+		limit = c.MaxOpen()
+	}
+	c.mu.Lock()
+	c.open++
+	var closing *conn
+	if c.open > limit {
+		closing = c.popAny()
+	}
+	c.mu.Unlock()
+	if closing != nil {
+		_ = closing.Close()
+	}
+}
+
+// popAny removes an idle connection, the one of its target that was used least recently; it returns nil if there is
+// none. The caller holds the lock.
+func (c *Cache) popAny() *conn {
+	for t, conns := range c.idle {
+		if len(conns) == 0 {
+			continue
+		}
+		c.idle[t] = conns[1:]
+		c.idleCount--
+		c.stats.Surplus++
+		return conns[0]
+	}
+	return nil
+}
+
+// Active returns the number of connections that are in use or being opened.
+func (c *Cache) Active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open - c.idleCount
+}
+
+func (c *Cache) countClosed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+}
+
+// Close implements net.Conn.
+func (cn *conn) Close() error {
+	cn.closeOnce.Do(cn.cache.countClosed)
+	return cn.Conn.Close()
 }
 
 // Probe opens a connection to the target and keeps it for reuse.
--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -10,25 +12,49 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/clementinereel/clementinereel/callers"
 	"github.com/clementinereel/clementinereel/conncheck"
+	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/pipeline"
 )
 
-// callerListener accepts connections as callerConn.
-type callerListener struct{ net.Listener }
+// callerListener accepts connections as callerConn, as far as the door has room.
+type callerListener struct {
+	net.Listener
+	door *callers.Door
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn, err := l.admit(c.(*net.TCPConn))
+		if conn != nil || err != nil {
+			return conn, err
+		}
 	}
-	tcp := c.(*net.TCPConn)
+}
+
+// admit returns the connection of a caller, nil if there is no room for it.
+func (l callerListener) admit(tcp *net.TCPConn) (net.Conn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &callerConn{TCPConn: tcp, raw: raw}, nil
+	addr := tcp.RemoteAddr().(*net.TCPAddr).AddrPort()
+	closeSocket := func() { _ = tcp.Close() } // fails if the caller's server has closed it
+	entry := l.door.Open(addr.Addr(), closeSocket, func(e callers.Eviction) {
+		eventlog.Info(eventlog.CallerEvicted, "from", addr, "why", e.Reason, "phase", e.Phase, "stalled_ms", e.Stalled.Milliseconds(), "held", e.HeldBytes)
+	})
+	if entry == nil {
+		eventlog.Info(eventlog.CallerTurnedAway, "from", addr, "open", l.door.Len())
+		closeSocket()
+		return nil, nil
+	}
+	return &callerConn{TCPConn: tcp, raw: raw, entry: entry}, nil
 }
 
 // callerConn is a connection of a caller. It knows whether a request is being received, which the HTTP
@@ -36,6 +62,8 @@
 type callerConn struct {
 	*net.TCPConn
 	raw syscall.RawConn
+	// entry is the connection in the account of what is held for callers.
+	entry *callers.Conn
 	// received counts the bytes that were received.
 	received atomic.Int64
 
@@ -63,9 +91,16 @@
 	case n == 0 && len(b) > 0:
 		return 0, io.EOF
 	}
+	c.entry.Received(n)
 	return n, nil
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.entry.Close()
+	return c.TCPConn.Close()
+}
+
 // receive takes bytes from the socket without waiting for them.
 func (c *callerConn) receive(fd int, b []byte) (int, error) {
 	c.mu.Lock()
@@ -84,6 +119,16 @@
 	}
 }
 
+// holderOf returns what holds memory for a request, and a function to call once it is released.
+func (h *Handler) holderOf(r *http.Request) (m reserver, done func()) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		return c.entry, func() {}
+	}
+	addr, _ := netip.ParseAddrPort(r.RemoteAddr) // the zero address if it is unknown
+	holder := h.Callers.Hold(addr.Addr())
+	return holder, holder.Close
+}
+
 // startIdle records that the previous request has ended.
 func (c *callerConn) startIdle() {
 	c.mu.Lock()
@@ -111,3 +156,10 @@
 
 // socketOf returns the socket of a connection of the HTTP server for callers.
 func socketOf(c net.Conn) *callerConn { return c.(*pipeline.Conn).Conn.(*callerConn) }
+
+// setPhase records what the connection of a request is doing, if it is one of a caller.
+func setPhase(r *http.Request, p callers.Phase) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		c.entry.SetPhase(p)
+	}
+}
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/clementinereel/clementinereel/callers"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/pipeline"
 )
@@ -40,17 +41,17 @@
 	busy      int
 }
 
-// listenForCallers listens on addr. Requests are served through p, which may start those early
-// that a caller sends ahead.
-func listenForCallers(addr string, p *pipeline.Server) (*callerServer, error) {
+// listenForCallers listens on addr for as many connections as the door takes. Requests are served through p, which may
+// start those early that a caller sends ahead.
+func listenForCallers(addr string, p *pipeline.Server, door *callers.Door) (*callerServer, error) {
 	lc := net.ListenConfig{KeepAlive: keepAliveInterval}
 	ln, err := lc.Listen(context.Background(), "tcp4", addr)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	f := &callerServer{listener: p.Listener(callerListener{ln}), idleSince: make(map[net.Conn]time.Time)}
+	f := &callerServer{listener: p.Listener(callerListener{ln, door}), idleSince: make(map[net.Conn]time.Time)}
 	f.server = &http.Server{
-		Handler:           p,
+		Handler:           trackPhases(p),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         f.trackConn,
@@ -62,6 +63,17 @@
 	return f, nil
 }
 
+// trackPhases records when requests are served, for the account of what is held for callers.
+func trackPhases(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			setPhase(r, callers.Serving)
+		}
+		defer setPhase(r, callers.Waiting)
+		h.ServeHTTP(w, r)
+	})
+}
+
 // serverErrorWriter writes errors of the HTTP server to the event log.
 type serverErrorWriter struct{}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,7 @@
 	// stay in use for this much longer.
 	tickInterval = 100 * time.Millisecond
 	// internalIdleTimeout and internalWriteTimeout bound how long the servers for other instances
-	// and for the balancer keep a connection without a request, and one that takes no response:
+	// and for the balancer and operators keep a connection without a request, and one that takes no response:
 	// both may have gone silent. Other instances keep theirs for half as long.
 	internalIdleTimeout  = time.Minute
 	internalWriteTimeout = 5 * time.Second
@@ -49,9 +49,9 @@
 	// statsLogInterval is the interval between log lines on connections to targets and on
 	// mesh traffic.
 	statsLogInterval = 5 * time.Second
-	// bodiesMemoryFraction and responsesMemoryFraction are the fractions of MemoryBytes for
-	// request bodies and for large responses.
-	bodiesMemoryFraction    = 0.35
+	// requestsMemoryFraction and responsesMemoryFraction are the fractions of MemoryBytes for callers' connections and
+	// requests, and for large responses.
+	requestsMemoryFraction  = 0.35
 	responsesMemoryFraction = 0.25
 	// gcPercent keeps the heap small at an acceptable cost in CPU time.
 	gcPercent = 100
@@ -83,6 +83,7 @@
 	metrics         *Metrics
 	callerServer    *callerServer
 	adminListener   net.Listener
+	adminServer     *http.Server
 	peerListener    net.Listener
 	peerServer      *http.Server
 	stopping        atomic.Bool
@@ -135,15 +136,17 @@
 	if g.adminListener, err = net.Listen("tcp4", s.ReadyListen); err != nil {
 		return errors.WithStack(err)
 	}
+	account, descriptors := newAccount(s, g.client.Cache, time.Now)
 	g.handler = &Handler{
 		State: g.state, Knowledge: g.knowledge, Client: g.client, SendUpdate: g.sendUpdate, SendLoad: g.node.SendLoad, RequestLoans: g.node.RequestLoans, Metrics: g.metrics,
 		Contents: g.contents, SendContent: g.announceContent, RunsTrial: g.runsTrials, Poison: g.poison, Rates: g.rates,
 		Paths: g.paths, PathsChanged: g.announcePaths, Relayer: g.relayer,
-		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Waiting: g.waiting, Bodies: &Bodies{MaxBytes: int64(bodiesMemoryFraction * float64(s.MemoryBytes))},
+		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Waiting: g.waiting, Callers: account, Descriptors: descriptors,
 		Responses: NewResponses(int64(responsesMemoryFraction * float64(s.MemoryBytes))),
 	}
 	g.peerServer = newInternalServer(g.peerRoutes())
-	g.callerServer, err = listenForCallers(s.Listen, newPipeline(g.handler))
+	g.adminServer = newAdminServer(g.adminRoutes())
+	g.callerServer, err = listenForCallers(s.Listen, newPipeline(g.handler), descriptors.front)
 	return err
 }
 
@@ -238,7 +241,7 @@
 	go g.runTicker(background)
 	failed := make(chan error, 3)
 	go g.serve(failed, g.callerServer.listener, g.callerServer.server)
-	go g.serve(failed, g.adminListener, newInternalServer(g.adminRoutes()))
+	go g.serve(failed, callerListener{g.adminListener, g.handler.Descriptors.ready}, g.adminServer)
 	go g.serve(failed, g.peerListener, g.peerServer)
 	select {
 	case err := <-failed:
@@ -249,7 +252,7 @@
 	return nil
 }
 
-// newInternalServer returns a server for other instances, the balancer and operators.
+// newInternalServer returns a server for other instances.
 func newInternalServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: internalHeaderBytes, IdleTimeout: internalIdleTimeout, WriteTimeout: internalWriteTimeout,
@@ -362,6 +365,7 @@
 	g.contents.Tick(now)
 	g.rates.tick(now)
 	g.waiting.rejections.Tick(now)
+	g.handler.Callers.Tick()
 	g.quotas.tick(now, view, g.knowledge.MaxInstances(now, view))
 	g.probePaths(now)
 	g.relayer.tick(now)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/clementinereel/clementinereel/callers"
 	"github.com/clementinereel/clementinereel/credential"
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/eventlog"
@@ -93,9 +94,10 @@
 	Quotas *Quotas
 	// Waiting holds the requests that wait for a later attempt.
 	Waiting *Waiting
-	// Bodies bounds the memory for request bodies, Responses that for large responses.
-	Bodies    *Bodies
-	Responses *Responses
+	// Callers is what is held for callers. Descriptors bounds open connections, Responses the memory for large responses.
+	Callers     *callers.Account
+	Descriptors *descriptors
+	Responses   *Responses
 	// Booted is when the process started.
 	Booted time.Time
 	// relayedBusy is the number of requests of other instances that are being served.
@@ -206,11 +208,16 @@
 		}
 		defer c.returnQuota()
 	}
-	body, status := c.readBody(&table.Document.Limits)
+	holder, done := c.h.holderOf(c.r)
+	defer done()
+	body, status := c.readBody(holder, &table.Document.Limits)
 	if status != 0 {
 		return status
 	}
-	defer c.h.Bodies.Release(int64(len(body)))
+	defer holder.Release(int64(len(body)))
+	if !c.h.Descriptors.available() {
+		return c.refuse(problem.Overloaded, "too many connections are open")
+	}
 	c.request = &exchange.Request{
 		ID: c.id, Method: c.r.Method, URI: uri, Host: c.r.Host, Header: header.WithoutHopByHop(c.r.Header),
 		Body: body, HasBody: c.r.ContentLength != 0,
@@ -290,16 +297,17 @@
 
 // readBody reads the whole body, so that the request can be retried at another target.
 // If it fails, it sends an error response and returns its status, otherwise 0.
-func (c *call) readBody(limits *document.Limits) ([]byte, int) {
+func (c *call) readBody(m reserver, limits *document.Limits) ([]byte, int) {
 	if c.r.ContentLength == 0 {
 		return nil, 0
 	}
 	if c.r.ContentLength > limits.BodyBytes {
 		return nil, c.fail(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is above the limit")
 	}
-	body, err := c.h.Bodies.Read(c.r.Body, c.r.ContentLength, limits.BodyBytes)
+	body, err := readBody(m, c.r.Body, c.r.ContentLength, limits.BodyBytes)
 	switch {
 	case err == nil:
+		setPhase(c.r, callers.Serving)
 		return body, 0
 	case errors.Is(err, errBodyTooLarge):
 		return nil, c.fail(http.StatusRequestEntityTooLarge, problem.BodyTooLarge, "the body is above the limit")
@@ -372,6 +380,7 @@
 	if c.h.keepAliveDisabled.Load() && pipeline.IsLast(c.w, c.r) {
 		c.w.Header().Set("Connection", "close")
 	}
+	setPhase(c.r, callers.Responding)
 	rc := http.NewResponseController(c.w)
 	// If the connection supports no deadlines, the caller's own timeout bounds the write.
 	began := time.Now()
--- a/gateway/pipeline.go
+++ b/gateway/pipeline.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -12,9 +13,14 @@
 // newPipeline returns what serves callers' requests with h, those that are sent ahead on a
 // connection side by side if they are repeatable.
 func newPipeline(h *Handler) *pipeline.Server {
-	return &pipeline.Server{Handler: h, MayStart: h.mayStartEarly, Memory: h.Bodies, Report: h.reportEarlyStart}
+	return &pipeline.Server{
+		Handler: h, MayStart: h.mayStartEarly, AccountOf: accountOf, Report: h.reportEarlyStart,
+	}
 }
 
+// accountOf returns the account of a caller's connection.
+func accountOf(c net.Conn) pipeline.Account { return c.(*callerConn).entry }
+
 // mayStartEarly reports whether a request may run beside others of its connection.
 func (h *Handler) mayStartEarly(r *http.Request) bool {
 	if h.keepAliveDisabled.Load() {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -34,12 +34,14 @@
 		h.declineRelayed(w, r, "the size of the request is unknown or above the limit")
 		return
 	}
-	body, err := h.Bodies.Read(newCallerBody(w, r), r.ContentLength, maxRelayedBytes)
+	holder, done := h.holderOf(r)
+	defer done()
+	body, err := readBody(holder, newCallerBody(w, r), r.ContentLength, maxRelayedBytes)
 	if err != nil {
 		h.declineRelayed(w, r, err.Error())
 		return
 	}
-	defer h.Bodies.Release(int64(len(body)))
+	defer holder.Release(int64(len(body)))
 	m, err := relay.DecodeRequest(body)
 	if err != nil {
 		h.declineRelayed(w, r, err.Error())
@@ -50,6 +52,10 @@
 		h.declineRelayed(w, r, reason)
 		return
 	}
+	if !h.Descriptors.available() {
+		h.declineRelayed(w, r, "too many connections are open")
+		return
+	}
 	if !c.holdResponses() {
 		h.declineRelayed(w, r, reasonResponsesFull)
 		return
--- a/gateway/responses.go
+++ b/gateway/responses.go
@@ -29,7 +29,7 @@
 
 // Responses bounds the memory for large responses. It is safe for concurrent use.
 type Responses struct {
-	memory Bodies
+	memory memoryPool
 
 	mu sync.Mutex
 	// sizes has the running means by route, for routes that have had a large response.
@@ -47,7 +47,7 @@
 
 // NewResponses returns a Responses that bounds responses to maxBytes.
 func NewResponses(maxBytes int64) *Responses {
-	return &Responses{memory: Bodies{MaxBytes: maxBytes}, sizes: make(map[string]*responseSizes)}
+	return &Responses{memory: memoryPool{maxBytes: maxBytes}, sizes: make(map[string]*responseSizes)}
 }
 
 // Record records the size of a response of a route.
@@ -94,7 +94,7 @@
 	if n <= largeResponseBytes {
 		return 0
 	}
-	return min(n, r.memory.MaxBytes)
+	return min(n, r.memory.maxBytes)
 }
 
 // retryAfter estimates the time until one of the requests with a reservation ends.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -53,6 +53,9 @@
 	RemovalTimeout time.Duration
 	// MemoryBytes is the memory that the process may use. Default 256 MiB.
 	MemoryBytes int64
+	// MaxFiles is the number of descriptors that the process may open. Connections of callers, to targets and to other
+	// instances share them. Default: the limit of the process (RLIMIT_NOFILE).
+	MaxFiles int
 	// LinkBytes is the bandwidth of the instance's network link in bytes per second.
 	// Updates to other instances use a part of it. Default mesh.DefaultLinkBytes.
 	LinkBytes int64
@@ -98,11 +101,18 @@
 	if s.MemoryBytes == 0 {
 		s.MemoryBytes = DefaultMemoryBytes
 	}
+	if s.MaxFiles == 0 {
+		files, err := processFiles()
+		if err != nil {
+			return err
+		}
+		s.MaxFiles = files
+	}
 	if s.Waiting.Requests == 0 {
 		s.Waiting.Requests = DefaultWaitingRequests
 	}
 	if s.Waiting.Bytes == 0 {
-		s.Waiting.Bytes = int64(waitingMemoryFraction * bodiesMemoryFraction * float64(s.MemoryBytes))
+		s.Waiting.Bytes = int64(waitingMemoryFraction * requestsMemoryFraction * float64(s.MemoryBytes))
 	}
 	if s.LinkBytes == 0 {
 		s.LinkBytes = mesh.DefaultLinkBytes
@@ -166,6 +176,8 @@
 		return errors.Errorf("waiting.bytes: %d is negative", s.Waiting.Bytes)
 	case s.LinkBytes < 0:
 		return errors.Errorf("link bytes: %d is negative", s.LinkBytes)
+	case s.MaxFiles < minMaxFiles:
+		return errors.Errorf("max files: %d is below %d", s.MaxFiles, minMaxFiles)
 	case s.MemoryBytes < minMemoryBytes:
 		return errors.Errorf("memory bytes: %d is below %d", s.MemoryBytes, minMemoryBytes)
 	}
@@ -176,6 +188,9 @@
 // while they wait.
 const waitingMemoryFraction = 0.25
 
+// minMaxFiles is the number of descriptors with which a process can serve anybody.
+const minMaxFiles = 128
+
 // minMemoryBytes is the memory that the process needs without load, and some for request
 // bodies.
 const minMemoryBytes = 64 << 20
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -1,10 +1,12 @@
 package pipeline
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -12,9 +14,14 @@
 // Conn is a connection of a caller that is read ahead while a request is served.
 type Conn struct {
 	net.Conn
-	server *Server
+	server  *Server
+	account Account
 
 	mu sync.Mutex
+	// headerCharge is the memory that is charged for the headers of requests without a response. refused is set once
+	// there was none.
+	headerCharge int64
+	refused      bool
 	// ahead holds what the caller has sent and net/http has not read yet. Its first bytes are
 	// those of the started requests.
 	ahead        []byte
@@ -49,14 +56,28 @@
 // left; this read goes on until net/http stops it.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused {
+		return 0, c.refuse()
+	}
 	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.readSingleByte = len(p) == 1
 	}
 	return n, err
 }
 
+// refuseTimeout bounds writing a refusal.
+const refuseTimeout = 100 * time.Millisecond
+
+// refuse tells the caller that there is no memory for its header, and returns the error with which net/http closes the
+// connection. No response is being written while a header is read.
+func (c *Conn) refuse() error {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseTimeout)) // a closed connection needs none
+	_, _ = c.Conn.Write(c.server.Refusal)                      // the caller may be gone
+	return io.EOF
+}
+
 // HoldsRequest reports whether a part of the next request has been read from the connection.
 // It is valid while net/http is idle, before it reads on.
 func (c *Conn) HoldsRequest() bool {
@@ -126,12 +147,12 @@
 	for size < n {
 		size *= 2
 	}
-	if c.closed || size > maxBufferBytes || !c.server.Memory.Reserve(int64(size)) {
+	if c.closed || size > maxBufferBytes || !c.account.Reserve(int64(size)) {
 		return false
 	}
 	larger := make([]byte, len(c.ahead), size)
 	copy(larger, c.ahead)
-	c.server.Memory.Release(int64(cap(c.ahead)))
+	c.account.Release(int64(cap(c.ahead)))
 	c.ahead = larger
 	return true
 }
@@ -218,14 +239,33 @@
 		n = int(min(int64(n), c.bodyLeft))
 		c.bodyLeft -= int64(n)
 		c.scan.skip(b[:n])
-	} else if end := c.scan.end(b); end > 0 {
-		n = end
-		c.atHeaderEnd = true
+	} else {
+		if end := c.scan.end(b); end > 0 {
+			n = end
+			c.atHeaderEnd = true
+		}
+		c.chargeHeader(b[:n])
 	}
 	c.delivered += n
 	return n
 }
 
+// chargeHeader charges the account for a part of a header.
+func (c *Conn) chargeHeader(part []byte) {
+	cost := c.server.costOf(part)
+	if !c.account.Reserve(cost) {
+		c.refused = true
+		return
+	}
+	c.headerCharge += cost
+}
+
+// releaseHeader releases what is charged for headers.
+func (c *Conn) releaseHeader() {
+	c.account.Release(c.headerCharge)
+	c.headerCharge = 0
+}
+
 // begin is called when net/http has read the header of r. It returns the request if it was
 // started early.
 func (c *Conn) begin(r *http.Request) *early {
@@ -276,6 +316,7 @@
 	defer c.mu.Unlock()
 	c.current = nil
 	c.inBody = false
+	c.releaseHeader()
 }
 
 // startRequests starts the complete requests in the buffer that may run beside the
@@ -295,11 +336,15 @@
 			c.current = nil
 			return
 		}
-		if c.server.started.Add(1) > maxStarted {
-			c.server.started.Add(-1)
+		cost := c.server.costOf(pending[:size])
+		if !c.account.Reserve(cost) {
+			return
+		}
+		if !c.account.StartAhead() {
+			c.account.Release(cost)
 			return
 		}
-		c.started = append(c.started, newEarly(c.server, r, c.current, size))
+		c.started = append(c.started, newEarly(c, r, size, cost))
 		c.startedBytes += size
 		if r.Close {
 			c.current = nil
@@ -344,7 +389,7 @@
 
 // release drops the buffer, which is empty or not needed any more.
 func (c *Conn) release() {
-	c.server.Memory.Release(int64(cap(c.ahead)))
+	c.account.Release(int64(cap(c.ahead)))
 	c.ahead = nil
 }
 
@@ -355,6 +400,7 @@
 	defer c.mu.Unlock()
 	c.cancelStarted(Canceled)
 	c.release()
+	c.releaseHeader()
 	c.closed = true
 	return err
 }
--- a/pipeline/early.go
+++ b/pipeline/early.go
@@ -14,9 +14,11 @@
 // early is a request that was started before its turn.
 type early struct {
 	server  *Server
+	account Account
 	request *http.Request
-	// size is the number of bytes of the request.
+	// size is the number of bytes of the request, cost the memory that is charged for its header.
 	size   int
+	cost   int64
 	start  time.Time
 	cancel context.CancelFunc
 	// turn is closed when net/http has reached the request. From then on writer is the response
@@ -32,10 +34,11 @@
 	panicValue any
 }
 
-// newEarly starts a request beside current, whose connection it shares.
-func newEarly(s *Server, r, current *http.Request, size int) *early {
+// newEarly starts a request beside the current one of the connection.
+func newEarly(c *Conn, r *http.Request, size int, cost int64) *early {
+	current := c.current
 	ctx, cancel := context.WithCancel(context.WithoutCancel(current.Context()))
-	e := &early{server: s, size: size, start: time.Now(), cancel: cancel, turn: make(chan struct{}), done: make(chan struct{})}
+	e := &early{server: c.server, account: c.account, size: size, cost: cost, start: time.Now(), cancel: cancel, turn: make(chan struct{}), done: make(chan struct{})}
 	e.request = r.WithContext(ctx)
 	e.request.RemoteAddr = current.RemoteAddr
 	go e.run()
@@ -44,7 +47,8 @@
 
 func (e *early) run() {
 	defer close(e.done)
-	defer e.server.started.Add(-1)
+	defer e.account.EndAhead()
+	defer e.account.Release(e.cost)
 	defer e.recoverPanic()
 	e.server.Handler.ServeHTTP(&turnWriter{early: e, header: make(http.Header)}, e.request)
 }
@@ -110,11 +114,11 @@
 	if err != nil || n < 0 {
 		n = 0 // nothing is held: the body is written after the turn
 	}
-	if e.noRoom || !e.server.Memory.Reserve(n) {
+	if e.noRoom || !e.account.Reserve(n) {
 		e.noRoom = true
 		return false
 	}
-	defer e.server.Memory.Release(n)
+	defer e.account.Release(n)
 	select {
 	case <-e.turn:
 		return true
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,8 +13,6 @@
 	// maxStartedPerConn is the number of requests of a connection that run or wait for their
 	// turn behind the one that is being served.
 	maxStartedPerConn = 8
-	// maxStarted is the number of such requests of the process.
-	maxStarted = 1024
 	// minBufferBytes and maxBufferBytes bound the buffer of a connection on which requests
 	// are sent ahead.
 	minBufferBytes = 2 << 10
@@ -37,12 +34,16 @@
 	Mismatched Outcome = "mismatched"
 )
 
-// Memory is an account of the memory of the process.
-type Memory interface {
-	// Reserve reserves n bytes and reports whether there is room for them.
+// Account is what is held for a connection.
+type Account interface {
+	// Reserve reserves n bytes of memory and reports whether there is room for them.
 	Reserve(n int64) bool
 	// Release releases n reserved bytes.
 	Release(n int64)
+	// StartAhead reports whether one more request may be started before its turn.
+	StartAhead() bool
+	// EndAhead is called when a request that was started early has handed over its response.
+	EndAhead()
 }
 
 // Server joins the connections and the handler of an http.Server.
@@ -52,12 +53,16 @@
 	// MayStart reports whether a request may run beside others of its connection: it must be
 	// repeatable. It is called for GET and HEAD without body only, and must not block.
 	MayStart func(*http.Request) bool
-	// Memory is charged for buffers and for responses that wait for their turn.
-	Memory Memory
+	// AccountOf returns the account of a connection. It is charged for headers, for buffers and for requests that are
+	// started early, with their responses while they wait for their turn.
+	AccountOf func(net.Conn) Account
+	// HeaderCost returns the memory in bytes that a part of a request's header takes until the request has its response.
+	// If nil, headers are not charged.
+	HeaderCost func(part []byte) int64
+	// Refusal is sent, before the connection is closed, if there is no memory for a header.
+	Refusal []byte
 	// Report is told what became of a request that was started early, and its age.
 	Report func(r *http.Request, o Outcome, age time.Duration)
-
-	started atomic.Int64
 }
 
 // Listener returns a listener whose connections are read ahead.
@@ -74,7 +79,15 @@
 	if err != nil {
 		return nil, err // net/http reads its type
 	}
-	return &Conn{Conn: c, server: l.server}, nil
+	return &Conn{Conn: c, server: l.server, account: l.server.AccountOf(c)}, nil
+}
+
+// costOf returns the memory that a part of a header takes.
+func (s *Server) costOf(part []byte) int64 {
+	if s.HeaderCost == nil {
+		return 0
+	}
+	return s.HeaderCost(part)
 }
 
 type connKey struct{}
