gateway, pipeline: headers count from their first byte, by what they take in memory

What callers saw: beside 100 headers of 250 KiB made of short fields, of which none was complete, a gateway held 409 MiB on a machine of 96, and is killed there; beside 300 headers of legal size (16 KiB, 2,700 fields of 6 bytes) 97 to 104 MiB. At any path: no route has been looked for by then.

Cause: net/http parses fields as they arrive and keeps some 80 bytes for each of 6, the copy that goes to a target as much again. Nothing counted them until the request was complete, and then not at all.

Change: pipeline charges the account of the connection for each part of a header as net/http reads it, its bytes and 256 more a line, until the request has its response; the copy of a request that starts early likewise. If there is no room the caller gets a 503 with Retry-After and its connection is closed: the request was not read, so it is not run. At the address for readiness all that is received counts, as its requests have no bodies.

Ruled out: a lower MaxHeaderBytes. It is one figure of the process where the limit is the document's, and legal headers alone were too much.

--- a/gateway/adminserver.go
+++ b/gateway/adminserver.go
@@ -20,6 +20,7 @@
 		Handler: trackPhases(withoutBodies(h)), ReadTimeout: adminReadTimeout, MaxHeaderBytes: adminHeaderBytes,
 		IdleTimeout: internalIdleTimeout, WriteTimeout: internalWriteTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return withConn(ctx, c.(*callerConn)) },
+		ConnState:   chargeHeaders,
 	}
 }
 
@@ -33,3 +34,13 @@
 		h.ServeHTTP(w, r)
 	})
 }
+
+// chargeHeaders makes connections charge the account for all that they receive until they are idle.
+func chargeHeaders(c net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		c.(*callerConn).chargesReads = true
+	case http.StateIdle:
+		c.(*callerConn).releaseReads()
+	}
+}
--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -73,6 +73,10 @@
 	receiving bool
 	// closed is set once the connection is closed as idle. Nothing is received from then on.
 	closed bool
+
+	// chargesReads is set if the account is charged for each read as for a part of a header. charged is what it was charged.
+	chargesReads bool
+	charged      atomic.Int64
 }
 
 // Read implements net.Conn.
@@ -92,11 +96,28 @@
 		return 0, io.EOF
 	}
 	c.entry.Received(n)
+	if c.chargesReads && !c.chargeRead(b[:n]) {
+		return 0, io.EOF
+	}
 	return n, nil
 }
 
+// chargeRead charges the account for what was read and reports whether there is room for it.
+func (c *callerConn) chargeRead(b []byte) bool {
+	cost := headerCost(b)
+	if !c.entry.Reserve(cost) {
+		return false
+	}
+	c.charged.Add(cost)
+	return true
+}
+
+// releaseReads releases what was charged for reads.
+func (c *callerConn) releaseReads() { c.entry.Release(c.charged.Swap(0)) }
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	c.releaseReads()
 	c.entry.Close()
 	return c.TCPConn.Close()
 }
--- a/gateway/pipeline.go
+++ b/gateway/pipeline.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"strings"
@@ -14,7 +15,7 @@
 // connection side by side if they are repeatable.
 func newPipeline(h *Handler) *pipeline.Server {
 	return &pipeline.Server{
-		Handler: h, MayStart: h.mayStartEarly, AccountOf: accountOf, Report: h.reportEarlyStart,
+		Handler: h, MayStart: h.mayStartEarly, AccountOf: accountOf, HeaderCost: headerCost, Refusal: noRoomForHeader, Report: h.reportEarlyStart,
 	}
 }
 
@@ -42,3 +43,15 @@
 	}
 	eventlog.Info(eventlog.EarlyStartDropped, "request", r.Header.Get(h.Client.Headers.RequestID), "from", r.RemoteAddr, "outcome", string(o), "after_ms", age.Milliseconds())
 }
+
+// headerFieldBytes is the memory of a header field apart from its text: entries in the maps of the request and of the
+// copy that is sent to a target.
+const headerFieldBytes = 256
+
+// headerCost returns the memory in bytes that a part of a request's header takes.
+func headerCost(part []byte) int64 {
+	return int64(len(part) + headerFieldBytes*bytes.Count(part, []byte{'\n'}))
+}
+
+// noRoomForHeader is the response if there is no memory for a header. The request has not been read, so it is not run.
+var noRoomForHeader = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.3\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
--- a/pipeline/server_test.go
+++ b/pipeline/server_test.go
@@ -537,3 +537,24 @@
 	wantEnd(t, r)
 	assert.Assert(t, time.Since(begin) < 3*time.Second)
 }
+
+// A caller whose header finds no memory is told so, and its connection is closed; headers of requests that have had
+// their response take none.
+func TestNoMemoryForHeader(t *testing.T) {
+	const limit = 100
+	s := newSiteWithMemory(t, limit, echo(0))
+	s.HeaderCost = func(part []byte) int64 { return int64(len(part)) }
+	s.Refusal = []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	c := s.dialRaw(t)
+	r := bufio.NewReader(c)
+	for range 10 {
+		send(t, c, get("/1"))
+		wantBody(t, r, "/1")
+	}
+	send(t, c, "GET /2 HTTP/1.1\r\nHost: h\r\nX-A: "+strings.Repeat("a", limit))
+	resp, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	_, err = r.ReadByte()
+	assert.Assert(t, err != nil, "the connection stays open")
+}
