gateway: the kernel holds little for a caller's connection

What callers saw: beside 100 callers of 2 MiB responses that read a byte now and then, the queues of the gateway's sockets held 64 MiB besides its own 75, on a machine of 96; beside 100 bodies in chunks of one byte 49 MiB besides 78.

Cause: the kernel lets the buffers of a connection grow to several MiB while its peer does not read, or the process does not keep up. That is memory of the machine, and nothing bounds it.

Change: the listeners for callers set both buffers (32 and 64 KiB), which their connections inherit. What does not fit stays with the caller, or in the account of responses.

Open: what is in these buffers is bounded a connection, and not part of the account.

--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,10 +45,9 @@
 // listenForCallers listens on addr for as many connections as the door takes. Requests are served through p, which may
 // start those early that a caller sends ahead.
 func listenForCallers(addr string, p *pipeline.Server, door *callers.Door) (*callerServer, error) {
-	lc := net.ListenConfig{KeepAlive: keepAliveInterval}
-	ln, err := lc.Listen(context.Background(), "tcp4", addr)
+	ln, err := listenBounded(addr)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
 	f := &callerServer{listener: p.Listener(callerListener{ln, door}), idleSince: make(map[net.Conn]time.Time)}
 	f.server = &http.Server{
@@ -63,6 +63,34 @@
 	return f, nil
 }
 
+const (
+	// receiveBufferBytes and sendBufferBytes bound what the kernel holds for a caller's connection. By itself it lets a
+	// connection hold several MiB.
+	receiveBufferBytes = 32 << 10
+	sendBufferBytes    = 64 << 10
+)
+
+// listenBounded listens on addr. The kernel holds little for its connections, which inherit the bounds.
+func listenBounded(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAlive: keepAliveInterval, Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if controlErr := c.Control(func(fd uintptr) { err = boundBuffers(int(fd)) }); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	ln, err := lc.Listen(context.Background(), "tcp4", addr)
+	return ln, errors.WithStack(err)
+}
+
+// boundBuffers bounds the buffers of a socket.
+func boundBuffers(fd int) error {
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes))
+}
+
 // trackPhases records when requests are served, for the account of what is held for callers.
 func trackPhases(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -133,8 +133,8 @@
 	if g.peerListener, err = net.Listen("tcp4", g.node.Addr()); err != nil {
 		return errors.WithStack(err)
 	}
-	if g.adminListener, err = net.Listen("tcp4", s.ReadyListen); err != nil {
-		return errors.WithStack(err)
+	if g.adminListener, err = listenBounded(s.ReadyListen); err != nil {
+		return err
 	}
 	account, descriptors := newAccount(s, g.client.Cache, time.Now)
 	g.handler = &Handler{
