gateway: a refusal does not wait for a body that does not end

What callers saw: a request without a route, or with a body above the limit, got its 404 or 413 only once its body had ended or stood still for 30 s. One byte now and then kept the connection, with its descriptor, for as long as it liked (up to 8 MiB of such bytes).

Cause: the rest of the body was read before the response, so that closing the connection does not reset it before the caller has read the response, and only a standstill bounded that.

Change: the response waits 1 s for the rest of the body and is then sent, with Connection: close; the rest is read beside it, 5 s in all, and the connection closed. A body that has arrived within the second keeps its connection, as before.

What has been refused is not run, late or not.

--- a/gateway/callerbody.go
+++ b/gateway/callerbody.go
@@ -16,6 +16,11 @@
 	// size and framingReserveBytes.
 	framingFactor       = 1.5
 	framingReserveBytes = 4 << 20
+	// maxDiscardBytes bounds how much of a refused request's body is read, discardTimeout for how long, and refusalDelay how
+	// long the response waits for the end of the body.
+	maxDiscardBytes = 8 << 20
+	discardTimeout  = 5 * time.Second
+	refusalDelay    = time.Second
 )
 
 var errBodyFraming = errors.New("the chunks of the body carry too little")
@@ -33,6 +38,8 @@
 	receivedBefore int64
 	read           int64
 	err            error
+	// end is when reading ends at the latest; the zero time if only a standstill ends it.
+	end time.Time
 }
 
 func newCallerBody(w http.ResponseWriter, r *http.Request) *callerBody {
@@ -49,7 +56,7 @@
 		return 0, b.err
 	}
 	// If the connection supports no deadlines, the caller's own timeout bounds the read.
-	_ = b.controller.SetReadDeadline(time.Now().Add(b.stallTimeout))
+	_ = b.controller.SetReadDeadline(b.deadline(time.Now()))
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
 	if err == nil && b.framingTooLarge() {
@@ -60,6 +67,61 @@
 	return n, err
 }
 
+// deadline returns when a read that begins now is given up.
+func (b *callerBody) deadline(now time.Time) time.Time {
+	d := now.Add(b.stallTimeout)
+	if !b.end.IsZero() && b.end.Before(d) {
+		return b.end
+	}
+	return d
+}
+
+// discard reads the rest of the body of a refused request, of which a part may still be on its way: closing the
+// connection would reset it before the caller has read the response. It returns once the reading has ended, or after
+// refusalDelay; it then goes on beside the response.
+func (b *callerBody) discard() *discard {
+	d := &discard{done: make(chan struct{})}
+	b.end = time.Now().Add(discardTimeout)
+	// A connection that can't be read beside the response takes the response after the body.
+	_ = b.controller.EnableFullDuplex()
+	go func() {
+		defer close(d.done)
+		_, err := io.CopyN(io.Discard, b, maxDiscardBytes)
+		d.err = err
+	}()
+	select {
+	case <-d.done:
+	case <-time.After(refusalDelay):
+	}
+	return d
+}
+
+// discard is the reading of the rest of a body.
+type discard struct {
+	// done is closed when the reading has ended. Others may read err, with which it ended, from then on.
+	done chan struct{}
+	err  error
+}
+
+// noDiscard is that of a request without a body.
+var noDiscard = func() *discard {
+	d := &discard{done: make(chan struct{}), err: io.EOF}
+	close(d.done)
+	return d
+}()
+
+func (d *discard) ended() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// complete reports whether the whole body has been read, so that the connection can be used for the next request.
+func (d *discard) complete() bool { return d.ended() && errors.Is(d.err, io.EOF) }
+
 // setDeadlineAfter sets the deadline for what net/http reads after a read with this error. Before it responds it
 // reads the rest of the body.
 func (b *callerBody) setDeadlineAfter(err error) {
--- a/gateway/callerbody_test.go
+++ b/gateway/callerbody_test.go
@@ -94,3 +94,45 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.HasPrefix(string(response), "HTTP/1.1 200 "), "%.200s", response)
 }
+
+// TestRefusalDoesNotAwaitBody checks that a request that can't be served is refused although its body does not end, and
+// that its connection is closed however slowly the body goes on.
+func TestRefusalDoesNotAwaitBody(t *testing.T) {
+	t.Parallel()
+	url := startGateway(t, newBackend(t, respondWith(http.StatusOK)))
+	for name, head := range map[string]string{
+		"no route":        "POST /none/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n",
+		"chunks":          "POST /none/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3e8\r\n",
+		"above the limit": "POST /get/ HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp4", strings.TrimPrefix(url, "http://"))
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, head)
+			assert.NilError(t, err)
+			stop := make(chan struct{})
+			defer close(stop)
+			go trickle(c, stop)
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(bodyStallTimeout/2)))
+			response, err := io.ReadAll(c)
+			assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection stays open")
+			assert.Assert(t, strings.HasPrefix(string(response), "HTTP/1.1 4"), "%q", response)
+		})
+	}
+}
+
+// trickle sends a byte now and then.
+func trickle(c net.Conn, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(testStallTimeout):
+			if _, err := io.WriteString(c, "b"); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -56,8 +56,6 @@
 	statePollInterval = 5 * time.Millisecond
 	// maxResponseBytes bounds the body of a target's response.
 	maxResponseBytes = 16 << 20
-	// maxDiscardBytes bounds how much of a refused request's body is read.
-	maxDiscardBytes = 8 << 20
 )
 
 // Handler serves callers' requests.
@@ -433,9 +431,7 @@
 }
 
 func (c *call) writeProblem(p *problem.Problem) int {
-	// Drain the body: closing the connection with unread data would reset it
-	// before the caller has read the response.
-	_, _ = io.CopyN(io.Discard, c.r.Body, maxDiscardBytes)
+	rest := c.discardBody()
 	body := p.Body(c.id)
 	out := c.w.Header()
 	out.Set("Content-Type", problem.ContentType)
@@ -443,10 +439,26 @@
 	if c.id != "" {
 		out.Set(c.h.Client.Headers.RequestID, c.id)
 	}
+	if !rest.complete() {
+		out.Set("Connection", "close")
+	}
 	c.write(p.Status, body)
+	if !rest.ended() {
+		// If it fails the caller is gone, and the reading ends too.
+		_ = http.NewResponseController(c.w).Flush()
+	}
+	<-rest.done
 	return p.Status
 }
 
+// discardBody reads the rest of the body of a refused request, for a while at first and then beside the response.
+func (c *call) discardBody() *discard {
+	if b, ok := c.r.Body.(*callerBody); ok && c.r.ContentLength != 0 {
+		return b.discard()
+	}
+	return noDiscard
+}
+
 // class returns the route's class, 0 if no route matched.
 func (c *call) class() fleet.Class {
 	if c.route == nil {
