exchange, response: a response that ends with its connection is complete only if the request was written

Cause: the kernel reports a reset once, to whoever reads or writes first. If that is the goroutine that writes the upload, the one that reads the response sees a clean end of the connection, which ends a body without a length.

Change: such a body counts as complete only once the request has been written without an error. A target that closes its side only, and reads on, still answers. The deadline bounds the wait.

The same wherever answers are read: package response does it for net/http, whose transport has the same fault: dispatch to targets on the contract path, the users' store, the log service, pulls from peers. Responses between instances of the contract path are HTTP/2, where a stream has an end of its own; only their status is checked. header.CheckStatus became response.Check, and is asked for each response that is read, also those of which only the header counts.

--- a/exchange/bounds.go
+++ b/exchange/bounds.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/clementinereel/clementinereel/response"
 	"github.com/clementinereel/clementinereel/transfer"
 )
 
@@ -115,6 +116,9 @@
 		if err != nil {
 			return nil, cn.bounded.cause(err)
 		}
+		if err := response.Check(resp.StatusCode, resp.Header); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode/100 != 1 {
 			return resp, nil
 		}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/response"
 )
 
 // Headers holds the names of the header fields that an exchange reads and writes.
@@ -106,6 +106,8 @@
 	Body   []byte
 	// Sealed reports whether the response carries the target's seal (Headers.Seal).
 	Sealed bool
+	// endsWithConnection is set if the end of the connection was that of the body.
+	endsWithConnection bool
 }
 
 // ResponseHeader is the status and header of a response, available before its body.
@@ -229,6 +231,9 @@
 	res.Written = unknownBytes
 	written := cn.send(c.encodeHeader(t, r, time.Until(targetDeadline)), r.Body)
 	resp, closing, err := c.read(cn, t, r, mem, res)
+	if err == nil && resp.endsWithConnection {
+		err = awaitWritten(written, res)
+	}
 	if err != nil {
 		res.Kind, res.Err = kindOfError(err), shortError{err}
 		if failedBeforeFirstByte(written, res) {
@@ -261,7 +266,7 @@
 
 // send writes a request. A request with a body is written concurrently with reading,
 // since a target may respond before it has received the whole body.
-func (cn *conn) send(header, body []byte) <-chan writeResult {
+func (cn *conn) send(header, body []byte) chan writeResult {
 	written := make(chan writeResult, 1)
 	if len(body) == 0 {
 		n, err := cn.Write(header)
@@ -276,6 +281,19 @@
 	return written
 }
 
+// awaitWritten returns an error if the request could not be written whole. The connection may then have been reset, and the
+// response lack its end: a reset is reported once, to whoever reads or writes first. The deadline of the connection bounds
+// the wait; a target that has closed the connection ends it at once.
+func awaitWritten(written chan writeResult, res *Result) error {
+	w := <-written
+	written <- w
+	res.Written = w.bytes
+	if w.err != nil {
+		return errors.Wrap(response.ErrCut, w.err.Error())
+	}
+	return nil
+}
+
 // unknownBytes is Result.Written while the write goes on.
 const unknownBytes = -1
 
@@ -376,14 +394,11 @@
 
 // readResponse reads the body of a response whose head was read.
 func (c *Client) readResponse(cn *conn, head *http.Response, mem *responseMemory) (*Response, error) {
-	if err := header.CheckStatus(head.StatusCode); err != nil {
-		return nil, err
-	}
 	body, err := cn.readBody(head, c.MaxResponseBytes, mem)
 	if err != nil {
 		return nil, err
 	}
-	return &Response{Status: head.StatusCode, Header: head.Header, Body: body, Sealed: head.Header.Get(c.Headers.Seal) != ""}, nil
+	return &Response{Status: head.StatusCode, Header: head.Header, Body: body, Sealed: head.Header.Get(c.Headers.Seal) != "", endsWithConnection: response.EndsWithConnection(head)}, nil
 }
 
 // reportHeader passes a response header to OnResponseHeader unless the request reached
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -485,3 +485,68 @@
 		}
 	})
 }
+
+// TestResetBesideUploadIsNoEnd answers a long upload at once with a response without a length, sends a part of it and
+// resets the connection while the upload is being written. The reset may be reported to the writer alone.
+func TestResetBesideUploadIsNoEnd(t *testing.T) {
+	const plays = 200
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go resetEarly(c)
+		}
+	}()
+	target := Target{ID: "t1", Addr: ln.Addr().String()}
+	c := newClient()
+	r := newRequest("r1")
+	r.Body = make([]byte, 8<<20) // more than the buffers of a connection take
+	for range plays {
+		res := do(c, target, r)
+		assert.Assert(t, res.Kind != Answered, "got %q", res.Response)
+	}
+}
+
+// resetEarly responds to a request without reading its body, and resets the connection.
+func resetEarly(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\npart", r.Header.Get(testHeaders.RequestID))
+	time.Sleep(2 * time.Millisecond)
+	_ = c.(*net.TCPConn).SetLinger(0)
+}
+
+// TestEarlyResponseWithoutLength checks that a response that ends cleanly beside an upload is complete: the target
+// reads the rest of the upload after it.
+func TestEarlyResponseWithoutLength(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: s\r\n\r\nwhole", r.Header.Get(testHeaders.RequestID))
+		_ = c.(*net.TCPConn).CloseWrite()
+		_, _ = io.Copy(io.Discard, r.Body)
+	}()
+	r := newRequest("r1")
+	r.Body = make([]byte, 8<<20)
+	res := do(newClient(), Target{ID: "t1", Addr: ln.Addr().String()}, r)
+	assert.Equal(t, res.Kind, Answered, "%v", res.Err)
+	assert.Equal(t, string(res.Response.Body), "whole")
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -15,10 +15,10 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/exchange"
 	"github.com/clementinereel/clementinereel/fleet"
-	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/mesh"
 	"github.com/clementinereel/clementinereel/quarantine"
 	"github.com/clementinereel/clementinereel/relay"
+	"github.com/clementinereel/clementinereel/response"
 )
 
 const (
@@ -195,7 +195,7 @@
 	}
 	o := outcome{kind: outcomeKind(m.Kind), reason: m.Reason, target: m.Target, attempts: m.Attempts, retryAfter: m.RetryAfter}
 	if m.Status != 0 {
-		if err := header.CheckStatus(m.Status); err != nil {
+		if err := response.Check(m.Status, m.Header); err != nil {
 			return outcome{}, err
 		}
 		o.response = &exchange.Response{Status: m.Status, Header: m.Header, Body: m.Body}
--- a/logservice/client.go
+++ b/logservice/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/clementinereel/clementinereel/response"
 )
 
 // DefaultTimeout bounds one call to the platform, long polls not counted.
@@ -42,7 +44,7 @@
 		timeout = DefaultTimeout
 	}
 	tr := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxReplyHeader}
-	return &Client{base: base, http: &http.Client{Transport: tr}, timeout: timeout}
+	return &Client{base: base, http: &http.Client{Transport: response.Transport{Next: tr}}, timeout: timeout}
 }
 
 // AppendReply is the platform's answer to an append.
--- a/peer/path.go
+++ b/peer/path.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/response"
 )
 
 // dialFunc opens a connection, as net.Dialer's DialContext does.
@@ -210,9 +211,8 @@
 	p.setHeaders(req)
 	resp, err := p.roundTripper().RoundTrip(req)
 	watch.Stop()
-	if err == nil && resp.StatusCode == http.StatusMisdirectedRequest {
-		_ = resp.Body.Close()
-		err = errMisdirected
+	if err == nil {
+		err = checkResponse(resp)
 	}
 	if err != nil {
 		cancel(nil)
@@ -224,6 +224,18 @@
 	return resp, nil
 }
 
+// checkResponse closes a response that is not one of the peer, and returns why.
+func checkResponse(resp *http.Response) error {
+	err := response.Check(resp.StatusCode, resp.Header)
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		err = errMisdirected
+	}
+	if err != nil {
+		_ = resp.Body.Close() // it is not read
+	}
+	return err
+}
+
 // failed notes what a call without an answer tells of the path.
 func (p *path) failed(ctx, caller context.Context, err error) error {
 	switch {
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -15,6 +15,7 @@
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/registry"
+	"github.com/clementinereel/clementinereel/response"
 	"github.com/clementinereel/clementinereel/transfer"
 )
 
@@ -43,12 +44,11 @@
 
 func newPullClient(keepAlive bool) *http.Client {
 	dialer := &net.Dialer{Timeout: pullTimeout / 2}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
+	transport := &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
+	return &http.Client{Transport: response.Transport{Next: transport}}
 }
 
 // declinedError reports that a peer sends to too many others at the moment.
--- a/upstream/try.go
+++ b/upstream/try.go
@@ -12,6 +12,7 @@
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/header"
 	"github.com/clementinereel/clementinereel/pool"
+	"github.com/clementinereel/clementinereel/response"
 )
 
 // Request is what is sent to a target.
@@ -82,13 +83,14 @@
 	start := time.Now()
 	var trace pool.Trace
 	body := &onceBody{r: req.Body}
-	out := newOutgoing(trace.With(ctx), via, target, req, body)
+	tracked, written := response.TrackWrite(trace.With(ctx))
+	out := newOutgoing(tracked, via, target, req, body)
 	resp, err := rt.RoundTrip(out)
 	res := Result{Target: target}
 	if err != nil {
 		res.Try, res.Err = classifyError(ctx, err, &trace), err
 	} else {
-		readResponse(ctx, resp, req.MaxResponseBytes, &trace, &res)
+		readResponse(ctx, resp, written, req.MaxResponseBytes, &trace, &res)
 	}
 	res.Sent = trace.Sent()
 	body.finish(&res, req.OneBody)
@@ -142,13 +144,16 @@
 	return pool.Classify(err, trace)
 }
 
-func readResponse(ctx context.Context, resp *http.Response, limit int64, trace *pool.Trace, res *Result) {
+func readResponse(ctx context.Context, resp *http.Response, written *response.Written, limit int64, trace *pool.Trace, res *Result) {
 	defer resp.Body.Close()
-	if err := header.CheckStatus(resp.StatusCode); err != nil {
+	if err := response.Check(resp.StatusCode, resp.Header); err != nil {
 		res.Try, res.Err = fleet.TryTruncated, err
 		return
 	}
 	body, err := readBody(resp, limit)
+	if err == nil && int64(len(body)) <= limit {
+		err = written.CheckEnd(ctx, resp)
+	}
 	if err != nil {
 		res.Try, res.Err = classifyError(ctx, err, trace), err
 		if res.Try == fleet.TryReset {
