exchange, response: a response with a field that HTTP does not have is no answer

Cause: net/http refuses control bytes in names, but keeps names with blanks, and takes a line that begins with a blank for a part of the line before; values with zero bytes or carriage returns pass too.

TestEndlessResponses: a folded line without end was given up at the bound of headers; it is now at its first byte, which the test asks for, and the case beyond the read buffer, where the bound still holds, is added.

--- a/exchange/bounds.go
+++ b/exchange/bounds.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -112,6 +113,9 @@
 	cn.bounded.allow(PartHead, MaxHeadBytes)
 	req := &http.Request{Method: method}
 	for range maxInterimResponses + 1 {
+		if err := cn.checkLines(); err != nil {
+			return nil, cn.bounded.cause(err)
+		}
 		resp, err := http.ReadResponse(cn.reader, req)
 		if err != nil {
 			return nil, cn.bounded.cause(err)
@@ -126,6 +130,41 @@
 	return nil, errors.WithStack(&BoundError{PartInterim, maxInterimResponses})
 }
 
+// errFolded is the error of a header with a line that goes on in the next one.
+var errFolded = errors.New("a line of the header begins with a blank")
+
+// checkLines waits for the next header and returns an error if one of its lines begins with a blank: net/http takes it
+// for a part of the line before, but it may be a field whose name holds a blank. Only as much of a header is checked as
+// the read buffer takes.
+func (cn *conn) checkLines() error {
+	for n := 1; ; n = cn.reader.Buffered() + 1 {
+		_, err := cn.reader.Peek(n)
+		received, _ := cn.reader.Peek(cn.reader.Buffered()) // never waits
+		header, complete := cutHeader(received)
+		switch {
+		case bytes.Contains(header, []byte("\n ")) || bytes.Contains(header, []byte("\n\t")):
+			return errors.WithStack(errFolded)
+		case complete || len(received) == readBufferSize:
+			return nil
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// cutHeader returns the header at the begin of b, and whether it is complete.
+func cutHeader(b []byte) (header []byte, complete bool) {
+	end := len(b)
+	for _, emptyLine := range []string{"\n\r\n", "\n\n"} {
+		if i := bytes.Index(b[:end], []byte(emptyLine)); i >= 0 {
+			end, complete = i, true
+		}
+	}
+	return b[:end], complete
+}
+
 // body returns a reader of the body of a response that bounds the bytes of its framing. The caller enforces maxBytes.
 func (cn *conn) body(resp *http.Response, maxBytes int64) io.Reader {
 	cn.bounded.allow(PartFraming, maxBytes/framingReserve+MaxHeadBytes)
--- a/exchange/bounds_test.go
+++ b/exchange/bounds_test.go
@@ -30,6 +30,9 @@
 	return c.Do(context.Background(), Target{ID: "t1", Addr: addr}, r, end, end, time.Minute)
 }
 
+// partFolded stands for a header that is given up as its lines are folded.
+const partFolded Part = "folded"
+
 // TestEndlessResponses answers targets in trouble that send until the connection is closed: the response is
 // given up at once, with little memory held, and the error says which bound it exceeded.
 func TestEndlessResponses(t *testing.T) {
@@ -48,7 +51,8 @@
 		{"header line", status + "X-A: ", line, PartHead},
 		{"header lines", status, "X-A: b\r\n", PartHead},
 		{"short header lines", status, "a:\r\n", PartHead},
-		{"folded header line", status + "X-A: b", "\r\n b", PartHead},
+		{"folded header line", status + "X-A: b", "\r\n b", partFolded},
+		{"folded header line behind a long one", status + "X-A: " + strings.Repeat(line, 5), "\r\n b", PartHead},
 		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", PartInterim},
 		{"interim responses with headers", "", "HTTP/1.1 103 Early Hints\r\nLink: " + line + "\r\n\r\n", PartInterim},
 		{"body without length", head + "\r\n", line, PartBody},
@@ -68,7 +72,11 @@
 			var res Result
 			endless.Check(t, func() { res = doEndless(addr, http.MethodPost) })
 			assert.Equal(t, res.Kind, Broken, "%v", res.Err)
-			if tc.want != "" {
+			switch tc.want {
+			case "":
+			case partFolded:
+				assert.ErrorIs(t, res.Err, errFolded)
+			default:
 				assert.Equal(t, ExceededPart(res.Err), tc.want, "%v", res.Err)
 			}
 		})
--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/response"
 	"github.com/clementinereel/clementinereel/telemetry"
 )
 
@@ -92,3 +93,13 @@
 		assert.Equal(t, err == nil, valid, "%d: %v", status, err)
 	}
 }
+
+// TestRelayedOutcomeWithInvalidField guards against field names and values that are none of HTTP's in such an answer.
+func TestRelayedOutcomeWithInvalidField(t *testing.T) {
+	for _, h := range []http.Header{{"Content-Length ": {"5"}}, {"X\x01A": {"a"}}, {"X-A": {"a\r\nX-B: b"}}} {
+		body, err := encodeOutcome(outcome{kind: outcomeAnswered, response: &exchange.Response{Status: http.StatusOK, Header: h}})
+		assert.NilError(t, err)
+		_, err = decodeOutcome(&exchange.Response{Status: http.StatusOK, Body: body})
+		assert.ErrorIs(t, err, response.ErrInvalid, "%q", h)
+	}
+}
--- a/response/response_test.go
+++ b/response/response_test.go
@@ -26,6 +26,12 @@
 		{"an unusual status", 999, nil, false},
 		{"no status", 0, nil, true},
 		{"a status that HTTP does not have", 99, nil, true},
+		{"a blank at the end of a name", 200, http.Header{"Content-Length ": {"5"}}, true},
+		{"a blank in a name", 200, http.Header{"X A": {"5"}}, true},
+		{"a control byte in a name", 200, http.Header{"X\x01A": {"5"}}, true},
+		{"no name", 200, http.Header{"": {"5"}}, true},
+		{"a zero byte in a value", 200, http.Header{"X-A": {"a\x00"}}, true},
+		{"a carriage return in a value", 200, http.Header{"X-A": {"a\rb"}}, true},
 	} {
 		err := Check(tc.status, tc.header)
 		assert.Equal(t, errors.Is(err, ErrInvalid), tc.wantErr, tc.name)
@@ -103,7 +109,7 @@
 }
 
 func TestTransportRefusesInvalidResponses(t *testing.T) {
-	for _, first := range []string{"HTTP/1.1 000 OK\r\n"} {
+	for _, first := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n"} {
 		url := serveRaw(t, func(c *net.TCPConn, _ *http.Request) { _, _ = fmt.Fprintf(c, "%sConnection: close\r\n\r\nbody", first) })
 		resp, err := (&http.Client{Transport: Transport{Next: new(http.Transport)}}).Get(url)
 		if err == nil {
--- a/upstream/try_test.go
+++ b/upstream/try_test.go
@@ -45,8 +45,10 @@
 // that of the target.
 func TestInvalidAndCutResponsesAreNoAnswers(t *testing.T) {
 	for name, response := range map[string]string{
-		"reset beside the upload":    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
-		"a status that HTTP has not": "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"reset beside the upload":        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+		"a status that HTTP has not":     "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"a blank in a field name":        "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n\r\nbody",
+		"a control byte in a field name": "HTTP/1.1 200 OK\r\nX\x01A: a\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		t.Run(name, func(t *testing.T) {
 			const plays = 100
