--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -103,6 +103,12 @@
 	}
 	gauge("gateway.connections.opened", g.client.Cache.Opened())
 	gauge("gateway.responses.held-bytes", g.handler.Responses.memory.heldBytes.Load())
+	gauge("gateway.callers.held-bytes", g.handler.Callers.Held())
+	gauge("gateway.callers.connections", int64(g.handler.Descriptors.front.Len()))
+	gauge("gateway.connections.active", int64(g.client.Cache.Active()))
+	for reason, n := range g.handler.Callers.Evicted() {
+		m.Registry.Gauge("gateway.callers.evicted", telemetry.Label{Key: "why", Value: string(reason)}).Update(n)
+	}
 	gauge("gateway.log.dropped", eventlog.Dropped())
 	transfers := g.state.Transfers()
 	gauge("gateway.transfers.active", int64(transfers.Active))
