gateway: the copy of a body in chunks counts, and the largest body fits beside idle connections

Cause: the pieces of such a body are copied into one slice at its end, and the copy was not counted: many that end together take twice the memory that is reserved.

Change: the copy is reserved while both are held; if there is no room, one body at a time is copied all the same, as the largest (64 MiB on a machine of 184) has room for itself only.

--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -28,13 +29,17 @@
 		return readExactly(m, r, contentLength)
 	}
 	reserved := int64(0)
-	body, err := transfer.ReadAll(r, maxBytes, func(n int64) error {
+	pieces, err := transfer.ReadPieces(r, maxBytes, func(n int64) error {
 		if !m.Reserve(n) {
 			return errBodiesFull
 		}
 		reserved += n
 		return nil
 	})
+	var body []byte
+	if err == nil {
+		body = joinPieces(m, pieces)
+	}
 	m.Release(reserved - int64(len(body)))
 	if errors.Is(err, transfer.ErrTooLarge) {
 		err = errBodyTooLarge
@@ -42,6 +47,25 @@
 	return body, err
 }
 
+// unreservedJoin is held while the pieces of a body are copied without memory for the copy.
+var unreservedJoin sync.Mutex
+
+// joinPieces returns a body as one slice. Meanwhile it takes twice its memory. If there is no room for that, one body
+// at a time is copied all the same: the largest one has room for itself only.
+func joinPieces(m reserver, pieces [][]byte) []byte {
+	if len(pieces) == 1 {
+		return pieces[0]
+	}
+	size := transfer.Size(pieces)
+	if m.Reserve(size) {
+		defer m.Release(size)
+		return transfer.Join(pieces)
+	}
+	unreservedJoin.Lock()
+	defer unreservedJoin.Unlock()
+	return transfer.Join(pieces)
+}
+
 func readExactly(m reserver, r io.Reader, n int64) ([]byte, error) {
 	if !m.Reserve(n) {
 		return nil, errBodiesFull
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,7 +51,7 @@
 	statsLogInterval = 5 * time.Second
 	// requestsMemoryFraction and responsesMemoryFraction are the fractions of MemoryBytes for callers' connections and
 	// requests, and for large responses.
-	requestsMemoryFraction  = 0.35
+	requestsMemoryFraction  = 0.38
 	responsesMemoryFraction = 0.25
 	// gcPercent keeps the heap small at an acceptable cost in CPU time.
 	gcPercent = 100
--- a/transfer/read.go
+++ b/transfer/read.go
@@ -21,6 +21,15 @@
 // that ends is then copied into one slice. If reserve is not nil, it is called with the size of each piece
 // before the piece is allocated; an error ends the reading.
 func ReadAll(r io.Reader, maxBytes int64, reserve func(n int64) error) ([]byte, error) {
+	pieces, err := ReadPieces(r, maxBytes, reserve)
+	if err != nil {
+		return nil, err
+	}
+	return Join(pieces), nil
+}
+
+// ReadPieces is ReadAll without the copy.
+func ReadPieces(r io.Reader, maxBytes int64, reserve func(n int64) error) ([][]byte, error) {
 	var pieces [][]byte
 	total := int64(0)
 	for {
@@ -38,7 +47,7 @@
 		case total > maxBytes:
 			return nil, errors.WithStack(ErrTooLarge)
 		case err == io.EOF:
-			return join(pieces, total), nil
+			return pieces, nil
 		case err != nil:
 			return nil, errors.WithStack(err)
 		}
@@ -75,11 +84,20 @@
 	return n, err
 }
 
-func join(pieces [][]byte, total int64) []byte {
+// Size returns the number of bytes in the pieces of a body.
+func Size(pieces [][]byte) (total int64) {
+	for _, p := range pieces {
+		total += int64(len(p))
+	}
+	return total
+}
+
+// Join returns the pieces of a body as one slice. It copies them if there are several.
+func Join(pieces [][]byte) []byte {
 	if len(pieces) == 1 {
 		return pieces[0]
 	}
-	body := make([]byte, 0, total)
+	body := make([]byte, 0, Size(pieces))
 	for _, p := range pieces {
 		body = append(body, p...)
 	}
