callers: TestFullDoorSparesOtherCallers opens its connections one after the other

The test failed in 7 of 40 runs: two connections were opened at the same moment of its clock and it asks which one is closed, the one that has waited longer; both had. A millisecond now lies between them, so that the question has one answer. The check is as it was.

--- a/callers/account_test.go
+++ b/callers/account_test.go
@@ -139,6 +139,7 @@
 	h.open(ordinaryAddr)
 	h.pass(time.Second)
 	first := h.open(crowdAddr)
+	h.pass(time.Millisecond)
 	h.open(crowdAddr)
 	assert.Assert(t, h.open(crowdAddr) != nil)
 	assert.Equal(t, h.evicted[0], first)
