callers: a connection has time for its first request beside callers that come back at once

What was seen: TestCrowdRequestsAhead/route, alone on the machine, on the code before: an ordinary lookup was not answered in 12 tries ("unexpected EOF"), a confirmation took 4, an upload 7, beside 300 callers that send rows of lookups and come back as soon as their connection is closed (17,253 connections in 11 s).

Cause: most connections of the door were being served, and the few others waited for moments only, between two requests of a row. The one that had waited longest was that of the newcomer (4 ms), whose request had not arrived yet.

Change: among connections that wait, of one caller, those whose first request may be on its way (100 ms) go after those that have been served. Order of addresses and phases is as it was. A crowd that is silent is closed by age, as before.

Test: TestNewConnectionHasTimeForItsRequest fails without it.

--- a/callers/account_test.go
+++ b/callers/account_test.go
@@ -218,3 +218,25 @@
 		}
 	})
 }
+
+// A connection has time for its first request beside a crowd that comes back at once and whose connections wait only for
+// moments, between requests that they have sent ahead. All come from one address, as behind a balancer.
+func TestNewConnectionHasTimeForItsRequest(t *testing.T) {
+	h := newHall(10)
+	serveOne := func(c *Conn) {
+		c.SetPhase(Serving)
+		h.pass(time.Millisecond)
+		c.SetPhase(Waiting)
+	}
+	for range 9 {
+		serveOne(h.open(crowdAddr))
+	}
+	ordinary := h.open(crowdAddr)
+	for range firstRequestTime / time.Millisecond {
+		assert.Assert(t, !slices.Contains(h.evicted, ordinary))
+		serveOne(h.open(crowdAddr))
+	}
+	h.pass(firstRequestTime)
+	h.open(crowdAddr)
+	assert.Assert(t, slices.Contains(h.evicted, ordinary), "a connection that sends nothing is closed")
+}
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -40,6 +40,8 @@
 	// onEvict is told why the connection is closed to make room.
 	onEvict func(Eviction)
 	phase   Phase
+	// served is set once a request of the connection has been served.
+	served bool
 	// progressAt is when the connection last made progress: it was opened, its phase changed, or progressBytes were
 	// received since. received counts the bytes since then.
 	progressAt time.Time
@@ -108,6 +110,7 @@
 	a := c.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	c.served = c.served || p != Waiting
 	if c.phase != p {
 		c.phase, c.progressAt, c.received = p, a.now(), 0
 	}
--- a/callers/evict.go
+++ b/callers/evict.go
@@ -30,6 +30,9 @@
 	needTimeout = 250 * time.Millisecond
 	// slowReadTimeout is how long a response may be written until its connection is closed because all are in use.
 	slowReadTimeout = time.Second
+	// firstRequestTime is how long a connection may take to send something before it is closed because all are in use,
+	// as long as others can be closed.
+	firstRequestTime = 100 * time.Millisecond
 )
 
 // Tick closes stalled connections while much memory is in use.
@@ -120,8 +123,8 @@
 	return true
 }
 
-// goesBefore reports whether c is closed before other: waiting connections go first, then those of the dominant caller,
-// then those that have made no progress for longer.
+// goesBefore reports whether c is closed before other: waiting connections go first, then those of the dominant
+// caller, then those whose first request is not on its way, then those that have made no progress for longer.
 func (c *Conn) goesBefore(other *Conn, dominant *caller) bool {
 	if c.phase != other.phase {
 		return c.phase == Waiting
@@ -131,9 +134,18 @@
 			return c.caller == dominant
 		}
 	}
+	if arriving := c.arriving(); arriving != other.arriving() {
+		return !arriving
+	}
 	return c.progressAt.Before(other.progressAt)
 }
 
+// arriving reports whether the first request of the connection may be on its way. Without this, callers that come back
+// at once push out everyone who has connected before a request could arrive.
+func (c *Conn) arriving() bool {
+	return !c.served && c.account.now().Sub(c.progressAt) < firstRequestTime
+}
+
 // evict closes the connection. The caller of this function holds the lock.
 func (c *Conn) evict(r Reason) {
 	a := c.account
