callers, gateway: requests and large responses share their memory

Cause: connections and requests may take 0.38 of the memory, large responses 0.25, each by its own account. A crowd that does both takes both, 0.63, beside some 24 MiB of the program and what is not collected yet.

Ruled out: a lower limit for the collector (it is above its limit already); lower parts for each (the largest body would not fit on the smallest machine).

Change: together they take 0.55 at most, whichever comes first; each part alone is as it was. Large responses so have 0.17 at least, requests 0.30.

--- a/callers/account.go
+++ b/callers/account.go
@@ -22,12 +22,17 @@
 type Limits struct {
 	// Bytes is the memory for connections, headers and bodies of requests, and for what is sent ahead.
 	Bytes int64
+	// TotalBytes is the memory for all this and for what is held beside the account; if 0, it is not bounded.
+	TotalBytes int64
 	// Ahead is the number of requests that run, or wait with their response, before their turn on their connection.
 	Ahead int
 }
 
 // Account is what a process holds for its callers. It is safe for concurrent use.
 type Account struct {
+	// Beside, if set, returns the bytes that are held for callers beside the account. It may be set before the account is
+	// in use, and must not block.
+	Beside func() int64
 	limits Limits
 	now    Clock
 
@@ -92,10 +97,19 @@
 	return &Holder{account: a, addr: addr, caller: c}
 }
 
+// bytes returns the memory of the account beside what others hold now.
+func (a *Account) bytes() int64 {
+	if a.Beside == nil || a.limits.TotalBytes == 0 {
+		return a.limits.Bytes
+	}
+	return min(a.limits.Bytes, a.limits.TotalBytes-a.Beside())
+}
+
 // fits reports whether there is room for n more bytes of a holder. The caller of this function holds the lock.
 func (a *Account) fits(h *Holder, n int64) bool {
-	left := a.limits.Bytes - a.held - n
-	forSmaller := min(h.held+n, a.limits.Bytes/reservedShare, a.held-h.held)
+	bytes := a.bytes()
+	left := bytes - a.held - n
+	forSmaller := min(h.held+n, bytes/reservedShare, a.held-h.held)
 	forOthers := min((h.caller.held+n)/callerShare, a.held-h.caller.held)
 	return left >= max(forSmaller, forOthers)
 }
--- a/callers/evict.go
+++ b/callers/evict.go
@@ -39,7 +39,7 @@
 func (a *Account) Tick() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	crowded := int64(crowdedShare * float64(a.limits.Bytes))
+	crowded := int64(crowdedShare * float64(a.bytes()))
 	expected := a.held
 	for expected > crowded {
 		c := a.mostStalled(stallTimeout)
@@ -57,7 +57,8 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	missing := a.held + n + min(h.held+n, a.limits.Bytes/reservedShare) - a.limits.Bytes
+	bytes := a.bytes()
+	missing := a.held + n + min(h.held+n, bytes/reservedShare) - bytes
 	closed := false
 	for missing > 0 {
 		c := a.mostStalled(needTimeout)
--- a/gateway/descriptors.go
+++ b/gateway/descriptors.go
@@ -39,7 +39,8 @@
 func newAccount(s *Settings, targets *exchange.Cache, clock callers.Clock) (*callers.Account, *descriptors) {
 	conns := s.MaxFiles - min(reservedFiles, s.MaxFiles/2)
 	part := func(share float64) int { return int(share * float64(conns)) }
-	a := callers.New(callers.Limits{Bytes: int64(requestsMemoryFraction * float64(s.MemoryBytes)), Ahead: min(part(aheadShare), maxAhead)}, clock)
+	memory := func(fraction float64) int64 { return int64(fraction * float64(s.MemoryBytes)) }
+	a := callers.New(callers.Limits{Bytes: memory(requestsMemoryFraction), TotalBytes: memory(heldMemoryFraction), Ahead: min(part(aheadShare), maxAhead)}, clock)
 	d := &descriptors{conns: conns, front: a.NewDoor(part(callerConnShare)), ready: a.NewDoor(minReadyConns + part(readyConnShare)), targets: targets}
 	targets.MaxOpen = d.forTargets
 	return a, d
--- a/gateway/descriptors_test.go
+++ b/gateway/descriptors_test.go
@@ -28,6 +28,29 @@
 	assert.Assert(t, conns[0].Reserve(largestBody+1), "%d bytes held", account.Held())
 }
 
+// TestRequestsAndResponsesStayWithinTheirTotal checks that requests and large responses leave each other what they have,
+// whichever comes first.
+func TestRequestsAndResponsesStayWithinTheirTotal(t *testing.T) {
+	total := int64(heldMemoryFraction * float64(smallestMachine.MemoryBytes))
+	fill := func(reserve func(int64) bool) {
+		for reserve(largeResponseBytes) {
+		}
+	}
+	for _, responsesFirst := range []bool{true, false} {
+		account, d := newAccount(&smallestMachine, exchange.NewCache(time.Second), time.Now)
+		responses := NewResponses(int64(responsesMemoryFraction * float64(smallestMachine.MemoryBytes)))
+		responses.ShareMemory(account, total)
+		conn := d.front.Open(netip.AddrFrom4([4]byte{127, 0, 0, 1}), func() {}, func(callers.Eviction) {})
+		if responsesFirst {
+			fill(responses.memory.Reserve)
+		}
+		fill(conn.Reserve)
+		fill(responses.memory.Reserve)
+		held := account.Held() + responses.memory.heldBytes.Load()
+		assert.Assert(t, held <= total && held > total-2*largeResponseBytes, "%d of %d bytes", held, total)
+	}
+}
+
 // TestDescriptorsAreDivided checks that connections of all kinds together stay below the limit of the machine.
 func TestDescriptorsAreDivided(t *testing.T) {
 	for _, files := range []int{minMaxFiles, 480, 4100, 16384, maxProcessFiles} {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	// requests, and for large responses.
 	requestsMemoryFraction  = 0.38
 	responsesMemoryFraction = 0.25
+	// heldMemoryFraction is the fraction for both together.
+	heldMemoryFraction = 0.55
 	// gcPercent keeps the heap small at an acceptable cost in CPU time.
 	gcPercent = 100
 	// memoryLimitFraction is the fraction of MemoryBytes above which the garbage collector
@@ -144,6 +146,7 @@
 		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Waiting: g.waiting, Callers: account, Descriptors: descriptors,
 		Responses: NewResponses(int64(responsesMemoryFraction * float64(s.MemoryBytes))),
 	}
+	g.handler.Responses.ShareMemory(account, int64(heldMemoryFraction*float64(s.MemoryBytes)))
 	g.peerServer = newInternalServer(g.peerRoutes())
 	g.adminServer = newAdminServer(g.adminRoutes())
 	g.callerServer, err = listenForCallers(s.Listen, newPipeline(g.handler), descriptors.front)
--- a/gateway/memorypool.go
+++ b/gateway/memorypool.go
@@ -6,6 +6,16 @@
 type memoryPool struct {
 	maxBytes  int64
 	heldBytes atomic.Int64
+	// room, if set, returns what others leave for the pool, in bytes.
+	room func() int64
+}
+
+// limit returns the bytes that may be held now.
+func (p *memoryPool) limit() int64 {
+	if p.room == nil {
+		return p.maxBytes
+	}
+	return min(p.maxBytes, p.room())
 }
 
 // Reserve implements reserver.
@@ -13,7 +23,7 @@
 	if n <= 0 {
 		return true
 	}
-	if p.heldBytes.Add(n) > p.maxBytes {
+	if p.heldBytes.Add(n) > p.limit() {
 		p.heldBytes.Add(-n)
 		return false
 	}
--- a/gateway/responses.go
+++ b/gateway/responses.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/clementinereel/clementinereel/callers"
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/wait"
 )
@@ -50,6 +51,12 @@
 	return &Responses{memory: memoryPool{maxBytes: maxBytes}, sizes: make(map[string]*responseSizes)}
 }
 
+// ShareMemory bounds what the responses and the account hold together to totalBytes. It is called before either is in use.
+func (r *Responses) ShareMemory(a *callers.Account, totalBytes int64) {
+	a.Beside = r.memory.heldBytes.Load
+	r.memory.room = func() int64 { return totalBytes - a.Held() }
+}
+
 // Record records the size of a response of a route.
 func (r *Responses) Record(route string, bytes int) {
 	r.mu.Lock()
