gateway: a connection makes room only once its response is sent

Cause: a connection counted as waiting from the return of its handler on, while net/http still held the end of its response. If others wanted its place at that moment, it was closed and a response that was ready was lost: seen as an unexpected end by ordinary callers in TestCrowdRequestsAhead, where most other connections were being served. Since connections with a first request under way go last it was the first choice.

Change: it waits from the moment that net/http calls idle, at both addresses.

TestUnsentResponseIsNotCut fails before.

--- a/gateway/adminserver.go
+++ b/gateway/adminserver.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/clementinereel/clementinereel/callers"
 )
 
 const (
@@ -20,7 +22,7 @@
 		Handler: trackPhases(withoutBodies(h)), ReadTimeout: adminReadTimeout, MaxHeaderBytes: adminHeaderBytes,
 		IdleTimeout: internalIdleTimeout, WriteTimeout: internalWriteTimeout,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return withConn(ctx, c.(*callerConn)) },
-		ConnState:   chargeHeaders,
+		ConnState:   trackAdminConn,
 	}
 }
 
@@ -35,12 +37,14 @@
 	})
 }
 
-// chargeHeaders makes connections charge the account for all that they receive until they are idle.
-func chargeHeaders(c net.Conn, s http.ConnState) {
+// trackAdminConn makes connections charge the account for all that they receive until they are idle, and wait from then on.
+func trackAdminConn(c net.Conn, s http.ConnState) {
+	conn := c.(*callerConn)
 	switch s {
 	case http.StateNew:
-		c.(*callerConn).chargesReads = true
+		conn.chargesReads = true
 	case http.StateIdle:
-		c.(*callerConn).releaseReads()
+		conn.releaseReads()
+		conn.entry.SetPhase(callers.Waiting)
 	}
 }
--- a/gateway/callerconn_test.go
+++ b/gateway/callerconn_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -146,3 +148,19 @@
 	assert.Assert(t, served > 0, "no request was served")
 	assert.Equal(t, served, requests.Load(), "a request was run and its response cut")
 }
+
+// TestUnsentResponseIsNotCut checks that a connection is not closed to make room when its handler has returned, but net/http
+// has not sent the end of the response yet.
+func TestUnsentResponseIsNotCut(t *testing.T) {
+	account := callers.New(callers.Limits{Bytes: 1 << 20}, time.Now)
+	door := account.NewDoor(1)
+	open := func() *callers.Conn {
+		return door.Open(netip.AddrFrom4([4]byte{127, 0, 0, 1}), func() {}, func(callers.Eviction) {})
+	}
+	conn := &callerConn{entry: open()}
+	r := httptest.NewRequestWithContext(withConn(t.Context(), conn), http.MethodGet, "/", nil)
+	trackPhases(http.NotFoundHandler()).ServeHTTP(httptest.NewRecorder(), r)
+	assert.Assert(t, open() == nil, "a connection was closed")
+	trackAdminConn(conn, http.StateIdle)
+	assert.Assert(t, open() != nil, "an idle connection makes no room")
+}
--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -91,13 +91,13 @@
 	return errors.WithStack(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes))
 }
 
-// trackPhases records when requests are served, for the account of what is held for callers.
+// trackPhases records when requests are served, for the account of what is held for callers. A connection waits again once
+// it is idle: when the handler returns, net/http still holds the end of the response.
 func trackPhases(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength == 0 {
 			setPhase(r, callers.Serving)
 		}
-		defer setPhase(r, callers.Waiting)
 		h.ServeHTTP(w, r)
 	})
 }
@@ -124,6 +124,7 @@
 		f.open++
 		f.idleSince[c] = time.Now()
 	case http.StateIdle:
+		socketOf(c).entry.SetPhase(callers.Waiting)
 		f.busy--
 		f.idleSince[c] = time.Now()
 	case http.StateActive:
