gateway: a request waits a moment for a connection to a target

What was seen: TestCrowdRequestsAhead, an upload refused 7 times ("too many connections are open") and served the 8th time.

Cause: beside a crowd that uses all connections to targets, requests were refused at once, so that each connection that fell free went to those who ask most often: rows, whose next request follows the refusal at once.

Change: such a request waits up to 0.2 s, at intervals of 5 ms. How many wait is bounded by the connections of callers and the requests ahead.

TestRequestAwaitsConnection. Nothing changes while there are descriptors.

--- a/gateway/descriptors.go
+++ b/gateway/descriptors.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/callers"
 	"github.com/clementinereel/clementinereel/exchange"
+	"github.com/clementinereel/clementinereel/wait"
 )
 
 const (
@@ -55,6 +58,26 @@
 // available reports whether a connection to a target may be opened.
 func (d *descriptors) available() bool { return d.targets.Active() < d.forTargets() }
 
+const (
+	// connWaitTimeout bounds the wait for a connection to a target, connPollInterval is its interval. If requests were
+	// refused at once, those of callers that send the next one at once would take every connection that falls free.
+	connWaitTimeout  = 200 * time.Millisecond
+	connPollInterval = 5 * time.Millisecond
+)
+
+// await waits for a connection to a target and reports whether one may be opened.
+func (d *descriptors) await(ctx context.Context) bool {
+	for range connWaitTimeout / connPollInterval {
+		if d.available() {
+			return true
+		}
+		if !wait.For(ctx, connPollInterval) {
+			return false
+		}
+	}
+	return d.available()
+}
+
 // processFiles returns the number of descriptors that the process may open.
 func processFiles() (int, error) {
 	var limit syscall.Rlimit
--- a/gateway/descriptors_test.go
+++ b/gateway/descriptors_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -65,3 +67,23 @@
 		assert.Assert(t, d.front.Len()+d.ready.Len()+d.forTargets() < files, "%d", files)
 	}
 }
+
+// TestRequestAwaitsConnection checks that a request gets the next connection that falls free, and does not wait for long.
+func TestRequestAwaitsConnection(t *testing.T) {
+	cache := exchange.NewCache(time.Second)
+	_, d := newAccount(&Settings{MemoryBytes: 1 << 40, MaxFiles: 480}, cache, time.Now)
+	dialed, dial := make(chan struct{}), make(chan struct{})
+	cache.Dial = func(context.Context, string, string) (net.Conn, error) {
+		dialed <- struct{}{}
+		<-dial
+		return nil, net.ErrClosed
+	}
+	for range d.forTargets() {
+		go func() { _ = cache.Probe(context.Background(), exchange.Target{Addr: "127.0.0.1:1"}) }()
+		<-dialed
+	}
+	assert.Assert(t, !d.await(t.Context()))
+	time.AfterFunc(connWaitTimeout/4, func() { dial <- struct{}{} })
+	assert.Assert(t, d.await(t.Context()))
+	close(dial)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -213,7 +213,7 @@
 		return status
 	}
 	defer holder.Release(int64(len(body)))
-	if !c.h.Descriptors.available() {
+	if !c.h.Descriptors.await(c.r.Context()) {
 		return c.refuse(problem.Overloaded, "too many connections are open")
 	}
 	c.request = &exchange.Request{
