callers: a newcomer waits for the end of a request

What was seen: in the same test, while requests of all 140 connections were being served, newcomers were turned away at once, ordinary ones as often as those of the crowd, which come back faster: 12 of 12 tries of an upload.

Change: a newcomer waits for 20 ms at most; the first connection whose request is done makes room, after its response is sent. So places go round, one request each.

Test: TestNewcomerAwaitsEndOfRequest.

--- a/callers/account_test.go
+++ b/callers/account_test.go
@@ -240,3 +240,27 @@
 	h.open(crowdAddr)
 	assert.Assert(t, slices.Contains(h.evicted, ordinary), "a connection that sends nothing is closed")
 }
+
+// While requests of all connections are being served, a newcomer gets the place of the first whose request is done.
+func TestNewcomerAwaitsEndOfRequest(t *testing.T) {
+	h := newHall(2)
+	first, second := h.open(crowdAddr), h.open(crowdAddr)
+	first.SetPhase(Serving)
+	second.SetPhase(Serving)
+	h.door.AwaitRoom()
+	assert.Assert(t, h.open(ordinaryAddr) == nil, "a request that is being served is cut")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for len(h.door.room) == 0 && h.door.Len() == 2 {
+			second.SetPhase(Serving)
+			second.SetPhase(Waiting)
+			second.SetPhase(Serving)
+		}
+	}()
+	h.door.AwaitRoom()
+	<-done
+	assert.Assert(t, h.open(ordinaryAddr) != nil)
+	assert.Equal(t, h.evicted[0], second)
+	assert.Equal(t, h.door.Len(), 2)
+}
--- a/callers/conn.go
+++ b/callers/conn.go
@@ -56,13 +56,16 @@
 	// max is the number of connections.
 	max   int
 	conns map[*Conn]struct{}
+	// wanted is set while a newcomer waits for a place, room receives once there is one.
+	wanted bool
+	room   chan struct{}
 }
 
 // NewDoor returns a door with at most max connections.
 func (a *Account) NewDoor(max int) *Door {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	d := &Door{account: a, max: max, conns: make(map[*Conn]struct{})}
+	d := &Door{account: a, max: max, conns: make(map[*Conn]struct{}), room: make(chan struct{}, 1)}
 	a.doors = append(a.doors, d)
 	return d
 }
@@ -74,6 +77,43 @@
 	return len(d.conns)
 }
 
+// roomTimeout bounds the wait for a place at a door.
+const roomTimeout = 20 * time.Millisecond
+
+// AwaitRoom waits while requests of all connections are being served, for roomTimeout at most. The next connection whose
+// request is done then makes room. Only one newcomer waits at a time.
+func (d *Door) AwaitRoom() {
+	if !d.wants() {
+		return
+	}
+	t := time.NewTimer(roomTimeout)
+	defer t.Stop()
+	select {
+	case <-d.room:
+	case <-t.C:
+		d.stopWanting()
+	}
+}
+
+// wants reports whether a newcomer has to wait, and records it.
+func (d *Door) wants() bool {
+	d.account.mu.Lock()
+	defer d.account.mu.Unlock()
+	d.wanted = len(d.conns) >= d.max && d.firstToClose() == nil
+	return d.wanted
+}
+
+// stopWanting ends a wait without a place.
+func (d *Door) stopWanting() {
+	d.account.mu.Lock()
+	defer d.account.mu.Unlock()
+	d.wanted = false
+	select {
+	case <-d.room: // it came with the end of the wait
+	default:
+	}
+}
+
 // Open adds a connection. If there is no room it closes another one; it returns nil if none may be closed. onEvict
 // is told if the connection is closed to make room; it must not block.
 func (d *Door) Open(addr netip.Addr, closeSocket func(), onEvict func(Eviction)) *Conn {
@@ -114,6 +154,9 @@
 	if c.phase != p {
 		c.phase, c.progressAt, c.received = p, a.now(), 0
 	}
+	if p == Waiting && c.door.wanted && !c.gone {
+		c.evict(DoorFull)
+	}
 }
 
 // Close removes the connection. What its requests hold must be released all the same.
@@ -131,6 +174,13 @@
 	}
 	c.gone = true
 	delete(c.door.conns, c)
+	if c.door.wanted {
+		c.door.wanted = false
+		select {
+		case c.door.room <- struct{}{}:
+		default: // a newcomer knows already
+		}
+	}
 	c.account.add(&c.Holder, -ConnBytes)
 	c.account.close(&c.Holder)
 }
--- a/callers/evict.go
+++ b/callers/evict.go
@@ -103,25 +103,32 @@
 	return nil
 }
 
-// evictOne closes a connection of the door: the one that has waited longest without progress or, if all are being
-// served, the one to which a response has been written for longest. The caller of this function holds the lock.
+// evictOne closes a connection of the door, if one may be closed. The caller of this function holds the lock.
 func (d *Door) evictOne() bool {
+	c := d.firstToClose()
+	if c == nil {
+		return false
+	}
+	c.evict(DoorFull)
+	return true
+}
+
+// firstToClose returns the connection that makes room at the door: the one that has waited longest without progress or,
+// if all are being served, the one to which a response has been written for longest; nil if there is none. The caller of
+// this function holds the lock.
+func (d *Door) firstToClose() *Conn {
 	slow := d.account.now().Add(-slowReadTimeout)
 	dominant := d.account.dominant()
-	var most *Conn
+	var first *Conn
 	for c := range d.conns {
 		if c.phase == Serving || (c.phase == Responding && c.progressAt.After(slow)) {
 			continue
 		}
-		if most == nil || c.goesBefore(most, dominant) {
-			most = c
+		if first == nil || c.goesBefore(first, dominant) {
+			first = c
 		}
 	}
-	if most == nil {
-		return false
-	}
-	most.evict(DoorFull)
-	return true
+	return first
 }
 
 // goesBefore reports whether c is closed before other: waiting connections go first, then those of the dominant
--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -46,6 +46,7 @@
 	}
 	addr := tcp.RemoteAddr().(*net.TCPAddr).AddrPort()
 	closeSocket := func() { _ = tcp.Close() } // fails if the caller's server has closed it
+	l.door.AwaitRoom()
 	entry := l.door.Open(addr.Addr(), closeSocket, func(e callers.Eviction) {
 		eventlog.Info(eventlog.CallerEvicted, "from", addr, "why", e.Reason, "phase", e.Phase, "stalled_ms", e.Stalled.Milliseconds(), "held", e.HeldBytes)
 	})
