--- a/callers/conn.go
+++ b/callers/conn.go
@@ -145,7 +145,8 @@
 	}
 }
 
-// SetPhase records what the connection is doing from now on.
+// SetPhase records what the connection is doing from now on. One that waits from now on makes room if a newcomer waits for
+// a place.
 func (c *Conn) SetPhase(p Phase) {
 	a := c.account
 	a.mu.Lock()
