gateway: the phase of an idle connection is recorded outside of the server's lock

The account has a lock of its own; it was taken inside that of the server for callers, on every response. Ruled out: to drop the server's lock altogether, its counts need it. The order is as it was, net/http calls idle after the response. No figure was measured: what changes is only which lock is held meanwhile. Checked: the tests of gateway for connections and TestCrowdRequestsAhead.

--- a/gateway/callerserver.go
+++ b/gateway/callerserver.go
@@ -112,6 +112,9 @@
 }
 
 func (f *callerServer) trackConn(c net.Conn, s http.ConnState) {
+	if s == http.StateIdle {
+		socketOf(c).entry.SetPhase(callers.Waiting)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	_, wasIdle := f.idleSince[c]
@@ -124,7 +127,6 @@
 		f.open++
 		f.idleSince[c] = time.Now()
 	case http.StateIdle:
-		socketOf(c).entry.SetPhase(callers.Waiting)
 		f.busy--
 		f.idleSince[c] = time.Now()
 	case http.StateActive:
