gateway: a full door is searched once for a newcomer

A newcomer at a full door had all connections searched twice for one that may be closed, before the wait and when it was let in. It now waits only if it was not let in; the outcome is the same, as the wait ended at once where one could be closed. Ruled out: to pass the connection that was found on, it may be served meanwhile. Searches a newcomer: two before, one after, but where all are being served.

TestCrowdRequestsAhead and TestCrowdMixed, alone: passed.

--- a/gateway/callerconn.go
+++ b/gateway/callerconn.go
@@ -46,10 +46,14 @@
 	}
 	addr := tcp.RemoteAddr().(*net.TCPAddr).AddrPort()
 	closeSocket := func() { _ = tcp.Close() } // fails if the caller's server has closed it
-	l.door.AwaitRoom()
-	entry := l.door.Open(addr.Addr(), closeSocket, func(e callers.Eviction) {
+	onEvict := func(e callers.Eviction) {
 		eventlog.Info(eventlog.CallerEvicted, "from", addr, "why", e.Reason, "phase", e.Phase, "stalled_ms", e.Stalled.Milliseconds(), "held", e.HeldBytes)
-	})
+	}
+	entry := l.door.Open(addr.Addr(), closeSocket, onEvict)
+	if entry == nil {
+		l.door.AwaitRoom()
+		entry = l.door.Open(addr.Addr(), closeSocket, onEvict)
+	}
 	if entry == nil {
 		eventlog.Info(eventlog.CallerTurnedAway, "from", addr, "open", l.door.Len())
 		closeSocket()
