callers, gateway: the total of requests and large responses stands in one place

It was worked out from the settings twice, for the account and for the responses; if one had changed, each side would have kept to another total. The account now says what it leaves for what is held beside it, and the responses ask it. Ruled out: one pool for both, as responses may wait for room and requests do not. The same bytes before and after (TestRequestsAndResponsesStayWithinTheirTotal).

--- a/callers/account.go
+++ b/callers/account.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -105,6 +106,14 @@
 	return min(a.limits.Bytes, a.limits.TotalBytes-a.Beside())
 }
 
+// RoomBeside returns the bytes that the account leaves for what is held beside it.
+func (a *Account) RoomBeside() int64 {
+	if a.limits.TotalBytes == 0 {
+		return math.MaxInt64
+	}
+	return a.limits.TotalBytes - a.Held()
+}
+
 // fits reports whether there is room for n more bytes of a holder. The caller of this function holds the lock.
 func (a *Account) fits(h *Holder, n int64) bool {
 	bytes := a.bytes()
--- a/gateway/descriptors_test.go
+++ b/gateway/descriptors_test.go
@@ -41,7 +41,7 @@
 	for _, responsesFirst := range []bool{true, false} {
 		account, d := newAccount(&smallestMachine, exchange.NewCache(time.Second), time.Now)
 		responses := NewResponses(int64(responsesMemoryFraction * float64(smallestMachine.MemoryBytes)))
-		responses.ShareMemory(account, total)
+		responses.ShareMemory(account)
 		conn := d.front.Open(netip.AddrFrom4([4]byte{127, 0, 0, 1}), func() {}, func(callers.Eviction) {})
 		if responsesFirst {
 			fill(responses.memory.Reserve)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -146,7 +146,7 @@
 		Booted: g.booted, Keys: s.Keys, Quotas: g.quotas, Waiting: g.waiting, Callers: account, Descriptors: descriptors,
 		Responses: NewResponses(int64(responsesMemoryFraction * float64(s.MemoryBytes))),
 	}
-	g.handler.Responses.ShareMemory(account, int64(heldMemoryFraction*float64(s.MemoryBytes)))
+	g.handler.Responses.ShareMemory(account)
 	g.peerServer = newInternalServer(g.peerRoutes())
 	g.adminServer = newAdminServer(g.adminRoutes())
 	g.callerServer, err = listenForCallers(s.Listen, newPipeline(g.handler), descriptors.front)
--- a/gateway/responses.go
+++ b/gateway/responses.go
@@ -51,10 +51,11 @@
 	return &Responses{memory: memoryPool{maxBytes: maxBytes}, sizes: make(map[string]*responseSizes)}
 }
 
-// ShareMemory bounds what the responses and the account hold together to totalBytes. It is called before either is in use.
-func (r *Responses) ShareMemory(a *callers.Account, totalBytes int64) {
+// ShareMemory makes the responses and the account leave each other what they hold, within the account's total. It is called
+// before either is in use.
+func (r *Responses) ShareMemory(a *callers.Account) {
 	a.Beside = r.memory.heldBytes.Load
-	r.memory.room = func() int64 { return totalBytes - a.Held() }
+	r.memory.room = a.RoomBeside
 }
 
 // Record records the size of a response of a route.
