registry, statesync: the end of all readers of the store is no outage of it

Cause: an instance knew only the times in which reads were answered, and took each gap of a second or more for an outage of the store, in which entries lapse though their targets live. After the end of the readers nobody had called for about 1 s. Ruled out: late news (a second silence), and a mass of entries gone at once (one of five).

Change: a failed call is evidence of its own. Instances tell the last span in which a call of their own had no answer, bridges that of their zone, and a gap is an outage only if a call failed in it. store-outage is logged for own gaps too, and says why.

Changed tests: TestSpanOfAnotherInstanceCancelsOutage, TestOutagesBetweenManySpans and TestMassLapseExtendsGracePeriod made outages of gaps alone, which is the fault; they record the failed calls that such outages have, with all checks as before, and check besides that the same gaps without these are none.

Why it holds: an outage that lapses entries lasts for several renewals, so that the calls of whoever reads then, or begins to, fail in it.

--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -65,8 +65,8 @@
 	// StoreUnavailable is logged when the store appears to become unavailable to all
 	// instances, or available again.
 	StoreUnavailable Event = "store-away"
-	// StoreOutage is logged when a period in which the store answered no instance is
-	// confirmed, or when it turns out not to have been an outage.
+	// StoreOutage is logged when a period in which the store answered no instance becomes
+	// known, with whether it counts as an outage and why.
 	StoreOutage     Event = "store-outage"
 	EntryRefused    Event = "entry-refused"
 	TargetSuspected Event = "target-suspected"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -166,7 +166,12 @@
 }
 
 // fillDigest adds what the own zone's instances have in common to a datagram for other zones.
-func (g *Gateway) fillDigest(now time.Time, p *mesh.Packet) { g.waiting.fillDigest(now, p) }
+func (g *Gateway) fillDigest(now time.Time, p *mesh.Packet) {
+	g.waiting.fillDigest(now, p)
+	if g.follower != nil {
+		g.follower.FillDigest(p)
+	}
+}
 
 // fillGreeting adds health estimates, contents, rates and departures to the first packet to
 // a newly found instance.
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -67,6 +67,9 @@
 	// LogAvailability is the last span in which the store's log responded to any instance, as the
 	// member reported it; zero if it reported none.
 	LogAvailability registry.Span
+	// LogFailure is the last span in which a call of the member had no answer from the store's log;
+	// zero if it reported none.
+	LogFailure registry.Span
 	// Instances is the number of instances that the member counts; 0 if it may have discovered only
 	// some of them.
 	Instances int
@@ -101,6 +104,9 @@
 	if p.LogAvailability != nil {
 		m.LogAvailability = p.LogAvailability.Span(now)
 	}
+	if p.LogFailure != nil {
+		m.LogFailure = p.LogFailure.Span(now)
+	}
 }
 
 type member struct {
@@ -141,6 +147,7 @@
 	log             LogState
 	lastDigest      time.Time
 	logAvailability registry.Span
+	logFailure      registry.Span
 }
 
 // members is the table of other instances and zones.
@@ -207,7 +214,7 @@
 	}
 	if p.Digest != nil && p.Zone != ms.zone {
 		m.lastDigest, m.Paths = now, p.Paths
-		ms.zones[p.Zone] = &zone{instances: p.Digest.Instances, log: p.Log, lastDigest: now, logAvailability: p.LogAvailability.Span(now)}
+		ms.zones[p.Zone] = &zone{instances: p.Digest.Instances, log: p.Log, lastDigest: now, logAvailability: p.LogAvailability.Span(now), logFailure: p.LogFailure.Span(now)}
 	}
 	return m, s
 }
@@ -226,7 +233,8 @@
 	}
 	m.silent = false
 	if restarted {
-		m.Document, m.Registry, m.Instances, m.LogAvailability, m.Paths = 0, registry.Position{}, 0, registry.Span{}, nil
+		m.Document, m.Registry, m.Instances, m.Paths = 0, registry.Position{}, 0, nil
+		m.LogAvailability, m.LogFailure = registry.Span{}, registry.Span{}
 	}
 	if m.changesVersions(p) {
 		ms.versionsChanged = true
@@ -428,7 +436,7 @@
 	}
 	for name, z := range ms.zones {
 		if now.Sub(z.lastDigest) < lapsedTimeout {
-			v.Zones = append(v.Zones, Zone{Name: name, Instances: z.instances, Log: z.log, LastDigest: z.lastDigest, LogAvailability: z.logAvailability})
+			v.Zones = append(v.Zones, Zone{Name: name, Instances: z.instances, Log: z.log, LastDigest: z.lastDigest, LogAvailability: z.logAvailability, LogFailure: z.logFailure})
 		}
 	}
 	sort.Slice(v.Members, func(a, b int) bool { return v.Members[a].Addr < v.Members[b].Addr })
@@ -529,8 +537,9 @@
 	Log        LogState
 	LastDigest time.Time
 	// LogAvailability is the last span in which the store's log responded to any instance, as the
-	// bridges reported it.
-	LogAvailability registry.Span
+	// bridges reported it; LogFailure is the last one in which a call of one of the zone's
+	// instances had no answer.
+	LogAvailability, LogFailure registry.Span
 }
 
 // Fresh reports whether digests of the zone arrive.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -240,7 +240,7 @@
 	}
 	n.mu.Unlock()
 	q := n.newVersionedPacket()
-	q.LogAvailability = p.LogAvailability
+	q.LogAvailability, q.LogFailure = p.LogAvailability, p.LogFailure
 	n.send(Announcements, q, to)
 }
 
--- a/mesh/outbox.go
+++ b/mesh/outbox.go
@@ -256,7 +256,7 @@
 	for i, c := range p.Contents {
 		q.Contents[i] = agedContent(c, delay)
 	}
-	q.LogAvailability = p.LogAvailability.aged(delay)
+	q.LogAvailability, q.LogFailure = p.LogAvailability.aged(delay), p.LogFailure.aged(delay)
 	q.Rates = slices.Clone(p.Rates)
 	for i := range q.Rates {
 		q.Rates[i].AgeMillis += delay.Milliseconds()
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -85,6 +85,11 @@
 	// QuotaRanks are the ranks of the requests for which the QuotaRequests ask, in their order. Earlier versions
 	// ignore and do not send them; ranks that are missing are 0, the most urgent.
 	QuotaRanks []quota.Rank `cbor:"34,keyasint,omitempty"`
+	// LogFailure is the latest span in which a call of the sender had no answer from the store's log,
+	// in digests that of an instance of its zone. The packets that carry LogAvailability carry it;
+	// receivers do not pass it on, so that its end does not grow with each hop. Earlier versions
+	// ignore and do not send it.
+	LogFailure *AgeSpan `cbor:"35,keyasint,omitempty"`
 }
 
 // Rejections count the attempts at a service's targets in one zone and how many of them were rejected.
@@ -172,8 +177,8 @@
 	WaitMillis int64
 }
 
-// AgeSpan is a span in which the store's log responded without interruption, expressed as ages at
-// the time of the datagram.
+// AgeSpan is a span in which the store's log responded without interruption, or did not respond to a
+// call, expressed as ages at the time of the datagram.
 type AgeSpan struct {
 	_                       struct{} `cbor:",toarray"`
 	FromMillis, UntilMillis int64
--- a/registry/availability.go
+++ b/registry/availability.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// minOutage is the shortest gap between responses that counts as an outage of the log. Entries
+	// minOutage is the shortest gap between responses that may be an outage of the log. Entries
 	// lapse only in longer ones, and the handover between two readers of the log takes less.
 	minOutage = time.Second
+	// maxFailures bounds the failed spans that are kept.
+	maxFailures = 64
 	// spanRetention is how long spans are kept: longer than any grace period.
 	spanRetention = 30 * time.Second
 )
@@ -20,11 +22,17 @@
 // IsZero reports whether the span is unset.
 func (s Span) IsZero() bool { return s.Until.IsZero() }
 
+// overlaps reports whether the spans have a moment in common.
+func (s Span) overlaps(o Span) bool { return !s.From.After(o.Until) && !o.From.After(s.Until) }
+
 // logAvailability records when the log was available, as reported by all instances. The log counts
-// as unavailable only if no instance got a response: one without a response proves nothing.
+// as unavailable only while no instance got a response and a call of some instance failed: one
+// without a response proves nothing, and neither does a time in which nobody called.
 type logAvailability struct {
-	// spans are in order; the gaps between them are outages.
+	// spans are in order; the gaps between them are outages if a call failed in them.
 	spans []Span
+	// failures are times from the start of a call until it failed; those that overlap are merged.
+	failures []Span
 	// unavailable is whether some instance gets no response now and none is known to get one.
 	unavailable bool
 }
@@ -48,9 +56,30 @@
 	a.spans = append(append(spans, s), a.spans[i:]...)
 }
 
+// recordFailure adds a time in which a call had no response.
+func (a *logAvailability) recordFailure(s Span) {
+	if s.IsZero() || s.Until.Before(s.From) {
+		return
+	}
+	var apart []Span
+	for _, o := range a.failures {
+		if !o.overlaps(s) {
+			apart = append(apart, o)
+			continue
+		}
+		s = Span{earlier(s.From, o.From), later(s.Until, o.Until)}
+	}
+	if len(apart) >= maxFailures {
+		apart = apart[1:]
+	}
+	a.failures = append(apart, s)
+}
+
 // prune drops spans that no grace period depends on any more.
 func (a *logAvailability) prune(now time.Time) {
-	a.spans = slices.DeleteFunc(a.spans, func(s Span) bool { return now.Sub(s.Until) > spanRetention })
+	ended := func(s Span) bool { return now.Sub(s.Until) > spanRetention }
+	a.spans = slices.DeleteFunc(a.spans, ended)
+	a.failures = slices.DeleteFunc(a.failures, ended)
 }
 
 // last returns the latest span, zero if there is none.
@@ -65,7 +94,9 @@
 func (a *logAvailability) outages(now time.Time) []Span {
 	var outages []Span
 	for i := 1; i < len(a.spans); i++ {
-		outages = append(outages, Span{a.spans[i-1].Until, a.spans[i].From})
+		if gap := a.gapBefore(i); a.failedIn(gap) {
+			outages = append(outages, gap)
+		}
 	}
 	if a.unavailable {
 		outages = append(outages, Span{a.last().Until, now})
@@ -73,6 +104,15 @@
 	return outages
 }
 
+// gapBefore returns the time between the i-th span and the one before it.
+func (a *logAvailability) gapBefore(i int) Span { return Span{a.spans[i-1].Until, a.spans[i].From} }
+
+// failedIn reports whether a call failed in a gap. Without that nobody called: the readers ended, and
+// others had not taken over yet.
+func (a *logAvailability) failedIn(gap Span) bool {
+	return slices.ContainsFunc(a.failures, gap.overlaps)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -83,23 +123,31 @@
 // RecordAnswered records a span in which the log answered some instance.
 func (r *Registry) RecordAnswered(s Span) { r.availability.record(s) }
 
+// RecordFailed records a span in which a call of some instance had no answer from the log.
+func (r *Registry) RecordFailed(s Span) { r.availability.recordFailure(s) }
+
 // LastAnswered returns the latest span in which the log answered some instance; zero if there is
 // none.
 func (r *Registry) LastAnswered() Span { return r.availability.last() }
 
-// SetUnavailable records whether some instance gets no response from the log and none is known to
-// get one. It reports whether that changed.
-func (r *Registry) SetUnavailable(unavailable bool) bool {
+// SetUnavailable records whether some instance gets no response from the log now and none is known
+// to get one. It reports whether that changed.
+func (r *Registry) SetUnavailable(now time.Time, unavailable bool) bool {
 	changed := r.availability.unavailable != unavailable
 	r.availability.unavailable = unavailable
+	if changed && unavailable {
+		r.availability.recordFailure(Span{now, now})
+	}
 	return changed
 }
 
-// LastOutage returns the last outage of the log that has ended; zero if there is none.
-func (r *Registry) LastOutage() Span {
+// LastGap returns the last time between two spans with answers, and whether it was an outage of the
+// log; zero if there is none.
+func (r *Registry) LastGap() (gap Span, outage bool) {
 	n := len(r.availability.spans)
 	if n < 2 {
-		return Span{}
+		return Span{}, false
 	}
-	return Span{r.availability.spans[n-2].Until, r.availability.spans[n-1].From}
+	gap = r.availability.gapBefore(n - 1)
+	return gap, r.availability.failedIn(gap)
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -79,6 +79,7 @@
 			if known {
 				answered(r, start.Add(-time.Minute), start.Add(-3*time.Second))
 				answered(r, start, start)
+				r.RecordFailed(Span{From: start.Add(-2 * time.Second), Until: start.Add(-time.Second)})
 				end, kept = start.Add(OutageGracePeriod), true
 			}
 			for n := range vanish {
@@ -179,16 +180,39 @@
 // answered records that the log answered from one time until another.
 func answered(r *Registry, from, until time.Time) { r.RecordAnswered(Span{From: from, Until: until}) }
 
+// assertLastGap checks the last time without answers, and whether it counts as an outage.
+func assertLastGap(t *testing.T, r *Registry, want Span, wantOutage bool) {
+	t.Helper()
+	gap, outage := r.LastGap()
+	assert.Equal(t, gap, want)
+	assert.Equal(t, outage, wantOutage)
+}
+
+// TestTimeWithoutCallsIsNoOutage guards against targets that are kept past the bound because nobody
+// called the log for a while: its readers had ended, and others began to read later.
+func TestTimeWithoutCallsIsNoOutage(t *testing.T) {
+	r := New()
+	put(t, r, start, entry("a", 1))
+	answered(r, start.Add(-time.Minute), start)
+	takeover := start.Add(1300 * time.Millisecond)
+	answered(r, takeover, takeover)
+	assertLastGap(t, r, Span{From: start, Until: takeover}, false)
+	drop(t, r, takeover, "a")
+	assert.Assert(t, !inUse(r, takeover.Add(BaseGracePeriod+time.Millisecond), "a"))
+	r.RecordFailed(Span{From: start.Add(-time.Second), Until: start.Add(time.Second)})
+	assertLastGap(t, r, Span{From: start, Until: takeover}, true)
+}
+
 func TestOutageExtendsGracePeriod(t *testing.T) {
 	r := New()
 	put(t, r, start, entry("a", 1))
 	put(t, r, start, entry("b", 1))
 	answered(r, start.Add(-time.Minute), start)
-	r.SetUnavailable(true)
+	r.SetUnavailable(start, true)
 	drop(t, r, start.Add(time.Millisecond), "a")
 	assert.Assert(t, inUse(r, start.Add(20*time.Second), "a"), "the log is unavailable")
 	back := start.Add(20 * time.Second)
-	r.SetUnavailable(false)
+	r.SetUnavailable(back, false)
 	answered(r, back, back)
 	drop(t, r, back.Add(time.Second), "b")
 	for _, id := range []fleet.TargetID{"a", "b"} {
@@ -206,12 +230,13 @@
 	put(t, r, start, entry("a", 1))
 	answered(r, start.Add(-time.Minute), start)
 	back := start.Add(5 * time.Second)
+	r.RecordFailed(Span{From: start.Add(time.Second), Until: start.Add(3 * time.Second)})
 	answered(r, back, back)
-	assert.Equal(t, r.LastOutage(), Span{From: start, Until: back})
+	assertLastGap(t, r, Span{From: start, Until: back}, true)
 	drop(t, r, back, "a")
 	assert.Assert(t, inUse(r, back.Add(BaseGracePeriod+100*time.Millisecond), "a"))
 	answered(r, start.Add(-time.Second), back.Add(time.Millisecond))
-	assert.Equal(t, r.LastOutage(), Span{})
+	assertLastGap(t, r, Span{}, false)
 	assert.Assert(t, !inUse(r, back.Add(BaseGracePeriod+200*time.Millisecond), "a"))
 }
 
@@ -223,6 +248,11 @@
 	for _, s := range [][2]float64{{8, 9}, {0, 1}, {1.5, 2}, {9.9, 11}, {5, 5}} {
 		answered(r, at(s[0]), at(s[1]))
 	}
+	assert.Equal(t, len(r.availability.outages(at(12))), 0, "nobody called")
+	for _, s := range [][2]float64{{1.9, 2.1}, {6, 6.5}, {6.4, 7}, {12, 13}} {
+		r.RecordFailed(Span{at(s[0]), at(s[1])})
+	}
+	assert.Equal(t, len(r.availability.failures), 3, "those that overlap are one")
 	assert.DeepEqual(t, r.availability.outages(at(12)), []Span{{at(2), at(5)}, {at(5), at(8)}})
 	answered(r, at(4.5), at(7.5))
 	assert.DeepEqual(t, r.availability.outages(at(12)), []Span{{at(2), at(4.5)}})
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -57,6 +57,8 @@
 	// answeredSince is the time since which all reads of targets were answered in time; zero if
 	// the last one was not.
 	answeredSince time.Time
+	// lastFailure is the latest span in which a read of targets had no answer in time.
+	lastFailure registry.Span
 	// unservedSince is the time since which no other instance of the zone reads the store
 	// successfully.
 	unservedSince time.Time
@@ -104,13 +106,44 @@
 	version, position := f.opts.State.Versions()
 	p.Document, p.Registry, p.Epoch = version, position.Offset, position.Epoch
 	p.Log = f.LogState()
-	p.LogAvailability = mesh.NewAgeSpan(time.Now(), f.opts.State.lastAnswered())
+	now := time.Now()
+	p.LogAvailability = mesh.NewAgeSpan(now, f.opts.State.lastAnswered())
+	p.LogFailure = mesh.NewAgeSpan(now, f.failure())
+}
+
+// FillDigest sets the fields of a digest that sum up what the zone's instances know of the store.
+func (f *Follower) FillDigest(p *mesh.Packet) {
+	last := f.failure()
+	for _, s := range zoneFailures(f.opts.Peers()) {
+		if s.Until.After(last.Until) {
+			last = s
+		}
+	}
+	p.LogFailure = mesh.NewAgeSpan(time.Now(), last)
+}
+
+// failure returns the latest span in which a call of this instance had no answer in time.
+func (f *Follower) failure() registry.Span {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastFailure
+}
+
+// zoneFailures returns the last failures of the calls of the other instances of the zone.
+func zoneFailures(v mesh.View) []registry.Span {
+	var spans []registry.Span
+	for i := range v.Members {
+		if m := &v.Members[i]; m.Zone == v.Zone && !m.LogFailure.IsZero() {
+			spans = append(spans, m.LogFailure)
+		}
+	}
+	return spans
 }
 
 // Tick passes the store's availability to the state, as seen by all instances, and applies what
 // expires by time.
 func (f *Follower) Tick(now time.Time, v mesh.View) {
-	f.opts.State.tick(now, storeStatus{unavailable: f.storeUnavailable(v), answeredSpans: peerAnsweredSpans(v)})
+	f.opts.State.tick(now, storeStatus{unavailable: f.storeUnavailable(v), answeredSpans: peerAnsweredSpans(v), failedSpans: peerFailedSpans(v)})
 }
 
 // peerAnsweredSpans returns the time spans in which the store's log answered other instances, as
@@ -132,6 +165,16 @@
 	return spans
 }
 
+// peerFailedSpans returns the time spans in which calls of other instances had no answer from the
+// store's log, as reported by them and by the bridges of the other zones.
+func peerFailedSpans(v mesh.View) []registry.Span {
+	spans := zoneFailures(v)
+	for i := range v.Zones {
+		spans = append(spans, v.Zones[i].LogFailure)
+	}
+	return spans
+}
+
 // Calls returns the number of calls made to the store.
 func (f *Follower) Calls() int64 {
 	f.mu.Lock()
--- a/statesync/path_model_test.go
+++ b/statesync/path_model_test.go
@@ -299,6 +299,8 @@
 	up, down linkModel
 
 	mu sync.Mutex
+	// killed is set once the process has been killed.
+	killed bool
 	// pullConns are the kept connections to peers, and pullsSilenced counts how often the open ones
 	// went silent.
 	pullConns     map[string]int
@@ -392,6 +394,21 @@
 	go m.tick(ctx)
 }
 
+// kill ends the instance's process.
+func (m *instanceModel) kill() {
+	m.stop()
+	m.markDisturbed(time.Now().Add(time.Hour))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.killed = true
+}
+
+func (m *instanceModel) isKilled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.killed
+}
+
 func (m *instanceModel) view() mesh.View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -422,6 +439,7 @@
 		m.sendToZone(p)
 		if m.isBridge() && time.Since(digestAt) >= digestInterval {
 			digestAt = time.Now()
+			m.follower.FillDigest(p)
 			m.sendToZones(p)
 		}
 		interval := m.fleet.interval
@@ -511,7 +529,7 @@
 func (m *instanceModel) receiveZone(p *mesh.Packet, transit time.Duration) {
 	now := time.Now()
 	m.mu.Lock()
-	m.zones[p.Zone] = mesh.Zone{Name: p.Zone, Instances: 1, Log: p.Log, LastDigest: now, LogAvailability: p.LogAvailability.Span(now.Add(-transit))}
+	m.zones[p.Zone] = mesh.Zone{Name: p.Zone, Instances: 1, Log: p.Log, LastDigest: now, LogAvailability: p.LogAvailability.Span(now.Add(-transit)), LogFailure: p.LogFailure.Span(now.Add(-transit))}
 	m.mu.Unlock()
 	m.handleDepartures(p, false)
 	if m.state.Behind(now, p.Document, p.Position()) {
@@ -535,6 +553,9 @@
 		return nil, r.Context().Err()
 	}
 	peer := f.byAddr[r.URL.Host]
+	if peer.isKilled() {
+		return nil, errors.New("connection refused")
+	}
 	return serveOver(pathModel{&peer.up, &t.from.down}, peer.state, r)
 }
 
--- a/statesync/path_test.go
+++ b/statesync/path_test.go
@@ -170,6 +170,29 @@
 	})
 }
 
+// TestRemovalIsInForceAsAllReadersEnd guards against taking the end of all readers of the store, and
+// the time until others read in their place, for an outage of the store: a target whose entry was
+// removed at that time was used for up to 3.9 s.
+func TestRemovalIsInForceAsAllReadersEnd(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, f *fleetModel) {
+		f.packetLoss = 0
+		f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
+			f.register(ids[7], 2) // the readers pause, then read
+			time.Sleep(f.randomDuration(maxTargetsWait))
+			for _, z := range f.zones {
+				for _, m := range f.readersOf(z) {
+					m.kill()
+				}
+			}
+			time.Sleep(f.randomDuration(coalesceDelay))
+			f.checkRemoval(t, 5*time.Second, func() []fleet.TargetID {
+				f.store.put(ids[0], nil)
+				return ids[:1]
+			})
+		})
+	})
+}
+
 // outageKind is the way in which the store is unavailable: calls hang, or fail at once if rejects
 // is set; broken also breaks the open connections.
 type outageKind struct{ rejects, broken bool }
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -247,11 +247,15 @@
 	f.mu.Lock()
 	if err != nil && !errors.Is(err, ErrExpired) {
 		f.answeredSince = time.Time{}
+		f.recordFailureLocked(registry.Span{From: start, Until: now})
 		f.mu.Unlock()
 		return
 	}
 	switch late := now.Sub(start) > pollWait+lateResponseThreshold; {
-	case late, f.answeredSince.IsZero() && pollWait < f.opts.longWait(Targets):
+	case late:
+		f.recordFailureLocked(registry.Span{From: start, Until: now})
+		f.answeredSince = now
+	case f.answeredSince.IsZero() && pollWait < f.opts.longWait(Targets):
 		f.answeredSince = now
 	case f.answeredSince.IsZero():
 		f.answeredSince = start // the instance became a reader during this read
@@ -261,6 +265,12 @@
 	f.opts.State.recordAnswered(span)
 }
 
+// recordFailureLocked records a span in which a read of targets had no answer in time. The caller holds f.mu.
+func (f *Follower) recordFailureLocked(s registry.Span) {
+	f.lastFailure = s
+	f.opts.State.recordFailed(s)
+}
+
 // setPendingRead records the function that cancels the stream's read; cancel is nil once the read
 // has ended.
 func (f *Follower) setPendingRead(s Stream, from registry.Position, cancel context.CancelCauseFunc) {
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -44,6 +44,10 @@
 	// restores counts restores of the store, and unconfirmed the targets that were kept then
 	// although the copy lacked them.
 	restores, unconfirmed int64
+	// lastGap is the time without answers of the store that was last logged, and lastGapOutage
+	// whether it counted as an outage then.
+	lastGap       registry.Span
+	lastGapOutage bool
 	// epochAdvanced is true if the epoch has advanced since onRestore was last called.
 	epochAdvanced bool
 	// behindSince is when a peer first reported a newer document than the current one;
@@ -293,8 +297,9 @@
 type storeStatus struct {
 	// unavailable is true if some instance gets no responses and none is known to get any.
 	unavailable bool
-	// answeredSpans are periods in which others got responses.
-	answeredSpans []registry.Span
+	// answeredSpans are periods in which others got responses, failedSpans such in which calls of
+	// others got none.
+	answeredSpans, failedSpans []registry.Span
 }
 
 // recordAnswered records a period in which the store's log responded to this instance.
@@ -304,6 +309,13 @@
 	s.registry.RecordAnswered(span)
 }
 
+// recordFailed records a period in which a call of this instance had no response from the store's log.
+func (s *State) recordFailed(span registry.Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.RecordFailed(span)
+}
+
 // lastAnswered returns the latest period in which the store's log is known to have responded
 // to any instance.
 func (s *State) lastAnswered() registry.Span {
@@ -330,23 +342,35 @@
 
 // updateAvailability passes the store's status to the registry and logs changes.
 func (s *State) updateAvailability(now time.Time, status storeStatus) {
-	before := s.registry.LastOutage()
 	for _, span := range status.answeredSpans {
 		s.registry.RecordAnswered(span)
 	}
-	if s.registry.SetUnavailable(status.unavailable) {
+	for _, span := range status.failedSpans {
+		s.registry.RecordFailed(span)
+	}
+	if s.registry.SetUnavailable(now, status.unavailable) {
 		eventlog.Info(eventlog.StoreUnavailable, "away", status.unavailable, "answered_ms", now.Sub(s.registry.LastAnswered().Until).Milliseconds())
 	}
-	after := s.registry.LastOutage()
-	if before.From.Equal(after.From) {
+	s.logGap(now)
+}
+
+// logGap logs the last time without answers of the store when it becomes known, or when what it
+// counts as changes. Spans are pruned, so that a gap may also be forgotten.
+func (s *State) logGap(now time.Time) {
+	gap, outage := s.registry.LastGap()
+	if gap.From.Equal(s.lastGap.From) && outage == s.lastGapOutage {
 		return
 	}
-	outage := after
-	if outage.IsZero() {
-		outage = before
+	logged, why := gap, "nobody called"
+	switch {
+	case gap.IsZero():
+		logged, why = s.lastGap, "others were answered, or it is long ago"
+	case outage:
+		why = "calls failed"
 	}
-	eventlog.Info(eventlog.StoreOutage, "known", !after.IsZero(), "lasted_ms", outage.Until.Sub(outage.From).Milliseconds(),
-		"ended_ms", now.Sub(outage.Until).Milliseconds())
+	s.lastGap, s.lastGapOutage = gap, outage
+	eventlog.Info(eventlog.StoreOutage, "known", outage, "why", why, "lasted_ms", logged.Until.Sub(logged.From).Milliseconds(),
+		"ended_ms", now.Sub(logged.Until).Milliseconds())
 }
 
 // logGracePeriods logs targets that stay in use for a grace period after their entries have
