statesync: what a new reader learns of is as old as what the last one knew

By the sum of the code's bounds a target without a notice was used up to 2.4 s after its entry was gone (bound 2.0 s) if all readers of the store ended during their pause (0.4 s) after another change.

Cause: an instance that begins to read took a removal in its first read to be as old as its last look at its role, 0.2 s. It may be as old as the last answer that any reader had, and the 0.8 s for which the target is kept began too late.

Change: readers tell in heartbeats and announcements as of when their state is complete, an instance takes that over from the readers whose state it has, and a removal in a read that is answered at once counts from there, unless the store may have been away since then. gateway.state.age-ms shows it by stream. A read that ends before the store's last record confirms nothing, and is followed by the next at once.

Ruled out: to count from the last answer also where a late read is repeated: an outage may have been the reason (TestLapsesDuringLateReadKeepTargets).

--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -99,7 +99,11 @@
 	gauge("gateway.store.calls", g.follower.Calls())
 	gauge("gateway.store.state", int64(g.follower.LogState()))
 	for _, s := range statesync.Streams() {
-		m.Registry.Gauge("gateway.store.unanswered-ms", telemetry.Label{Key: "stream", Value: s.String()}).Update(g.follower.Unanswered(s).Milliseconds())
+		stream := telemetry.Label{Key: "stream", Value: s.String()}
+		m.Registry.Gauge("gateway.store.unanswered-ms", stream).Update(g.follower.Unanswered(s).Milliseconds())
+		if at := g.state.CompleteAt(s); !at.IsZero() {
+			m.Registry.Gauge("gateway.state.age-ms", stream).Update(time.Since(at).Milliseconds())
+		}
 	}
 	gauge("gateway.connections.opened", g.client.Cache.Opened())
 	gauge("gateway.responses.held-bytes", g.handler.Responses.memory.heldBytes.Load())
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -70,6 +70,9 @@
 	// LogFailure is the last span in which a call of the member had no answer from the store's log;
 	// zero if it reported none.
 	LogFailure registry.Span
+	// DocumentsComplete and TargetsComplete are when the member, a reader of the store, last had the
+	// newest document and all changes of targets; zero if it has not told.
+	DocumentsComplete, TargetsComplete time.Time
 	// Instances is the number of instances that the member counts; 0 if it may have discovered only
 	// some of them.
 	Instances int
@@ -107,6 +110,19 @@
 	if p.LogFailure != nil {
 		m.LogFailure = p.LogFailure.Span(now)
 	}
+	if p.Complete != nil {
+		m.DocumentsComplete = timeOfAge(now, p.Complete.DocumentsMillis)
+		m.TargetsComplete = timeOfAge(now, p.Complete.TargetsMillis)
+	}
+}
+
+// timeOfAge converts an age in a packet that has just arrived to a time. It returns zero if the age is
+// invalid.
+func timeOfAge(now time.Time, ageMillis int64) time.Time {
+	if ageMillis < 0 || ageMillis > maxAgeMillis {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ageMillis) * time.Millisecond)
 }
 
 type member struct {
@@ -235,6 +251,7 @@
 	if restarted {
 		m.Document, m.Registry, m.Instances, m.Paths = 0, registry.Position{}, 0, nil
 		m.LogAvailability, m.LogFailure = registry.Span{}, registry.Span{}
+		m.DocumentsComplete, m.TargetsComplete = time.Time{}, time.Time{}
 	}
 	if m.changesVersions(p) {
 		ms.versionsChanged = true
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -240,7 +240,7 @@
 	}
 	n.mu.Unlock()
 	q := n.newVersionedPacket()
-	q.LogAvailability, q.LogFailure = p.LogAvailability, p.LogFailure
+	q.LogAvailability, q.LogFailure, q.Complete = p.LogAvailability, p.LogFailure, p.Complete
 	n.send(Announcements, q, to)
 }
 
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -90,6 +90,16 @@
 	// receivers do not pass it on, so that its end does not grow with each hop. Earlier versions
 	// ignore and do not send it.
 	LogFailure *AgeSpan `cbor:"35,keyasint,omitempty"`
+	// Complete tells as of when a reader of the store has its state. Heartbeats and announcements of
+	// readers carry it. Earlier versions ignore and do not send it.
+	Complete *CompleteAges `cbor:"36,keyasint,omitempty"`
+}
+
+// CompleteAges are the times since the sender's state was last known to lack nothing that the store had
+// accepted, as ages at the time of the datagram.
+type CompleteAges struct {
+	_                              struct{} `cbor:",toarray"`
+	DocumentsMillis, TargetsMillis int64
 }
 
 // Rejections count the attempts at a service's targets in one zone and how many of them were rejected.
--- a/registry/availability.go
+++ b/registry/availability.go
@@ -141,6 +141,12 @@
 	return changed
 }
 
+// MayBeOutage reports whether the log may have been unavailable during a time without answers, so long
+// that entries lapsed.
+func (r *Registry) MayBeOutage(gap Span) bool {
+	return gap.Until.Sub(gap.From) >= minOutage && r.availability.failedIn(gap)
+}
+
 // LastGap returns the last time between two spans with answers, and whether it was an outage of the
 // log; zero if there is none.
 func (r *Registry) LastGap() (gap Span, outage bool) {
--- /dev/null
+++ b/statesync/complete.go
@@ -0,0 +1,67 @@
+package statesync
+
+import (
+	"time"
+
+	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/registry"
+)
+
+// A state of a stream is complete as of a time if it has every change that the store had accepted
+// then. Readers of the store know this by the answers to their reads; the others by what readers of
+// their zone tell whose state they have.
+
+// confirm records that the state of the stream is complete as of a time.
+func (s *State) confirm(stream Stream, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.completeAt[stream]) {
+		s.completeAt[stream] = at
+	}
+}
+
+// confirmByPeers confirms the state by that of the readers of the zone, as far as this instance has
+// what they have.
+func (s *State) confirmByPeers(v mesh.View) {
+	version, position := s.Versions()
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.Zone != v.Zone {
+			continue
+		}
+		if m.Document <= version {
+			s.confirm(Documents, m.DocumentsComplete)
+		}
+		if !m.Registry.After(position) {
+			s.confirm(Targets, m.TargetsComplete)
+		}
+	}
+}
+
+// CompleteAt returns the time as of which the state of the stream is known to be complete; zero if
+// that is not known yet.
+func (s *State) CompleteAt(stream Stream) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.completeAt[stream]
+}
+
+// changesSince returns the time after which the store accepted the changes that a read returns at
+// once, and whether it is known. It is not if the store may have been unavailable since then.
+func (s *State) changesSince(stream Stream) (at time.Time, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at = s.completeAt[stream]
+	return at, !at.IsZero() && !s.registry.MayBeOutage(registry.Span{From: at, Until: s.clock()})
+}
+
+// completeAges returns the ages of the state's streams, or nil if one is not known to be complete.
+func (s *State) completeAges(now time.Time) *mesh.CompleteAges {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	documents, targets := s.completeAt[Documents], s.completeAt[Targets]
+	if documents.IsZero() || targets.IsZero() {
+		return nil
+	}
+	return &mesh.CompleteAges{DocumentsMillis: now.Sub(documents).Milliseconds(), TargetsMillis: now.Sub(targets).Milliseconds()}
+}
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -103,10 +103,13 @@
 
 // Fill sets the fields of a packet that describe the instance's state and the store.
 func (f *Follower) Fill(p *mesh.Packet) {
+	now := time.Now()
+	p.Log = f.LogState()
+	if p.Log != mesh.LogUnread {
+		p.Complete = f.opts.State.completeAges(now) // before the versions, which it must not be ahead of
+	}
 	version, position := f.opts.State.Versions()
 	p.Document, p.Registry, p.Epoch = version, position.Offset, position.Epoch
-	p.Log = f.LogState()
-	now := time.Now()
 	p.LogAvailability = mesh.NewAgeSpan(now, f.opts.State.lastAnswered())
 	p.LogFailure = mesh.NewAgeSpan(now, f.failure())
 }
@@ -144,6 +147,7 @@
 // expires by time.
 func (f *Follower) Tick(now time.Time, v mesh.View) {
 	f.opts.State.tick(now, storeStatus{unavailable: f.storeUnavailable(v), answeredSpans: peerAnsweredSpans(v), failedSpans: peerFailedSpans(v)})
+	f.opts.State.confirmByPeers(v)
 }
 
 // peerAnsweredSpans returns the time spans in which the store's log answered other instances, as
--- a/statesync/path_test.go
+++ b/statesync/path_test.go
@@ -139,6 +139,15 @@
 	return readers
 }
 
+// killReaders kills all instances that read the store.
+func (f *fleetModel) killReaders() {
+	for _, z := range f.zones {
+		for _, m := range f.readersOf(z) {
+			m.kill()
+		}
+	}
+}
+
 // silenceReads makes the instance's pending store reads hang without a response.
 func (m *instanceModel) silenceReads() {
 	m.store.mu.Lock()
@@ -179,11 +188,7 @@
 		f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
 			f.register(ids[7], 2) // the readers pause, then read
 			time.Sleep(f.randomDuration(maxTargetsWait))
-			for _, z := range f.zones {
-				for _, m := range f.readersOf(z) {
-					m.kill()
-				}
-			}
+			f.killReaders()
 			time.Sleep(f.randomDuration(coalesceDelay))
 			f.checkRemoval(t, 5*time.Second, func() []fleet.TargetID {
 				f.store.put(ids[0], nil)
@@ -193,6 +198,24 @@
 	})
 }
 
+// TestRemovalBeforeReadersEndCountsFromThere guards against a grace period that begins when others
+// read in place of readers that ended: they paused, and the entry had been removed before that. The
+// target was used for longer than the model allows.
+func TestRemovalBeforeReadersEndCountsFromThere(t *testing.T) {
+	forEachFleet(t, func(t *testing.T, f *fleetModel) {
+		f.packetLoss = 0
+		f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
+			f.register(ids[7], 2)
+			time.Sleep(coalesceDelay / 8) // the readers have begun to pause
+			time.AfterFunc(f.randomDuration(coalesceDelay*3/4), f.killReaders)
+			f.checkRemoval(t, 5*time.Second, func() []fleet.TargetID {
+				f.store.put(ids[0], nil)
+				return ids[:1]
+			})
+		})
+	})
+}
+
 // outageKind is the way in which the store is unavailable: calls hang, or fail at once if rejects
 // is set; broken also breaks the open connections.
 type outageKind struct{ rejects, broken bool }
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -135,7 +135,7 @@
 			f.idleSince[s] = time.Now()
 			continue
 		}
-		n, err := f.readOnce(ctx, s)
+		changed, err := f.readOnce(ctx, s)
 		if ctx.Err() != nil {
 			return
 		}
@@ -154,7 +154,7 @@
 		}
 		b.Reset()
 		f.idleSince[s] = time.Now()
-		if n > 0 {
+		if changed {
 			wait.For(ctx, f.pauseAfterChanges(s))
 		}
 	}
@@ -176,25 +176,31 @@
 	return maxTakeoverBackoff
 }
 
-// readOnce makes one store call for the stream and returns the number of changes received.
-func (f *Follower) readOnce(ctx context.Context, s Stream) (int, error) {
+// readOnce makes one store call for the stream. It reports whether there were changes and all of them
+// were received, so that a pause lets further ones gather.
+func (f *Follower) readOnce(ctx context.Context, s Stream) (changed bool, err error) {
 	next := f.opts.State.next(s)
 	if next.Offset == 0 && !f.hasSnapshot(s) {
-		return 0, f.readSnapshot(ctx, s)
+		return false, f.readSnapshot(ctx, s)
 	}
 	b, err := f.readChanges(ctx, s, next)
 	// The changes of a later epoch do not follow the known state.
 	if errors.Is(err, ErrExpired) || b.Epoch > next.Epoch {
-		return 0, f.readSnapshot(ctx, s)
+		return false, f.readSnapshot(ctx, s)
 	}
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	if b.earlierThan(next.Epoch) {
-		return 0, errStaleEpoch
+		return false, errStaleEpoch
 	}
+	answeredAt := time.Now()
 	f.opts.State.applyBatch(s, b, "store")
-	return len(b.Records), nil
+	if b.More {
+		return false, nil
+	}
+	f.opts.State.confirm(s, answeredAt)
+	return len(b.Records) > 0, nil
 }
 
 // readChanges waits for changes from a position on. It returns errRestored if the store is found
@@ -218,7 +224,7 @@
 	})
 	// The age of what a repetition returns is unknown: the store may have been unavailable until then.
 	if time.Since(start) < maxImmediateLatency {
-		b.MaxAge = time.Since(f.idleSince[s])
+		b.MaxAge = time.Since(f.changesSince(s))
 	}
 	if cause := context.Cause(readCtx); err != nil && (errors.Is(cause, errRestored) || errors.Is(cause, errSuperseded)) {
 		return Batch{}, cause
@@ -229,6 +235,16 @@
 	return b, err
 }
 
+// changesSince returns the time after which the store accepted the changes that a read returns at once:
+// they are those that the state lacked before. If the store was unavailable meanwhile, they are taken
+// to be as old as the time since which this instance does not read.
+func (f *Follower) changesSince(s Stream) time.Time {
+	if at, known := f.opts.State.changesSince(s); known {
+		return at
+	}
+	return f.idleSince[s]
+}
+
 // Unanswered returns the time since the store last answered a read of the stream; 0 if the instance
 // is not a reader or has not read the stream yet.
 func (f *Follower) Unanswered(s Stream) time.Duration {
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -44,6 +44,8 @@
 	// restores counts restores of the store, and unconfirmed the targets that were kept then
 	// although the copy lacked them.
 	restores, unconfirmed int64
+	// completeAt is, per stream, the time as of which the state is known to be complete.
+	completeAt [streamCount]time.Time
 	// lastGap is the time without answers of the store that was last logged, and lastGapOutage
 	// whether it counted as an outage then.
 	lastGap       registry.Span
--- a/statesync/store.go
+++ b/statesync/store.go
@@ -46,6 +46,8 @@
 	Next    registry.Offset
 	Epoch   registry.Epoch // 0 if the store reports none
 	Records []Record
+	// More is set if the store has further records after these.
+	More bool
 	// MaxAge is the upper bound of the records' age, set if the reader knows that the records were
 	// written while it did not read.
 	MaxAge time.Duration
