--- a/eventlog/event.go
+++ b/eventlog/event.go
@@ -67,8 +67,11 @@
 	StoreUnavailable Event = "store-away"
 	// StoreOutage is logged when a period in which the store answered no instance becomes
 	// known, with whether it counts as an outage and why.
-	StoreOutage     Event = "store-outage"
-	EntryRefused    Event = "entry-refused"
+	StoreOutage  Event = "store-outage"
+	EntryRefused Event = "entry-refused"
+	// EntriesDropped is logged for the records of a snapshot that were refused beyond those that
+	// are logged one by one.
+	EntriesDropped  Event = "entries-dropped"
 	TargetSuspected Event = "target-suspected"
 	TargetCleared   Event = "target-cleared"
 	// PathAvoided is logged when the path from this instance to a target fails and is
--- a/statesync/recorderror.go
+++ b/statesync/recorderror.go
@@ -83,6 +83,20 @@
 	eventlog.Error(event, err, "stream", s.String(), "key", key, "cause", r.cause, "offset", o)
 }
 
+// countDropped counts refused records of a snapshot whose keys and causes are not reported.
+func (rs *refusals) countDropped(s Stream, n int) {
+	if n == 0 {
+		return
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.counts == nil {
+		rs.counts = make(map[Cause]int64)
+	}
+	rs.counts[Unreadable] += int64(n)
+	eventlog.Info(eventlog.EntriesDropped, "stream", s.String(), "records", n)
+}
+
 // RefusedRecords returns the number of records refused so far, by cause.
 func (s *State) RefusedRecords() map[Cause]int64 {
 	s.refusals.mu.Lock()
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -197,7 +197,7 @@
 		s.nextDocument = registry.Later(s.nextDocument, b.after(s.nextDocument.Epoch))
 	case Targets:
 		before := s.registry.Next()
-		changed = s.registry.Replace(s.clock(), registry.Snapshot{Next: b.after(before.Epoch), Entries: s.entriesOf(b.Records)})
+		changed = s.registry.Replace(s.clock(), registry.Snapshot{Next: b.after(before.Epoch), Entries: s.entriesOf(b)})
 		s.storeOnly = s.storeOnly || s.registry.Next().Epoch != before.Epoch
 		s.recordRestore(from)
 		s.publish(from)
@@ -227,11 +227,12 @@
 	return s.restores, s.unconfirmed
 }
 
-// entriesOf returns the entries of the records. Records that could not be decoded are logged
+// entriesOf returns the entries of a snapshot. Records that could not be decoded are logged
 // and skipped.
-func (s *State) entriesOf(records []Record) []registry.Entry {
+func (s *State) entriesOf(b Batch) []registry.Entry {
 	var entries []registry.Entry
-	for _, r := range records {
+	s.refusals.countDropped(Targets, b.Dropped)
+	for _, r := range b.Records {
 		if r.Err != nil {
 			s.refusals.record(eventlog.EntryRefused, Targets, string(r.ID), r.Offset, r.Err)
 			continue
--- a/statesync/store.go
+++ b/statesync/store.go
@@ -46,6 +46,8 @@
 	Next    registry.Offset
 	Epoch   registry.Epoch // 0 if the store reports none
 	Records []Record
+	// Dropped is the number of further records that could not be decoded and are not in Records.
+	Dropped int
 	// More is set if the store has further records after these.
 	More bool
 	// MaxAge is the upper bound of the records' age, set if the reader knows that the records were
