statesync: a reader whose read is late tells its zone

Cause: a reader told its followers nothing between the end of a read's wait and the failure of the call 1.2 s later. Ruled out: a late takeover (0.05 s after the report), an answered repetition.

Change: 0.3 s past its wait a reader tells its zone that its answer is late. If that is so for all readers of a zone the next instance by rank reads at once, without waiting for its next look at its role. A late answer is no outage.

Why it holds: wait and pause are 1.1 s together, 0.3 s until the read is late, and a read and a pull of the others take 0.16 s.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -197,7 +197,8 @@
 // zone.
 func (g *Gateway) readsStore() (registry.Epoch, bool) {
 	_, position := g.state.Versions()
-	return position.Epoch, g.follower.LogState() == mesh.LogAvailable
+	log := g.follower.LogState()
+	return position.Epoch, log == mesh.LogAvailable || log == mesh.LogLate
 }
 
 // sendUpdate sends an update to the other instances at once.
@@ -228,6 +229,9 @@
 	if g.state.Behind(now, p.Document, p.Position()) {
 		g.follower.NotifyAhead()
 	}
+	if p.Zone == g.settings.Zone && p.Log.Doubtful() {
+		g.follower.NotifyDoubt()
+	}
 }
 
 // lendBudget responds to loan requests of an instance of the own zone.
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -295,8 +295,14 @@
 	LogAvailable
 	// LogUnavailable means that the log did not respond to the instance's last call.
 	LogUnavailable
+	// LogLate means that the log responded to the instance's last call, and the response to the present
+	// one is late. Earlier versions do not send it, and take it for no response.
+	LogLate
 )
 
+// Doubtful reports whether an instance in this state may get no response to its present call.
+func (s LogState) Doubtful() bool { return s == LogUnavailable || s == LogLate }
+
 // Load is the number of requests that an instance has in flight at a target.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -39,9 +39,11 @@
 	mu           sync.Mutex
 	logStates    [streamCount]mesh.LogState
 	snapshotDone [streamCount]bool
-	storeLost    bool
-	isReader     bool
-	calls        int64
+	// late is, per stream, whether the response to the present read is late.
+	late      [streamCount]bool
+	storeLost bool
+	isReader  bool
+	calls     int64
 	// answeredAt is, per stream, when the store last answered a read.
 	answeredAt [streamCount]time.Time
 	// idleSince is, per stream, the time since which no read was in progress before the latest
@@ -51,6 +53,8 @@
 	idleSince [streamCount]time.Time
 	// pendingReads holds the read of each stream that waits for changes.
 	pendingReads [streamCount]pendingRead
+	// roleNotify is signaled, per stream, when the instance must check at once whether it is a reader.
+	roleNotify [streamCount]chan struct{}
 	// restoreNotify is signaled when the store was restored, so that the instance announces itself
 	// again.
 	restoreNotify chan struct{}
@@ -67,6 +71,9 @@
 // NewFollower returns a follower that is started with Run.
 func NewFollower(o Options) *Follower {
 	f := &Follower{opts: o, puller: newPuller(), restoreNotify: make(chan struct{}, 1), started: time.Now()}
+	for s := range f.roleNotify {
+		f.roleNotify[s] = make(chan struct{}, 1)
+	}
 	f.pullKinds = f.newPullKinds()
 	if o.State != nil {
 		o.State.OnRestore(f.handleRestore)
@@ -95,10 +102,16 @@
 	if !f.isReader {
 		return mesh.LogUnread
 	}
-	if f.logStates[Documents] == mesh.LogUnread || f.logStates[Targets] == mesh.LogUnread {
+	documents, targets := f.logStates[Documents], f.logStates[Targets]
+	switch {
+	case documents == mesh.LogUnread || targets == mesh.LogUnread:
 		return mesh.LogUnread
+	case documents == mesh.LogUnavailable || targets == mesh.LogUnavailable:
+		return mesh.LogUnavailable
+	case f.late[Documents] || f.late[Targets]:
+		return mesh.LogLate
 	}
-	return max(f.logStates[Documents], f.logStates[Targets])
+	return mesh.LogAvailable
 }
 
 // Fill sets the fields of a packet that describe the instance's state and the store.
@@ -217,9 +230,22 @@
 // NotifyAhead signals that a peer has newer state.
 func (f *Follower) NotifyAhead() {
 	for _, k := range f.pullKinds {
-		select {
-		case k.notify <- struct{}{}:
-		default:
-		}
+		signal(k.notify)
+	}
+}
+
+// NotifyDoubt signals that a reader of the zone may get no response from the store, so that this
+// instance may have to read in its place.
+func (f *Follower) NotifyDoubt() {
+	for _, c := range f.roleNotify {
+		signal(c)
+	}
+}
+
+// signal sends to a channel of capacity 1 unless a signal is pending.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
--- a/statesync/hedge.go
+++ b/statesync/hedge.go
@@ -48,6 +48,7 @@
 			}
 			eventlog.Info(eventlog.StoreReadLate, "stream", s.String(), "offset", f.opts.State.next(s).Offset, "pending_ms", c.after.Milliseconds(),
 				"document", f.opts.State.version())
+			f.setLate(s, true)
 			f.countCall()
 			f.opts.Store.CloseIdleConnections()
 			go run(c.repeat)
--- a/statesync/path_model_test.go
+++ b/statesync/path_model_test.go
@@ -110,7 +110,9 @@
 	// instance's calls until rejectedUntil.
 	silenced      int
 	rejectedUntil time.Time
-	idle          []connectionID
+	// unansweredUntil is the time until which the instance's calls get no response.
+	unansweredUntil time.Time
+	idle            []connectionID
 }
 
 // connectionID identifies when a connection was opened, by how often the connections of the
@@ -164,7 +166,7 @@
 func (c *storeClient) isSilent(conn connectionID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.newest() != conn
+	return c.newest() != conn || time.Now().Before(c.unansweredUntil)
 }
 
 var errRejected = errors.New("503")
@@ -397,7 +399,6 @@
 // kill ends the instance's process.
 func (m *instanceModel) kill() {
 	m.stop()
-	m.markDisturbed(time.Now().Add(time.Hour))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.killed = true
@@ -515,6 +516,9 @@
 	if m.state.Behind(now, p.Document, p.Position()) {
 		m.follower.NotifyAhead()
 	}
+	if p.Zone == m.zone && p.Log.Doubtful() {
+		m.follower.NotifyDoubt()
+	}
 }
 
 // handleDepartures records departures, and forwards the new ones to the own zone if forward is
--- a/statesync/path_test.go
+++ b/statesync/path_test.go
@@ -31,6 +31,8 @@
 	maxDialDelay = 80 * time.Millisecond
 	// safetyMargin is the distance that the model has to keep from the guaranteed bound.
 	safetyMargin = 100 * time.Millisecond
+	// changeMargin is the distance from the bound that the path of a change has to keep in one disturbance.
+	changeMargin = 300 * time.Millisecond
 	// calmPeriod is how long an instance must have been undisturbed for the bound to apply to it.
 	calmPeriod = 3 * time.Second
 	// startupTime is the time after which the instances of a model fleet have discovered each
@@ -140,10 +142,14 @@
 }
 
 // killReaders kills all instances that read the store.
-func (f *fleetModel) killReaders() {
+func (f *fleetModel) killReaders() { f.disturbReaders((*instanceModel).kill) }
+
+// disturbReaders disturbs all instances that read the store.
+func (f *fleetModel) disturbReaders(disturb func(*instanceModel)) {
 	for _, z := range f.zones {
 		for _, m := range f.readersOf(z) {
-			m.kill()
+			disturb(m)
+			m.markDisturbed(time.Now().Add(time.Hour))
 		}
 	}
 }
@@ -216,6 +222,29 @@
 	})
 }
 
+// TestChangesAreInForceAsReadersGetNoAnswer guards against instances that stay behind because those
+// that read the store for them wait for its answer: a document was in force after 2.3 s, and a removed
+// target was used for 3.9 s. The changes fall into the pause of the readers after another one.
+func TestChangesAreInForceAsReadersGetNoAnswer(t *testing.T) {
+	const silence = 5 * time.Second
+	forEachFleet(t, func(t *testing.T, f *fleetModel) {
+		f.packetLoss = 0
+		f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
+			f.store.putDocument(documentOf(1))
+			f.register(ids[7], 2)
+			time.Sleep(60 * time.Millisecond)
+			writtenAt := time.Now()
+			f.store.putDocument(documentOf(2))
+			f.store.put(ids[0], nil)
+			time.Sleep(f.randomDuration(coalesceDelay / 2))
+			f.disturbReaders(func(m *instanceModel) { m.store.leaveUnanswered(time.Now().Add(silence)) })
+			outdated := func(m *instanceModel) bool { return m.state.version() < 2 || m.uses(ids[0]) }
+			last, by := f.lastOutdated(writtenAt, 5*time.Second, outdated)
+			assert.Assert(t, last <= maxUseAfterRemoval-changeMargin, "%s has an older document or uses a removed target %v after the change", by, last)
+		})
+	})
+}
+
 // outageKind is the way in which the store is unavailable: calls hang, or fail at once if rejects
 // is set; broken also breaks the open connections.
 type outageKind struct{ rejects, broken bool }
@@ -392,6 +421,17 @@
 	c.rejectedUntil = until
 }
 
+// leaveUnanswered makes the store leave the instance's calls, also those under way, unanswered until
+// the given time.
+func (c *storeClient) leaveUnanswered(until time.Time) {
+	c.mu.Lock()
+	c.unansweredUntil = until
+	c.mu.Unlock()
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.wakeAll()
+}
+
 // intN returns a random number in [0, n).
 func (f *fleetModel) intN(n int) int {
 	f.mu.Lock()
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -131,7 +131,7 @@
 	f.idleSince[s] = time.Now()
 	for ctx.Err() == nil {
 		if !f.updateRole() || f.awaitingPeers(s) {
-			wait.For(ctx, roleCheckInterval)
+			f.awaitRoleCheck(ctx, s)
 			f.idleSince[s] = time.Now()
 			continue
 		}
@@ -142,6 +142,7 @@
 		if errors.Is(err, errRestored) || errors.Is(err, errSuperseded) {
 			// The store has dropped the read's connection, and may have dropped idle ones.
 			f.opts.Store.CloseIdleConnections()
+			f.setLate(s, false)
 			f.idleSince[s] = time.Now()
 			continue
 		}
@@ -160,6 +161,15 @@
 	}
 }
 
+// awaitRoleCheck waits until the stream's role is to be checked again.
+func (f *Follower) awaitRoleCheck(ctx context.Context, s Stream) {
+	select {
+	case <-ctx.Done():
+	case <-f.roleNotify[s]:
+	case <-time.After(roleCheckInterval):
+	}
+}
+
 // pauseAfterChanges returns the pause after a read of the stream that returned changes.
 func (f *Follower) pauseAfterChanges(s Stream) time.Duration {
 	if s == Targets && f.opts.State.hasMassLapse() {
@@ -356,8 +366,24 @@
 
 // recordResult records whether the store answered, and announces a change of this to the peers.
 func (f *Follower) recordResult(s Stream, err error) {
+	f.announceChange(func() { f.updateLogState(s, err) })
+}
+
+// setLate records whether the response to the stream's read is late, and announces a change of this to
+// the peers: if it is so for all readers of the zone, another instance reads in their place. The
+// response itself may take until the call fails.
+func (f *Follower) setLate(s Stream, late bool) {
+	f.announceChange(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.late[s] = late
+	})
+}
+
+// announceChange makes a change, and announces it to the peers if it changes the state of the log.
+func (f *Follower) announceChange(change func()) {
 	before := f.LogState()
-	f.updateLogState(s, err)
+	change()
 	if f.LogState() != before && f.opts.Announce != nil {
 		f.opts.Announce()
 	}
@@ -366,7 +392,7 @@
 func (f *Follower) updateLogState(s Stream, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.logStates[s] = mesh.LogAvailable
+	f.logStates[s], f.late[s] = mesh.LogAvailable, false
 	if err != nil {
 		f.logStates[s] = mesh.LogUnavailable
 	} else {
--- a/statesync/role.go
+++ b/statesync/role.go
@@ -43,6 +43,7 @@
 		f.isReader = role
 		// Results from an earlier period as a reader are outdated.
 		f.logStates = [streamCount]mesh.LogState{}
+		f.late = [streamCount]bool{}
 		f.answeredAt = [streamCount]time.Time{}
 		f.answeredSince = time.Time{}
 	}
@@ -99,7 +100,7 @@
 // takeoverPosition returns the number of instances of the zone ranked before this one that may
 // still get responses from the store.
 func (o *Options) takeoverPosition(v mesh.View) int {
-	return o.countPreceding(v, func(m *mesh.Member) bool { return m.Log != mesh.LogUnavailable })
+	return o.countPreceding(v, func(m *mesh.Member) bool { return !m.Log.Doubtful() })
 }
 
 // countPreceding returns the number of instances of the zone ranked before this one for which
