registry: an outage too short for entries to lapse is none

In the model a target was used for up to 2.5 s after its entry was removed (bound 2.0 s), where the store refused, or did not answer, the instances that read it and served the others at once.

Cause: a second without answers in which a call failed counted as an outage of the store, and the readers' reads may have waited for 1.1 s before they were refused. Ruled out: late news, the removal is learned within 0.2 s.

Change: entries of live targets lapse only if the store was unavailable for four thirds of the interval at which targets write, which the settings of the host tell. Without it a second counts as before.

Why it holds: an entry lapses after three intervals without a renewal, up to one and two thirds of which may have passed before the outage.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 	g.paths = reachability.NewTable()
 	g.state = statesync.NewState(uint64(g.booted.UnixNano()), g.announceVersions)
 	g.state.SetRemovalBound(s.RemovalTimeout)
+	g.state.SetRenewalInterval(s.RenewalInterval)
 	g.state.SetLink(s.LinkBytes)
 	g.state.OnRestart(func(ids []fleet.TargetID) { g.knowledge.ResetRestarted(time.Now(), ids) })
 	g.client = &exchange.Client{Cache: exchange.NewCache(dialTimeout), Headers: s.Headers, MaxResponseBytes: maxResponseBytes, OnResponseHeader: g.handleResponseHeader, Admit: g.admits}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -51,6 +51,10 @@
 	// RemovalTimeout is the time within which a removed target must stop receiving
 	// requests. Default 2 s.
 	RemovalTimeout time.Duration
+	// RenewalInterval is the interval at which targets renew their entries in the store. It tells how
+	// long the store must be unavailable for entries of live targets to lapse. Default: not known, and a
+	// second counts as long enough.
+	RenewalInterval time.Duration
 	// MemoryBytes is the memory that the process may use. Default 256 MiB.
 	MemoryBytes int64
 	// MaxFiles is the number of descriptors that the process may open. Connections of callers, to targets and to other
--- a/registry/availability.go
+++ b/registry/availability.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// minOutage is the shortest gap between responses that may be an outage of the log. Entries
-	// lapse only in longer ones, and the handover between two readers of the log takes less.
-	minOutage = time.Second
+	// defaultMinOutage is the shortest gap between responses that may be an outage of the log, where
+	// the renewal interval of entries is not known. Entries lapse only in longer ones.
+	defaultMinOutage = time.Second
+	// minOutageIntervals is the same in renewal intervals. Entries lapse after three without a renewal,
+	// up to one and two thirds of which may have passed before the outage.
+	minOutageIntervals = 4.0 / 3
 	// maxFailures bounds the failed spans that are kept.
 	maxFailures = 64
 	// spanRetention is how long spans are kept: longer than any grace period.
@@ -29,6 +32,8 @@
 // as unavailable only while no instance got a response and a call of some instance failed: one
 // without a response proves nothing, and neither does a time in which nobody called.
 type logAvailability struct {
+	// minOutage is the shortest gap in which entries may lapse.
+	minOutage time.Duration
 	// spans are in order; the gaps between them are outages if a call failed in them.
 	spans []Span
 	// failures are times from the start of a call until it failed; those that overlap are merged.
@@ -37,14 +42,14 @@
 	unavailable bool
 }
 
-// record adds a span, merging those that are less than minOutage apart.
+// record adds a span, merging those between which no entry can have lapsed.
 func (a *logAvailability) record(s Span) {
 	covered := func(o Span) bool { return !s.From.Before(o.From) && !s.Until.After(o.Until) }
 	if s.IsZero() || s.Until.Before(s.From) || slices.ContainsFunc(a.spans, covered) {
 		return
 	}
-	before := func(o Span) bool { return s.From.Sub(o.Until) >= minOutage }
-	after := func(o Span) bool { return o.From.Sub(s.Until) >= minOutage }
+	before := func(o Span) bool { return s.From.Sub(o.Until) >= a.minOutage }
+	after := func(o Span) bool { return o.From.Sub(s.Until) >= a.minOutage }
 	var spans []Span
 	i := 0
 	for ; i < len(a.spans) && before(a.spans[i]); i++ {
@@ -120,6 +125,15 @@
 	return a
 }
 
+// SetRenewalInterval sets the interval at which targets renew their entries, which tells how short an
+// outage of the log may be in which entries of live targets lapse.
+func (r *Registry) SetRenewalInterval(interval time.Duration) {
+	r.availability.minOutage = defaultMinOutage
+	if interval > 0 {
+		r.availability.minOutage = time.Duration(minOutageIntervals * float64(interval))
+	}
+}
+
 // RecordAnswered records a span in which the log answered some instance.
 func (r *Registry) RecordAnswered(s Span) { r.availability.record(s) }
 
@@ -144,7 +158,7 @@
 // MayBeOutage reports whether the log may have been unavailable during a time without answers, so long
 // that entries lapsed.
 func (r *Registry) MayBeOutage(gap Span) bool {
-	return gap.Until.Sub(gap.From) >= minOutage && r.availability.failedIn(gap)
+	return gap.Until.Sub(gap.From) >= r.availability.minOutage && r.availability.failedIn(gap)
 }
 
 // LastGap returns the last time between two spans with answers, and whether it was an outage of the
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -195,6 +195,7 @@
 		departures: make(map[fleet.TargetID]departure),
 	}
 	r.SetRemovalBound(defaultRemovalBound)
+	r.SetRenewalInterval(0)
 	r.View()
 	return r
 }
--- a/statesync/path_model_test.go
+++ b/statesync/path_model_test.go
@@ -385,6 +385,7 @@
 	m.mu.Unlock()
 	m.state = NewState(1, m.announce)
 	m.state.SetRemovalBound(m.fleet.removalBound)
+	m.state.SetRenewalInterval(renewInterval)
 	m.follower = NewFollower(Options{
 		State: m.state, Store: m.store, Peers: m.view, Self: m.addr, Zone: m.zone, OnAddresses: func([]string) {}, Announce: m.announce,
 		DocumentTimeout: m.fleet.removalBound, RemovalTimeout: m.fleet.removalBound,
--- a/statesync/path_test.go
+++ b/statesync/path_test.go
@@ -222,6 +222,30 @@
 	})
 }
 
+// TestReadersWithoutAnswerAreNoOutage guards against taking for an outage of the store what only the
+// instances meet that read it, when their reads have waited for long: a target whose entry was removed
+// at that time was used for up to 2.5 s.
+func TestReadersWithoutAnswerAreNoOutage(t *testing.T) {
+	const outage = 5 * time.Second
+	for name, disturb := range map[string]func(c *storeClient, until time.Time){"refused": (*storeClient).refuse, "unanswered": (*storeClient).leaveUnanswered} {
+		t.Run(name, func(t *testing.T) {
+			forEachFleet(t, func(t *testing.T, f *fleetModel) {
+				f.packetLoss = 0
+				f.runWithTargets(t, 8, func(t *testing.T, ids []fleet.TargetID) {
+					f.register(ids[7], 2) // so that all readers begin to wait at once
+					time.Sleep(f.members[0].follower.opts.longWait(Targets) - f.randomDuration(100*time.Millisecond))
+					f.disturbReaders(func(m *instanceModel) { disturb(m.store, time.Now().Add(outage)) })
+					time.Sleep(f.randomDuration(maxTargetsWait))
+					f.checkRemoval(t, 5*time.Second, func() []fleet.TargetID {
+						f.store.put(ids[0], nil)
+						return ids[:1]
+					})
+				})
+			})
+		})
+	}
+}
+
 // TestChangesAreInForceAsReadersGetNoAnswer guards against instances that stay behind because those
 // that read the store for them wait for its answer: a document was in force after 2.3 s, and a removed
 // target was used for 3.9 s. The changes fall into the pause of the readers after another one.
@@ -427,9 +451,20 @@
 	c.mu.Lock()
 	c.unansweredUntil = until
 	c.mu.Unlock()
-	c.store.mu.Lock()
-	defer c.store.mu.Unlock()
-	c.store.wakeAll()
+	c.store.endWaits()
+}
+
+// refuse makes the store refuse the instance's calls, also those under way, until the given time.
+func (c *storeClient) refuse(until time.Time) {
+	c.rejectUntil(until)
+	c.store.endWaits()
+}
+
+// endWaits makes all reads that wait for changes look again.
+func (s *storeModel) endWaits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wakeAll()
 }
 
 // intN returns a random number in [0, n).
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -86,6 +86,13 @@
 	s.registry.SetRemovalBound(bound)
 }
 
+// SetRenewalInterval sets the interval at which targets renew their entries; 0 if it is not known.
+func (s *State) SetRenewalInterval(interval time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.SetRenewalInterval(interval)
+}
+
 // Table returns the current document, or nil if there is none yet.
 func (s *State) Table() *document.Table { return s.table.Load() }
 
