exchange: what the header of a response takes in memory is bounded and counted

What callers saw, at another operator's: a target sent bytes without end, the process that had called it kept them, ran out of memory and ended with the requests of others. Here a gateway of 96 MiB took 102 MiB where 240 callers met targets that send header lines of two bytes without end.

Cause: a header was bounded by its bytes on the connection (128 KiB), not by its lines, of which 32,000 take 2 MiB while they are read, and no header counted against the memory for responses.

Change: 8,192 lines at most, and beyond 16 KiB a header takes twice its bytes and 100 bytes a line from the memory for large responses.

Why it holds: all that grows with what a target sends is now either bounded for the response or acquired before it is read on.

--- a/exchange/bounds.go
+++ b/exchange/bounds.go
@@ -16,6 +16,14 @@
 const (
 	// MaxHeadBytes limits the status line and header of a response, with the interim responses before it.
 	MaxHeadBytes = 128 << 10
+	// maxHeadLines limits the lines of these. It is above readBufferSize, as the begin of a body may be read
+	// with its head.
+	maxHeadLines = 8 << 10
+	// A head takes headCopies times its bytes, as read and as fields, and fieldBytes for each line. The
+	// memory is acquired in steps of headStep bytes.
+	headCopies = 2
+	fieldBytes = 100
+	headStep   = 16 << 10
 	// maxInterimResponses limits the interim (1xx) responses before a response.
 	maxInterimResponses = 64
 	// With its chunk framing a body takes at most framingFactor times its decoded bytes, and in addition MaxHeadBytes
@@ -41,7 +49,7 @@
 // BoundError reports that a response exceeded a bound. The target may have run the request.
 type BoundError struct {
 	Part Part
-	// Bound is in bytes, or a number of responses for PartInterim.
+	// Bound is in bytes, or a number of responses for PartInterim, or of lines for PartHead.
 	Bound int64
 }
 
@@ -65,30 +73,66 @@
 	part  Part
 	bound int64
 	left  int64
-	// exceeded is set once more was to be read than is allowed.
-	exceeded bool
+	// head is what is counted of a head; nil for other parts.
+	head *headUse
+	// exceeded is why no more may be read; nil while more may be.
+	exceeded error
+}
+
+// headUse counts the lines of a head and the memory that it takes.
+type headUse struct {
+	lines, bytes, acquired int64
+	memory                 *responseMemory
+}
+
+// add counts bytes that were read, and acquires memory for them.
+func (h *headUse) add(b []byte) error {
+	h.lines += int64(bytes.Count(b, []byte("\n")))
+	h.bytes += int64(len(b))
+	if h.lines > maxHeadLines {
+		return &BoundError{PartHead, maxHeadLines}
+	}
+	for headCopies*h.bytes+fieldBytes*h.lines > h.acquired {
+		if err := h.memory.acquire(headStep); err != nil {
+			return err
+		}
+		h.acquired += headStep
+	}
+	return nil
 }
 
 // allow starts a part of at most bound bytes.
 func (b *boundedReader) allow(part Part, bound int64) {
-	b.part, b.bound, b.left, b.exceeded = part, bound, bound, false
+	b.part, b.bound, b.left, b.head, b.exceeded = part, bound, bound, nil, nil
+}
+
+// allowHead starts a head, which takes memory from mem.
+func (b *boundedReader) allowHead(mem *responseMemory) {
+	b.allow(PartHead, MaxHeadBytes)
+	b.head = &headUse{memory: mem, acquired: headStep} // an ordinary head acquires nothing
 }
 
 // Read implements io.Reader. It returns a *BoundError once the part has been read up to its bound.
 func (b *boundedReader) Read(p []byte) (int, error) {
 	if b.left <= 0 {
-		b.exceeded = true
-		return 0, &BoundError{b.part, b.bound}
+		b.exceeded = &BoundError{b.part, b.bound}
+		return 0, b.exceeded
 	}
 	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	if b.head != nil {
+		b.exceeded = b.head.add(p[:n])
+	}
+	if b.exceeded != nil {
+		return 0, b.exceeded
+	}
 	return n, err
 }
 
 // cause returns why the part could not be read: net/http may report an exceeded bound as a malformed line.
 func (b *boundedReader) cause(err error) error {
-	if err != nil && b.exceeded {
-		err = &BoundError{b.part, b.bound}
+	if err != nil && b.exceeded != nil {
+		err = b.exceeded
 	}
 	return errors.WithStack(err)
 }
@@ -109,8 +153,8 @@
 func (e shortError) Unwrap() error { return e.error }
 
 // readFinalHead reads the status and header of the next response, skipping interim ones.
-func (cn *conn) readFinalHead(method string) (*http.Response, error) {
-	cn.bounded.allow(PartHead, MaxHeadBytes)
+func (cn *conn) readFinalHead(method string, mem *responseMemory) (*http.Response, error) {
+	cn.bounded.allowHead(mem)
 	req := &http.Request{Method: method}
 	for range maxInterimResponses + 1 {
 		if err := cn.checkLines(); err != nil {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -363,7 +363,7 @@
 func (c *Client) read(cn *conn, t Target, r *Request, mem *responseMemory, res *Result) (*Response, bool, error) {
 	skipped := int64(0)
 	for n := range maxResponsesRead {
-		head, err := cn.readFinalHead(r.Method)
+		head, err := cn.readFinalHead(r.Method, mem)
 		if err != nil {
 			return nil, true, err
 		}
