gateway: a stop begins nothing that it may cut

Cause: whether the process may end before a request's deadline was asked when its header was there, not after its body, nor before a further attempt. Ruled out: connections that are not told to close, a grace time cut short.

Change: it is asked before each attempt and before a request is passed on to another instance; one that has not run is refused with 503, one that may have run goes on.

Why it holds: no attempt begins for a request that has not run unless its deadline is before the end.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,6 +35,9 @@
 // because of rates or backoffs.
 const reasonNoRequestsNow = "targets take no more requests now"
 
+// reasonStopping is the reason of a refusal by an instance that ends before the request may.
+const reasonStopping = "the instance is stopping"
+
 // reasonTimedOut is the reason of outcomeTimedOut.
 const reasonTimedOut = "no answer in time"
 
@@ -232,6 +235,9 @@
 	if r.relayAsked {
 		return outcome{}, false
 	}
+	if r.refuseUnended() {
+		return r.fallback, true
+	}
 	r.relayAsked = true
 	o, result := r.c.relay(r.ctx)
 	return o, result == relayTaken || result == relayDeclined && r.c.h.Paths.IsLost(r.c.service)
@@ -379,6 +385,9 @@
 // startAttempt starts an attempt at the target with the lowest expected cost. It returns
 // false if there is no target.
 func (r *attemptGroup) startAttempt() bool {
+	if r.refuseUnended() {
+		return false
+	}
 	c := r.c
 	now := time.Now()
 	targets := c.h.State.Targets().Services[c.service]
@@ -396,6 +405,17 @@
 	return true
 }
 
+// refuseUnended reports whether the request has not run and could be cut by the end of the process. It is
+// asked before each attempt: a body may have arrived, or a target rejected the request, late in a stop. The
+// request is then refused while that is still true; one that may have run goes on.
+func (r *attemptGroup) refuseUnended() bool {
+	if r.sent > 0 || r.running > 0 || r.fallback.kind != outcomeNotRun || !r.c.stopsBefore() {
+		return false
+	}
+	r.fallback = outcome{kind: outcomeNotRun, reason: reasonStopping}
+	return true
+}
+
 // place chooses a target whose rate limit, if it has announced one, allows the request.
 func (r *attemptGroup) place(now time.Time, targets []*registry.Target, w placement.Work) (Placement, bool) {
 	denied := r.c.h.Rates.denied(now, targets)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -110,9 +110,9 @@
 // DisableKeepAlive makes every response close its connection.
 func (h *Handler) DisableKeepAlive() { h.keepAliveDisabled.Store(true) }
 
-// RefuseDeadlinesAfter refuses new requests whose deadline is after the end of the
-// process. Others are still served: a refused caller may have no time left to retry, or
-// may not be allowed to.
+// RefuseDeadlinesAfter refuses requests whose deadline is after the end of the process, as
+// they arrive and before each attempt while they have not run. Others are still served: a
+// refused caller may have no time left to retry, or may not be allowed to.
 func (h *Handler) RefuseDeadlinesAfter(end time.Time) { h.shutdownAt.Store(&end) }
 
 // shutsDownBefore reports whether the process may end before t.
@@ -198,7 +198,7 @@
 		return c.fail(http.StatusBadRequest, problem.BadRequest, err.Error())
 	}
 	if c.h.shutsDownBefore(c.deadline) {
-		return c.refuse(problem.Overloaded, "the instance is stopping")
+		return c.refuse(problem.Overloaded, reasonStopping)
 	}
 	if !pipeline.IsRerun(c.r) {
 		if status := c.acquireQuota(); status != 0 {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -84,7 +84,7 @@
 	case len(c.h.State.Targets().Services[c.service]) == 0:
 		return "no target is known"
 	case c.h.shutsDownBefore(c.deadline):
-		return "the instance is stopping"
+		return reasonStopping
 	case c.standing() == quarantine.Quarantined && !m.Trial:
 		return "the content is in quarantine"
 	}
