message: text that is not UTF-8 is passed on; an entry under such a key is skipped

Cause: such a key was kept among the last changes and sent to peers as text of CBOR, whose decoder refuses the whole message.

Change: a key that is not UTF-8 is none of a target; its change keeps its place without it. Instances decode each other's messages with one decoder that passes text on as it is, also for relayed requests, whose header fields had the same fault. The error of an entry quotes 200 bytes at most.

Why it holds: nothing that another writer can put into a key reaches the text of a message, and if it does, it is no reason to refuse one.

--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/message"
 	"github.com/clementinereel/clementinereel/quarantine"
 	"github.com/clementinereel/clementinereel/quota"
 	"github.com/clementinereel/clementinereel/registry"
@@ -366,20 +367,12 @@
 // the bound, empty elements of one byte would each decode to a whole Packet.
 const maxElements = readBufferBytes / 16
 
-var decoding = newDecoding()
-
-func newDecoding() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxElements}.DecMode()
-	if err != nil {
-		panic(err) // cannot fail: the options are constants
-	}
-	return mode
-}
+var decoder = message.NewDecoder(maxElements)
 
 func decode(b []byte) (*Packet, error) {
 	p := new(Packet)
-	if err := decoding.Unmarshal(b, p); err != nil {
-		return nil, errors.WithStack(err)
+	if err := decoder.Decode(b, p); err != nil {
+		return nil, err
 	}
 	if p.Addr == "" {
 		return nil, errors.New("packet has no sender address")
--- a/relay/message.go
+++ b/relay/message.go
@@ -10,6 +10,7 @@
 
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
+	"github.com/clementinereel/clementinereel/message"
 )
 
 // Path is the HTTP path at which instances take requests from others.
@@ -117,7 +118,7 @@
 	if uint64(n) > uint64(len(b)) {
 		return nil, errors.Errorf("relayed message breaks off: %d of %d bytes", len(b), n)
 	}
-	if err := cbor.Unmarshal(b[:n], fields); err != nil {
+	if err := message.Decode(b[:n], fields); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	return b[n:], nil
--- a/statesync/encoding.go
+++ b/statesync/encoding.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/document"
+	"github.com/clementinereel/clementinereel/message"
 	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/transfer"
 )
@@ -44,7 +45,7 @@
 		return nil, err
 	}
 	d := new(document.Document)
-	return d, errors.WithStack(cbor.Unmarshal(b, d))
+	return d, message.Decode(b, d)
 }
 
 // documentTransfer returns the current document as sent to peers; nil if it is not newer than known.
--- a/statesync/peer.go
+++ b/statesync/peer.go
@@ -9,11 +9,11 @@
 	"strconv"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/header"
+	"github.com/clementinereel/clementinereel/message"
 	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/response"
 	"github.com/clementinereel/clementinereel/transfer"
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	t := new(DocumentTransfer)
-	return t, errors.WithStack(cbor.Unmarshal(body, t))
+	return t, message.Decode(body, t)
 }
 
 // get returns the body that the peer serves. It ends when no byte arrives in time.
@@ -149,8 +149,12 @@
 
 func decodePeerSnapshot(body []byte) (PeerSnapshot, error) {
 	var w PeerSnapshot
-	if err := cbor.Unmarshal(body, &w); err != nil {
-		return w, errors.WithStack(err)
+	if err := message.Decode(body, &w); err != nil {
+		return w, err
 	}
-	return w, registry.SetStartTimes(w.entries(), w.Starts)
+	if err := registry.SetStartTimes(w.entries(), w.Starts); err != nil {
+		return w, err
+	}
+	w.dropForeign()
+	return w, nil
 }
--- a/statesync/peersnapshot.go
+++ b/statesync/peersnapshot.go
@@ -1,7 +1,9 @@
 package statesync
 
 import (
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/registry"
@@ -57,6 +59,23 @@
 	return es
 }
 
+// dropForeign removes what is not of targets: entries of other writers whose keys are no text, which
+// instances of earlier versions pass on. Their changes stay, without an effect, as changes have no gaps.
+func (w *PeerSnapshot) dropForeign() {
+	w.Entries = slices.DeleteFunc(w.Entries, func(e registry.Entry) bool { return !utf8.ValidString(string(e.ID)) })
+	for i := range w.Changes {
+		w.Changes[i] = withoutForeign(w.Changes[i])
+	}
+}
+
+// withoutForeign returns the change, or one without an effect in its place if it is not of a target.
+func withoutForeign(c registry.Change) registry.Change {
+	if utf8.ValidString(string(c.ID)) {
+		return c
+	}
+	return registry.Change{Offset: c.Offset}
+}
+
 // pullRequest describes what a peer requests.
 type pullRequest struct {
 	// document and registry are the versions that the requester has.
--- a/statesync/recorderror.go
+++ b/statesync/recorderror.go
@@ -31,8 +31,14 @@
 // NewRecordError returns the error of a record that cannot be used.
 func NewRecordError(c Cause, err error) error { return &RecordError{Cause: c, err: err} }
 
+// maxRecordErrorBytes limits the text of an error that quotes a record.
+const maxRecordErrorBytes = 200
+
 // Error implements error.
-func (r *RecordError) Error() string { return r.err.Error() }
+func (r *RecordError) Error() string {
+	text := r.err.Error()
+	return text[:min(len(text), maxRecordErrorBytes)]
+}
 
 // Unwrap returns the underlying error.
 func (r *RecordError) Unwrap() error { return r.err }
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -300,7 +300,7 @@
 		s.refusals.record(eventlog.EntryRefused, Targets, string(r.ID), r.Offset, r.Err)
 	}
 	now := s.clock()
-	return s.registry.ApplySince(now, registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry}, now.Add(-age))
+	return s.registry.ApplySince(now, withoutForeign(registry.Change{Offset: r.Offset, ID: r.ID, Entry: r.Entry}), now.Add(-age))
 }
 
 // storeStatus is the availability of the store's log by the reports of all instances.
