--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -197,7 +197,7 @@
 	if err := c.setDeadline(); err != nil {
 		return c.fail(http.StatusBadRequest, problem.BadRequest, err.Error())
 	}
-	if c.h.shutsDownBefore(c.deadline) {
+	if c.stopsBefore() {
 		return c.refuse(problem.Overloaded, reasonStopping)
 	}
 	if !pipeline.IsRerun(c.r) {
--- a/gateway/relayserver.go
+++ b/gateway/relayserver.go
@@ -83,7 +83,7 @@
 		return "this instance has lost its paths too"
 	case len(c.h.State.Targets().Services[c.service]) == 0:
 		return "no target is known"
-	case c.h.shutsDownBefore(c.deadline):
+	case c.stopsBefore():
 		return reasonStopping
 	case c.standing() == quarantine.Quarantined && !m.Trial:
 		return "the content is in quarantine"
--- a/statesync/complete.go
+++ b/statesync/complete.go
@@ -15,6 +15,11 @@
 func (s *State) confirm(stream Stream, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.confirmLocked(stream, at)
+}
+
+// confirmLocked is confirm for callers that hold s.mu.
+func (s *State) confirmLocked(stream Stream, at time.Time) {
 	if at.After(s.completeAt[stream]) {
 		s.completeAt[stream] = at
 	}
@@ -23,17 +28,19 @@
 // confirmByPeers confirms the state by that of the readers of the zone, as far as this instance has
 // what they have.
 func (s *State) confirmByPeers(v mesh.View) {
-	version, position := s.Versions()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, position := s.version(), s.registry.Next()
 	for i := range v.Members {
 		m := &v.Members[i]
 		if m.Zone != v.Zone {
 			continue
 		}
 		if m.Document <= version {
-			s.confirm(Documents, m.DocumentsComplete)
+			s.confirmLocked(Documents, m.DocumentsComplete)
 		}
 		if !m.Registry.After(position) {
-			s.confirm(Targets, m.TargetsComplete)
+			s.confirmLocked(Targets, m.TargetsComplete)
 		}
 	}
 }
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -83,10 +83,7 @@
 			r.cancel(errRestored)
 		}
 	}
-	select {
-	case f.restoreNotify <- struct{}{}:
-	default:
-	}
+	signal(f.restoreNotify)
 }
 
 // pendingRead is a read that waits for changes.
--- a/statesync/recorderror.go
+++ b/statesync/recorderror.go
@@ -75,10 +75,7 @@
 	r := refusal{s, key, causeOf(err)}
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	if rs.counts == nil {
-		rs.counts = make(map[Cause]int64)
-	}
-	rs.counts[r.cause]++
+	rs.add(r.cause, 1)
 	if rs.logged[r] {
 		return
 	}
@@ -96,11 +93,16 @@
 	}
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	rs.add(Unreadable, n)
+	eventlog.Info(eventlog.EntriesDropped, "stream", s.String(), "records", n)
+}
+
+// add counts refused records. The caller holds rs.mu.
+func (rs *refusals) add(c Cause, n int) {
 	if rs.counts == nil {
 		rs.counts = make(map[Cause]int64)
 	}
-	rs.counts[Unreadable] += int64(n)
-	eventlog.Info(eventlog.EntriesDropped, "stream", s.String(), "records", n)
+	rs.counts[c] += int64(n)
 }
 
 // RefusedRecords returns the number of records refused so far, by cause.
