statesync: a failed call is told while a grace period may depend on it

Cause, by reading the change: an instance told its last failed call in each heartbeat for as long as it lived, and all others took it in and dropped it again at each tick, though spans are kept for 30 s only. Ruled out: to drop it as it is taken in, which spares no bytes. Change: it is told, and passed on in digests, for 30 s. Before and after: TestOldFailureIsNotTold, told after an hour without the bound, not with it.

--- a/registry/availability.go
+++ b/registry/availability.go
@@ -14,8 +14,8 @@
 	minOutageIntervals = 4.0 / 3
 	// maxFailures bounds the failed spans that are kept.
 	maxFailures = 64
-	// spanRetention is how long spans are kept: longer than any grace period.
-	spanRetention = 30 * time.Second
+	// SpanRetention is how long spans are kept: longer than any grace period.
+	SpanRetention = 30 * time.Second
 )
 
 // Span is a time in which the log was available to at least one instance without a break: each read
@@ -82,7 +82,7 @@
 
 // prune drops spans that no grace period depends on any more.
 func (a *logAvailability) prune(now time.Time) {
-	ended := func(s Span) bool { return now.Sub(s.Until) > spanRetention }
+	ended := func(s Span) bool { return now.Sub(s.Until) > SpanRetention }
 	a.spans = slices.DeleteFunc(a.spans, ended)
 	a.failures = slices.DeleteFunc(a.failures, ended)
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -256,7 +256,7 @@
 	assert.DeepEqual(t, r.availability.outages(at(12)), []Span{{at(2), at(5)}, {at(5), at(8)}})
 	answered(r, at(4.5), at(7.5))
 	assert.DeepEqual(t, r.availability.outages(at(12)), []Span{{at(2), at(4.5)}})
-	r.availability.prune(at(2).Add(spanRetention + time.Second))
+	r.availability.prune(at(2).Add(SpanRetention + time.Second))
 	assert.Equal(t, len(r.availability.outages(at(12))), 0)
 }
 
--- a/statesync/complete_test.go
+++ b/statesync/complete_test.go
@@ -30,3 +30,23 @@
 	assert.Equal(t, s.CompleteAt(Documents), now)
 	assert.Equal(t, s.CompleteAt(Targets), earlier)
 }
+
+// TestOldFailureIsNotTold guards against a failed call that is told in each heartbeat for as long as the
+// process lives, and taken in and dropped by all at each tick.
+func TestOldFailureIsNotTold(t *testing.T) {
+	now := time.Now()
+	recent := registry.Span{From: now.Add(-time.Second), Until: now.Add(-time.Millisecond)}
+	old := registry.Span{From: recent.From.Add(-time.Hour), Until: recent.Until.Add(-time.Hour)}
+	for _, tc := range []struct {
+		failure registry.Span
+		told    bool
+	}{{recent, true}, {old, false}, {registry.Span{}, false}} {
+		f := NewFollower(Options{State: NewState(0, nil)})
+		f.lastFailure = tc.failure
+		var p mesh.Packet
+		f.Fill(&p)
+		assert.Equal(t, p.LogFailure != nil, tc.told)
+		v := mesh.View{At: now, Zone: "a", Members: []mesh.Member{{Zone: "a", LogFailure: tc.failure}}}
+		assert.Equal(t, len(zoneFailures(v)) == 1, tc.told)
+	}
+}
--- a/statesync/follower.go
+++ b/statesync/follower.go
@@ -124,32 +124,37 @@
 	version, position := f.opts.State.Versions()
 	p.Document, p.Registry, p.Epoch = version, position.Offset, position.Epoch
 	p.LogAvailability = mesh.NewAgeSpan(now, f.opts.State.lastAnswered())
-	p.LogFailure = mesh.NewAgeSpan(now, f.failure())
+	p.LogFailure = mesh.NewAgeSpan(now, f.failure(now))
 }
 
 // FillDigest sets the fields of a digest that sum up what the zone's instances know of the store.
 func (f *Follower) FillDigest(p *mesh.Packet) {
-	last := f.failure()
+	now := time.Now()
+	last := f.failure(now)
 	for _, s := range zoneFailures(f.opts.Peers()) {
 		if s.Until.After(last.Until) {
 			last = s
 		}
 	}
-	p.LogFailure = mesh.NewAgeSpan(time.Now(), last)
+	p.LogFailure = mesh.NewAgeSpan(now, last)
 }
 
-// failure returns the latest span in which a call of this instance had no answer in time.
-func (f *Follower) failure() registry.Span {
+// failure returns the latest span in which a call of this instance had no answer in time; zero if that is
+// long ago.
+func (f *Follower) failure(now time.Time) registry.Span {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if now.Sub(f.lastFailure.Until) > registry.SpanRetention {
+		return registry.Span{}
+	}
 	return f.lastFailure
 }
 
-// zoneFailures returns the last failures of the calls of the other instances of the zone.
+// zoneFailures returns the last failures of the calls of the other instances of the zone that are not long ago.
 func zoneFailures(v mesh.View) []registry.Span {
 	var spans []registry.Span
 	for i := range v.Members {
-		if m := &v.Members[i]; m.Zone == v.Zone && !m.LogFailure.IsZero() {
+		if m := &v.Members[i]; m.Zone == v.Zone && v.At.Sub(m.LogFailure.Until) <= registry.SpanRetention {
 			spans = append(spans, m.LogFailure)
 		}
 	}
