registry: calls refused for a moment after the end of all readers are no outage

What callers saw: requests reached a target up to 3.8 s after its entry was removed (bound 2.0 s), where all instances that read the store had been killed and the calls of those that took over were refused (429) for 0.6 s.

Cause: a gap between answers counted as an outage if any call failed anywhere in it, however short. After the end of the readers nobody calls for 0.9 s, their last answer is up to 1.1 s old by then, and one refusal made the whole of it an outage: the target was kept for 2.7 s more (target-held why=outage). Ruled out: late news; the removal is learned 0.2 s after the refusals end.

Change: only the time from the first call that failed in a gap to its end counts, and it has to last as long as entries need to lapse. store-outage tells it (failing_ms).

Why it holds: in an outage the readers' calls fail from its start, so that the time counted is that of the outage; where they ended with it, entries need 2 s to lapse.

--- a/registry/availability.go
+++ b/registry/availability.go
@@ -29,12 +29,13 @@
 func (s Span) overlaps(o Span) bool { return !s.From.After(o.Until) && !o.From.After(s.Until) }
 
 // logAvailability records when the log was available, as reported by all instances. The log counts
-// as unavailable only while no instance got a response and a call of some instance failed: one
+// as unavailable only while no instance got a response and calls of some instance failed: one
 // without a response proves nothing, and neither does a time in which nobody called.
 type logAvailability struct {
-	// minOutage is the shortest gap in which entries may lapse.
+	// minOutage is the shortest time without responses, from the first call that failed on, in which
+	// entries may lapse.
 	minOutage time.Duration
-	// spans are in order; the gaps between them are outages if a call failed in them.
+	// spans are in order; the gaps between them are outages if calls failed in them for long enough.
 	spans []Span
 	// failures are times from the start of a call until it failed; those that overlap are merged.
 	failures []Span
@@ -99,7 +100,7 @@
 func (a *logAvailability) outages(now time.Time) []Span {
 	var outages []Span
 	for i := 1; i < len(a.spans); i++ {
-		if gap := a.gapBefore(i); a.failedIn(gap) {
+		if gap := a.gapBefore(i); a.isOutage(gap) {
 			outages = append(outages, gap)
 		}
 	}
@@ -112,10 +113,20 @@
 // gapBefore returns the time between the i-th span and the one before it.
 func (a *logAvailability) gapBefore(i int) Span { return Span{a.spans[i-1].Until, a.spans[i].From} }
 
-// failedIn reports whether a call failed in a gap. Without that nobody called: the readers ended, and
+// isOutage reports whether entries may have lapsed in a gap because the log was unavailable. The part of the
+// gap before the first call that failed counts as a time in which nobody called: the readers ended, and
 // others had not taken over yet.
-func (a *logAvailability) failedIn(gap Span) bool {
-	return slices.ContainsFunc(a.failures, gap.overlaps)
+func (a *logAvailability) isOutage(gap Span) bool { return a.failingTime(gap) >= a.minOutage }
+
+// failingTime returns the time from the first call that failed in a gap to its end; 0 if none failed.
+func (a *logAvailability) failingTime(gap Span) time.Duration {
+	first := gap.Until
+	for _, f := range a.failures {
+		if gap.overlaps(f) {
+			first = earlier(first, later(gap.From, f.From))
+		}
+	}
+	return gap.Until.Sub(first)
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -158,16 +169,24 @@
 // MayBeOutage reports whether the log may have been unavailable during a time without answers, so long
 // that entries lapsed.
 func (r *Registry) MayBeOutage(gap Span) bool {
-	return gap.Until.Sub(gap.From) >= r.availability.minOutage && r.availability.failedIn(gap)
+	return r.availability.isOutage(gap)
+}
+
+// Gap is a time between two spans with answers.
+type Gap struct {
+	Span
+	// Failing is the time from the first call that failed in the gap to its end.
+	Failing time.Duration
+	// Outage is whether it counts as an outage of the log.
+	Outage bool
 }
 
-// LastGap returns the last time between two spans with answers, and whether it was an outage of the
-// log; zero if there is none.
-func (r *Registry) LastGap() (gap Span, outage bool) {
+// LastGap returns the last time between two spans with answers; zero if there is none.
+func (r *Registry) LastGap() Gap {
 	n := len(r.availability.spans)
 	if n < 2 {
-		return Span{}, false
+		return Gap{}
 	}
-	gap = r.availability.gapBefore(n - 1)
-	return gap, r.availability.failedIn(gap)
+	gap := r.availability.gapBefore(n - 1)
+	return Gap{Span: gap, Failing: r.availability.failingTime(gap), Outage: r.availability.isOutage(gap)}
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -183,9 +183,9 @@
 // assertLastGap checks the last time without answers, and whether it counts as an outage.
 func assertLastGap(t *testing.T, r *Registry, want Span, wantOutage bool) {
 	t.Helper()
-	gap, outage := r.LastGap()
-	assert.Equal(t, gap, want)
-	assert.Equal(t, outage, wantOutage)
+	gap := r.LastGap()
+	assert.Equal(t, gap.Span, want)
+	assert.Equal(t, gap.Outage, wantOutage)
 }
 
 // TestTimeWithoutCallsIsNoOutage guards against targets that are kept past the bound because nobody
@@ -203,6 +203,23 @@
 	assertLastGap(t, r, Span{From: start, Until: takeover}, true)
 }
 
+// TestShortFailureIsNoOutage guards against targets that are kept past the bound because calls were refused for a
+// moment at the end of a time in which nobody called.
+func TestShortFailureIsNoOutage(t *testing.T) {
+	r := New()
+	put(t, r, start, entry("a", 1))
+	answered(r, start.Add(-time.Minute), start)
+	refused, takeover := start.Add(1300*time.Millisecond), start.Add(2200*time.Millisecond)
+	r.RecordFailed(Span{From: refused, Until: refused.Add(600 * time.Millisecond)})
+	answered(r, takeover, takeover)
+	gap := r.LastGap()
+	assert.Equal(t, gap, Gap{Span: Span{From: start, Until: takeover}, Failing: 900 * time.Millisecond})
+	drop(t, r, takeover, "a")
+	assert.Assert(t, !inUse(r, takeover.Add(BaseGracePeriod+time.Millisecond), "a"))
+	r.RecordFailed(Span{From: takeover.Add(-defaultMinOutage), Until: takeover.Add(-time.Millisecond)})
+	assertLastGap(t, r, Span{From: start, Until: takeover}, true)
+}
+
 func TestOutageExtendsGracePeriod(t *testing.T) {
 	r := New()
 	put(t, r, start, entry("a", 1))
--- a/statesync/path_test.go
+++ b/statesync/path_test.go
@@ -230,6 +230,23 @@
 	})
 }
 
+// TestRefusedCallsBesideEndOfReadersAreNoOutage guards against taking the end of all readers of the store for
+// an outage of it because calls of those that read in their place are refused for a moment: a target whose
+// entry was removed at that time was used for 3.8 s.
+func TestRefusedCallsBesideEndOfReadersAreNoOutage(t *testing.T) {
+	forEachSoundFleet(t, func(t *testing.T, f *fleetModel, ids []fleet.TargetID) {
+		f.register(ids[7], 2) // so that all readers begin to wait at once
+		time.Sleep(f.members[0].follower.opts.longWait(Targets) - f.randomDuration(100*time.Millisecond))
+		f.killReaders()
+		const refusedFrom, refusedFor = 700 * time.Millisecond, 700 * time.Millisecond
+		for _, m := range f.members {
+			time.AfterFunc(refusedFrom, func() { m.store.refuse(time.Now().Add(refusedFor)) })
+		}
+		time.Sleep(f.randomDuration(refusedFrom))
+		f.checkLapse(t, ids[0])
+	})
+}
+
 // TestReadersWithoutAnswerAreNoOutage guards against taking for an outage of the store what only the
 // instances meet that read it, when their reads have waited for long: a target whose entry was removed
 // at that time was used for up to 2.5 s.
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -46,10 +46,8 @@
 	restores, unconfirmed int64
 	// completeAt is, per stream, the time as of which the state is known to be complete.
 	completeAt [streamCount]time.Time
-	// lastGap is the time without answers of the store that was last logged, and lastGapOutage
-	// whether it counted as an outage then.
-	lastGap       registry.Span
-	lastGapOutage bool
+	// lastGap is the time without answers of the store that was last logged.
+	lastGap registry.Gap
 	// epochAdvanced is true if the epoch has advanced since onRestore was last called.
 	epochAdvanced bool
 	// behindSince is when a peer first reported a newer document than the current one;
@@ -367,20 +365,22 @@
 // logGap logs the last time without answers of the store when it becomes known, or when what it
 // counts as changes. Spans are pruned, so that a gap may also be forgotten.
 func (s *State) logGap(now time.Time) {
-	gap, outage := s.registry.LastGap()
-	if gap.From.Equal(s.lastGap.From) && outage == s.lastGapOutage {
+	gap := s.registry.LastGap()
+	if gap.From.Equal(s.lastGap.From) && gap.Outage == s.lastGap.Outage {
 		return
 	}
 	logged, why := gap, "nobody called"
 	switch {
 	case gap.IsZero():
 		logged, why = s.lastGap, "others were answered, or it is long ago"
-	case outage:
+	case gap.Outage:
 		why = "calls failed"
+	case gap.Failing > 0:
+		why = "calls failed for a short time"
 	}
-	s.lastGap, s.lastGapOutage = gap, outage
-	eventlog.Info(eventlog.StoreOutage, "known", outage, "why", why, "lasted_ms", logged.Until.Sub(logged.From).Milliseconds(),
-		"ended_ms", now.Sub(logged.Until).Milliseconds())
+	s.lastGap = gap
+	eventlog.Info(eventlog.StoreOutage, "known", gap.Outage, "why", why, "lasted_ms", logged.Until.Sub(logged.From).Milliseconds(),
+		"failing_ms", logged.Failing.Milliseconds(), "ended_ms", now.Sub(logged.Until).Milliseconds())
 }
 
 // logGracePeriods logs targets that stay in use for a grace period after their entries have
