--- a/mesh/members.go
+++ b/mesh/members.go
@@ -95,6 +95,7 @@
 
 // Update applies a packet that came from the member directly.
 func (m *Member) Update(now time.Time, p *Packet) {
+	m.meet(p)
 	if p.Heartbeat {
 		m.Instances = p.Instances
 	}
@@ -116,6 +117,15 @@
 	}
 }
 
+// meet records which process a packet is from. What an earlier process told of itself does not hold for a new
+// one, which has no state yet.
+func (m *Member) meet(p *Packet) {
+	if p.Boot > m.Boot {
+		*m = Member{Addr: m.Addr, LastReceived: m.LastReceived}
+	}
+	m.Zone, m.Boot, m.Leaving = p.Zone, p.Boot, p.Leaving
+}
+
 // timeOfAge converts an age in a packet that has just arrived to a time. It returns zero if the age is
 // invalid.
 func timeOfAge(now time.Time, ageMillis int64) time.Time {
@@ -223,7 +233,7 @@
 	if restarted {
 		m.seen, m.seenNext = [dedupWindow]uint64{}, 0
 	}
-	m.Zone, m.Boot, m.Leaving = p.Zone, p.Boot, p.Leaving
+	m.meet(p)
 	s := ms.receiveDirect(now, m, p, restarted)
 	if m.isDuplicate(p.Sequence) {
 		return m, packetIgnored
@@ -248,11 +258,6 @@
 		s = memberReturned
 	}
 	m.silent = false
-	if restarted {
-		m.Document, m.Registry, m.Instances, m.Paths = 0, registry.Position{}, 0, nil
-		m.LogAvailability, m.LogFailure = registry.Span{}, registry.Span{}
-		m.DocumentsComplete, m.TargetsComplete = time.Time{}, time.Time{}
-	}
 	if m.changesVersions(p) {
 		ms.versionsChanged = true
 	}
@@ -579,6 +584,8 @@
 const (
 	minResponsiveTimeout = responsiveIntervals * minHeartbeatInterval
 	responsiveIntervals  = 3
+	// ReaderTimeout is the time after which a reader of the store that sends no datagrams is replaced.
+	ReaderTimeout = minResponsiveTimeout
 )
 
 // Responsive reports whether a datagram from the member arrived so recently that the others may
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/clementinereel/clementinereel/document"
 	"github.com/clementinereel/clementinereel/fleet"
 	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/suspicion"
@@ -333,3 +334,16 @@
 		assert.Equal(t, maxOffset(), p.Registry)
 	}
 }
+
+// TestNewProcessIsKnownByItsOwnWords: a process that had just started was taken for a reader of the log, because
+// the one before it at the same address was one.
+func TestNewProcessIsKnownByItsOwnWords(t *testing.T) {
+	now := time.Now()
+	m := Member{Addr: "10.0.0.1:1"}
+	m.Update(now, &Packet{Zone: "a", Boot: 1, Versions: Versions{Log: LogAvailable, Registry: 7, Document: 3}})
+	m.Update(now, &Packet{Zone: "a", Boot: 2, Sequence: 1})
+	assert.Equal(t, m.Log, LogUnread)
+	assert.Equal(t, m.Registry, registry.Position{})
+	assert.Equal(t, m.Document, document.Version(0))
+	assert.Equal(t, m.Addr, "10.0.0.1:1")
+}
--- a/mesh/packet.go
+++ b/mesh/packet.go
@@ -299,6 +299,9 @@
 	// LogLate means that the log responded to the instance's last call, and the response to the present
 	// one is late. Earlier versions do not send it, and take it for no response.
 	LogLate
+	// LogLoading means that the instance reads the log from its beginning, and parts of it arrive. It knows
+	// no later changes yet. Earlier versions do not send it, and take it for a log that is not read.
+	LogLoading
 )
 
 // Doubtful reports whether an instance in this state may get no response to its present call.
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -297,7 +298,7 @@
 		}
 		from, ok := since[id]
 		if !ok {
-			from = now
+			from = cmp.Or(s.Since, now)
 		}
 		if restored && !r.entries[id].Leaving {
 			r.keepUnconfirmed(id)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -469,3 +469,21 @@
 		assert.Assert(t, r.View().Target("a") == nil)
 	}
 }
+
+// TestEntryThatSnapshotLacksIsAsOldAsLastState: the grace period of an entry counted from the arrival of the
+// snapshot that lacks it, however long ago the log had dropped it.
+func TestEntryThatSnapshotLacksIsAsOldAsLastState(t *testing.T) {
+	for name, c := range map[string]struct {
+		since  time.Time
+		usedAt time.Duration
+	}{
+		"known":     {since: start.Add(-500 * time.Millisecond), usedAt: BaseGracePeriod - 500*time.Millisecond},
+		"not known": {usedAt: BaseGracePeriod},
+	} {
+		r := New()
+		assert.Assert(t, r.Replace(start, Snapshot{Next: Position{1, 500}, Entries: []Entry{entry("a", 1), entry("b", 1)}}))
+		assert.Assert(t, r.Replace(start, Snapshot{Next: Position{1, 600}, Entries: []Entry{entry("b", 1)}, Since: c.since}))
+		assert.Assert(t, inUse(r, start.Add(c.usedAt-time.Millisecond), "a"), name)
+		assert.Assert(t, !inUse(r, start.Add(c.usedAt+time.Millisecond), "a"), name)
+	}
+}
--- a/registry/restore.go
+++ b/registry/restore.go
@@ -14,6 +14,9 @@
 	// entries must be ignored. The log provides neither.
 	Vanished []Vanished
 	Removed  []Removed
+	// Since is the time after which the log dropped the entries that the snapshot lacks and Vanished does not
+	// name; zero if that is not known.
+	Since time.Time
 	// RestoreAge is how long ago the sender learned of the epoch; 0 if the sender is the log
 	// itself.
 	RestoreAge time.Duration
