--- a/freshness/role.go
+++ b/freshness/role.go
@@ -17,9 +17,10 @@
 	// TakeoverDelay is the time that an instance leaves to each one ranked before it to take over from
 	// readers that get no response. If the store rejects only these readers, one more instance is enough.
 	TakeoverDelay = 150 * time.Millisecond
-	// LoadingDelay replaces TakeoverDelay while another instance of the zone reads the log from its
-	// beginning, which may take seconds: all would ask for the same, and have it later.
-	LoadingDelay = 1500 * time.Millisecond
+	// LoadingDelay replaces TakeoverDelay for an instance without a state while another one of the zone reads
+	// the log from its beginning, which may take seconds: all would ask for the same, and have it later. That
+	// one tells when a call is not answered, so only a slow path is left to wait for.
+	LoadingDelay = 5 * time.Second
 	// MaxTakeoverReaders is the maximum number of instances of a zone that read in place of its
 	// readers. If that many get no response, the store rejects all instances, and more would only
 	// add calls.
@@ -57,6 +58,8 @@
 type Own struct {
 	// HasState is whether it has a state of both streams, of any age.
 	HasState bool
+	// Loads is whether it reads the log from its beginning, and parts have arrived.
+	Loads bool
 	// Epoch is the latest known epoch of the store.
 	Epoch registry.Epoch
 }
@@ -132,12 +135,12 @@
 	if preceding >= ReadersPerZone+MaxTakeoverReaders {
 		return Decision{Reason: AwaitsTurn}
 	}
-	delay, waiting := TakeoverDelay, AwaitsTurn
-	if loading(v) {
-		delay, waiting = LoadingDelay, AwaitsLoading
+	turn, waiting := time.Duration(countPreceding(o.Rank, v, mayRead))*TakeoverDelay, AwaitsTurn
+	yields := !own.HasState && !own.Loads && loading(v)
+	if yields {
+		turn, waiting = max(turn/TakeoverDelay, 1)*LoadingDelay, AwaitsLoading
 	}
-	turn := time.Duration(countPreceding(o.Rank, v, mayRead)) * delay
-	if s.Reads || v.At.Sub(s.unvouchedSince) >= turn {
+	if s.Reads && !yields || v.At.Sub(s.unvouchedSince) >= turn {
 		return Decision{Reads: true, Reason: StandsIn}
 	}
 	return Decision{Reason: waiting}
--- a/statesync/role.go
+++ b/statesync/role.go
@@ -5,6 +5,7 @@
 
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/freshness"
+	"github.com/clementinereel/clementinereel/mesh"
 )
 
 const (
@@ -39,7 +40,7 @@
 	if f.opts.State == nil {
 		return freshness.Own{}
 	}
-	own := freshness.Own{HasState: true, Epoch: f.opts.State.epoch()}
+	own := freshness.Own{HasState: true, Epoch: f.opts.State.epoch(), Loads: f.LogState() == mesh.LogLoading}
 	for _, s := range Streams() {
 		known := f.opts.State.next(s).Offset > 0 || f.hasSnapshot(s)
 		own.HasState = own.HasState && known
