gateway, statesync: requests at the start of all wait for the state that one reads for all

Processes that start together had each read the store at once, 20 ms after their start; now one of a zone reads for all, after it has heard the others, and they know it after some 400 ms, while requests waited for 150 ms only. 100 ms of this were the interval at which a role is looked at.

Change: requests wait for up to 500 ms for the first state; a process that has just started looks at its role each 10 ms, and one that awaits its turn looks at that moment (Decision.Until).

--- a/freshness/role.go
+++ b/freshness/role.go
@@ -102,7 +102,7 @@
 	Reason Reason
 	// Reader is the address of the instance that vouches for the state; empty if none does.
 	Reader string
-	// Until is the time until which that holds if nothing more is heard from the reader.
+	// Until is the time until which that holds if nothing more is heard; zero if there is none.
 	Until time.Time
 }
 
@@ -127,7 +127,7 @@
 	}
 	ready := o.readyAt(s, v)
 	if v.At.Before(ready) {
-		return Decision{Reason: Starts}
+		return Decision{Reason: Starts, Until: ready}
 	}
 	if s.unvouchedSince.IsZero() {
 		s.unvouchedSince = v.At
@@ -143,7 +143,7 @@
 	if s.Reads && !yields || v.At.Sub(s.unvouchedSince) >= turn {
 		return Decision{Reads: true, Reason: StandsIn}
 	}
-	return Decision{Reason: waiting}
+	return Decision{Reason: waiting, Until: s.unvouchedSince.Add(turn)}
 }
 
 // follow returns the decision of an instance for whose zone a reader vouches.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -46,9 +46,9 @@
 	// maxWriteTimeout at most.
 	minWriteTimeout, maxWriteTimeout = 10 * time.Second, 30 * time.Second
 	// initialStateTimeout bounds how long a request waits during startup for the first
-	// configuration and targets. The store or a peer delivers them within some 10 ms. A
-	// refused caller may have no time left to retry, or may not be allowed to.
-	initialStateTimeout = 150 * time.Millisecond
+	// configuration and targets. Where all start together, the first of a zone reads them for all within
+	// some 200 ms. A refused caller may have no time left to retry, or may not be allowed to.
+	initialStateTimeout = 500 * time.Millisecond
 	// startupPeriod is the time after the process start in which requests wait for the
 	// initial state.
 	startupPeriod = 2 * time.Second
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -278,7 +278,7 @@
 
 // Requests that arrive before a new process has its configuration wait for it and are served.
 func TestNewProcessWaitsForFirstConfiguration(t *testing.T) {
-	const delay = 50 * time.Millisecond
+	const delay = 300 * time.Millisecond
 	b := newBackend(t, respondWith(http.StatusOK))
 	url, _, _ := launchGateway(t, 200*time.Millisecond, &fakeStore{document: testDocument(), snapshotDelay: delay}, b)
 	status, body, took := sendRequest(t.Context(), t, "POST", url+"/buy/1")
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -167,7 +167,7 @@
 	select {
 	case <-ctx.Done():
 	case <-f.roleNotify[s]:
-	case <-time.After(roleCheckInterval):
+	case <-time.After(f.nextRoleCheck()):
 	}
 }
 
--- a/statesync/role.go
+++ b/statesync/role.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// roleCheckInterval is how often an instance checks whether it has to read the store.
-	roleCheckInterval = 100 * time.Millisecond
+	// roleCheckInterval is how often an instance checks whether it has to read the store, and startCheckInterval
+	// while it has just started.
+	roleCheckInterval  = 100 * time.Millisecond
+	startCheckInterval = 10 * time.Millisecond
 	// maxConfirmationDelay is the time beyond the wait of a read after which a reader has told its result: until a
 	// read is late, and two heartbeats.
 	maxConfirmationDelay = lateReadDelay + 600*time.Millisecond
@@ -35,6 +37,20 @@
 	return f.role.Reads
 }
 
+// nextRoleCheck returns the time until the role has to be checked again.
+func (f *Follower) nextRoleCheck() time.Duration {
+	f.mu.Lock()
+	d := f.decision
+	f.mu.Unlock()
+	switch {
+	case d.Reason == freshness.Starts:
+		return startCheckInterval
+	case d.Until.IsZero():
+		return roleCheckInterval
+	}
+	return min(max(time.Until(d.Until), startCheckInterval), roleCheckInterval)
+}
+
 // own returns what this instance has itself.
 func (f *Follower) own() freshness.Own {
 	if f.opts.State == nil {
