--- a/freshness/role_test.go
+++ b/freshness/role_test.go
@@ -291,3 +291,18 @@
 	failed.Answered(now)
 	assert.Equal(t, failed.State(), mesh.LogAvailable)
 }
+
+// TestDecisionsTellWhenToLookAgain checks that an instance which waits knows the moment of its turn: a look at fixed
+// intervals alone made the start of all later.
+func TestDecisionsTellWhenToLookAgain(t *testing.T) {
+	members := zoneOf(3, mesh.LogUnread)
+	x, v := fresh(members[2].Addr), view(2, members[:2]...)
+	d := x.decide(v)
+	assert.Equal(t, d.Reason, Starts)
+	assert.Equal(t, d.Until, now.Add(AcquaintanceTime))
+	v = after(v, AcquaintanceTime)
+	d = x.decide(v)
+	assert.Equal(t, d.Reason, AwaitsTurn)
+	assert.Equal(t, d.Until, v.At.Add(2*TakeoverDelay))
+	assert.Equal(t, x.decide(after(v, 2*TakeoverDelay)).Reason, StandsIn)
+}
