freshness: one walk over the zone's members, one rule for the age of a reader's state, whether a reason reads

Cause, by reading the change: three functions walked over the members of the zone by the same two conditions; the age up to which a reader's state counts was written twice, as a look (isCurrent) and as a moment (vouchedUntil); a decision carried Reads beside a reason that says it; a number of instances was worked out by dividing a duration by its unit; and Combined had its own search beside slices.ContainsFunc. Ruled out: State.Reads, which tests and a follower's first decision need without a reason; the walks in gateway/contents and mesh, which ask for other times of silence (Fresh, none). Change: zoneMembers, vouchedUntil and Reason.Reads are the one place each. Tests ask Reason.Reads() for Reads; their assertions are the same. Conclusion: no behaviour changes; a further reason or a further age has one place to be told.

--- a/freshness/reading.go
+++ b/freshness/reading.go
@@ -1,6 +1,7 @@
 package freshness
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clementinereel/clementinereel/mesh"
@@ -43,23 +44,17 @@
 // Combined returns the state of the log that a reader tells, by its reads of all streams. It vouches for its
 // followers only once changes of each stream were read: newest records alone say nothing of later changes.
 func Combined(readings ...Reading) mesh.LogState {
-	has := func(match func(Reading) bool) bool {
-		for _, r := range readings {
-			if match(r) {
-				return true
-			}
-		}
-		return false
+	in := func(s mesh.LogState) bool {
+		return slices.ContainsFunc(readings, func(r Reading) bool { return r.state == s })
 	}
-	in := func(s mesh.LogState) func(Reading) bool { return func(r Reading) bool { return r.state == s } }
 	switch {
-	case has(in(mesh.LogLoading)) && !has(in(mesh.LogUnavailable)):
+	case in(mesh.LogLoading) && !in(mesh.LogUnavailable):
 		return mesh.LogLoading
-	case has(in(mesh.LogUnread)):
+	case in(mesh.LogUnread):
 		return mesh.LogUnread
-	case has(in(mesh.LogUnavailable)):
+	case in(mesh.LogUnavailable):
 		return mesh.LogUnavailable
-	case has(func(r Reading) bool { return r.late }):
+	case slices.ContainsFunc(readings, func(r Reading) bool { return r.late }):
 		return mesh.LogLate
 	}
 	return mesh.LogAvailable
--- a/freshness/role.go
+++ b/freshness/role.go
@@ -1,6 +1,7 @@
 package freshness
 
 import (
+	"iter"
 	"time"
 
 	"github.com/clementinereel/clementinereel/mesh"
@@ -95,10 +96,11 @@
 	AwaitsLoading Reason = "awaits-loading"
 )
 
+// Reads reports whether an instance reads the log for this reason.
+func (r Reason) Reads() bool { return r == Ranked || r == StandsIn || r == LacksState }
+
 // Decision is what an instance does.
 type Decision struct {
-	// Reads is whether it reads the log.
-	Reads  bool
 	Reason Reason
 	// Reader is the address of the instance that vouches for the state; empty if none does.
 	Reader string
@@ -109,7 +111,7 @@
 // Decide returns what an instance does now, and what it remembers.
 func Decide(o Options, s State, own Own, v mesh.View) (State, Decision) {
 	d := decide(o, &s, own, v)
-	s.Reads = d.Reads
+	s.Reads = d.Reason.Reads()
 	return s, d
 }
 
@@ -119,7 +121,7 @@
 	}
 	preceding := Preceding(o.Rank, v)
 	if preceding < readers(v) && own.HasState && v.At.Sub(o.Started) >= SettlingTime {
-		return Decision{Reads: true, Reason: Ranked}
+		return Decision{Reason: Ranked}
 	}
 	if reader := o.vouching(s.Reads, own, v); reader != nil {
 		s.unvouchedSince = time.Time{}
@@ -135,13 +137,14 @@
 	if preceding >= ReadersPerZone+MaxTakeoverReaders {
 		return Decision{Reason: AwaitsTurn}
 	}
-	turn, waiting := time.Duration(countPreceding(o.Rank, v, mayRead))*TakeoverDelay, AwaitsTurn
+	first := time.Duration(countPreceding(o.Rank, v, mayRead)) // the number of instances that read first
+	turn, waiting := first*TakeoverDelay, AwaitsTurn
 	yields := !own.HasState && !own.Loads && loading(v)
 	if yields {
-		turn, waiting = max(turn/TakeoverDelay, 1)*LoadingDelay, AwaitsLoading
+		turn, waiting = max(first, 1)*LoadingDelay, AwaitsLoading
 	}
 	if s.Reads && !yields || v.At.Sub(s.unvouchedSince) >= turn {
-		return Decision{Reads: true, Reason: StandsIn}
+		return Decision{Reason: StandsIn}
 	}
 	return Decision{Reason: waiting, Until: s.unvouchedSince.Add(turn)}
 }
@@ -151,7 +154,7 @@
 	d := Decision{Reason: Follows, Reader: reader.Addr, Until: o.vouchedUntil(reader)}
 	turn := StateTimeout + time.Duration(preceding)*TakeoverDelay
 	if !own.HasState && v.At.Sub(s.contactAt) >= turn {
-		d.Reads, d.Reason = true, LacksState
+		d.Reason = LacksState
 	}
 	return d
 }
@@ -176,30 +179,34 @@
 	return ReadersPerZone
 }
 
+// zoneMembers returns the members of the own zone that the others may depend on.
+func zoneMembers(v mesh.View) iter.Seq[*mesh.Member] {
+	return func(yield func(*mesh.Member) bool) {
+		for i := range v.Members {
+			if m := &v.Members[i]; m.Zone == v.Zone && v.Responsive(m) && !yield(m) {
+				return
+			}
+		}
+	}
+}
+
 // vouching returns a reader that vouches for the zone, or nil. An instance that reads in place of the readers
 // continues until one ranked before it vouches; otherwise the two would yield to each other. Readers without the
 // current epoch of the store do not count: they run the previous version, or have not seen the restore yet.
 func (o *Options) vouching(reads bool, own Own, v mesh.View) *mesh.Member {
-	for i := range v.Members {
-		m := &v.Members[i]
+	for m := range zoneMembers(v) {
 		if m.Registry.Epoch < own.Epoch || reads && ReaderRank(m.Addr) >= o.Rank {
 			continue
 		}
-		if m.Zone == v.Zone && m.Log == mesh.LogAvailable && v.Responsive(m) && o.isCurrent(v.At, m) {
+		if m.Log == mesh.LogAvailable && !v.At.After(o.vouchedUntil(m)) {
 			return m
 		}
 	}
 	return nil
 }
 
-// isCurrent reports whether a reader knows the log as of a time that is not long ago. Readers of earlier versions
-// do not tell.
-func (o *Options) isCurrent(now time.Time, m *mesh.Member) bool {
-	within := func(at time.Time, age time.Duration) bool { return at.IsZero() || age == 0 || now.Sub(at) <= age }
-	return within(m.DocumentsComplete, o.DocumentsMaxAge) && within(m.TargetsComplete, o.TargetsMaxAge)
-}
-
-// vouchedUntil returns the time until which a reader vouches if nothing more is heard from it.
+// vouchedUntil returns the time until which a reader vouches if nothing more is heard from it. Readers of earlier
+// versions do not tell as of when they know the log.
 func (o *Options) vouchedUntil(m *mesh.Member) time.Time {
 	until := m.LastReceived.Add(mesh.ReaderTimeout)
 	sooner := func(at time.Time, age time.Duration) {
@@ -214,8 +221,8 @@
 
 // loading reports whether an instance of the zone reads the log from its beginning.
 func loading(v mesh.View) bool {
-	for i := range v.Members {
-		if m := &v.Members[i]; m.Zone == v.Zone && m.Log == mesh.LogLoading && v.Responsive(m) {
+	for m := range zoneMembers(v) {
+		if m.Log == mesh.LogLoading {
 			return true
 		}
 	}
@@ -234,9 +241,8 @@
 // returns true.
 func countPreceding(rank uint64, v mesh.View, counts func(*mesh.Member) bool) int {
 	n := 0
-	for i := range v.Members {
-		m := &v.Members[i]
-		if m.Zone == v.Zone && !m.Leaving && v.Responsive(m) && ReaderRank(m.Addr) < rank && counts(m) {
+	for m := range zoneMembers(v) {
+		if !m.Leaving && ReaderRank(m.Addr) < rank && counts(m) {
 			n++
 		}
 	}
--- a/freshness/role_test.go
+++ b/freshness/role_test.go
@@ -78,7 +78,7 @@
 // reading returns how many of the instances read.
 func reading(xs []*instance, v mesh.View) (n int) {
 	for _, x := range xs {
-		if x.decide(without(v, x.addr)).Reads {
+		if x.decide(without(v, x.addr)).Reason.Reads() {
 			n++
 		}
 	}
@@ -105,7 +105,7 @@
 	members := zoneOf(12, mesh.LogAvailable)
 	slices.SortFunc(members, func(a, b mesh.Member) int { return cmp.Compare(mesh.Rank(a.Addr), mesh.Rank(b.Addr)) })
 	for i, m := range members {
-		reads := settled(m.Addr).decide(without(view(1, members...), m.Addr)).Reads
+		reads := settled(m.Addr).decide(without(view(1, members...), m.Addr)).Reason.Reads()
 		assert.Equal(t, reads, i >= len(members)-ReadersPerZone)
 		assert.Assert(t, !reads || i >= bridges)
 	}
@@ -151,7 +151,7 @@
 	x, v := settled(members[2].Addr), view(1, members[:2]...)
 	assert.Equal(t, x.decide(v).Reason, Follows)
 	v.At = v.At.Add(1100 * time.Millisecond)
-	assert.Assert(t, x.decide(v).Reads)
+	assert.Assert(t, x.decide(v).Reason.Reads())
 }
 
 // TestSilentReadersOfLargeFleetAreReplacedInTime guards against a reader timeout of three
@@ -164,7 +164,7 @@
 	v.Interval = 1064 * time.Millisecond
 	assert.Equal(t, x.decide(v).Reason, Follows)
 	v.At = v.At.Add(1100 * time.Millisecond)
-	assert.Assert(t, x.decide(v).Reads)
+	assert.Assert(t, x.decide(v).Reason.Reads())
 }
 
 // TestReaderVouchesUntilItsStateIsOld guards against instances that rely on a reader which is heard, but does not
@@ -201,11 +201,11 @@
 // no others, and soon if none is heard.
 func TestNewProcessAwaitsContact(t *testing.T) {
 	x, alone := fresh("10.0.0.1:1"), mesh.View{At: now, Zone: "a", Joined: true}
-	assert.Assert(t, x.decide(alone).Reads)
+	assert.Assert(t, x.decide(alone).Reason.Reads())
 	x, unheard := fresh("10.0.0.1:1"), mesh.View{At: now, Zone: "a", PeerCount: 3}
 	assert.Equal(t, x.decide(unheard).Reason, Starts)
-	assert.Assert(t, !x.decide(after(unheard, ContactTimeout-time.Millisecond)).Reads)
-	assert.Assert(t, x.decide(after(unheard, ContactTimeout)).Reads)
+	assert.Assert(t, !x.decide(after(unheard, ContactTimeout-time.Millisecond)).Reason.Reads())
+	assert.Assert(t, x.decide(after(unheard, ContactTimeout)).Reason.Reads())
 }
 
 // TestFewInstancesReadTheLogFromItsBeginning guards against a fleet of which each instance reads all newest records
