statesync: one form for a read that is repeated, one question for "has a state", a time that is zero if not known

Ruled out: to compute the role once for both streams, which would let one stream wait for the other's look. Change: hedgedRead, hasState; State.changesSince is zero if the time is not known, and serves all three callers. readOnce asks hasState before it takes the position, so that a state which arrives between the two is not read from its beginning.

--- a/statesync/complete.go
+++ b/statesync/complete.go
@@ -53,25 +53,19 @@
 	return s.completeAt[stream]
 }
 
-// changesSince returns the time after which the store accepted the changes that a read returns at
-// once, and whether it is known. It is not if the store may have been unavailable since then.
-func (s *State) changesSince(stream Stream) (at time.Time, known bool) {
+// changesSince returns the time after which the store accepted the changes that a read returns at once, or
+// dropped the entries that a newer snapshot lacks. It is zero if it is not known: the store may have been
+// unavailable since then.
+func (s *State) changesSince(stream Stream) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.changesSinceLocked(stream)
 }
 
 // changesSinceLocked is changesSince for callers that hold s.mu.
-func (s *State) changesSinceLocked(stream Stream) (at time.Time, known bool) {
-	at = s.completeAt[stream]
-	return at, !at.IsZero() && !s.registry.MayBeOutage(registry.Span{From: at, Until: s.clock()})
-}
-
-// lackedSince returns the time after which the log dropped the entries that a newer snapshot lacks; zero if it is
-// not known. The caller holds s.mu.
-func (s *State) lackedSince() time.Time {
-	at, known := s.changesSinceLocked(Targets)
-	if !known {
+func (s *State) changesSinceLocked(stream Stream) time.Time {
+	at := s.completeAt[stream]
+	if at.IsZero() || s.registry.MayBeOutage(registry.Span{From: at, Until: s.clock()}) {
 		return time.Time{}
 	}
 	return at
--- a/statesync/hedge.go
+++ b/statesync/hedge.go
@@ -6,37 +6,29 @@
 
 	"github.com/clementinereel/clementinereel/eventlog"
 	"github.com/clementinereel/clementinereel/mesh"
+	"github.com/clementinereel/clementinereel/registry"
 	"github.com/clementinereel/clementinereel/transfer"
 )
 
-// hedgedCall is a call of the store that is repeated on a new connection if it has no response after
-// some time. Open connections may go silent for good without being reset, while new ones work.
-type hedgedCall struct {
-	call, repeat func(context.Context) (Batch, error)
-	// after is the time from the start of call to that of repeat.
-	after time.Duration
-	// first is the time until the first byte of a response, stall the longest one without another:
-	// a big response may take any time over a small link.
-	first, stall time.Duration
-}
-
-// hedge makes a call for the stream and returns the result that is there first, of the call or its
-// repetition. ctx ends both. A call is not repeated once a response has begun, nor while the store is
-// unavailable: it has a connection that was opened since, and each call has a cost.
-func (f *Follower) hedge(ctx context.Context, s Stream, c hedgedCall) (Batch, error) {
-	watch, ctx := transfer.NewWatch(ctx, c.first, c.stall)
+// hedgedRead reads changes of the stream, and repeats the call on a new connection if it is late: open connections
+// may go silent for good without being reset, while new ones work. It returns the result that is there first. ctx
+// ends both. A call is not repeated once a response has begun, which may take any time over a small link, nor while
+// the store is unavailable: it has a connection that was opened since, and each call has a cost.
+func (f *Follower) hedgedRead(ctx context.Context, s Stream, from registry.Offset, pollWait time.Duration) (Batch, error) {
+	watch, ctx := transfer.NewWatch(ctx, pollWait+callTimeoutMargin, stallTimeout)
 	defer watch.Stop()
 	type result struct {
 		batch Batch
 		err   error
 	}
 	results := make(chan result, 2)
-	run := func(call func(context.Context) (Batch, error)) {
-		b, err := call(ctx)
+	read := func(wait time.Duration) {
+		b, err := f.opts.Store.Read(ctx, s, from, wait)
 		results <- result{b, err}
 	}
-	go run(c.call)
-	late := time.NewTimer(c.after)
+	go read(pollWait)
+	delay := pollWait + lateReadDelay
+	late := time.NewTimer(delay)
 	defer late.Stop()
 	for {
 		select {
@@ -46,12 +38,12 @@
 			if watch.HasBegun() || f.logState(s) == mesh.LogUnavailable {
 				continue
 			}
-			eventlog.Info(eventlog.StoreReadLate, "stream", s.String(), "offset", f.opts.State.next(s).Offset, "pending_ms", c.after.Milliseconds(),
+			eventlog.Info(eventlog.StoreReadLate, "stream", s.String(), "offset", f.opts.State.next(s).Offset, "pending_ms", delay.Milliseconds(),
 				"document", f.opts.State.version())
 			f.setLate(s, true)
 			f.countCall()
 			f.opts.Store.CloseIdleConnections()
-			go run(c.repeat)
+			go read(firstWait)
 		}
 	}
 }
--- a/statesync/peersnapshot.go
+++ b/statesync/peersnapshot.go
@@ -152,6 +152,6 @@
 		return s.registry.CatchUp(s.clock(), w.Changes, w.Vanished)
 	}
 	snapshot := w.registrySnapshot()
-	snapshot.Since = s.lackedSince()
+	snapshot.Since = s.changesSinceLocked(Targets)
 	return s.registry.Merge(s.clock(), snapshot)
 }
--- a/statesync/read.go
+++ b/statesync/read.go
@@ -1,6 +1,7 @@
 package statesync
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -192,14 +193,13 @@
 // readOnce makes one store call for the stream, or reads a snapshot and the changes after it. It reports whether
 // there were changes and all of them were received, so that a pause lets further ones gather.
 func (f *Follower) readOnce(ctx context.Context, s Stream) (changed bool, err error) {
-	next := f.opts.State.next(s)
-	needsSnapshot := next.Offset == 0 && !f.hasSnapshot(s) || f.loads[s] != nil
+	needsSnapshot := !f.hasState(s) || f.loads[s] != nil
 	if needsSnapshot {
 		if err := f.readSnapshot(ctx, s); err != nil {
 			return false, err
 		}
-		next = f.opts.State.next(s)
 	}
+	next := f.opts.State.next(s)
 	b, err := f.readChanges(ctx, s, next)
 	// The changes of a later epoch do not follow the known state.
 	if errors.Is(err, ErrExpired) || b.Epoch > next.Epoch {
@@ -236,13 +236,7 @@
 	f.setPendingRead(s, next, cancelRead)
 	defer f.setPendingRead(s, next, nil)
 	start := time.Now()
-	b, err := f.hedge(readCtx, s, hedgedCall{
-		call:   func(ctx context.Context) (Batch, error) { return f.opts.Store.Read(ctx, s, next.Offset, remaining) },
-		repeat: func(ctx context.Context) (Batch, error) { return f.opts.Store.Read(ctx, s, next.Offset, firstWait) },
-		after:  remaining + lateReadDelay,
-		first:  remaining + callTimeoutMargin,
-		stall:  stallTimeout,
-	})
+	b, err := f.hedgedRead(readCtx, s, next.Offset, remaining)
 	// The age of what a repetition returns is unknown: the store may have been unavailable until then.
 	if time.Since(start) < maxImmediateLatency {
 		b.MaxAge = time.Since(f.changesSince(s))
@@ -260,10 +254,7 @@
 // they are those that the state lacked before. If the store was unavailable meanwhile, they are taken
 // to be as old as the time since which this instance does not read.
 func (f *Follower) changesSince(s Stream) time.Time {
-	if at, known := f.opts.State.changesSince(s); known {
-		return at
-	}
-	return f.idleSince[s]
+	return cmp.Or(f.opts.State.changesSince(s), f.idleSince[s])
 }
 
 // Unanswered returns the time since the store last answered a read of the stream; 0 if the instance
@@ -316,12 +307,12 @@
 	f.pendingReads[s] = pendingRead{cancel: cancel, id: f.pendingReads[s].id + 1, from: from}
 }
 
-// hasSnapshot reports whether a snapshot of the stream was read. A stream that is still empty is
-// then read from its first record.
-func (f *Follower) hasSnapshot(s Stream) bool {
+// hasState reports whether the instance has a state of the stream. One that was empty when its snapshot was read is
+// read from its first record.
+func (f *Follower) hasState(s Stream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.snapshotDone[s]
+	return f.snapshotDone[s] || f.opts.State.next(s).Offset > 0
 }
 
 func (f *Follower) countCall() {
--- a/statesync/role.go
+++ b/statesync/role.go
@@ -26,7 +26,7 @@
 	defer f.mu.Unlock()
 	before, reason := f.role.Reads, f.decision.Reason
 	f.role, f.decision = freshness.Decide(f.freshness, f.role, own, v)
-	if f.role.Reads != before || f.decision.Reason != reason {
+	if f.decision.Reason != reason {
 		eventlog.Info(eventlog.ReaderRole, "reads", f.role.Reads, "why", f.decision.Reason, "reader", f.decision.Reader, "peers", len(v.Members))
 	}
 	if f.role.Reads != before {
@@ -56,10 +56,9 @@
 	if f.opts.State == nil {
 		return freshness.Own{}
 	}
-	own := freshness.Own{HasState: true, Epoch: f.opts.State.epoch(), Loads: f.LogState() == mesh.LogLoading}
-	for _, s := range Streams() {
-		known := f.opts.State.next(s).Offset > 0 || f.hasSnapshot(s)
-		own.HasState = own.HasState && known
+	return freshness.Own{
+		HasState: f.hasState(Documents) && f.hasState(Targets),
+		Epoch:    f.opts.State.epoch(),
+		Loads:    f.LogState() == mesh.LogLoading,
 	}
-	return own
 }
--- a/statesync/snapshot.go
+++ b/statesync/snapshot.go
@@ -52,9 +52,9 @@
 	if load == nil {
 		load = f.beginSnapshot(s)
 	}
-	for last := false; !last; {
-		var err error
-		if last, err = f.readPart(ctx, s, load); err != nil {
+	for {
+		last, err := f.readPart(ctx, s, load)
+		if err != nil {
 			return err
 		}
 		if last {
--- a/statesync/state.go
+++ b/statesync/state.go
@@ -202,7 +202,7 @@
 		s.nextDocument = registry.Later(s.nextDocument, b.after(s.nextDocument.Epoch))
 	case Targets:
 		before := s.registry.Next()
-		changed = s.registry.Replace(s.clock(), registry.Snapshot{Next: b.after(before.Epoch), Entries: s.entriesOf(b), Since: s.lackedSince()})
+		changed = s.registry.Replace(s.clock(), registry.Snapshot{Next: b.after(before.Epoch), Entries: s.entriesOf(b), Since: s.changesSinceLocked(Targets)})
 		s.storeOnly = s.storeOnly || s.registry.Next().Epoch != before.Epoch
 		s.recordRestore(from)
 		s.publish(from)
