--- a/endless/endless.go
+++ b/endless/endless.go
@@ -67,9 +67,14 @@
 }
 
 func serveConn(c net.Conn, first, repeat string) {
+	SkipHeader(c)
+	_ = Write(c, first, repeat) // ends with the connection
+}
+
+// SkipHeader reads a request's lines up to the empty one.
+func SkipHeader(c net.Conn) {
 	for s := bufio.NewScanner(c); s.Scan() && s.Text() != ""; {
 	}
-	_ = Write(c, first, repeat) // ends with the connection
 }
 
 // heapMetric is the memory of objects on the heap, with those that are not collected yet.
--- a/partial/partial.go
+++ b/partial/partial.go
@@ -3,10 +3,9 @@
 package partial
 
 import (
-	"bufio"
 	"fmt"
+	"io"
 	"net"
-	"strings"
 	"testing"
 
 	"github.com/clementinereel/clementinereel/endless"
@@ -71,17 +70,8 @@
 
 // answer reads a request's header and sends the part.
 func answer(c net.Conn, part string, ending Ending) {
-	reader := bufio.NewReader(c)
-	for {
-		line, err := reader.ReadString('\n')
-		if err != nil {
-			return
-		}
-		if strings.TrimSpace(line) == "" {
-			break
-		}
-	}
-	if _, err := c.Write([]byte(part)); err != nil {
+	endless.SkipHeader(c)
+	if _, err := io.WriteString(c, part); err != nil {
 		return
 	}
 	if tcp, ok := c.(*net.TCPConn); ok && ending == Reset {
